workspace: fix crate boundaries, shared types and the processes' protocol

Cause: there is no code yet, and authority, serving and proof are to grow side by side on the same crates. Change: a library crate of pure decisions with the messages between all processes (callers, upstreams, peers, operators), a daemon crate with settings, rings, duty threads and nng peers, and empty binaries. docs/architecture.md names the three kinds of authority: the fleet's replicated log, the domain leader's lease, the claim of one request.

--- /dev/null
+++ b/daemon/src/lib.rs
@@ -0,0 +1,13 @@
+//! What every cicadabend process shares, around the pure decisions of the library.
+//!
+//! - [`settings`]: JSON settings, validated before anything starts.
+//! - [`ring`]: the bounded rings that join a process's threads.
+//! - [`duty`]: one named thread with its own single-threaded runtime for each duty.
+//! - [`peers`]: messages between the cluster's own processes, over nng.
+//! - [`clock`]: the process's monotonic clock.
+
+pub mod clock;
+pub mod duty;
+pub mod peers;
+pub mod ring;
+pub mod settings;
--- /dev/null
+++ b/daemon/src/settings/entry.rs
@@ -0,0 +1,163 @@
+//! Settings of an entry daemon.
+
+use cicadabend::{
+    ids::Address,
+    prelude::*, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::{
+    LogSettings,
+    MetricSettings,
+    PeerAddress, //
+};
+
+/// Everything an entry daemon is told when it starts.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// The deployment.
+    pub cluster: ClusterName,
+    /// This daemon's name.
+    pub daemon: DaemonId,
+    /// Its failure domain.
+    pub failure_domain: FailureDomain,
+    /// Towards callers.
+    pub callers: CallerSettings,
+    /// Towards upstreams.
+    pub upstreams: UpstreamSettings,
+    /// Where this daemon listens for peers.
+    pub peer_listen: Address,
+    /// All processes of the cluster; this one may be among them.
+    pub peers: Vec<PeerAddress>,
+    /// Timing inside the failure domain.
+    #[serde(default)]
+    pub domain: DomainSettings,
+    /// Logs.
+    #[serde(default)]
+    pub logs: LogSettings,
+    /// Metrics.
+    #[serde(default)]
+    pub metrics: MetricSettings,
+}
+
+/// The listener for callers and its limits.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallerSettings {
+    /// Where callers connect.
+    pub listen: Address,
+    /// The most connections at once.
+    #[serde(default = "default_max_connections")]
+    pub max_connections: u32,
+    /// The most bytes of headers of one request.
+    #[serde(default = "default_max_header_bytes")]
+    pub max_header_bytes: ByteCount,
+    /// The most bytes of one body.
+    #[serde(default = "default_max_body_bytes")]
+    pub max_body_bytes: ByteCount,
+    /// How long a caller may take for its headers, and between parts of its body.
+    #[serde(default = "default_read_timeout_ms")]
+    pub read_timeout_ms: u64,
+    /// How long a request may wait for its first byte if the caller names no deadline.
+    #[serde(default = "default_first_byte_timeout_ms")]
+    pub first_byte_timeout_ms: u64,
+    /// How long the listener stays open after readiness went, so that the balancer sees it.
+    #[serde(default = "default_drain_notice_ms")]
+    pub drain_notice_ms: u64,
+    /// How long running requests may take to end after that.
+    #[serde(default = "default_drain_timeout_ms")]
+    pub drain_timeout_ms: u64,
+    /// How many requests may wait in this daemon.
+    #[serde(default = "default_queue_capacity")]
+    pub queue_capacity: u32,
+}
+
+/// The listener for announcements and the terms on which they count.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct UpstreamSettings {
+    /// Where upstreams announce themselves.
+    pub listen: Address,
+    /// How often an upstream is asked to announce itself.
+    #[serde(default = "default_announce_interval_ms")]
+    pub announce_interval_ms: u64,
+    /// How long an announcement keeps its upstream in use.
+    #[serde(default = "default_lease_ms")]
+    pub lease_ms: u64,
+    /// How long a connection to an upstream may take.
+    #[serde(default = "default_connect_timeout_ms")]
+    pub connect_timeout_ms: u64,
+}
+
+/// Timing inside the failure domain.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct DomainSettings {
+    /// How long the domain leader's lease lasts without renewal.
+    pub leader_lease_ms: u64,
+    /// How often it is renewed.
+    pub heartbeat_ms: u64,
+    /// By how many hundredths two clocks' rates may differ.
+    pub clock_rate_error_percent: Percent,
+    /// How long a new leader listens to announcements before its first command.
+    pub settle_ms: u64,
+}
+
+impl Default for DomainSettings {
+    fn default() -> Self {
+        Self {
+            leader_lease_ms: 2_000,
+            heartbeat_ms: 400,
+            clock_rate_error_percent: Percent(5),
+            settle_ms: 1_500,
+        }
+    }
+}
+
+fn default_max_connections() -> u32 {
+    4_096
+}
+
+fn default_max_header_bytes() -> ByteCount {
+    ByteCount(32 * 1024)
+}
+
+fn default_max_body_bytes() -> ByteCount {
+    ByteCount(16 * 1024 * 1024)
+}
+
+fn default_read_timeout_ms() -> u64 {
+    15_000
+}
+
+fn default_first_byte_timeout_ms() -> u64 {
+    30_000
+}
+
+fn default_drain_notice_ms() -> u64 {
+    2_000
+}
+
+fn default_drain_timeout_ms() -> u64 {
+    60_000
+}
+
+fn default_queue_capacity() -> u32 {
+    2_048
+}
+
+fn default_announce_interval_ms() -> u64 {
+    500
+}
+
+fn default_lease_ms() -> u64 {
+    2_000
+}
+
+fn default_connect_timeout_ms() -> u64 {
+    1_000
+}
--- /dev/null
+++ b/entry/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder until the thin path lands.
+fn main() {}
--- /dev/null
+++ b/lib/src/lib.rs
@@ -0,0 +1,24 @@
+//! Coordination parts of cicadabend.
+//!
+//! Everything here is a decision: it takes a state, an event and the time, and
+//! returns what is to be done. No module opens a socket, reads a clock, touches
+//! a disk or draws a random number of its own, so each race can be replayed in a
+//! test and each part can be embedded elsewhere.
+//!
+//! - [`ids`], [`units`] and [`time`]: the shared vocabulary.
+//! - [`fleet`]: the accepted configuration, and how an intent becomes a plan.
+//! - [`agreement`]: the replicated log among control daemons.
+//! - [`domain`]: what the daemons of one failure domain decide together.
+//! - [`routing`], [`admission`], [`claims`], [`request`]: the life of one request.
+//! - [`upstream_api`], [`peer_api`], [`operator_api`], [`caller_api`]: the messages
+//!   between processes.
+
+pub mod caller_api;
+pub mod fleet;
+pub mod ids;
+pub mod operator_api;
+pub mod peer_api;
+pub mod prelude;
+pub mod time;
+pub mod units;
+pub mod upstream_api;
--- /dev/null
+++ b/lib/src/peer_api.rs
@@ -0,0 +1,388 @@
+//! Messages between cicadabend's own processes; postcard over nng push/pull sockets.
+//!
+//! Every message is one-way and may be lost, doubled or reordered; what needs an
+//! answer says so in its own fields.
+
+use std::collections::BTreeMap;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    fleet::{
+        FleetConfig,
+        RoutingPolicy, //
+    },
+    ids::Address,
+    prelude::*,
+    upstream_api::{
+        Announcement,
+        LoadReport, //
+    },
+};
+
+/// The version of this protocol; a process drops messages of another one and counts them.
+pub const PROTOCOL_VERSION: u16 = 1;
+
+/// What surrounds every message.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Envelope {
+    /// [`PROTOCOL_VERSION`] of the sender; always the first field.
+    pub protocol_version: u16,
+    /// The sender's cluster.
+    pub cluster: ClusterName,
+    /// The sender.
+    pub from: DaemonId,
+    /// The sender's run.
+    pub boot: BootId,
+    /// The message.
+    pub message: PeerMessage,
+}
+
+/// What one process tells another.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum PeerMessage {
+    /// Control to control: a message of the agreement, encoded by that module.
+    Agreement(Vec<u8>),
+    /// Daemon to daemon in one failure domain: the domain leader's lease.
+    Lease(LeaseMessage),
+    /// Downwards along the spread tree: a newer configuration.
+    Config(ConfigUpdate),
+    /// Upwards along the spread tree: what this subtree has applied.
+    ConfigAck(ConfigAck),
+    /// To any process that may know: send the configuration if it is newer than this.
+    ConfigRequest {
+        /// What the sender has.
+        have: Revision,
+    },
+    /// Domain leader to its domain's daemons: who is in which group.
+    Table(DomainTable),
+    /// Daemon to domain leader: the table it now routes by.
+    TableAck {
+        /// The epoch of the table.
+        epoch: u32,
+        /// The number of the table within its epoch.
+        sequence: u64,
+    },
+    /// Domain leader to the other domains' leaders and to control: a digest.
+    Report(DomainReport),
+    /// Daemon to daemon in one failure domain: an announcement heard by one only.
+    Relay(Box<Announcement>),
+    /// Entry to control: about a request that must run at most once.
+    Claim(ClaimRequest),
+    /// Control to entry: the answer.
+    ClaimReply(ClaimReply),
+    /// Entry to its domain leader, then on to control: figures by policy.
+    Figures(Vec<FiguresDelta>),
+    /// Domain leader to its daemons: each team's share of its limit at that daemon.
+    TeamShares(BTreeMap<TeamName, TeamShare>),
+    /// Daemon to domain leader: each team's demand there.
+    TeamDemand(BTreeMap<TeamName, TeamShare>),
+}
+
+/// The domain leader's lease; volatile, renewed by a majority of the domain's daemons.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum LeaseMessage {
+    /// Asks whether a lease would be granted, without asking for it.
+    Probe {
+        /// The epoch the sender would lead in.
+        epoch: u32,
+    },
+    /// Answers a probe.
+    ProbeReply {
+        /// The epoch probed.
+        epoch: u32,
+        /// Whether the lease would be granted.
+        would_grant: bool,
+        /// The highest epoch the sender knows.
+        highest_epoch: u32,
+    },
+    /// Asks for the lease or its renewal.
+    Request {
+        /// The epoch to lead in.
+        epoch: u32,
+        /// The number of the request, so that a late grant is not counted for a newer one.
+        round: u64,
+    },
+    /// Answers a request.
+    Reply {
+        /// The epoch asked for.
+        epoch: u32,
+        /// The request's number.
+        round: u64,
+        /// Whether the lease is granted, from now for the configured length.
+        granted: bool,
+        /// The highest epoch the sender knows.
+        highest_epoch: u32,
+    },
+}
+
+/// A configuration on its way down.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ConfigUpdate {
+    /// Its number.
+    pub revision: Revision,
+    /// The revision that a delta starts from; `None` for a whole configuration.
+    pub base: Option<Revision>,
+    /// The configuration, whole or the parts that changed.
+    pub body: ConfigBody,
+}
+
+/// The content of a [`ConfigUpdate`].
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum ConfigBody {
+    /// Only the number: the receiver has it or asks for it.
+    Digest,
+    /// All of it.
+    Whole(Box<FleetConfig>),
+    /// A change, encoded by the spread module.
+    Delta(Vec<u8>),
+}
+
+/// What a daemon and those below it in the spread tree have applied.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ConfigAck {
+    /// The lowest revision applied by the sender and all below it.
+    pub applied: Revision,
+    /// How many daemons that covers.
+    pub daemons: u32,
+    /// Those that are behind, with what they have applied.
+    pub lagging: BTreeMap<DaemonId, Revision>,
+}
+
+/// Who is in which group of a failure domain; the domain leader's decision.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct DomainTable {
+    /// The domain.
+    pub failure_domain: FailureDomain,
+    /// The leader's epoch.
+    pub epoch: u32,
+    /// Grows with each table of the epoch.
+    pub sequence: u64,
+    /// The configuration it follows.
+    pub revision: Revision,
+    /// The assignments.
+    pub groups: Vec<Assignment>,
+}
+
+/// One group: which VMs it has, in rank order, under which token.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Assignment {
+    /// The group.
+    pub group: GroupId,
+    /// What it serves.
+    pub service: ServiceName,
+    /// The weights.
+    pub model: ModelName,
+    /// Their version.
+    pub version: String,
+    /// Adapters beside them.
+    pub adapters: Vec<String>,
+    /// Members in rank order; the first takes the requests.
+    pub members: Vec<VmId>,
+    /// The token of the command that formed it.
+    pub token: FencingToken,
+    /// Whether requests may be sent to it once all members announce it.
+    pub admits_requests: bool,
+}
+
+/// A failure domain as others see it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct DomainReport {
+    /// The domain.
+    pub failure_domain: FailureDomain,
+    /// Its leader.
+    pub leader: DaemonId,
+    /// The leader's epoch.
+    pub epoch: u32,
+    /// Grows with each report of the epoch.
+    pub sequence: u64,
+    /// The lowest revision applied by all reachable daemons of the domain.
+    pub applied: Revision,
+    /// Daemons that are behind.
+    pub lagging: BTreeMap<DaemonId, Revision>,
+    /// Daemons of the domain that the leader does not hear.
+    pub unreachable: Vec<DaemonId>,
+    /// The groups and their state.
+    pub groups: Vec<GroupReport>,
+    /// The VMs known.
+    pub vms: Vec<VmReport>,
+    /// Seconds in which a wanted group did not serve, summed over groups, this epoch.
+    pub group_downtime_ms: u64,
+    /// Seconds in which a healthy accelerator could not serve, summed, this epoch.
+    pub stranded_accelerator_ms: u64,
+}
+
+/// One group in a [`DomainReport`].
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct GroupReport {
+    /// The assignment.
+    pub assignment: Assignment,
+    /// Its state, by the name in the group's state chart.
+    pub state: String,
+    /// Where the first member takes requests, if known.
+    pub address: Option<Address>,
+    /// How many requests it runs side by side.
+    pub slots: Slots,
+    /// Its load.
+    pub load: LoadReport,
+}
+
+/// One VM in a [`DomainReport`].
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct VmReport {
+    /// The VM.
+    pub vm: VmId,
+    /// Its fabric domain.
+    pub fabric_domain: FabricDomain,
+    /// Its accelerators.
+    pub accelerators: Accelerators,
+    /// Its state, by the name in the upstream's state chart.
+    pub state: String,
+    /// The group it is assigned to.
+    pub group: Option<GroupId>,
+    /// The plain service it offers.
+    pub plain_service: Option<ServiceName>,
+    /// Where it takes requests.
+    pub address: Address,
+    /// How many requests it runs side by side.
+    pub slots: Slots,
+    /// Its load.
+    pub load: LoadReport,
+}
+
+/// About one request that must run at most once.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ClaimRequest {
+    /// Tells the answers to several questions apart.
+    pub question: u64,
+    /// What is claimed.
+    pub key: ClaimKey,
+    /// What is asked.
+    pub action: ClaimAction,
+}
+
+/// What is claimed: one team's idempotency key.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct ClaimKey {
+    /// The team.
+    pub team: TeamName,
+    /// The key the caller sent.
+    pub key: IdempotencyKey,
+}
+
+/// Who claims: one attempt of one run of an entry daemon.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Claimant {
+    /// The entry daemon.
+    pub daemon: DaemonId,
+    /// Its run.
+    pub boot: BootId,
+    /// The number of the attempt in that run.
+    pub attempt: u64,
+}
+
+/// What an entry daemon asks of the replicas of a claim.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum ClaimAction {
+    /// May this attempt run?
+    Acquire {
+        /// The attempt.
+        claimant: Claimant,
+        /// Hash of method, path and body, to notice a key used twice for different requests.
+        fingerprint: u64,
+    },
+    /// The attempt certainly did not run; another may.
+    Release {
+        /// The attempt.
+        claimant: Claimant,
+    },
+    /// The attempt ended with this outcome.
+    Complete {
+        /// The attempt.
+        claimant: Claimant,
+        /// What the caller got.
+        outcome: StoredOutcome,
+    },
+}
+
+/// The answer that a resend gets again.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StoredOutcome {
+    /// The HTTP status.
+    pub status: u16,
+    /// The content type.
+    pub content_type: String,
+    /// The body, or `None` if it was too large to keep.
+    pub body: Option<Vec<u8>>,
+}
+
+/// A claim replica's answer.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ClaimReply {
+    /// The question's number.
+    pub question: u64,
+    /// The replica's run; answers of two runs are not added up.
+    pub voter: crate::fleet::Voter,
+    /// The answer.
+    pub verdict: ClaimVerdict,
+}
+
+/// What a claim replica says.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum ClaimVerdict {
+    /// The attempt holds the claim here, and that is on disk.
+    Held,
+    /// Another attempt holds it.
+    HeldByOther {
+        /// The holder.
+        holder: Claimant,
+        /// Whether the key was used for a different request.
+        fingerprint_differs: bool,
+    },
+    /// The request has ended.
+    Completed {
+        /// What the first caller got.
+        outcome: StoredOutcome,
+        /// Whether the key was used for a different request.
+        fingerprint_differs: bool,
+    },
+    /// Recorded.
+    Recorded,
+    /// The replica cannot answer now, for example because its disk is full.
+    Unavailable,
+}
+
+/// Figures of one policy since the last message.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct FiguresDelta {
+    /// The service.
+    pub service: ServiceName,
+    /// The policy.
+    pub policy: RoutingPolicy,
+    /// Requests decided.
+    pub requests: u64,
+    /// Requests that failed.
+    pub failures: u64,
+    /// Requests whose prefix was cached.
+    pub cache_hits: u64,
+    /// Sum of times to the first token.
+    pub first_token_sum_us: u64,
+    /// Sum of their squares.
+    pub first_token_sum_squares: f64,
+    /// Times to the first token, by power-of-two bucket of microseconds.
+    pub first_token_buckets: Vec<u32>,
+    /// Times between tokens, by power-of-two bucket of microseconds.
+    pub between_tokens_buckets: Vec<u32>,
+}
+
+/// A team's share of its limits at one daemon, or its demand there.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TeamShare {
+    /// Requests a second, in thousandths.
+    pub requests_per_1000_s: u64,
+    /// Requests at once.
+    pub concurrent_requests: u32,
+}
--- /dev/null
+++ b/lib/src/prelude.rs
@@ -0,0 +1,30 @@
+//! The types that nearly every module names.
+
+pub use crate::{
+    ids::{
+        BootId,
+        ClusterName,
+        DaemonId,
+        FabricDomain,
+        FailureDomain,
+        FencingToken,
+        GroupId,
+        IdempotencyKey,
+        ModelName,
+        PlanId,
+        RequestId,
+        Revision,
+        ServiceName,
+        TeamName,
+        VmId, //
+    },
+    time::Timestamp,
+    units::{
+        Accelerators,
+        ByteCount,
+        Percent,
+        RatePerSecond,
+        Slots,
+        TokenCount, //
+    },
+};
--- /dev/null
+++ b/lib/src/time.rs
@@ -0,0 +1,40 @@
+//! Monotonic time as decisions see it.
+
+use std::{
+    fmt,
+    ops::Add,
+    time::Duration, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// Milliseconds of a process's own monotonic clock; never sent to another process.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Timestamp(pub u64);
+
+impl Timestamp {
+    /// Returns how long `earlier` lies back, zero if it does not.
+    pub fn since(self, earlier: Timestamp) -> Duration {
+        Duration::from_millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Timestamp {
+    type Output = Timestamp;
+
+    fn add(self, length: Duration) -> Timestamp {
+        let length_ms = u64::try_from(length.as_millis()).unwrap_or(u64::MAX);
+        Timestamp(self.0.saturating_add(length_ms))
+    }
+}
+
+impl fmt::Display for Timestamp {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ms", self.0)
+    }
+}
--- /dev/null
+++ b/testing/testutils/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fixtures.
