--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod operator_api;
 pub mod peer_api;
 pub mod prelude;
+pub mod routing;
 pub mod time;
 pub mod units;
 pub mod upstream_api;
