--- /dev/null
+++ b/testing/integration/src/lib.rs
@@ -0,0 +1,1 @@
+//! Tests with real processes; see `tests/`.
--- /dev/null
+++ b/testing/testutils/src/deployment.rs
@@ -0,0 +1,1 @@
+//! A small cluster.
--- /dev/null
+++ b/testing/testutils/src/ports.rs
@@ -0,0 +1,39 @@
+//! Addresses that nothing else on the machine uses.
+
+use std::{
+    io,
+    net::{
+        IpAddr,
+        Ipv4Addr,
+        SocketAddr,
+        TcpListener, //
+    },
+    process,
+};
+
+/// Returns an address with a port from the operating system, on a loopback IP of this process.
+///
+/// The port is released again before it is returned. Outgoing connections on
+/// loopback have the source 127.0.0.1, so they cannot take a port of another
+/// loopback IP, and each test process has its own IP; otherwise a daemon would
+/// now and then find its port taken when it restarts.
+///
+/// # Errors
+///
+/// Returns the operating system's error if no port can be bound.
+pub fn reserve_address() -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind((own_loopback_ip(), 0))?;
+    listener.local_addr()
+}
+
+fn own_loopback_ip() -> IpAddr {
+    let [_, high, middle, low] = process::id().to_be_bytes();
+    // The first byte of the id is always zero on Linux (ids end at 4,194,304);
+    // the offset keeps clear of 127.0.0.1.
+    IpAddr::V4(Ipv4Addr::new(
+        127,
+        high.wrapping_add(64),
+        middle,
+        low.max(2),
+    ))
+}
