--- a/testing/testutils/src/lib.rs
+++ b/testing/testutils/src/lib.rs
@@ -3,12 +3,14 @@
 //! - [`deployment`]: starts a small cluster in a temporary folder and ends it when dropped.
 //! - [`process`]: one process of it: pause, resume, terminate, kill, its log.
 //! - [`fault_proxy`]: a TCP proxy in the path, from the library noxious.
-//! - [`client`]: a caller and an operator over HTTP.
+//! - [`client`]: a caller over HTTP.
+//! - [`operator`]: an operator over HTTP.
 //! - [`wait`]: waiting on a condition with a deadline.
 
 pub mod client;
 pub mod deployment;
 pub mod fault_proxy;
+pub mod operator;
 pub mod ports;
 pub mod process;
 pub mod wait;
