placement: decide which groups a failure domain should have

Cause: plans and the domain leader both need to know which groups follow from a configuration and the VMs that are there, and must agree on it.

Change: `place` keeps what matches the service, ends groups whose service, size or members no longer fit, and forms new ones from alive VMs: largest groups first, in the fabric domain where the fewest VMs lose their use, then where fewest weights must be loaded. A new group names the ending groups it must wait for, so that no VM is in two at once. A group that lacks a member is kept and listed as incomplete; recovery decides on it. The states of upstreams get their closed enum, by the names of the coming chart.

Ruled out: best fit by smallest remainder alone; it ignores whether the remainder still holds a group of another size.

Tests: 17 of placement pass, four of them properties over generated fleets (no VM placed twice, rules of fabric domains and states, order of input, a carried-out placement changes nothing more, nothing missing while a fabric domain has room).

--- /dev/null
+++ b/lib/src/domain/mod.rs
@@ -0,0 +1,3 @@
+//! What the daemons of one failure domain decide together.
+
+pub mod placement;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -8,12 +8,15 @@
 //! - [`ids`], [`units`] and [`time`]: the shared vocabulary.
 //! - [`fleet`]: the accepted configuration, and how an intent becomes a plan.
 //! - [`agreement`]: the replicated log among control daemons.
+//! - [`chart`]: state charts that stand in files.
 //! - [`domain`]: what the daemons of one failure domain decide together.
 //! - [`routing`], [`admission`], [`claims`], [`request`]: the life of one request.
 //! - [`upstream_api`], [`peer_api`], [`operator_api`], [`caller_api`]: the messages
 //!   between processes.
 
 pub mod caller_api;
+pub mod chart;
+pub mod domain;
 pub mod fleet;
 pub mod ids;
 pub mod operator_api;
