routing: choose a replica by five policies from lagging reports and gappy cache events

Requests need a replica chosen without waiting, from reports that are old when they arrive.

- The report's own part is taken out and replaced by the requests of now, so what was sent since the report counts at once (OwnLoad keeps the changes).
- Arms are split by a hash of the request id; a retry stays in its arm.
- Another failure domain is used only when no home replica has a free slot; the distance is the moving minimum of measured round trips.
- Cache knowledge is belief: a gap halves what was known before it and heals with time and events; late events are ordered by their numbers; 65,536 prefixes at most.

--- /dev/null
+++ b/lib/tests/test_routing.rs
@@ -0,0 +1,456 @@
+//! Which replica a request goes to, by policy, load, distance and cache knowledge.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "a fixture that cannot be built fails its test"
+)]
+
+use std::{
+    collections::BTreeMap,
+    fmt::Debug,
+    str::FromStr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use cicadabend::{
+    fleet::{
+        FleetConfig,
+        PlainService,
+        RoutingArm,
+        RoutingPolicy,
+        Service, //
+    },
+    prelude::*,
+    routing::{
+        AnswerTiming,
+        CacheNotice,
+        Choice,
+        ChoiceReason,
+        OwnLoad,
+        Prefix,
+        Replica,
+        ReplicaId,
+        RouteQuery,
+        Router,
+        RoutingSnapshot,
+        choose_arm,
+        estimated_outstanding, //
+    },
+    upstream_api::{
+        CacheEvent,
+        LoadReport, //
+    },
+};
+use rstest::rstest;
+
+const SLOTS: u32 = 8;
+
+fn name<T: FromStr<Err: Debug>>(text: &str) -> T {
+    text.parse().unwrap()
+}
+
+fn replica(id: &str, domain: &str, running: u32) -> Replica {
+    Replica {
+        id: ReplicaId::Group(name(id)),
+        service: name("drafting-llm"),
+        failure_domain: name(domain),
+        token: FencingToken::default(),
+        address: name("127.0.0.1:1"),
+        slots: Slots(SLOTS),
+        load: LoadReport {
+            running,
+            ..LoadReport::default()
+        },
+        load_received_at: Timestamp(1_000),
+    }
+}
+
+fn snapshot(policy: RoutingPolicy, replicas: Vec<Replica>) -> RoutingSnapshot {
+    let arm = RoutingArm {
+        policy,
+        share_percent: Percent(100),
+    };
+    let service = Service::Plain(PlainService {
+        routing: vec![arm],
+        unsafe_methods_are_repeatable: false,
+    });
+    let config = FleetConfig {
+        services: BTreeMap::from([(name("drafting-llm"), service)]),
+        ..FleetConfig::default()
+    };
+    RoutingSnapshot {
+        ready: true,
+        config: Arc::new(config),
+        replicas,
+        ..RoutingSnapshot::default()
+    }
+}
+
+/// One daemon in `cumbaya` that sends requests for `drafting-llm`.
+struct Sender {
+    router: Router,
+    own: OwnLoad,
+    service: ServiceName,
+    home: FailureDomain,
+    prefixes: Vec<Prefix>,
+    excluded: Vec<ReplicaId>,
+    sent: u64,
+}
+
+fn sender() -> Sender {
+    Sender {
+        router: Router::default(),
+        own: OwnLoad::default(),
+        service: name("drafting-llm"),
+        home: name("cumbaya"),
+        prefixes: Vec::new(),
+        excluded: Vec::new(),
+        sent: 0,
+    }
+}
+
+impl Sender {
+    fn choose(&mut self, snapshot: &RoutingSnapshot, now: Timestamp) -> Option<Choice> {
+        self.sent += 1;
+        let request = name(&format!("r{}", self.sent));
+        let query = RouteQuery {
+            service: &self.service,
+            request: &request,
+            session: self.prefixes.last().map(|prefix| prefix.hash),
+            prefixes: &self.prefixes,
+            excluded: &self.excluded,
+            home: &self.home,
+            prompt_tokens: TokenCount(1_000),
+        };
+        let random = self.sent.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        self.router.choose(&query, snapshot, &self.own, now, random)
+    }
+
+    /// Sends a request and returns the name of the replica it went to.
+    fn send(&mut self, snapshot: &RoutingSnapshot, now: Timestamp) -> String {
+        let choice = self.choose(snapshot, now).unwrap();
+        self.own.started(&choice.replica.id, now);
+        choice.replica.id.to_string()
+    }
+}
+
+#[rstest]
+#[case::round_robin(RoutingPolicy::RoundRobin)]
+#[case::least_outstanding(RoutingPolicy::LeastOutstanding)]
+#[case::power_of_two(RoutingPolicy::PowerOfTwoChoices)]
+#[case::prefix_affinity(RoutingPolicy::PrefixAffinity)]
+#[case::expected_latency(RoutingPolicy::ExpectedLatency)]
+fn every_policy_chooses_among_the_replicas_that_are_not_excluded(#[case] policy: RoutingPolicy) {
+    let replicas = vec![
+        replica("g1", "cumbaya", 0),
+        replica("g2", "cumbaya", 0),
+        replica("g3", "cumbaya", 0),
+    ];
+    let snapshot = snapshot(policy, replicas);
+    let mut sender = sender();
+    sender.excluded = vec![ReplicaId::Group(name("g2"))];
+
+    let chosen: Vec<String> = (0..50)
+        .map(|_| sender.send(&snapshot, Timestamp(1_000)))
+        .collect();
+
+    assert!(chosen.iter().all(|id| id == "g1" || id == "g3"));
+    assert!(chosen.iter().any(|id| id == "g1"));
+    assert!(chosen.iter().any(|id| id == "g3"));
+}
+
+#[test]
+fn no_replica_means_no_choice() {
+    let mut sender = sender();
+    let snapshot = snapshot(RoutingPolicy::RoundRobin, Vec::new());
+
+    assert_eq!(sender.choose(&snapshot, Timestamp(1)), None);
+}
+
+#[test]
+fn a_request_stays_in_its_arm_and_arms_get_their_shares() {
+    let arms = [
+        RoutingArm {
+            policy: RoutingPolicy::RoundRobin,
+            share_percent: Percent(30),
+        },
+        RoutingArm {
+            policy: RoutingPolicy::ExpectedLatency,
+            share_percent: Percent(70),
+        },
+    ];
+
+    let decided: Vec<RoutingPolicy> = (0..10_000)
+        .map(|number| choose_arm(&arms, &name(&format!("request-{number}"))))
+        .collect();
+
+    let round_robin = decided
+        .iter()
+        .filter(|policy| **policy == RoutingPolicy::RoundRobin)
+        .count();
+    assert!((2_800..3_200).contains(&round_robin), "{round_robin}");
+    assert_eq!(decided[7], choose_arm(&arms, &name("request-7")));
+}
+
+// A report says that g1 is idle. Until the next report, half a second later, the
+// daemon sends 12 requests. If it believed the report alone, all 12 would go to g1.
+#[rstest]
+#[case::least_outstanding(RoutingPolicy::LeastOutstanding)]
+#[case::expected_latency(RoutingPolicy::ExpectedLatency)]
+fn requests_sent_since_the_report_count_at_once(#[case] policy: RoutingPolicy) {
+    let replicas = vec![
+        replica("g1", "cumbaya", 0),
+        replica("g2", "cumbaya", 2),
+        replica("g3", "cumbaya", 2),
+    ];
+    let snapshot = snapshot(policy, replicas);
+    let mut sender = sender();
+
+    let chosen: Vec<String> = (0..12)
+        .map(|_| sender.send(&snapshot, Timestamp(1_200)))
+        .collect();
+
+    let to_g1 = chosen.iter().filter(|id| *id == "g1").count();
+    assert!((4..=7).contains(&to_g1), "{chosen:?}");
+}
+
+#[test]
+fn own_requests_in_the_report_are_not_counted_twice_and_ended_ones_are_taken_out() {
+    let mut own = OwnLoad::default();
+    let mut reported = replica("g1", "cumbaya", 5);
+    reported.load.age_ms = 100;
+    for _ in 0..3 {
+        own.started(&reported.id, Timestamp(500));
+    }
+    own.ended(&reported.id, Timestamp(950));
+    own.started(&reported.id, Timestamp(960));
+    own.ended(&reported.id, Timestamp(970));
+
+    let outstanding = estimated_outstanding(&reported, &own);
+
+    // The report is of 900 ms: 3 own and 2 others; now 2 own and the same others.
+    assert_eq!(outstanding, 4);
+}
+
+#[test]
+fn another_domain_is_used_only_when_home_is_full_and_the_nearer_one_first() {
+    let mut replicas = vec![
+        replica("home", "cumbaya", SLOTS - 1),
+        replica("far", "sangolqui", 0),
+        replica("near", "carcelen", 0),
+    ];
+    let mut sender = sender();
+    let (far, near) = (name("sangolqui"), name("carcelen"));
+    for (domain, round_trip_ms) in [(&far, 9), (&near, 3), (&near, 70)] {
+        let round_trip = Duration::from_millis(round_trip_ms);
+        sender.router.record_round_trip(domain, round_trip);
+    }
+    let policy = RoutingPolicy::ExpectedLatency;
+
+    let with_room = sender.send(&snapshot(policy, replicas.clone()), Timestamp(1_000));
+    let when_full = sender.send(&snapshot(policy, replicas.clone()), Timestamp(1_000));
+    replicas.remove(0);
+    let without_home = sender.send(&snapshot(policy, replicas), Timestamp(1_000));
+
+    assert_eq!(
+        [&*with_room, &*when_full, &*without_home],
+        ["home", "near", "near"]
+    );
+}
+
+#[test]
+fn a_full_home_domain_keeps_its_queue_when_all_others_are_full_too() {
+    let replicas = vec![
+        replica("home", "cumbaya", SLOTS),
+        replica("near", "carcelen", SLOTS),
+    ];
+    let snapshot = snapshot(RoutingPolicy::LeastOutstanding, replicas);
+    let mut sender = sender();
+
+    let choice = sender.choose(&snapshot, Timestamp(1_000)).unwrap();
+
+    assert_eq!(choice.replica.id.to_string(), "home");
+    assert!(choice.is_saturated);
+    assert!(!choice.is_remote);
+}
+
+fn stored(replica: &str, boot: u64, sequence: u64, hash: u64) -> CacheNotice {
+    CacheNotice {
+        replica: ReplicaId::Group(name(replica)),
+        boot: BootId(boot),
+        event: CacheEvent {
+            sequence,
+            prefix_hash: hash,
+            stored: true,
+            tokens: TokenCount(800),
+        },
+    }
+}
+
+fn evicted(replica: &str, boot: u64, sequence: u64, hash: u64) -> CacheNotice {
+    let mut notice = stored(replica, boot, sequence, hash);
+    notice.event.stored = false;
+    notice
+}
+
+fn sender_with_prefix(hash: u64) -> Sender {
+    let mut sender = sender();
+    sender.prefixes = vec![Prefix {
+        hash,
+        tokens: TokenCount(800),
+    }];
+    sender
+}
+
+fn apply(sender: &mut Sender, notice: CacheNotice, now_ms: u64) {
+    sender.router.apply_cache_notice(&notice, Timestamp(now_ms));
+}
+
+fn expected_at_g1(sender: &Sender, now_ms: u64) -> f64 {
+    let replica = ReplicaId::Group(name("g1"));
+    let prefixes = sender.router.prefixes();
+    prefixes.expected_tokens(&replica, &sender.prefixes, Timestamp(now_ms))
+}
+
+// Events 2 and 3 of the engine are lost. What was known before the gap may have been
+// evicted in it, so it counts for half; it must not count for half for ever.
+#[test]
+fn a_gap_makes_cache_knowledge_doubtful_and_it_heals() {
+    let mut sender = sender_with_prefix(7);
+
+    apply(&mut sender, stored("g1", 1, 1, 7), 1_000);
+    let before = expected_at_g1(&sender, 1_000);
+    apply(&mut sender, stored("g1", 1, 4, 9), 2_000);
+    let after_gap = expected_at_g1(&sender, 2_000);
+    let after_a_minute = expected_at_g1(&sender, 62_000);
+    apply(&mut sender, stored("g1", 1, 5, 7), 62_001);
+    let confirmed = expected_at_g1(&sender, 62_001);
+
+    assert_eq!(before, 800.0);
+    assert_eq!(after_gap, 400.0);
+    assert!(after_a_minute > 650.0 && after_a_minute < 800.0);
+    assert_eq!(confirmed, 800.0);
+}
+
+#[test]
+fn a_late_storing_does_not_undo_the_eviction_that_followed_it() {
+    let mut sender = sender_with_prefix(7);
+
+    apply(&mut sender, evicted("g1", 1, 2, 7), 1_000);
+    apply(&mut sender, stored("g1", 1, 1, 7), 1_001);
+
+    assert_eq!(expected_at_g1(&sender, 1_001), 0.0);
+}
+
+#[test]
+fn a_restarted_engine_is_known_to_hold_nothing() {
+    let mut sender = sender_with_prefix(7);
+
+    apply(&mut sender, stored("g1", 1, 1, 7), 1_000);
+    apply(&mut sender, stored("g1", 2, 1, 8), 1_001);
+
+    assert_eq!(expected_at_g1(&sender, 1_001), 0.0);
+}
+
+#[test]
+fn cache_knowledge_is_bounded_and_keeps_the_newest() {
+    let mut sender = sender_with_prefix(99_999);
+
+    for sequence in 0..100_000 {
+        apply(&mut sender, stored("g1", 1, sequence, sequence), 1_000);
+    }
+
+    assert_eq!(sender.router.prefixes().len(), 65_536);
+    assert_eq!(expected_at_g1(&sender, 1_000), 800.0);
+}
+
+// All callers share one prompt prefix that only g1 holds. Without a bound g1 would
+// get every request while its peers idle.
+#[test]
+fn a_popular_prefix_does_not_melt_one_replica() {
+    let replicas = vec![
+        replica("g1", "cumbaya", 0),
+        replica("g2", "cumbaya", 0),
+        replica("g3", "cumbaya", 0),
+    ];
+    let snapshot = snapshot(RoutingPolicy::PrefixAffinity, replicas);
+    let mut sender = sender_with_prefix(7);
+    apply(&mut sender, stored("g1", 1, 1, 7), 1_000);
+
+    let first = sender.choose(&snapshot, Timestamp(1_000)).unwrap();
+    let chosen: Vec<String> = (0..18)
+        .map(|_| sender.send(&snapshot, Timestamp(1_000)))
+        .collect();
+
+    assert_eq!(first.reason, ChoiceReason::CachedPrefix);
+    assert_eq!(first.replica.id.to_string(), "g1");
+    let to_g1 = chosen.iter().filter(|id| *id == "g1").count();
+    assert!((6..=9).contains(&to_g1), "{chosen:?}");
+}
+
+#[test]
+fn requests_of_one_session_meet_again_without_cache_events() {
+    let replicas = (1..=5)
+        .map(|number| replica(&format!("g{number}"), "cumbaya", 2))
+        .collect();
+    let snapshot = snapshot(RoutingPolicy::PrefixAffinity, replicas);
+    let (mut one, mut other) = (sender_with_prefix(7), sender_with_prefix(7));
+
+    let first = one.choose(&snapshot, Timestamp(1_000)).unwrap();
+    let second = other.choose(&snapshot, Timestamp(1_000)).unwrap();
+
+    assert_eq!(first.reason, ChoiceReason::PrefixHash);
+    assert_eq!(first.replica.id, second.replica.id);
+}
+
+fn timing(total_ms: u64) -> AnswerTiming {
+    AnswerTiming {
+        first_token: Duration::from_millis(total_ms / 10),
+        total: Duration::from_millis(total_ms),
+        output_tokens: TokenCount(100),
+        uncached_tokens: TokenCount(1_000),
+        was_unqueued: true,
+    }
+}
+
+// g1 answers five times as slowly as its peers, with as few requests as they have.
+#[test]
+fn a_straggler_is_avoided_by_the_scoring_policy() {
+    let replicas: Vec<Replica> = ["g1", "g2", "g3"]
+        .iter()
+        .map(|id| replica(id, "cumbaya", 4))
+        .collect();
+    let mut sender = sender();
+    let service = sender.service.clone();
+    for _ in 0..5 {
+        for (replica, total_ms) in replicas.iter().zip([5_000, 1_000, 1_000]) {
+            let timing = timing(total_ms);
+            let now = Timestamp(1_000);
+            sender
+                .router
+                .record_answer(&service, &replica.id, &[], timing, now);
+        }
+    }
+    let snapshot = snapshot(RoutingPolicy::ExpectedLatency, replicas);
+
+    let chosen: Vec<String> = (0..4)
+        .map(|_| sender.send(&snapshot, Timestamp(1_000)))
+        .collect();
+
+    assert!(!chosen.contains(&"g1".to_owned()), "{chosen:?}");
+}
+
+#[test]
+fn free_slots_count_what_was_sent_since_the_report() {
+    let replicas = vec![replica("g1", "cumbaya", 6), replica("g2", "carcelen", 8)];
+    let snapshot = snapshot(RoutingPolicy::LeastOutstanding, replicas);
+    let mut sender = sender();
+    sender.send(&snapshot, Timestamp(1_100));
+
+    let free = sender
+        .router
+        .free_slots(&sender.service, &snapshot, &sender.own, Timestamp(1_100));
+
+    assert_eq!(free, 1);
+}
