--- a/testing/testutils/src/deployment.rs
+++ b/testing/testutils/src/deployment.rs
@@ -145,6 +145,15 @@
         Operator::new(vec![self.addresses[control].http], OPERATOR_TOKEN)
     }
 
+    /// Returns the operators' listeners of all control daemons, joined by commas.
+    pub fn operator_addresses(&self) -> String {
+        let names = self.shape.control_names().into_iter();
+        let addresses: Vec<_> = names
+            .map(|name| self.addresses[&name].http.to_string())
+            .collect();
+        addresses.join(",")
+    }
+
     /// Returns where callers reach an entry daemon.
     pub fn entry_address(&self, entry: &str) -> SocketAddr {
         self.addresses[entry].http
--- a/testing/testutils/src/deployment/files.rs
+++ b/testing/testutils/src/deployment/files.rs
@@ -29,6 +29,7 @@
     /// Writes one settings file for each process, and the operators' token file.
     pub(super) fn write_files(&self) -> io::Result<()> {
         fs::write(self.token_file(), format!("tester {OPERATOR_TOKEN}\n"))?;
+        fs::write(self.folder().join("operator-token"), OPERATOR_TOKEN)?;
         for name in self.shape.control_names() {
             self.write(&name, &self.control_settings(&name))?;
         }
