--- a/lib/src/chart/names.rs
+++ b/lib/src/chart/names.rs
@@ -8,6 +8,9 @@
     /// Returns the name as it stands in the chart file.
     fn name(self) -> &'static str;
 
+    /// Returns the place of the name in [`Self::ALL`].
+    fn index(self) -> usize;
+
     /// Returns the variant of this name.
     fn from_name(name: &str) -> Option<Self> {
         Self::ALL.iter().copied().find(|known| known.name() == name)
@@ -34,6 +37,10 @@
                     $( $name::$variant => $text, )*
                 }
             }
+
+            fn index(self) -> usize {
+                self as usize
+            }
         }
 
         impl std::fmt::Display for $name {
