storage: add journals that are durable once synced

Cause: control daemons must not answer before what they answer is on the disk, and must notice when a disk has lost something.

Change: `daemon::storage` has a data folder (locked, with an identity of daemon and random disk number), and journals in it: segment files with a versioned header, records with separate checksums of header and payload, group sync, rewrite by a temporary file that is synced and renamed. `verify` reads a folder offline.

Ruled out: one checksum over the whole record. A flipped length then reads as a record that reaches beyond the end of the file, and synced records behind it would be cut as a torn tail; the header therefore has a checksum of its own.

--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`ring`]: the bounded rings that join a process's threads.
 //! - [`duty`]: one named thread with its own single-threaded runtime for each duty.
 //! - [`peers`]: messages between the cluster's own processes, over nng.
+//! - [`storage`]: the data folder, its journals and the disk's identity.
 //! - [`clock`]: the process's monotonic clock.
 
 pub mod clock;
@@ -11,3 +12,4 @@
 pub mod peers;
 pub mod ring;
 pub mod settings;
+pub mod storage;
