daemon: add what every program starts with

The processes need one command line, one way to read settings, one log format, one stop and one set of counters before they can be written side by side.

Settings: serde stops at the first wrong value, but a user wants all of them. Each wrong value is replaced by the example's value in the same place and the text is read again, so wrong types, unknown and missing keys and broken rules come in one list. Ruled out: a hand-written reader for each type, which would be a second definition of the settings.

Events are an enum per crate, so that fields are typed and the catalogue is the declaration.

--- /dev/null
+++ b/daemon/src/daemon_events.rs
@@ -0,0 +1,18 @@
+//! The log events that every process can write (CB1000 to CB1099).
+
+crate::events! {
+    /// The process has read its settings and starts its threads.
+    1001 Info Started { program: &'static str, version: &'static str } "started";
+    /// SIGTERM or SIGINT arrived; the process drains and ends by itself.
+    1002 Info StopRequested { signal: &'static str } "stop requested";
+    /// A further stop signal arrived while the process drains; it changes nothing.
+    1003 Warn StopRepeated { signal: &'static str } "already stopping; signal ignored";
+    /// The process ends; everything it had promised is done.
+    1004 Info Stopped {} "stopped";
+    /// The process cannot go on; the reason says why.
+    1005 Error Failed { reason: String } "failed";
+    /// `GET /metrics` is answered at this address.
+    1006 Info MetricsListening { address: std::net::SocketAddr } "metrics are served";
+    /// A metric could not be sent; counters go on in the process.
+    1007 Warn MetricNotSent { reason: String } "a metric was not sent";
+}
--- /dev/null
+++ b/daemon/src/events.rs
@@ -0,0 +1,150 @@
+//! Numbered log events.
+//!
+//! Each crate declares its events once, in its `src/events.rs`, and emits them
+//! with typed fields:
+//!
+//! ```
+//! cicadabend_daemon::events! {
+//!     /// The daemon takes requests from callers.
+//!     1101 Info Listening { address: std::net::SocketAddr } "listening for callers";
+//!     /// The daemon has sent all answers and ends.
+//!     1102 Info Drained {} "all running requests have ended";
+//! }
+//!
+//! LogEvent::Listening { address: "127.0.0.1:80".parse().unwrap() }.emit();
+//! LogEvent::Drained {}.emit();
+//! assert_eq!(LogEvent::CATALOGUE[0].code(), "CB1101");
+//! ```
+//!
+//! Field types need `Display`. The doc comment becomes the catalogue's explanation.
+
+use log::{
+    Level,
+    Record, //
+};
+
+/// What is fixed about one event.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EventKind {
+    /// The number, without `CB`.
+    pub number: u16,
+    /// The level it is always written at.
+    pub level: Level,
+    /// The variant's name.
+    pub name: &'static str,
+    /// The fixed text.
+    pub text: &'static str,
+    /// The names of its fields.
+    pub fields: &'static [&'static str],
+    /// What it means, one line of the doc comment each.
+    pub explanation: &'static [&'static str],
+}
+
+impl EventKind {
+    /// Returns the code that log lines carry.
+    pub fn code(&self) -> String {
+        format!("CB{:04}", self.number)
+    }
+}
+
+/// Writes one event; [`events!`](crate::events!) calls this.
+pub fn write(kind: &EventKind, fields: &[(&'static str, String)]) {
+    if kind.level > log::max_level() {
+        return;
+    }
+    let code = kind.code();
+    log::logger().log(
+        &Record::builder()
+            .target(&code)
+            .level(kind.level)
+            .args(format_args!("{}", kind.text))
+            .key_values(&fields)
+            .build(),
+    );
+}
+
+/// Declares the closed set of a crate's log events as `enum LogEvent`.
+#[macro_export]
+macro_rules! events {
+    ($(
+        $(#[doc = $doc:literal])+
+        $number:literal $level:ident $name:ident { $($field:ident: $type:ty),* $(,)? } $text:literal;
+    )+) => {
+        /// The log events of this crate.
+        #[derive(Debug)]
+        pub enum LogEvent {
+            $(
+                $(#[doc = $doc])+
+                $name {
+                    $(
+                        #[doc = concat!("The field `", stringify!($field), "` of the log line.")]
+                        $field: $type,
+                    )*
+                },
+            )+
+        }
+
+        impl LogEvent {
+            /// All events, in the order of their declaration.
+            pub const CATALOGUE: &'static [$crate::events::EventKind] = &[$(
+                $crate::events::EventKind {
+                    number: $number,
+                    level: $crate::events::level::$level,
+                    name: stringify!($name),
+                    text: $text,
+                    fields: &[$(stringify!($field)),*],
+                    explanation: &[$($doc),+],
+                },
+            )+];
+
+            /// Writes the event to the log.
+            pub fn emit(&self) {
+                match self {
+                    $(
+                        Self::$name { $($field),* } => $crate::events::write(
+                            &$crate::events::EventKind {
+                                number: $number,
+                                level: $crate::events::level::$level,
+                                name: stringify!($name),
+                                text: $text,
+                                fields: &[$(stringify!($field)),*],
+                                explanation: &[$($doc),+],
+                            },
+                            &[$((stringify!($field), $field.to_string())),*],
+                        ),
+                    )+
+                }
+            }
+        }
+    };
+}
+
+/// The levels, by the names that declarations use.
+pub mod level {
+    use log::Level;
+
+    /// Something is lost or will be; an operator has to act.
+    #[expect(
+        non_upper_case_globals,
+        reason = "declarations name levels like variants"
+    )]
+    pub const Error: Level = Level::Error;
+    /// Something unexpected that the system handles by itself.
+    #[expect(
+        non_upper_case_globals,
+        reason = "declarations name levels like variants"
+    )]
+    pub const Warn: Level = Level::Warn;
+    /// A change of state that an operator wants to see.
+    #[expect(
+        non_upper_case_globals,
+        reason = "declarations name levels like variants"
+    )]
+    pub const Info: Level = Level::Info;
+    /// Detail for a developer.
+    #[expect(
+        non_upper_case_globals,
+        reason = "declarations name levels like variants"
+    )]
+    pub const Debug: Level = Level::Debug;
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,5 +1,8 @@
 //! What every cicadabend process shares, around the pure decisions of the library.
 //!
+//! - [`program`]: command line, settings, logs and signals of every program.
+//! - [`stop`]: the graceful stop.
+//! - [`logs`] and [`events`]: numbered log events; [`metrics`]: counters and timers.
 //! - [`settings`]: JSON settings, validated before anything starts.
 //! - [`ring`]: the bounded rings that join a process's threads.
 //! - [`duty`]: one named thread with its own single-threaded runtime for each duty.
@@ -7,7 +10,13 @@
 //! - [`clock`]: the process's monotonic clock.
 
 pub mod clock;
+pub mod daemon_events;
 pub mod duty;
+pub mod events;
+pub mod logs;
+pub mod metrics;
 pub mod peers;
+pub mod program;
 pub mod ring;
 pub mod settings;
+pub mod stop;
--- /dev/null
+++ b/daemon/src/program.rs
@@ -0,0 +1,196 @@
+//! What every program does before its own work: command line, settings, logs, signals.
+//!
+//! ```no_run
+//! use cicadabend_daemon::{program, settings::EntrySettings};
+//!
+//! const PROGRAM: program::Program = program::Program {
+//!     name: "cicadabend-entry",
+//!     about: "Serves callers on one entry VM",
+//!     version: env!("CARGO_PKG_VERSION"),
+//! };
+//!
+//! fn main() -> std::process::ExitCode {
+//!     program::run(&PROGRAM, |settings: EntrySettings, process| {
+//!         // Start threads, give each `process.stop.clone()` and `process.metrics.clone()`,
+//!         // join them, then return.
+//!         Ok(())
+//!     })
+//! }
+//! ```
+//!
+//! Exit codes: [`EXIT_OK`], [`EXIT_FAILED`], [`EXIT_USAGE`], [`EXIT_SETTINGS`].
+
+use std::{
+    error::Error,
+    io,
+    process::ExitCode, //
+};
+
+use clap::{
+    Arg,
+    ArgAction,
+    ArgMatches,
+    Command, //
+};
+
+use crate::{
+    clock::Clock,
+    daemon_events::LogEvent,
+    logs,
+    metrics::{
+        self,
+        Metrics, //
+    },
+    settings::{
+        self,
+        Settings, //
+    },
+    stop::{
+        self,
+        StopRequester,
+        StopSignal, //
+    },
+};
+
+/// The program did what it was asked, or stopped gracefully.
+pub const EXIT_OK: u8 = 0;
+/// The program failed while it ran; its last log line says why.
+pub const EXIT_FAILED: u8 = 1;
+/// The command line is wrong.
+pub const EXIT_USAGE: u8 = 2;
+/// The settings are wrong; all problems were printed.
+pub const EXIT_SETTINGS: u8 = 3;
+
+/// What differs between programs.
+#[derive(Clone, Copy, Debug)]
+pub struct Program {
+    /// The program's name.
+    pub name: &'static str,
+    /// One line on what it does.
+    pub about: &'static str,
+    /// Its version; `env!("CARGO_PKG_VERSION")`.
+    pub version: &'static str,
+}
+
+/// What a running program has besides its settings.
+pub struct Process {
+    /// Tells when to stop.
+    pub stop: StopSignal,
+    /// Asks for a stop from inside, as a thread does that cannot go on.
+    pub stop_requester: StopRequester,
+    /// Counters and timers.
+    pub metrics: Metrics,
+    /// The monotonic clock.
+    pub clock: Clock,
+}
+
+/// Returns the command line that every daemon has.
+pub fn command(program: &Program) -> Command {
+    Command::new(program.name)
+        .about(program.about)
+        .version(program.version)
+        .arg(
+            Arg::new("config")
+                .long("config")
+                .value_name("FILE")
+                .required(true)
+                .help("The JSON file with this process's settings"),
+        )
+        .arg(
+            Arg::new("check-config")
+                .long("check-config")
+                .action(ArgAction::SetTrue)
+                .help("Check the settings, print every problem, start nothing"),
+        )
+        .after_help(after_help(program.name))
+}
+
+fn after_help(name: &str) -> String {
+    format!(
+        "Example:\n  {name} --config /etc/cicadabend/{name}.json --check-config\n\n\
+         SIGTERM or SIGINT stops gracefully; a second one changes nothing.\n\n\
+         Exit codes:\n  \
+         {EXIT_OK}  done, or stopped gracefully\n  \
+         {EXIT_FAILED}  failed while running; the last log line says why\n  \
+         {EXIT_USAGE}  wrong command line\n  \
+         {EXIT_SETTINGS}  wrong settings; every problem is printed with its JSON path"
+    )
+}
+
+/// Runs a program: reads the command line and settings, then calls `body`.
+///
+/// `body` returns when the program has stopped.
+pub fn run<S, Body>(program: &Program, body: Body) -> ExitCode
+where
+    S: Settings,
+    Body: FnOnce(S, Process) -> Result<(), Box<dyn Error>>,
+{
+    let matches = command(program).get_matches();
+    let settings = match read_settings::<S>(&matches) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{}: {error}", program.name);
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if matches.get_flag("check-config") {
+        println!("{}: the settings are valid", program.name);
+        return ExitCode::from(EXIT_OK);
+    }
+    if let Err(error) = logs::start(settings.logs()) {
+        eprintln!("{}: {error}", program.name);
+        return ExitCode::from(EXIT_FAILED);
+    }
+    let outcome = start(program, &settings).and_then(|process| body(settings, process));
+    match outcome {
+        Ok(()) => {
+            LogEvent::Stopped {}.emit();
+            ExitCode::from(EXIT_OK)
+        }
+        Err(error) => {
+            let reason = error.to_string();
+            LogEvent::Failed { reason }.emit();
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+fn read_settings<S: Settings>(matches: &ArgMatches) -> Result<S, settings::SettingsError> {
+    let path = matches
+        .get_one::<String>("config")
+        .cloned()
+        .unwrap_or_default();
+    settings::load(&path)
+}
+
+fn start<S: Settings>(program: &Program, settings: &S) -> Result<Process, Box<dyn Error>> {
+    let (stop_requester, stop) = stop::on_signals()?;
+    let metrics = Metrics::start(program.name, settings.metrics())?;
+    if let Some(listen) = settings.metrics().listen {
+        let address = metrics::serve(listen, metrics.clone(), stop.clone())?;
+        LogEvent::MetricsListening { address }.emit();
+    }
+    LogEvent::Started {
+        program: program.name,
+        version: program.version,
+    }
+    .emit();
+    Ok(Process {
+        stop,
+        stop_requester,
+        metrics,
+        clock: Clock::start(),
+    })
+}
+
+/// Turns the end of a thread into an error for `body`.
+///
+/// # Errors
+///
+/// Returns an error that names the thread if it panicked.
+pub fn join(handle: std::thread::JoinHandle<()>) -> io::Result<()> {
+    let name = handle.thread().name().unwrap_or("unnamed").to_owned();
+    handle
+        .join()
+        .map_err(|_| io::Error::other(format!("the thread {name} panicked")))
+}
--- a/daemon/src/settings/mod.rs
+++ b/daemon/src/settings/mod.rs
@@ -1,7 +1,10 @@
 //! JSON settings of the daemons: typed, with units in field names, checked before anything starts.
 
+mod check;
 mod control;
 mod entry;
+mod load;
+mod repair;
 mod shared;
 
 pub use control::{
@@ -15,7 +18,16 @@
     EntrySettings,
     UpstreamSettings, //
 };
+pub use load::{
+    Problem,
+    ProblemList,
+    Settings,
+    SettingsError,
+    load,
+    parse, //
+};
 pub use shared::{
+    LogFormat,
     LogSettings,
     MetricSettings,
     PeerAddress,
--- a/daemon/src/settings/shared.rs
+++ b/daemon/src/settings/shared.rs
@@ -41,6 +41,19 @@
     pub level: Option<String>,
     /// The file that lines are appended to; standard error if absent.
     pub file: Option<String>,
+    /// How a line is written.
+    pub format: LogFormat,
+}
+
+/// How a log line is written.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// Time, level, thread, code, text, then `key=value`.
+    #[default]
+    Text,
+    /// One JSON object on each line.
+    Json,
 }
 
 /// Where counters go.
