operator_api: name a reused key and a changed fleet

A confirmation may be refused for two reasons that had no answer of their own: its idempotency key was first used for another plan, or the fleet no longer fits what the plan said about groups. Both get a variant of ConfirmReply.

--- /dev/null
+++ b/lib/src/fleet/state.rs
@@ -0,0 +1,286 @@
+//! The state machine that the control daemons replicate.
+//!
+//! [`FleetState::apply`] is deterministic: every control daemon that applies the
+//! same commands in the same order holds the same state and gives the same answers.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet,
+    VecDeque, //
+};
+
+use displaydoc::Display;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use thiserror::Error;
+
+use super::{
+    FleetConfig,
+    Voter,
+    diff::changed_paths,
+    plan::PlanDraft, //
+};
+use crate::{
+    operator_api::{
+        ConfirmReply,
+        HistoryEntry,
+        Plan, //
+    },
+    prelude::*,
+};
+
+/// How many plans are kept; the oldest goes first.
+pub const PLANS_KEPT: usize = 64;
+/// How many answers to confirmations are kept for resends; the oldest goes first.
+pub const ANSWERS_KEPT: usize = 4_096;
+/// How many revisions the history keeps; the oldest goes first.
+pub const HISTORY_KEPT: usize = 1_024;
+/// How many changed paths one entry of the history keeps.
+pub const PATHS_KEPT: usize = 64;
+
+/// One entry of the replicated log, as the fleet understands it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum FleetCommand {
+    /// Keeps a plan, so that it can be confirmed.
+    StorePlan(Box<PlanDraft>),
+    /// Accepts a plan if its base revision is still the accepted one.
+    Confirm(Confirmation),
+    /// Replaces the set of control daemons that vote, by one daemon at most.
+    ChangeVoters {
+        /// The new set.
+        voters: BTreeSet<Voter>,
+    },
+}
+
+/// An operator's yes to a plan, as it stands in the log.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Confirmation {
+    /// The plan.
+    pub plan: PlanId,
+    /// Who confirms.
+    pub operator: String,
+    /// The same for each resend of one confirmation.
+    pub idempotency_key: IdempotencyKey,
+    /// The leader's wall clock, for people only.
+    pub at_unix_s: u64,
+}
+
+/// What applying a command gave.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum FleetAnswer {
+    /// The plan is kept under its number.
+    PlanStored(Box<Plan>),
+    /// The plan was computed for another revision than the accepted one; nothing is kept.
+    PlanOutdated {
+        /// The accepted revision.
+        revision: Revision,
+    },
+    /// The answer to the confirmation.
+    Confirmed(ConfirmReply),
+    /// The set of voters is as commanded.
+    VotersChanged,
+    /// The set of voters may change by one daemon at a time; nothing was changed.
+    VotersRefused,
+}
+
+/// Why a snapshot cannot be taken or read.
+#[derive(Clone, Debug, Display, Error)]
+pub enum SnapshotError {
+    /// the fleet's state cannot be encoded: {0}
+    Encode(postcard::Error),
+    /// the snapshot of the fleet's state cannot be decoded: {0}
+    Decode(postcard::Error),
+}
+
+/// Whose confirmation an answer is kept for; operators need not agree on keys.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+struct AnswerKey {
+    operator: String,
+    idempotency_key: IdempotencyKey,
+}
+
+/// The first answer to a confirmation, kept for its resends.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct KeptAnswer {
+    plan: PlanId,
+    reply: ConfirmReply,
+}
+
+/// Everything that must survive: the accepted configuration and how it came about.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct FleetState {
+    revision: Revision,
+    config: FleetConfig,
+    last_plan: PlanId,
+    plans: BTreeMap<PlanId, Plan>,
+    answers: BTreeMap<AnswerKey, KeptAnswer>,
+    answers_by_age: VecDeque<AnswerKey>,
+    history: VecDeque<HistoryEntry>,
+    voters: BTreeSet<Voter>,
+}
+
+impl FleetState {
+    /// Returns the accepted revision; it never falls.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Returns the accepted configuration.
+    pub fn config(&self) -> &FleetConfig {
+        &self.config
+    }
+
+    /// Returns the plan of this number, if it is kept.
+    pub fn plan(&self, id: PlanId) -> Option<&Plan> {
+        self.plans.get(&id)
+    }
+
+    /// Returns the accepted revisions, newest first.
+    pub fn history(&self) -> impl Iterator<Item = &HistoryEntry> {
+        self.history.iter().rev()
+    }
+
+    /// Returns the control daemons that vote.
+    pub fn voters(&self) -> &BTreeSet<Voter> {
+        &self.voters
+    }
+
+    /// Applies one command of the log.
+    pub fn apply(&mut self, command: FleetCommand) -> FleetAnswer {
+        match command {
+            FleetCommand::StorePlan(draft) => self.store_plan(*draft),
+            FleetCommand::Confirm(confirmation) => {
+                FleetAnswer::Confirmed(self.confirm(confirmation))
+            }
+            FleetCommand::ChangeVoters { voters } => self.change_voters(voters),
+        }
+    }
+
+    /// Returns the state as bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SnapshotError::Encode`] if the codec refuses, which only a
+    /// lack of memory can bring about.
+    pub fn to_bytes(&self) -> Result<Vec<u8>, SnapshotError> {
+        postcard::to_stdvec(self).map_err(SnapshotError::Encode)
+    }
+
+    /// Returns the state that [`Self::to_bytes`] gave these bytes for.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SnapshotError::Decode`] if the bytes are no snapshot.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, SnapshotError> {
+        postcard::from_bytes(bytes).map_err(SnapshotError::Decode)
+    }
+
+    fn store_plan(&mut self, draft: PlanDraft) -> FleetAnswer {
+        // The leader may have computed the draft while another revision was being
+        // accepted; its changes would then be told relative to the wrong one.
+        if draft.base_revision != self.revision {
+            return FleetAnswer::PlanOutdated {
+                revision: self.revision,
+            };
+        }
+        self.last_plan = self.last_plan.next();
+        let plan = draft.numbered(self.last_plan);
+        self.plans.insert(plan.id, plan.clone());
+        while self.plans.len() > PLANS_KEPT {
+            self.plans.pop_first();
+        }
+        FleetAnswer::PlanStored(Box::new(plan))
+    }
+
+    fn confirm(&mut self, confirmation: Confirmation) -> ConfirmReply {
+        let key = AnswerKey {
+            operator: confirmation.operator.clone(),
+            idempotency_key: confirmation.idempotency_key.clone(),
+        };
+        if let Some(kept) = self.answers.get(&key) {
+            return kept.answer_to(confirmation.plan);
+        }
+        let reply = self.decide(&confirmation);
+        self.keep_answer(key, confirmation.plan, reply.clone());
+        reply
+    }
+
+    fn decide(&mut self, confirmation: &Confirmation) -> ConfirmReply {
+        let Some(plan) = self.plans.get(&confirmation.plan) else {
+            return ConfirmReply::UnknownPlan;
+        };
+        if plan.base_revision != self.revision {
+            return self.conflict(plan.base_revision);
+        }
+        let plan = plan.clone();
+        self.accept(plan, confirmation)
+    }
+
+    fn accept(&mut self, plan: Plan, confirmation: &Confirmation) -> ConfirmReply {
+        self.revision = self.revision.next();
+        let mut paths = changed_paths(&plan.changes);
+        paths.truncate(PATHS_KEPT);
+        self.history.push_back(HistoryEntry {
+            revision: self.revision,
+            plan: plan.id,
+            operator: confirmation.operator.clone(),
+            reason: plan.reason,
+            accepted_at_unix_s: confirmation.at_unix_s,
+            changed_paths: paths,
+        });
+        while self.history.len() > HISTORY_KEPT {
+            self.history.pop_front();
+        }
+        self.config = plan.config;
+        ConfirmReply::Accepted {
+            revision: self.revision,
+        }
+    }
+
+    fn conflict(&self, base: Revision) -> ConfirmReply {
+        let since = || self.history.iter().filter(|entry| entry.revision > base);
+        let Some(winner) = since().next() else {
+            return ConfirmReply::UnknownPlan;
+        };
+        let paths: BTreeSet<&String> = since().flat_map(|entry| &entry.changed_paths).collect();
+        ConfirmReply::Conflict {
+            winner: winner.plan,
+            winner_operator: winner.operator.clone(),
+            revision: self.revision,
+            changed_paths: paths.into_iter().cloned().collect(),
+        }
+    }
+
+    fn keep_answer(&mut self, key: AnswerKey, plan: PlanId, reply: ConfirmReply) {
+        self.answers.insert(key.clone(), KeptAnswer { plan, reply });
+        self.answers_by_age.push_back(key);
+        while self.answers_by_age.len() > ANSWERS_KEPT {
+            if let Some(oldest) = self.answers_by_age.pop_front() {
+                self.answers.remove(&oldest);
+            }
+        }
+    }
+
+    fn change_voters(&mut self, voters: BTreeSet<Voter>) -> FleetAnswer {
+        // Two majorities that differ by more than one daemon need not overlap.
+        let differing = self.voters.symmetric_difference(&voters).count();
+        if voters.is_empty() || (differing > 1 && !self.voters.is_empty()) {
+            return FleetAnswer::VotersRefused;
+        }
+        self.voters = voters;
+        FleetAnswer::VotersChanged
+    }
+}
+
+impl KeptAnswer {
+    fn answer_to(&self, plan: PlanId) -> ConfirmReply {
+        if self.plan == plan {
+            return self.reply.clone();
+        }
+        ConfirmReply::KeyReused {
+            first_plan: self.plan,
+        }
+    }
+}
--- a/lib/src/operator_api.rs
+++ b/lib/src/operator_api.rs
@@ -64,7 +64,7 @@
 }
 
 /// One line of a plan.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum PlanChange {
     /// A configuration value changes.
@@ -158,6 +158,16 @@
     },
     /// No plan of this number is kept.
     UnknownPlan,
+    /// The idempotency key was already used to confirm another plan; nothing was changed.
+    KeyReused {
+        /// The plan it was first used for.
+        first_plan: PlanId,
+    },
+    /// What the plan would do to groups differs from what it said; nothing was changed.
+    FleetChanged {
+        /// What the same configuration would change now.
+        changes_now: Vec<PlanChange>,
+    },
 }
 
 /// The accepted configuration.
