--- /dev/null
+++ b/control/src/operators/tokens.rs
@@ -0,0 +1,77 @@
+//! Who may act as an operator: one `OPERATOR TOKEN` on each line of a file.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    io,
+    path::Path, //
+};
+
+use displaydoc::Display;
+use thiserror::Error;
+
+/// Why a token file is refused.
+#[derive(Debug, Display, Error)]
+pub(crate) enum TokenError {
+    /// cannot read the token file: {0}
+    Read(io::Error),
+    /// line {line} of the token file is not `OPERATOR TOKEN`
+    Malformed {
+        /// The line, counted from one.
+        line: usize,
+    },
+    /// line {line} of the token file repeats a token
+    Repeated {
+        /// The line, counted from one.
+        line: usize,
+    },
+    /// the token file names no operator
+    Empty,
+}
+
+/// The accepted tokens and whose they are.
+#[derive(Debug)]
+pub(crate) struct OperatorTokens {
+    operators: BTreeMap<String, String>,
+}
+
+impl OperatorTokens {
+    /// Reads the token file; empty lines and lines that start with `#` are skipped.
+    pub(crate) fn read(path: &Path) -> Result<Self, TokenError> {
+        Self::parse(&fs::read_to_string(path).map_err(TokenError::Read)?)
+    }
+
+    fn parse(text: &str) -> Result<Self, TokenError> {
+        let mut operators = BTreeMap::new();
+        for (index, line) in text.lines().enumerate() {
+            if line.trim().is_empty() || line.starts_with('#') {
+                continue;
+            }
+            let line_number = index + 1;
+            let mut words = line.split_whitespace();
+            let (Some(operator), Some(token), None) = (words.next(), words.next(), words.next())
+            else {
+                return Err(TokenError::Malformed { line: line_number });
+            };
+            if operators
+                .insert(token.to_owned(), operator.to_owned())
+                .is_some()
+            {
+                return Err(TokenError::Repeated { line: line_number });
+            }
+        }
+        if operators.is_empty() {
+            return Err(TokenError::Empty);
+        }
+        Ok(Self { operators })
+    }
+
+    /// Returns whose token an `Authorization` header carries.
+    pub(crate) fn operator(&self, authorization: Option<&str>) -> Option<&str> {
+        let (scheme, token) = authorization?.split_once(' ')?;
+        if !scheme.eq_ignore_ascii_case("bearer") {
+            return None;
+        }
+        self.operators.get(token.trim()).map(String::as_str)
+    }
+}
