domain: add the failure domain's threads and the decisions they run by

The entry daemon had no way to learn of upstreams, to form groups or to take a configuration in.

The library gets the leader's lease, upstream liveness, the gate that compares the table with the members' own announcements, the leader's order of steps when a VM changes its group, the spread tree and reports; entry/ gets the threads `domain`, `upstreams` and `commands`. Placement is the first free VMs of one fabric domain until the placement module lands. Request of the lease carries the round that the holder has heard, and the table the daemons that it hears.

Ruled out: counting an announcement from its arrival where the daemon has no routing lease (a delayed one may tell of a group that the VM has left). It is counted from the answer before it on the same connection.

Not tested yet: the lease, moves between groups, several daemons. Not done: relays, deltas, counters.

--- /dev/null
+++ b/entry/src/commands/mod.rs
@@ -0,0 +1,153 @@
+//! The `commands` thread: commands to engines over HTTP.
+
+use std::{
+    io,
+    rc::Rc,
+    sync::{
+        Arc,
+        Mutex,
+        PoisonError, //
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use cicadabend::{
+    domain::leader::AddressedCommand,
+    prelude::*,
+    upstream_api::{
+        CommandReply,
+        PATH_COMMANDS, //
+    },
+};
+use cicadabend_daemon::{
+    clock::Clock,
+    ring::Receiver, //
+};
+use displaydoc::Display;
+use http::{
+    Request,
+    header::{
+        CONTENT_TYPE,
+        HOST, //
+    },
+};
+use http_body_util::{
+    BodyExt,
+    Full,
+    Limited, //
+};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use thiserror::Error;
+use tokio::net::TcpStream;
+
+/// How long an engine may take to answer a command.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(2);
+/// The most bytes of an engine's answer.
+const REPLY_LIMIT_BYTES: usize = 64 * 1024;
+
+/// Whether commands may be sent now; written by the `domain` thread.
+///
+/// The `commands` thread looks at it after it has connected and immediately
+/// before it writes: if the process was stopped in between, or the lease was
+/// lost, the permit has ended by the clock and nothing is sent.
+#[derive(Debug, Default)]
+pub struct CommandPermit {
+    held: Mutex<Option<(u32, Timestamp)>>,
+}
+
+impl CommandPermit {
+    /// Sets the epoch in which, and until when, commands may be sent; `None` forbids them.
+    pub fn set(&self, held: Option<(u32, Timestamp)>) {
+        *self.held.lock().unwrap_or_else(PoisonError::into_inner) = held;
+    }
+
+    /// Returns whether a command that was decided in `epoch` may be sent at `now`.
+    pub fn allows(&self, epoch: u32, now: Timestamp) -> bool {
+        let held = *self.held.lock().unwrap_or_else(PoisonError::into_inner);
+        held.is_some_and(|(current, until)| current == epoch && now < until)
+    }
+}
+
+/// Why a command did not get an answer.
+#[derive(Debug, Display, Error)]
+pub enum CommandError {
+    /// the engine cannot be reached: {0}
+    Connect(io::Error),
+    /// the connection took too long
+    ConnectTimeout,
+    /// the lease ended before the command was sent
+    NoPermit,
+    /// the exchange failed: {0}
+    Exchange(hyper::Error),
+    /// the engine's answer took too long
+    ReplyTimeout,
+    /// the engine's answer cannot be read
+    Reply,
+}
+
+/// Sends commands one after the other to each engine, side by side to several.
+pub(crate) struct CommandSender {
+    pub(crate) permit: Arc<CommandPermit>,
+    pub(crate) clock: Clock,
+    pub(crate) connect_timeout_ms: u64,
+}
+
+impl CommandSender {
+    /// Sends until the `domain` thread has gone.
+    pub(crate) async fn run(self, mut commands: Receiver<AddressedCommand>) {
+        let own = Rc::new(self);
+        while let Some(command) = commands.next().await {
+            let own = Rc::clone(&own);
+            tokio::task::spawn_local(async move { own.deliver(command).await });
+        }
+    }
+
+    async fn deliver(&self, command: AddressedCommand) {
+        let (vm, token) = (command.command.vm.clone(), command.command.token);
+        match self.exchange(&command).await {
+            Ok(CommandReply::Accepted) => {
+                log::info!("CB1310 command accepted vm={vm} token={token}");
+            }
+            Ok(reply) => log::warn!("CB1311 command refused vm={vm} token={token} reply={reply:?}"),
+            Err(error) => log::warn!("CB1312 command failed vm={vm} token={token} reason={error}"),
+        }
+    }
+
+    async fn exchange(&self, command: &AddressedCommand) -> Result<CommandReply, CommandError> {
+        let connecting = TcpStream::connect(command.address);
+        let limit = Duration::from_millis(self.connect_timeout_ms);
+        let stream = tokio::time::timeout(limit, connecting)
+            .await
+            .map_err(|_| CommandError::ConnectTimeout)?
+            .map_err(CommandError::Connect)?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(CommandError::Exchange)?;
+        tokio::task::spawn_local(connection);
+        let body = serde_json::to_vec(&command.command).map_err(|_| CommandError::Reply)?;
+        let request = Request::post(PATH_COMMANDS)
+            .header(HOST, command.address.to_string())
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|_| CommandError::Reply)?;
+        if !self.permit.allows(command.epoch, self.clock.now()) {
+            return Err(CommandError::NoPermit);
+        }
+        let exchange = async {
+            let response = sender
+                .send_request(request)
+                .await
+                .map_err(CommandError::Exchange)?;
+            let body = Limited::new(response.into_body(), REPLY_LIMIT_BYTES)
+                .collect()
+                .await;
+            let body = body.map_err(|_| CommandError::Reply)?.to_bytes();
+            serde_json::from_slice(&body).map_err(|_| CommandError::Reply)
+        };
+        tokio::time::timeout(REPLY_TIMEOUT, exchange)
+            .await
+            .map_err(|_| CommandError::ReplyTimeout)?
+    }
+}
--- /dev/null
+++ b/entry/src/lib.rs
@@ -0,0 +1,9 @@
+//! The entry daemon: callers' requests to whole groups, and its failure domain's coordination.
+//!
+//! - [`domain`]: the thread that coordinates the failure domain.
+//! - [`upstreams`]: the thread that hears announcements.
+//! - [`commands`]: the thread that sends commands to engines.
+
+pub mod commands;
+pub mod domain;
+pub mod upstreams;
--- /dev/null
+++ b/lib/src/domain/mod.rs
@@ -0,0 +1,20 @@
+//! What the daemons of one failure domain decide together.
+//!
+//! - [`lease`]: which of them leads.
+//! - [`membership`]: which upstreams are alive.
+//! - [`leader`]: what the leader does with them.
+//! - [`admission_gate`]: which groups may be routed to.
+//! - [`spread_tree`]: how a configuration comes to all of them.
+//! - [`config_spread`]: which configuration is in force here and below.
+//! - [`report`]: what other domains learn.
+//! - [`coordinator`]: one daemon's part in all of this.
+
+pub mod admission_gate;
+pub mod config_spread;
+pub mod coordinator;
+pub mod leader;
+pub mod lease;
+pub mod membership;
+pub mod parameters;
+pub mod report;
+pub mod spread_tree;
--- /dev/null
+++ b/lib/src/domain/report.rs
@@ -0,0 +1,255 @@
+//! What a failure domain tells the others, and what becomes of it there.
+
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use crate::{
+    domain::{
+        admission_gate,
+        leader::{
+            Leader,
+            LeaderView, //
+        },
+        membership::{
+            Liveness,
+            Upstream, //
+        },
+    },
+    peer_api::{
+        Assignment,
+        ConfigAck,
+        DomainReport,
+        GroupReport,
+        VmReport, //
+    },
+    prelude::*,
+    routing::{
+        Replica,
+        ReplicaId, //
+    },
+};
+
+/// The state of a group that takes requests.
+pub const STATE_SERVING: &str = "serving";
+/// The state of a group that lacks a member's announcement.
+pub const STATE_INCOMPLETE: &str = "incomplete";
+/// The state of an upstream that wants no new work.
+pub const STATE_LEAVING: &str = "leaving";
+
+/// How long a report of another domain is used without a newer one.
+pub const REPORT_KEPT: Duration = Duration::from_secs(3);
+
+/// Sums over the epoch that the users measure repairs by.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Losses {
+    /// Time in which a wanted group did not serve, summed over groups.
+    pub group_downtime_ms: u64,
+    /// Time in which a healthy accelerator could not serve, summed over accelerators.
+    pub stranded_accelerator_ms: u64,
+}
+
+impl Losses {
+    /// Adds what was lost in the `length` before `now`.
+    pub fn add(&mut self, leader: &Leader, view: LeaderView<'_>, length: Duration, now: Timestamp) {
+        let length_ms = u64::try_from(length.as_millis()).unwrap_or(u64::MAX);
+        let mut serving: u64 = 0;
+        for assignment in leader.assignments() {
+            if serves(assignment, view, now) {
+                serving += 1;
+                continue;
+            }
+            let stranded = healthy_accelerators(assignment, view, now);
+            self.stranded_accelerator_ms += stranded * length_ms;
+        }
+        let wanted = wanted_groups(view);
+        self.group_downtime_ms += wanted.saturating_sub(serving) * length_ms;
+    }
+}
+
+fn wanted_groups(view: LeaderView<'_>) -> u64 {
+    let models = view
+        .config
+        .services
+        .values()
+        .filter_map(|service| match service {
+            crate::fleet::Service::Model(model) => Some(model),
+            crate::fleet::Service::Plain(_) => None,
+        });
+    let domain = &view.parameters.failure_domain;
+    let counts = models.filter_map(|model| model.groups_by_failure_domain.get(domain));
+    counts.map(|count| u64::from(*count)).sum()
+}
+
+fn healthy_accelerators(assignment: &Assignment, view: LeaderView<'_>, now: Timestamp) -> u64 {
+    let members = assignment.members.iter();
+    let live = members.filter(|vm| view.upstreams.liveness(vm, now) == Liveness::Live);
+    let engines = live.filter_map(|vm| view.upstreams.get(vm)?.engine());
+    engines.map(|engine| u64::from(engine.accelerators.0)).sum()
+}
+
+fn serves(assignment: &Assignment, view: LeaderView<'_>, now: Timestamp) -> bool {
+    assignment.admits_requests && admission_gate::admits(assignment, view.upstreams, true, now)
+}
+
+/// Makes the report of this domain.
+pub fn report(
+    leader: &Leader,
+    view: LeaderView<'_>,
+    ack: ConfigAck,
+    losses: Losses,
+    sequence: u64,
+    now: Timestamp,
+) -> DomainReport {
+    let live = view.lease.live_daemons(now);
+    DomainReport {
+        failure_domain: view.parameters.failure_domain.clone(),
+        leader: view.parameters.daemon.clone(),
+        epoch: leader.epoch(),
+        sequence,
+        applied: ack.applied,
+        lagging: ack.lagging,
+        unreachable: view.parameters.daemons.difference(&live).cloned().collect(),
+        groups: leader
+            .assignments()
+            .map(|assignment| group_report(assignment, view, now))
+            .collect(),
+        vms: view
+            .upstreams
+            .iter()
+            .map(|(vm, upstream)| vm_report(vm, upstream, leader, view, now))
+            .collect(),
+        group_downtime_ms: losses.group_downtime_ms,
+        stranded_accelerator_ms: losses.stranded_accelerator_ms,
+    }
+}
+
+fn group_report(assignment: &Assignment, view: LeaderView<'_>, now: Timestamp) -> GroupReport {
+    let first = assignment.members.first();
+    let first = first.and_then(|vm| view.upstreams.get(vm));
+    let state = match serves(assignment, view, now) {
+        true => STATE_SERVING,
+        false => STATE_INCOMPLETE,
+    };
+    GroupReport {
+        assignment: assignment.clone(),
+        state: state.to_owned(),
+        address: first.map(|first| first.announcement.address),
+        slots: first.map_or(Slots(0), |first| first.announcement.slots),
+        load: first.map_or_else(Default::default, |first| aged_load(first, now)),
+    }
+}
+
+fn vm_report(
+    vm: &VmId,
+    upstream: &Upstream,
+    leader: &Leader,
+    view: LeaderView<'_>,
+    now: Timestamp,
+) -> VmReport {
+    let announcement = &upstream.announcement;
+    let state = match view.upstreams.liveness(vm, now) {
+        Liveness::Live if announcement.leaving => STATE_LEAVING.to_owned(),
+        liveness => liveness.to_string(),
+    };
+    let mut groups = leader.assignments();
+    let group = groups.find(|assignment| assignment.members.contains(vm));
+    VmReport {
+        vm: vm.clone(),
+        fabric_domain: announcement.fabric_domain.clone(),
+        accelerators: upstream
+            .engine()
+            .map_or(Accelerators(0), |engine| engine.accelerators),
+        state,
+        group: group.map(|assignment| assignment.group.clone()),
+        plain_service: upstream.plain_service().cloned(),
+        address: announcement.address,
+        slots: announcement.slots,
+        load: aged_load(upstream, now),
+    }
+}
+
+/// Returns an upstream's load with its age at `now`.
+fn aged_load(upstream: &Upstream, now: Timestamp) -> crate::upstream_api::LoadReport {
+    let mut load = upstream.announcement.load;
+    let held_ms = now.since(upstream.received_at).as_millis();
+    load.age_ms = load
+        .age_ms
+        .saturating_add(u64::try_from(held_ms).unwrap_or(u64::MAX));
+    load
+}
+
+/// The newest report of each other domain.
+#[derive(Clone, Debug, Default)]
+pub struct ForeignReports {
+    known: BTreeMap<FailureDomain, (DomainReport, Timestamp)>,
+}
+
+impl ForeignReports {
+    /// Takes a report; returns whether it is newer than the one known.
+    pub fn hear(&mut self, report: &DomainReport, now: Timestamp) -> bool {
+        let order = |report: &DomainReport| (report.epoch, report.sequence);
+        let known = self.known.get(&report.failure_domain);
+        let is_newer = known.is_none_or(|(known, at)| {
+            // A domain whose daemons all restarted begins again with a low epoch.
+            order(known) < order(report) || now.since(*at) >= REPORT_KEPT
+        });
+        if is_newer {
+            let heard = (report.clone(), now);
+            self.known.insert(report.failure_domain.clone(), heard);
+        }
+        is_newer
+    }
+
+    /// Returns the leader that a domain last reported.
+    pub fn leader(&self, domain: &FailureDomain, now: Timestamp) -> Option<&DaemonId> {
+        let (report, at) = self.known.get(domain)?;
+        (now.since(*at) < REPORT_KEPT).then_some(&report.leader)
+    }
+
+    /// Returns the replicas of other domains that may take requests.
+    pub fn replicas(&self, now: Timestamp) -> Vec<Replica> {
+        let fresh = self
+            .known
+            .values()
+            .filter(|(_, at)| now.since(*at) < REPORT_KEPT);
+        fresh
+            .flat_map(|(report, at)| replicas_of(report, *at))
+            .collect()
+    }
+}
+
+fn replicas_of(report: &DomainReport, at: Timestamp) -> Vec<Replica> {
+    let groups = report
+        .groups
+        .iter()
+        .filter(|group| group.state == STATE_SERVING);
+    let groups = groups.filter_map(|group| {
+        Some(Replica {
+            id: ReplicaId::Group(group.assignment.group.clone()),
+            service: group.assignment.service.clone(),
+            failure_domain: report.failure_domain.clone(),
+            token: group.assignment.token,
+            address: group.address?,
+            slots: group.slots,
+            load: group.load,
+            load_received_at: at,
+        })
+    });
+    let live = Liveness::Live.to_string();
+    let plain = report.vms.iter().filter(|vm| vm.state == live);
+    let plain = plain.filter_map(|vm| {
+        Some(Replica {
+            id: ReplicaId::Vm(vm.vm.clone()),
+            service: vm.plain_service.clone()?,
+            failure_domain: report.failure_domain.clone(),
+            token: FencingToken::default(),
+            address: vm.address,
+            slots: vm.slots,
+            load: vm.load,
+            load_received_at: at,
+        })
+    });
+    groups.chain(plain).collect()
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -14,6 +14,7 @@
 //!   between processes.
 
 pub mod caller_api;
+pub mod domain;
 pub mod fleet;
 pub mod ids;
 pub mod operator_api;
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -3,7 +3,10 @@
 //! Every message is one-way and may be lost, doubled or reordered; what needs an
 //! answer says so in its own fields.
 
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 
 use serde::{
     Deserialize,
@@ -105,6 +108,8 @@
         epoch: u32,
         /// The number of the request, so that a late grant is not counted for a newer one.
         round: u64,
+        /// The newest round for which the sender has the receiver's grant.
+        confirmed_round: Option<u64>,
     },
     /// Answers a request.
     Reply {
@@ -163,6 +168,8 @@
     pub sequence: u64,
     /// The configuration it follows.
     pub revision: Revision,
+    /// The daemons that the leader hears; they form the spread tree.
+    pub daemons: BTreeSet<DaemonId>,
     /// The assignments.
     pub groups: Vec<Assignment>,
 }
