--- a/lib/src/upstream_api.rs
+++ b/lib/src/upstream_api.rs
@@ -25,6 +25,11 @@
 /// On refusals by engines: `true` says that the request did not start.
 pub const HEADER_NOT_STARTED: &str = "x-cicadabend-not-started";
 
+/// Returns the hash by which cache events name the prefix that a session's prompts share.
+pub fn session_prefix_hash(session: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(session.as_bytes())
+}
+
 /// One announcement; it is also the heartbeat and the load report.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
