--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -7,3 +7,8 @@
 pub mod commands;
 pub mod domain;
 pub mod upstreams;
+//! - [`serve`]: the thread that answers callers.
+//! - [`process`]: starts the daemon's threads and stops them in order.
+
+pub mod process;
+pub mod serve;
