admission: order waiting requests fairly by team and refuse early what cannot be met

A few large teams must not starve small ones, and a request that cannot be served in time must be told so at once. AdmissionQueue keeps, for each service, teams by virtual time of the slot time they used over their weight; within a team priority, then deadline, then arrival. The wait is estimated from the measured service time and the number running; a full queue sheds the last request of the team with most waiting for its weight. Limits are shares of the fleet's limit: domain parts are fixed, half an equal share is guaranteed to each daemon and the rest follows demand, with more granted only from what nobody may still believe to have.

A static equal share for a daemon without word from its leader was ruled out: the leader may have lent it meanwhile, and a daemon that restarts cannot know; it uses the guaranteed half instead.

--- /dev/null
+++ b/lib/src/admission/mod.rs
@@ -0,0 +1,40 @@
+//! Which request runs next, and which is refused.
+//!
+//! [`AdmissionQueue`] orders the requests that wait in one entry daemon: teams by
+//! weight, a team's own requests by priority and deadline. [`divide_shares`] splits a
+//! team's limit between daemons. [`RetryBudget`] and [`HedgeTimer`] bound the work
+//! that is sent twice.
+
+mod hedge;
+mod limits;
+mod offer;
+mod queue;
+mod retry;
+mod service_queue;
+mod shares;
+
+pub use hedge::HedgeTimer;
+pub use offer::{
+    AdmissionSettings,
+    Offer,
+    OfferOutcome,
+    Refusal,
+    RefusalReason,
+    Started,
+    Ticket, //
+};
+pub use queue::AdmissionQueue;
+pub use retry::{
+    Backoff,
+    RetryBudget,
+    RetryDecision,
+    RetryReason,
+    RetryRefusal,
+    RetrySituation, //
+};
+pub use shares::{
+    divide_shares,
+    domain_limit,
+    guaranteed_share,
+    safe_grants, //
+};
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`upstream_api`], [`peer_api`], [`operator_api`], [`caller_api`]: the messages
 //!   between processes.
 
+pub mod admission;
 pub mod caller_api;
 pub mod fleet;
 pub mod ids;
