--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -20,5 +20,5 @@
 pub mod program;
 pub mod ring;
 pub mod settings;
-pub mod storage;
 pub mod stop;
+pub mod storage;
--- a/lib/src/domain/mod.rs
+++ b/lib/src/domain/mod.rs
@@ -1,6 +1,4 @@
 //! What the daemons of one failure domain decide together.
-
-pub mod placement;
 //!
 //! - [`lease`]: which of them leads.
 //! - [`membership`]: which upstreams are alive.
@@ -11,6 +9,8 @@
 //! - [`report`]: what other domains learn.
 //! - [`coordinator`]: one daemon's part in all of this.
 
+pub mod placement;
+
 pub mod admission_gate;
 pub mod config_spread;
 pub mod coordinator;
