cli: add the operators' command

Operators had no way to state an intent. The command makes plans, confirms them, watches them come into force and shows status, history, configuration and policies, for people or as JSON.

The library beside the binary takes its streams as arguments, so tests compare the whole output of each command. A confirmation draws its idempotency key once and resends with it, and says 'outcome unknown' where an answer was lost. Ruled out: to resend on a new key after a timeout, which a control daemon cannot tell from a second operator.

Also splits what only daemons have (logs, metrics) from the settings trait, so that the intent and client files are read the same way; adds the settings reference that init writes beside its examples.

--- /dev/null
+++ b/cli/src/commands/apply.rs
@@ -0,0 +1,42 @@
+//! `apply FILE`: has a plan made for an intent.
+
+use cicadabend::fleet::FleetConfig;
+use cicadabend_daemon::settings;
+use clap::{
+    Arg,
+    ArgMatches,
+    Command, //
+};
+
+use super::{
+    Context,
+    REASON,
+    reason_argument,
+    show_plan,
+    text_argument, //
+};
+use crate::error::CommandError;
+
+pub(super) const NAME: &str = "apply";
+const FILE: &str = "FILE";
+
+pub(super) fn command() -> Command {
+    Command::new(NAME)
+        .about("Make a plan for an intent; nothing changes before it is confirmed")
+        .arg(Arg::new(FILE).required(true).help("The intent, as JSON"))
+        .arg(reason_argument())
+        .after_help("Example:\n  cicadabend --config client.json apply intent.json")
+}
+
+pub(super) async fn run(
+    arguments: &ArgMatches,
+    context: &mut Context<'_, '_>,
+) -> Result<(), CommandError> {
+    let path = text_argument(arguments, FILE).to_owned();
+    let config: FleetConfig =
+        settings::load(&path).map_err(|source| CommandError::Settings { path, source })?;
+    let reason = text_argument(arguments, REASON);
+    let plan = context.client.plan(config, reason).await?;
+    show_plan(context.output, &plan);
+    Ok(())
+}
--- /dev/null
+++ b/cli/src/commands/confirm.rs
@@ -0,0 +1,116 @@
+//! `confirm PLAN`: puts a plan in force.
+
+use cicadabend::{
+    operator_api::{
+        ConfirmReply,
+        ConfirmRequest, //
+    },
+    prelude::*,
+};
+use clap::{
+    Arg,
+    ArgMatches,
+    Command, //
+};
+use serde::Serialize;
+
+use super::{
+    Context,
+    text_argument, //
+};
+use crate::error::CommandError;
+
+pub(super) const NAME: &str = "confirm";
+const PLAN: &str = "PLAN";
+const KEY: &str = "idempotency-key";
+
+pub(super) fn command() -> Command {
+    Command::new(NAME)
+        .about("Put a plan in force")
+        .arg(Arg::new(PLAN).required(true).help("The plan's number"))
+        .arg(
+            Arg::new(KEY)
+                .long(KEY)
+                .value_name("KEY")
+                .help("Repeat an earlier confirmation: its first answer comes back"),
+        )
+        .after_help("Example:\n  cicadabend --config client.json confirm 7")
+}
+
+#[derive(Serialize)]
+struct Confirmation {
+    plan: PlanId,
+    idempotency_key: IdempotencyKey,
+    reply: ConfirmReply,
+}
+
+pub(super) async fn run(
+    arguments: &ArgMatches,
+    context: &mut Context<'_, '_>,
+) -> Result<(), CommandError> {
+    let plan = plan_number(text_argument(arguments, PLAN))?;
+    let request = ConfirmRequest {
+        plan,
+        idempotency_key: idempotency_key(arguments.get_one::<String>(KEY))?,
+    };
+    // Printed before anything is sent: who is interrupted can still repeat it.
+    let key = request.idempotency_key.clone();
+    context.output.progress(&format!("Idempotency key: {key}"));
+    let reply = context.client.confirm(&request).await?;
+    let confirmation = Confirmation {
+        plan,
+        idempotency_key: key,
+        reply: reply.clone(),
+    };
+    match reply {
+        ConfirmReply::Accepted { revision } => {
+            context.output.result(&confirmation, |_| {
+                format!("Plan {plan} is accepted as revision {revision}.\n")
+            });
+            context
+                .output
+                .hint("`cicadabend watch` shows when it is in force everywhere");
+            Ok(())
+        }
+        ConfirmReply::Conflict {
+            winner,
+            winner_operator,
+            revision,
+            changed_paths,
+        } => {
+            context.output.result(&confirmation, |_| {
+                let paths = changed_paths.iter().map(|path| format!("  {path}\n"));
+                let paths: String = paths.collect();
+                format!("Changed since plan {plan} was made:\n{paths}")
+            });
+            Err(CommandError::Conflict {
+                plan,
+                winner,
+                winner_operator,
+                revision,
+            })
+        }
+        ConfirmReply::UnknownPlan => Err(CommandError::UnknownPlan { plan }),
+    }
+}
+
+fn plan_number(text: &str) -> Result<PlanId, CommandError> {
+    text.parse().map_err(|_| CommandError::WrongOption {
+        option: PLAN,
+        found: text.to_owned(),
+        allowed: "use the number that `cicadabend apply` printed".to_owned(),
+    })
+}
+
+fn idempotency_key(given: Option<&String>) -> Result<IdempotencyKey, CommandError> {
+    let text = match given {
+        Some(text) => text.clone(),
+        None => format!("{:032x}", rand::random::<u128>()),
+    };
+    let wrong = |error: cicadabend::ids::IdError| CommandError::WrongOption {
+        option: KEY,
+        found: text.clone(),
+        allowed: error.to_string(),
+    };
+    text.parse().map_err(wrong)
+}
--- /dev/null
+++ b/cli/src/commands/drain.rs
@@ -0,0 +1,63 @@
+//! `drain VM`: a plan that takes a VM out of all groups, or back.
+
+use cicadabend::prelude::*;
+use clap::{
+    Arg,
+    ArgAction,
+    ArgMatches,
+    Command, //
+};
+
+use super::{
+    Context,
+    REASON,
+    reason_argument,
+    show_plan,
+    text_argument, //
+};
+use crate::error::CommandError;
+
+pub(super) const NAME: &str = "drain";
+const VM: &str = "VM";
+const UNDO: &str = "undo";
+
+pub(super) fn command() -> Command {
+    Command::new(NAME)
+        .about("Make a plan that takes a VM out of all groups; it is confirmed like any other")
+        .arg(Arg::new(VM).required(true).help("The VM's name"))
+        .arg(
+            Arg::new(UNDO)
+                .long(UNDO)
+                .action(ArgAction::SetTrue)
+                .help("Let groups use the VM again"),
+        )
+        .arg(reason_argument())
+        .after_help("Example:\n  cicadabend --config client.json drain cumbaya-vm-3")
+}
+
+pub(super) async fn run(
+    arguments: &ArgMatches,
+    context: &mut Context<'_, '_>,
+) -> Result<(), CommandError> {
+    let text = text_argument(arguments, VM);
+    let vm: VmId =
+        text.parse().map_err(
+            |error: cicadabend::ids::IdError| CommandError::WrongOption {
+                option: VM,
+                found: text.to_owned(),
+                allowed: error.to_string(),
+            },
+        )?;
+    let mut config = context.client.config().await?.config;
+    if arguments.get_flag(UNDO) {
+        if !config.drained_vms.remove(&vm) {
+            return Err(CommandError::NotDrained { vm });
+        }
+    } else if !config.drained_vms.insert(vm.clone()) {
+        return Err(CommandError::Drained { vm });
+    }
+    let reason = text_argument(arguments, REASON);
+    let plan = context.client.plan(config, reason).await?;
+    show_plan(context.output, &plan);
+    Ok(())
+}
--- /dev/null
+++ b/cli/src/error.rs
@@ -0,0 +1,219 @@
+//! What can go wrong in a command, with hints and exit codes.
+
+use std::io;
+
+use cicadabend::{
+    operator_api::OperatorError,
+    prelude::*, //
+};
+use cicadabend_daemon::settings::SettingsError;
+use displaydoc::Display;
+use thiserror::Error;
+
+/// Done.
+pub const EXIT_OK: u8 = 0;
+/// Refused by the control daemons, or failed.
+pub const EXIT_FAILED: u8 = 1;
+/// Wrong command line.
+pub const EXIT_USAGE: u8 = 2;
+/// Wrong settings, intent or data folder.
+pub const EXIT_SETTINGS: u8 = 3;
+/// The plan no longer fits the current revision.
+pub const EXIT_CONFLICT: u8 = 4;
+/// The operator token is missing or wrong.
+pub const EXIT_UNAUTHORIZED: u8 = 5;
+/// No control daemon reached, or no majority; nothing was changed.
+pub const EXIT_UNREACHABLE: u8 = 6;
+/// Whether the change happened is not known.
+pub const EXIT_OUTCOME_UNKNOWN: u8 = 7;
+/// `watch` ended before the revision was in force everywhere.
+pub const EXIT_NOT_IN_FORCE: u8 = 8;
+
+/// Why a command did not do what it was asked.
+#[derive(Debug, Display, Error)]
+pub enum CommandError {
+    /// the option --{option} is missing
+    MissingOption {
+        /// Its name.
+        option: &'static str,
+    },
+    /// --{option}: {found:?} is not allowed; {allowed}
+    WrongOption {
+        /// Its name.
+        option: &'static str,
+        /// Its value.
+        found: String,
+        /// What is allowed.
+        allowed: String,
+    },
+    /// {path}: {source}
+    File {
+        /// The file.
+        path: String,
+        /// What the operating system says.
+        source: io::Error,
+    },
+    /// {path} exists already
+    Exists {
+        /// The file.
+        path: String,
+    },
+    /// {path}: {source}
+    Settings {
+        /// The file.
+        path: String,
+        /// What is wrong in it.
+        source: SettingsError,
+    },
+    /// the token file {path} holds no token
+    NoToken {
+        /// The file.
+        path: String,
+    },
+    /// {0}
+    Refused(OperatorError),
+    /// no control daemon answered; tried {tried}
+    Unreachable {
+        /// Addresses with what happened at each.
+        tried: String,
+    },
+    /// none of the control daemons is the leader now; tried {tried}
+    NoLeader {
+        /// Addresses with what happened at each.
+        tried: String,
+    },
+    /// the answer was lost, so the outcome of the confirmation is not known
+    OutcomeUnknown {
+        /// The key to resend with.
+        idempotency_key: IdempotencyKey,
+        /// The plan.
+        plan: PlanId,
+    },
+    /// {address} answered something that is no answer of a control daemon: {reason}
+    Garbage {
+        /// Who.
+        address: String,
+        /// What is wrong.
+        reason: String,
+    },
+    /// plan {plan} no longer fits: plan {winner} of {winner_operator} was accepted first
+    Conflict {
+        /// The plan refused.
+        plan: PlanId,
+        /// The plan that won.
+        winner: PlanId,
+        /// Who confirmed it.
+        winner_operator: String,
+        /// The revision now.
+        revision: Revision,
+    },
+    /// no plan {plan} is kept
+    UnknownPlan {
+        /// Its number.
+        plan: PlanId,
+    },
+    /// no service {service} is configured
+    UnknownService {
+        /// Its name.
+        service: ServiceName,
+    },
+    /// {vm} is not drained
+    NotDrained {
+        /// The VM.
+        vm: VmId,
+    },
+    /// {vm} is drained already
+    Drained {
+        /// The VM.
+        vm: VmId,
+    },
+    /// revision {revision} was not in force everywhere after {waited_ms} ms
+    NotInForce {
+        /// The revision waited for.
+        revision: Revision,
+        /// How long.
+        waited_ms: u64,
+    },
+    /// cannot start: {0}
+    Runtime(io::Error),
+}
+
+impl CommandError {
+    /// Returns the exit code of the process.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::MissingOption { .. } | Self::WrongOption { .. } => EXIT_USAGE,
+            Self::File { .. }
+            | Self::Exists { .. }
+            | Self::Settings { .. }
+            | Self::NoToken { .. } => EXIT_SETTINGS,
+            Self::Refused(OperatorError::Unauthorized) => EXIT_UNAUTHORIZED,
+            Self::Refused(OperatorError::NoQuorum)
+            | Self::Unreachable { .. }
+            | Self::NoLeader { .. } => EXIT_UNREACHABLE,
+            Self::Refused(OperatorError::OutcomeUnknown) | Self::OutcomeUnknown { .. } => {
+                EXIT_OUTCOME_UNKNOWN
+            }
+            Self::Conflict { .. } => EXIT_CONFLICT,
+            Self::NotInForce { .. } => EXIT_NOT_IN_FORCE,
+            Self::Refused(_)
+            | Self::Garbage { .. }
+            | Self::UnknownPlan { .. }
+            | Self::UnknownService { .. }
+            | Self::NotDrained { .. }
+            | Self::Drained { .. }
+            | Self::Runtime(_) => EXIT_FAILED,
+        }
+    }
+
+    /// Returns what the operator can do next.
+    pub fn hint(&self) -> Option<String> {
+        let hint = match self {
+            Self::MissingOption { option } => {
+                format!("give --{option}, or --config FILE with a file that holds it")
+            }
+            Self::NoToken { .. } => {
+                "put the token alone on the first line; it is the second word of your line in \
+                 the control daemons' token file"
+                    .to_owned()
+            }
+            Self::Refused(OperatorError::Unauthorized) => {
+                "compare --token-file with the file at operators.token_file of the control daemons"
+                    .to_owned()
+            }
+            Self::Refused(OperatorError::NoQuorum) => {
+                "nothing was changed; failure domains go on serving; see which control daemons \
+                 are down, then repeat"
+                    .to_owned()
+            }
+            Self::Unreachable { .. } => {
+                "check the addresses of --control and that control daemons run there".to_owned()
+            }
+            Self::NoLeader { .. } => {
+                "an election takes a second or two; repeat, and give the addresses of all control \
+                 daemons to --control"
+                    .to_owned()
+            }
+            Self::OutcomeUnknown {
+                idempotency_key,
+                plan,
+            } => format!("repeat `cicadabend confirm {plan} --idempotency-key {idempotency_key}`"),
+            Self::Conflict { revision, .. } => {
+                format!("run `cicadabend apply` again for a plan on revision {revision}")
+            }
+            Self::UnknownPlan { .. } => {
+                "plans are forgotten after a while; run `cicadabend apply` again".to_owned()
+            }
+            Self::UnknownService { .. } => "`cicadabend config` shows all services".to_owned(),
+            Self::NotDrained { .. } | Self::Drained { .. } => {
+                "`cicadabend config` shows the drained VMs under drained_vms".to_owned()
+            }
+            Self::NotInForce { .. } => {
+                "`cicadabend status` names who has not applied it".to_owned()
+            }
+            Self::Exists { .. } => "give a folder that is empty or does not exist".to_owned(),
+            _ => return None,
+        };
+        Some(hint)
+    }
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,2 +1,12 @@
-//! Placeholder until the thin path lands.
-fn main() {}
+//! The operators' command `cicadabend`; see the library beside it.
+
+use std::{
+    env,
+    io,
+    process::ExitCode, //
+};
+
+fn main() -> ExitCode {
+    let code = cicadabend_cli::run(env::args_os(), &mut io::stdout(), &mut io::stderr());
+    ExitCode::from(code)
+}
--- /dev/null
+++ b/cli/src/render/mod.rs
@@ -0,0 +1,59 @@
+//! What is shown, as pure functions from answers to text.
+
+mod history;
+mod plan;
+mod policies;
+mod status;
+
+pub use history::history;
+pub use plan::plan;
+pub use policies::policies;
+pub use status::{
+    progress_line,
+    status, //
+};
+
+use std::fmt::Display;
+
+/// Returns "1 group", "2 groups".
+fn counted(number: u64, singular: &str) -> String {
+    let plural = if number == 1 { "" } else { "s" };
+    format!("{number} {singular}{plural}")
+}
+
+/// Returns the items with commas between them.
+fn list<T: Display>(items: impl IntoIterator<Item = T>) -> String {
+    let items: Vec<String> = items.into_iter().map(|item| item.to_string()).collect();
+    items.join(", ")
+}
+
+/// Returns a duration as people say it.
+fn duration(length_ms: u64) -> String {
+    match length_ms {
+        0..1_000 => format!("{length_ms} ms"),
+        1_000..120_000 => format!("{}.{} s", length_ms / 1_000, length_ms % 1_000 / 100),
+        _ => format!("{} min", length_ms / 60_000),
+    }
+}
+
+/// Returns lines in which each column is as wide as its widest cell.
+fn table(rows: &[Vec<String>]) -> String {
+    let columns = rows.iter().map(Vec::len).max().unwrap_or_default();
+    let width = |column: usize| {
+        let cells = rows.iter().filter_map(|row| row.get(column));
+        cells
+            .map(|cell| cell.chars().count())
+            .max()
+            .unwrap_or_default()
+    };
+    let widths: Vec<usize> = (0..columns).map(width).collect();
+    let mut text = String::new();
+    for row in rows {
+        let cells = row.iter().zip(&widths);
+        let padded = cells.map(|(cell, width)| format!("{cell:width$}"));
+        let line = padded.collect::<Vec<_>>().join("  ");
+        text.push_str(line.trim_end());
+        text.push('\n');
+    }
+    text
+}
--- /dev/null
+++ b/cli/tests/runner/main.rs
@@ -0,0 +1,7 @@
+//! One test program for the command, so that its fixtures are built once.
+
+#![expect(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
+mod support;
+mod test_plans;
+mod test_viewing;
--- /dev/null
+++ b/cli/tests/runner/test_viewing.rs
@@ -0,0 +1,311 @@
+//! `status`, `watch`, `history`, `config`, `policies`, `init` and the help.
+
+use std::collections::BTreeMap;
+
+use cicadabend::{
+    fleet::{
+        FleetConfig,
+        RoutingPolicy, //
+    },
+    operator_api::{
+        AcceptedConfig,
+        DomainStatus,
+        FleetStatus,
+        HistoryEntry,
+        PolicyFigures, //
+    },
+    prelude::*,
+};
+use cicadabend_daemon::settings::{
+    ControlSettings,
+    EntrySettings,
+    Settings,
+    load, //
+};
+use serde_json::json;
+
+use super::support::{
+    Operator,
+    StandIn,
+    Step,
+    run, //
+};
+
+fn status(in_force: bool, admitted: bool) -> FleetStatus {
+    let load = json!({"running": 3, "queued": 1, "cache_used_percent": 40, "age_ms": 20});
+    let vm = |name: &str, group: Option<&str>, service: Option<&str>| {
+        json!({
+            "vm": name, "fabric_domain": "fabric-1", "accelerators": 8, "state": "healthy",
+            "group": group, "plain_service": service, "address": "127.0.0.1:9000",
+            "slots": 16, "load": load,
+        })
+    };
+    let report = json!({
+        "failure_domain": "domain-a", "leader": "entry-1", "epoch": 2, "sequence": 40,
+        "applied": 4, "lagging": {}, "unreachable": [],
+        "groups": [{
+            "assignment": {
+                "group": "a/llm/1", "service": "llm", "model": "m", "version": "v",
+                "adapters": [], "members": ["vm-1", "vm-2"],
+                "token": {"epoch": 2, "sequence": 5}, "admits_requests": admitted,
+            },
+            "state": "serving", "address": "127.0.0.1:9000", "slots": 16, "load": load,
+        }],
+        "vms": [
+            vm("vm-1", Some("a/llm/1"), None),
+            vm("vm-2", Some("a/llm/1"), None),
+            vm("vm-3", None, Some("field-api")),
+            vm("vm-4", None, None),
+        ],
+        "group_downtime_ms": 1_500, "stranded_accelerator_ms": 240_000,
+    });
+    let mut lagging = BTreeMap::new();
+    if !in_force {
+        lagging.insert("entry-2".parse().unwrap(), Revision(3));
+    }
+    FleetStatus {
+        leader: "control-1".parse().unwrap(),
+        term: 9,
+        revision: Revision(4),
+        in_force,
+        lagging,
+        unreachable: vec!["entry-3".parse().unwrap()],
+        domains: vec![DomainStatus {
+            age_ms: 320,
+            report: serde_json::from_value(report).unwrap(),
+        }],
+    }
+}
+
+#[test]
+fn status_names_groups_vms_and_who_is_behind() {
+    let control = StandIn::start(vec![Step::ok(status(false, true))]);
+    let operator = Operator::of(&[control.address]);
+
+    let seen = operator.run(&["status"]);
+
+    let expected = "\
+Revision 4 is spreading.
+Control leader control-1, term 9.
+Behind: entry-2 (at 3).
+Not heard from: entry-3.
+
+domain-a: leader entry-1, epoch 2, revision 4, report 320 ms old
+  group downtime 1.5 s, stranded accelerators 4 min
+  GROUP    SERVICE  STATE    TOKEN  RUNNING  QUEUED  MEMBERS
+  a/llm/1  llm      serving  2.5    3        1       vm-1, vm-2
+  VM    FABRIC DOMAIN  STATE    USED BY
+  vm-1  fabric-1       healthy  a/llm/1
+  vm-2  fabric-1       healthy  a/llm/1
+  vm-3  fabric-1       healthy  field-api
+  vm-4  fabric-1       healthy  -
+";
+    assert_eq!(seen.stdout, expected);
+    assert_eq!(seen.code, 0);
+}
+
+#[test]
+fn watch_shows_each_step_until_the_revision_is_in_force() {
+    let control = StandIn::start(vec![
+        Step::ok(status(false, false)),
+        Step::ok(status(false, false)),
+        Step::ok(status(true, false)),
+        Step::ok(status(true, true)),
+    ]);
+    let operator = Operator::of(&[control.address]);
+
+    let seen = operator.run(&["watch"]);
+
+    let expected = "\
+revision 4: spreading; 0 of 1 group admitted; behind: entry-2
+revision 4: in force on every daemon that can be reached; 0 of 1 group admitted
+revision 4: in force on every daemon that can be reached; 1 of 1 group admitted
+";
+    assert_eq!(seen.stdout, expected);
+    assert_eq!(seen.code, 0);
+}
+
+#[test]
+fn watch_that_ends_early_has_its_own_exit_code() {
+    let control = StandIn::start(vec![Step::ok(status(false, true))]);
+    let operator = Operator::of(&[control.address]);
+
+    let seen = operator.run(&["watch", "--for-ms", "1"]);
+
+    assert_eq!(
+        seen.stderr,
+        "Error: revision 4 was not in force everywhere after 1 ms\n\
+         Hint: `cicadabend status` names who has not applied it\n"
+    );
+    assert_eq!(seen.code, 8);
+}
+
+#[test]
+fn history_is_a_table() {
+    let entry = HistoryEntry {
+        revision: Revision(4),
+        plan: PlanId(7),
+        operator: "ana".to_owned(),
+        reason: "a fourth group".to_owned(),
+        accepted_at_unix_s: 1_796_233_500,
+        changed_paths: vec!["$.teams.norte".to_owned(), "$.teams.sur".to_owned()],
+    };
+    let control = StandIn::start(vec![Step::ok([entry])]);
+    let operator = Operator::of(&[control.address]);
+
+    let seen = operator.run(&["history"]);
+
+    let expected = "\
+REVISION  ACCEPTED                  PLAN  OPERATOR  REASON          CHANGED
+4         2026-12-02T17:45:00.000Z  7     ana       a fourth group  $.teams.norte, $.teams.sur
+";
+    assert_eq!(seen.stdout, expected);
+}
+
+#[test]
+fn config_prints_an_intent_that_can_be_applied_again() {
+    let config: FleetConfig = serde_json::from_str(<FleetConfig as Settings>::EXAMPLE).unwrap();
+    let control = StandIn::start(vec![Step::ok(AcceptedConfig {
+        revision: Revision(4),
+        config: config.clone(),
+    })]);
+    let operator = Operator::of(&[control.address]);
+
+    let seen = operator.run(&["config"]);
+
+    let printed: FleetConfig = serde_json::from_str(&seen.stdout).unwrap();
+    assert_eq!(printed, config);
+    assert_eq!(seen.stderr, "Revision 4\n");
+}
+
+#[test]
+fn policies_stand_beside_each_other() {
+    let figures = |service: &str, policy, p50| PolicyFigures {
+        service: service.parse().unwrap(),
+        policy,
+        requests: 1_000,
+        failures: 2,
+        first_token_p50_ms: p50,
+        first_token_p95_ms: 250.0,
+        first_token_mean_ms: 110.0,
+        first_token_mean_ci_ms: 3.0,
+        between_tokens_p95_ms: 21.0,
+        cache_hit_percent: 62.5,
+    };
+    let control = StandIn::start(vec![Step::ok([
+        figures("llm", RoutingPolicy::RoundRobin, 95.0),
+        figures("other", RoutingPolicy::RoundRobin, 1.0),
+        figures("llm", RoutingPolicy::ExpectedLatency, 80.5),
+    ])]);
+    let operator = Operator::of(&[control.address]);
+
+    let seen = operator.run(&["policies", "llm"]);
+
+    let expected = "                    round_robin     expected_latency
+service             llm             llm
+requests            1000            1000
+failures            2               2
+first token p50     95.0 ms         80.5 ms
+first token p95     250.0 ms        250.0 ms
+first token mean    110.0 ± 3.0 ms  110.0 ± 3.0 ms
+between tokens p95  21.0 ms         21.0 ms
+prefix cached       62.5 %          62.5 %
+";
+    assert_eq!(seen.stdout, expected);
+}
+
+#[test]
+fn init_writes_valid_settings_and_never_overwrites() {
+    let operator = Operator::of(&[]);
+    let folder = operator.path("new");
+    let folder = folder.to_str().unwrap();
+
+    let first = run(&["init", folder]);
+    let second = run(&["init", folder]);
+
+    assert_eq!(first.code, 0, "{}", first.stderr);
+    assert!(load::<EntrySettings>(&format!("{folder}/entry.json")).is_ok());
+    assert!(load::<ControlSettings>(&format!("{folder}/control.json")).is_ok());
+    assert_eq!(second.code, 3);
+    assert_eq!(
+        second.stderr,
+        format!(
+            "Error: {folder}/entry.json exists already\n\
+             Hint: give a folder that is empty or does not exist\n"
+        )
+    );
+}
+
+#[test]
+fn an_address_where_nothing_listens_is_named() {
+    let operator = Operator::of(&["127.0.0.1:1".parse().unwrap()]);
+
+    let seen = operator.run(&["status"]);
+
+    assert!(
+        seen.stderr
+            .starts_with("Error: no control daemon answered; tried 127.0.0.1:1 ("),
+        "{}",
+        seen.stderr
+    );
+    assert_eq!(seen.code, 6);
+}
+
+#[test]
+fn a_missing_option_says_how_to_give_it() {
+    let seen = run(&["status"]);
+
+    assert_eq!(
+        seen.stderr,
+        "Error: the option --control is missing\n\
+         Hint: give --control, or --config FILE with a file that holds it\n"
+    );
+    assert_eq!(seen.code, 2);
+}
+
+#[test]
+fn the_help_lists_commands_an_example_and_exit_codes() {
+    let seen = run(&["--help"]);
+
+    for expected in [
+        "apply",
+        "confirm",
+        "status",
+        "watch",
+        "history",
+        "config",
+        "drain",
+        "policies",
+        "init",
+        "Example:",
+        "Exit codes:",
+        "--output",
+        "--token-file",
+    ] {
+        assert!(
+            seen.stdout.contains(expected),
+            "{expected}: {}",
+            seen.stdout
+        );
+    }
+    assert_eq!(seen.code, 0);
+}
+
+#[test]
+fn every_command_has_an_example() {
+    for command in cicadabend_cli::commands::all() {
+        let name = command.get_name().to_owned();
+
+        let seen = run(&[&name, "--help"]);
+
+        assert!(seen.stdout.contains("Example:"), "{name}: {}", seen.stdout);
+    }
+}
+
+#[test]
+fn an_unknown_command_is_a_wrong_command_line() {
+    let seen = run(&["aply"]);
+
+    assert!(seen.stderr.contains("aply"), "{}", seen.stderr);
+    assert_eq!(seen.code, 2);
+}
--- a/daemon/src/program.rs
+++ b/daemon/src/program.rs
@@ -43,6 +43,7 @@
     },
     settings::{
         self,
+        DaemonSettings,
         Settings, //
     },
     stop::{
@@ -122,7 +123,7 @@
 /// `body` returns when the program has stopped.
 pub fn run<S, Body>(program: &Program, body: Body) -> ExitCode
 where
-    S: Settings,
+    S: DaemonSettings,
     Body: FnOnce(S, Process) -> Result<(), Box<dyn Error>>,
 {
     let matches = command(program).get_matches();
@@ -163,7 +164,7 @@
     settings::load(&path)
 }
 
-fn start<S: Settings>(program: &Program, settings: &S) -> Result<Process, Box<dyn Error>> {
+fn start<S: DaemonSettings>(program: &Program, settings: &S) -> Result<Process, Box<dyn Error>> {
     let (stop_requester, stop) = stop::on_signals()?;
     let metrics = Metrics::start(program.name, settings.metrics())?;
     if let Some(listen) = settings.metrics().listen {
--- a/daemon/src/settings/check.rs
+++ b/daemon/src/settings/check.rs
@@ -14,6 +14,7 @@
     AgreementSettings,
     CallerSettings,
     ControlSettings,
+    DaemonSettings,
     DomainSettings,
     EntrySettings,
     LogSettings,
@@ -49,7 +50,9 @@
         ]);
         check.problems
     }
+}
 
+impl DaemonSettings for EntrySettings {
     fn logs(&self) -> &LogSettings {
         &self.logs
     }
@@ -81,7 +84,9 @@
         ]);
         check.problems
     }
+}
 
+impl DaemonSettings for ControlSettings {
     fn logs(&self) -> &LogSettings {
         &self.logs
     }
--- a/daemon/src/settings/load.rs
+++ b/daemon/src/settings/load.rs
@@ -52,14 +52,17 @@
     }
 }
 
-/// Settings of one program.
+/// A JSON file that is checked as a whole before it is used.
 pub trait Settings: DeserializeOwned {
     /// Valid settings as JSON, with every optional part written out.
     const EXAMPLE: &'static str;
 
     /// Returns every rule that the settings break.
     fn problems(&self) -> Vec<Problem>;
+}
 
+/// Settings of a program that runs until it is stopped.
+pub trait DaemonSettings: Settings {
     /// Returns what the program's logger needs.
     fn logs(&self) -> &LogSettings;
 
--- a/daemon/src/settings/mod.rs
+++ b/daemon/src/settings/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 mod control;
 mod entry;
+mod intent;
 mod load;
 mod repair;
 mod shared;
@@ -19,6 +20,7 @@
     UpstreamSettings, //
 };
 pub use load::{
+    DaemonSettings,
     Problem,
     ProblemList,
     Settings,
