--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`ring`]: the bounded rings that join a process's threads.
 //! - [`duty`]: one named thread with its own single-threaded runtime for each duty.
 //! - [`peers`]: messages between the cluster's own processes, over nng.
+//! - [`storage`]: the data folder, its journals and the disk's identity.
 //! - [`clock`]: the process's monotonic clock.
 
 pub mod clock;
@@ -20,3 +21,4 @@
 pub mod ring;
 pub mod settings;
 pub mod stop;
+pub mod storage;
