--- a/cli/src/commands/confirm.rs
+++ b/cli/src/commands/confirm.rs
@@ -18,7 +18,10 @@
     Context,
     text_argument, //
 };
-use crate::error::CommandError;
+use crate::{
+    error::CommandError,
+    render, //
+};
 
 pub(super) const NAME: &str = "confirm";
 const PLAN: &str = "PLAN";
@@ -57,40 +60,54 @@
     let key = request.idempotency_key.clone();
     context.output.progress(&format!("Idempotency key: {key}"));
     let reply = context.client.confirm(&request).await?;
+    let text = reply_text(plan, &reply);
     let confirmation = Confirmation {
         plan,
         idempotency_key: key,
-        reply: reply.clone(),
+        reply,
     };
+    context.output.result(&confirmation, |_| text);
+    refusal(plan, confirmation.reply)?;
+    let hint = "`cicadabend watch` shows when it is in force everywhere";
+    context.output.hint(hint);
+    Ok(())
+}
+
+fn reply_text(plan: PlanId, reply: &ConfirmReply) -> String {
     match reply {
         ConfirmReply::Accepted { revision } => {
-            context.output.result(&confirmation, |_| {
-                format!("Plan {plan} is accepted as revision {revision}.\n")
-            });
-            context
-                .output
-                .hint("`cicadabend watch` shows when it is in force everywhere");
-            Ok(())
+            format!("Plan {plan} is accepted as revision {revision}.\n")
+        }
+        ConfirmReply::Conflict { changed_paths, .. } => {
+            let paths = changed_paths.iter().map(|path| format!("  {path}\n"));
+            let paths: String = paths.collect();
+            format!("Changed since plan {plan} was made:\n{paths}")
         }
+        ConfirmReply::FleetChanged { changes_now } => {
+            let changes = render::changes(changes_now);
+            format!("The same configuration would do this now:\n{changes}")
+        }
+        ConfirmReply::UnknownPlan | ConfirmReply::KeyReused { .. } => String::new(),
+    }
+}
+
+fn refusal(plan: PlanId, reply: ConfirmReply) -> Result<(), CommandError> {
+    match reply {
+        ConfirmReply::Accepted { .. } => Ok(()),
         ConfirmReply::Conflict {
             winner,
             winner_operator,
             revision,
-            changed_paths,
-        } => {
-            context.output.result(&confirmation, |_| {
-                let paths = changed_paths.iter().map(|path| format!("  {path}\n"));
-                let paths: String = paths.collect();
-                format!("Changed since plan {plan} was made:\n{paths}")
-            });
-            Err(CommandError::Conflict {
-                plan,
-                winner,
-                winner_operator,
-                revision,
-            })
-        }
+            ..
+        } => Err(CommandError::Conflict {
+            plan,
+            winner,
+            winner_operator,
+            revision,
+        }),
         ConfirmReply::UnknownPlan => Err(CommandError::UnknownPlan { plan }),
+        ConfirmReply::KeyReused { first_plan } => Err(CommandError::KeyReused { first_plan }),
+        ConfirmReply::FleetChanged { .. } => Err(CommandError::FleetChanged { plan }),
     }
 }
 
--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -107,6 +107,16 @@
         /// The revision now.
         revision: Revision,
     },
+    /// plan {plan} no longer fits: the fleet has changed since it was made
+    FleetChanged {
+        /// The plan refused.
+        plan: PlanId,
+    },
+    /// this idempotency key was used to confirm plan {first_plan}
+    KeyReused {
+        /// The plan it was first used for.
+        first_plan: PlanId,
+    },
     /// no plan {plan} is kept
     UnknownPlan {
         /// Its number.
@@ -154,11 +164,12 @@
             Self::Refused(OperatorError::OutcomeUnknown) | Self::OutcomeUnknown { .. } => {
                 EXIT_OUTCOME_UNKNOWN
             }
-            Self::Conflict { .. } => EXIT_CONFLICT,
+            Self::Conflict { .. } | Self::FleetChanged { .. } => EXIT_CONFLICT,
             Self::NotInForce { .. } => EXIT_NOT_IN_FORCE,
             Self::Refused(_)
             | Self::Garbage { .. }
             | Self::UnknownPlan { .. }
+            | Self::KeyReused { .. }
             | Self::UnknownService { .. }
             | Self::NotDrained { .. }
             | Self::Drained { .. }
@@ -201,6 +212,13 @@
             Self::Conflict { revision, .. } => {
                 format!("run `cicadabend apply` again for a plan on revision {revision}")
             }
+            Self::FleetChanged { .. } => {
+                "nothing was changed; run `cicadabend apply` again for a plan on the fleet as it is"
+                    .to_owned()
+            }
+            Self::KeyReused { .. } => {
+                "leave --idempotency-key out; a new key is drawn for a new confirmation".to_owned()
+            }
             Self::UnknownPlan { .. } => {
                 "plans are forgotten after a while; run `cicadabend apply` again".to_owned()
             }
--- a/cli/src/render/mod.rs
+++ b/cli/src/render/mod.rs
@@ -6,7 +6,10 @@
 mod status;
 
 pub use history::history;
-pub use plan::plan;
+pub use plan::{
+    changes,
+    plan, //
+};
 pub use policies::policies;
 pub use status::{
     progress_line,
--- a/cli/src/render/plan.rs
+++ b/cli/src/render/plan.rs
@@ -25,13 +25,17 @@
     if plan.changes.is_empty() {
         text.push_str("  nothing changes\n");
     }
-    for change in &plan.changes {
-        text.push_str(&format!("  {}\n", line(change)));
-    }
+    text.push_str(&changes(&plan.changes));
     text.push_str(&format!("\n{}\n", impact(&plan.impact)));
     text
 }
 
+/// Returns one line for each change, indented.
+pub fn changes(changes: &[PlanChange]) -> String {
+    let lines = changes.iter().map(|change| format!("  {}\n", line(change)));
+    lines.collect()
+}
+
 fn line(change: &PlanChange) -> String {
     match change {
         PlanChange::Value {
--- a/cli/tests/runner/test_plans.rs
+++ b/cli/tests/runner/test_plans.rs
@@ -237,6 +237,49 @@
     );
 }
 
+/// The operator is told what the plan would do now. Between plan and confirmation a
+/// group came up on the VMs the plan wanted, so the plan no longer tells the truth.
+#[test]
+fn confirm_shows_how_the_fleet_has_changed() {
+    let changes_now = plan().changes[5..].to_vec();
+    let control = StandIn::start(vec![Step::ok(ConfirmReply::FleetChanged { changes_now })]);
+    let operator = Operator::of(&[control.address]);
+
+    let seen = operator.run(&["confirm", "7", "--idempotency-key", "k-1"]);
+
+    assert_eq!(
+        seen,
+        Seen {
+            stdout: "The same configuration would do this now:\n  \
+                     ! 1 group of llm cannot be built in domain-b: 2 of 3 VMs are free\n"
+                .to_owned(),
+            stderr: "Idempotency key: k-1\n\
+                     Error: plan 7 no longer fits: the fleet has changed since it was made\n\
+                     Hint: nothing was changed; run `cicadabend apply` again for a plan on the \
+                     fleet as it is\n"
+                .to_owned(),
+            code: 4,
+        }
+    );
+}
+
+#[test]
+fn a_key_that_confirmed_another_plan_is_refused() {
+    let first_plan = PlanId(6);
+    let control = StandIn::start(vec![Step::ok(ConfirmReply::KeyReused { first_plan })]);
+    let operator = Operator::of(&[control.address]);
+
+    let seen = operator.run(&["confirm", "7", "--idempotency-key", "k-1"]);
+
+    assert_eq!(seen.code, 1);
+    assert!(
+        seen.stderr
+            .contains("Error: this idempotency key was used to confirm plan 6\n"),
+        "{}",
+        seen.stderr
+    );
+}
+
 /// The operator notices nothing. The first address is no longer the leader and says
 /// who is; the command goes there.
 #[test]
