--- a/testing/testutils/src/deployment/shape.rs
+++ b/testing/testutils/src/deployment/shape.rs
@@ -33,6 +33,8 @@
 pub struct Shape {
     /// The failure domains.
     pub domains: Vec<String>,
+    /// How many failure domains have a control daemon.
+    pub controls: usize,
     /// Entry daemons of each failure domain.
     pub entries_per_domain: usize,
     /// Engine VMs of each failure domain, all in one fabric domain.
@@ -59,6 +61,7 @@
             domains: ["cumbaya", "carcelen", "sangolqui"]
                 .map(str::to_owned)
                 .into(),
+            controls: 1,
             entries_per_domain: 3,
             engines_per_domain: 3,
             vms_per_group: 2,
@@ -93,9 +96,11 @@
         names
     }
 
-    /// Returns the names of all control daemons, one in each failure domain.
+    /// Returns the names of all control daemons.
     pub fn control_names(&self) -> Vec<String> {
-        self.names("control", 1)
+        let mut names = self.names("control", 1);
+        names.truncate(self.controls);
+        names
     }
 
     /// Returns the names of all daemons.
