testutils: never reserve one address twice

Cause: two of 24 fake VMs of the demonstration got the same port, since the system offers a released port again. Ruled out: an outgoing connection. Change: addresses handed out are remembered.

--- a/testing/testutils/src/ports.rs
+++ b/testing/testutils/src/ports.rs
@@ -1,6 +1,7 @@
 //! Addresses that nothing else on the machine uses.
 
 use std::{
+    collections::BTreeSet,
     io,
     net::{
         IpAddr,
@@ -9,8 +10,15 @@
         TcpListener, //
     },
     process,
+    sync::{
+        Mutex,
+        PoisonError, //
+    },
 };
 
+/// Addresses handed out already; the system offers a released port again before long.
+static RESERVED: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
+
 /// Returns an address with a port from the operating system, on a loopback IP of this process.
 ///
 /// The port is released again before it is returned. Outgoing connections on
@@ -22,8 +30,14 @@
 ///
 /// Returns the operating system's error if no port can be bound.
 pub fn reserve_address() -> io::Result<SocketAddr> {
-    let listener = TcpListener::bind((own_loopback_ip(), 0))?;
-    listener.local_addr()
+    loop {
+        let listener = TcpListener::bind((own_loopback_ip(), 0))?;
+        let address = listener.local_addr()?;
+        let mut reserved = RESERVED.lock().unwrap_or_else(PoisonError::into_inner);
+        if reserved.insert(address) {
+            return Ok(address);
+        }
+    }
 }
 
 fn own_loopback_ip() -> IpAddr {
