testutils: leave killed processes out of the graceful stop

Cause: the demonstration kills a VM, then expected it to exit with success. Change: a process remembers that the test killed it. Measured: ./run demo ends with exit code 0.

--- a/testing/testutils/src/deployment.rs
+++ b/testing/testutils/src/deployment.rs
@@ -288,12 +288,13 @@
         })
     }
 
-    /// Ends every process gracefully and checks that each exits with success.
+    /// Ends every process that the test did not kill gracefully, and checks that each exits with success.
     ///
     /// # Panics
     ///
     /// Panics with the log of the first that does not.
     pub fn stop_gracefully(mut self) {
+        self.processes.retain(|_, process| !process.was_killed());
         for process in self.processes.values() {
             process.terminate();
         }
--- a/testing/testutils/src/process.rs
+++ b/testing/testutils/src/process.rs
@@ -40,6 +40,7 @@
     name: String,
     child: Child,
     log: PathBuf,
+    was_killed: bool,
 }
 
 impl ManagedProcess {
@@ -66,6 +67,7 @@
             name: name.to_owned(),
             child,
             log,
+            was_killed: false,
         })
     }
 
@@ -91,11 +93,17 @@
 
     /// Kills the process (SIGKILL) and waits for its end.
     pub fn kill(&mut self) {
+        self.was_killed = true;
         // An error means that it has ended already, which is what was asked for.
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
 
+    /// Returns whether the test itself killed the process.
+    pub fn was_killed(&self) -> bool {
+        self.was_killed
+    }
+
     /// Returns whether the process still runs.
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
