--- a/lib/src/domain/mod.rs
+++ b/lib/src/domain/mod.rs
@@ -4,6 +4,7 @@
 //! - [`membership`]: which upstreams are alive.
 //! - [`leader`]: what the leader does with them.
 //! - [`admission_gate`]: which groups may be routed to.
+//! - [`placement`]: which groups there should be.
 //! - [`spread_tree`]: how a configuration comes to all of them.
 //! - [`config_spread`]: which configuration is in force here and below.
 //! - [`report`]: what other domains learn.
@@ -16,5 +17,6 @@
 pub mod lease;
 pub mod membership;
 pub mod parameters;
+pub mod placement;
 pub mod report;
 pub mod spread_tree;
