--- a/lib/src/domain/lease.rs
+++ b/lib/src/domain/lease.rs
@@ -343,9 +343,12 @@
     }
 
     fn answer_probe(&self, from: &DaemonId, epoch: u32, now: Timestamp) -> Vec<LeaseSend> {
+        // A probe is for a new lease. A daemon that forgot its last one in a restart
+        // must not lead under the same number again.
+        let is_new = epoch > self.highest_epoch;
         let reply = LeaseMessage::ProbeReply {
             epoch,
-            would_grant: self.would_grant(from, epoch, now),
+            would_grant: is_new && self.would_grant(from, epoch, now),
             highest_epoch: self.highest_epoch,
         };
         vec![(from.clone(), reply)]
