--- a/lib/src/domain/membership.rs
+++ b/lib/src/domain/membership.rs
@@ -11,6 +11,7 @@
 use thiserror::Error;
 
 use crate::{
+    chart::UpstreamState,
     domain::parameters::DomainTiming,
     ids::Address,
     prelude::*,
@@ -28,11 +29,11 @@
 /// Whether an upstream may be used.
 #[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Liveness {
-    /// live
+    /// announces in time
     Live,
-    /// suspect
+    /// announcements are overdue
     Suspect,
-    /// dead
+    /// its lease has ended
     Dead,
 }
 
@@ -194,6 +195,22 @@
         upstream.map_or(Liveness::Dead, |upstream| self.liveness_of(upstream, now))
     }
 
+    /// Returns a VM's state by the name in the upstream's state chart.
+    pub fn state(&self, vm: &VmId, now: Timestamp) -> UpstreamState {
+        let Some(upstream) = self.known.get(vm) else {
+            return UpstreamState::Unknown;
+        };
+        if now < upstream.conflict_until {
+            return UpstreamState::Conflict;
+        }
+        match self.liveness_of(upstream, now) {
+            Liveness::Dead => UpstreamState::Dead,
+            _ if upstream.announcement.leaving => UpstreamState::Leaving,
+            Liveness::Suspect => UpstreamState::Suspect,
+            Liveness::Live => UpstreamState::Alive,
+        }
+    }
+
     /// Returns an upstream if its announcement still counts for serving.
     ///
     /// Without a routing lease the leader may have moved the VM without this
