routing: eject replicas that fail or lag far more than their peers

A replica that fails each request at once has nothing outstanding, so a policy that counts requests sends it nearly everything; a straggler holds a share of all requests up. Failures now count as load for some seconds, and a replica whose failure rate or time between tokens is far above the median of its peers takes no ordinary requests. At most three in ten are out at once, and none when all fail alike.

RouteQuery gains may_probe (true only for requests that may be repeated).

--- a/lib/src/routing/query.rs
+++ b/lib/src/routing/query.rs
@@ -27,6 +27,9 @@
     pub excluded: &'a [ReplicaId],
     /// The daemon's own failure domain.
     pub home: &'a FailureDomain,
+    /// Whether it may go to a replica that was slow or failing, to find out whether it
+    /// still is; only for a request that may be repeated.
+    pub may_probe: bool,
     /// Length of the prompt, zero if unknown or not a model's.
     pub prompt_tokens: TokenCount,
 }
--- a/lib/src/routing/router.rs
+++ b/lib/src/routing/router.rs
@@ -6,15 +6,32 @@
 };
 
 use super::{
-    AnswerTiming, CacheNotice, Choice, ChoiceReason, Distances, OwnLoad, Prefix, PrefixKnowledge,
-    Replica, ReplicaId, ReplicaSpeeds, RouteQuery, RouterSettings, RoutingSnapshot, choose_arm,
-    estimate::PeerEcho,
+    AnswerTiming,
+    CacheNotice,
+    Choice,
+    ChoiceReason,
+    Distances,
+    OwnLoad,
+    Prefix,
+    PrefixKnowledge,
+    Replica,
+    ReplicaId,
+    ReplicaSpeeds,
+    RouteQuery,
+    RouterSettings,
+    RoutingSnapshot,
+    choose_arm,
+    ejection::Ejections,
+    estimate::{
+        Estimate,
+        PeerEcho, //
+    },
     policy::{
         self,
         Candidate,
         Pick,
         ServiceCost, //
-    },
+    }, //
 };
 use crate::{
     fleet::{
@@ -40,6 +57,8 @@
     prefixes: PrefixKnowledge,
     speeds: ReplicaSpeeds,
     distances: Distances,
+    ejections: Ejections,
+    median_steps_us: HashMap<ServiceName, f64>,
 }
 
 impl Default for Router {
@@ -57,6 +76,8 @@
             prefixes: PrefixKnowledge::new(settings.prefix_capacity, settings.doubt_half_life),
             speeds: ReplicaSpeeds::default(),
             distances: Distances::default(),
+            ejections: Ejections::default(),
+            median_steps_us: HashMap::new(),
         }
     }
 
@@ -73,21 +94,18 @@
     ) -> Option<Choice> {
         let arms = routing_arms(&snapshot.config, query.service)?;
         let policy = choose_arm(arms, query.request);
-        let candidates = self.candidates(query, snapshot, own, now);
+        self.judge(query, snapshot, now);
+        let all = self.candidates(query, snapshot, own, now);
+        if let Some(probed) = self.take_probe(query, &all, now) {
+            return Some(choice(probed, policy, ChoiceReason::Probe, query));
+        }
+        let candidates = self.in_use(all, query.home);
         if candidates.is_empty() {
             return None;
         }
         let (index, reason) = self.pick(policy, query, &candidates, random);
         let chosen = candidates.get(index)?;
-        Some(Choice {
-            replica: chosen.replica.clone(),
-            policy,
-            reason,
-            is_remote: chosen.replica.failure_domain != *query.home,
-            expected_outstanding: chosen.load.outstanding as u32,
-            is_saturated: chosen.load.is_saturated(),
-            expected_cached_tokens: TokenCount(chosen.cached_tokens as u64),
-        })
+        Some(choice(chosen, policy, reason, query))
     }
 
     /// Returns how many requests of a service could start at once, by what is known.
@@ -126,10 +144,28 @@
         timing: AnswerTiming,
         now: Timestamp,
     ) {
+        let median = self.median_steps_us.get(service).copied().unwrap_or(0.0);
+        let is_slow = Ejections::is_slow(timing.step_us(), median);
         self.speeds.record(service, replica, timing, now);
+        if self.ejections.record_success(replica, is_slow, now) {
+            self.speeds.forget_one(replica);
+        }
         self.prefixes.record_answer(replica, prefixes, now);
     }
 
+    /// Notes that an attempt failed because of its replica.
+    ///
+    /// A refusal for want of room is none: it says that the replica is busy, not that
+    /// it is broken.
+    pub fn record_failure(&mut self, replica: &ReplicaId, now: Timestamp) {
+        self.ejections.record_failure(replica, now);
+    }
+
+    /// Returns whether a replica takes no ordinary requests because it failed or lagged.
+    pub fn is_ejected(&self, replica: &ReplicaId) -> bool {
+        self.ejections.is_out(replica)
+    }
+
     /// Notes a measured round trip to a failure domain.
     pub fn record_round_trip(&mut self, domain: &FailureDomain, round_trip: Duration) {
         self.distances.record(domain, round_trip);
@@ -147,6 +183,7 @@
         let is_present = |id: &ReplicaId| snapshot.replicas.iter().any(|replica| replica.id == *id);
         self.prefixes.forget(is_present);
         self.speeds.forget(is_present);
+        self.ejections.forget(is_present);
     }
 
     fn pick(
@@ -186,6 +223,45 @@
         }
     }
 
+    /// Compares the service's replicas with each other now and then.
+    fn judge(&mut self, query: &RouteQuery<'_>, snapshot: &RoutingSnapshot, now: Timestamp) {
+        let replicas = replicas_of(query.service, snapshot);
+        let ids: Vec<&ReplicaId> = replicas.iter().map(|replica| &replica.id).collect();
+        let median = self.speeds.median_step_us(ids.iter().copied());
+        self.median_steps_us.insert(query.service.clone(), median);
+        let half_life = self.settings.slowness_half_life;
+        let speeds = &self.speeds;
+        let slowness = |id: &ReplicaId| speeds.slowness(id, median, half_life, now);
+        self.ejections.judge(query.service, &ids, slowness, now);
+    }
+
+    fn take_probe<'c, 'a>(
+        &mut self,
+        query: &RouteQuery<'_>,
+        candidates: &'c [Candidate<'a>],
+        now: Timestamp,
+    ) -> Option<&'c Candidate<'a>> {
+        if !query.may_probe {
+            return None;
+        }
+        candidates
+            .iter()
+            .filter(|candidate| candidate.replica.failure_domain == *query.home)
+            .find(|candidate| self.ejections.take_probe(&candidate.replica.id, now))
+    }
+
+    /// Returns the candidates that are not ejected, in the domain to use.
+    ///
+    /// If all are ejected they are used all the same: a slow answer is better than none.
+    fn in_use<'a>(&self, all: Vec<Candidate<'a>>, home: &FailureDomain) -> Vec<Candidate<'a>> {
+        let is_in = |candidate: &Candidate<'_>| !self.ejections.is_out(&candidate.replica.id);
+        if all.iter().any(is_in) {
+            let healthy = all.into_iter().filter(is_in).collect();
+            return nearest_with_capacity(healthy, home);
+        }
+        nearest_with_capacity(all, home)
+    }
+
     fn candidates<'a>(
         &self,
         query: &RouteQuery<'_>,
@@ -196,23 +272,40 @@
         let mut replicas = replicas_of(query.service, snapshot);
         replicas.retain(|replica| !query.excluded.contains(&replica.id));
         let echo = PeerEcho::measure(&replicas, own, self.settings.peer_echo);
-        let median = self
-            .speeds
-            .median_step_us(replicas.iter().map(|replica| &replica.id));
-        let half_life = self.settings.slowness_half_life;
-        let all = replicas
+        let median = self.median_steps_us.get(query.service);
+        let median = median.copied().unwrap_or(0.0);
+        replicas
             .into_iter()
-            .map(|replica| Candidate {
-                replica,
-                load: echo.estimate(replica, own, now),
-                cached_tokens: self
-                    .prefixes
-                    .expected_tokens(&replica.id, query.prefixes, now),
-                slowness: self.speeds.slowness(&replica.id, median, half_life, now),
-                round_trip: self.round_trip(&replica.failure_domain, query.home),
+            .map(|replica| {
+                self.candidate(
+                    replica,
+                    query,
+                    echo.estimate(replica, own, now),
+                    median,
+                    now,
+                )
             })
-            .collect();
-        nearest_with_capacity(all, query.home)
+            .collect()
+    }
+
+    fn candidate<'a>(
+        &self,
+        replica: &'a Replica,
+        query: &RouteQuery<'_>,
+        mut load: Estimate,
+        median_step_us: f64,
+        now: Timestamp,
+    ) -> Candidate<'a> {
+        let half_life = self.settings.slowness_half_life;
+        let id = &replica.id;
+        load.outstanding += self.ejections.penalty(id, now);
+        Candidate {
+            replica,
+            load,
+            cached_tokens: self.prefixes.expected_tokens(id, query.prefixes, now),
+            slowness: self.speeds.slowness(id, median_step_us, half_life, now),
+            round_trip: self.round_trip(&replica.failure_domain, query.home),
+        }
     }
 
     fn round_trip(&self, domain: &FailureDomain, home: &FailureDomain) -> Duration {
@@ -225,6 +318,23 @@
     }
 }
 
+fn choice(
+    chosen: &Candidate<'_>,
+    policy: RoutingPolicy,
+    reason: ChoiceReason,
+    query: &RouteQuery<'_>,
+) -> Choice {
+    Choice {
+        replica: chosen.replica.clone(),
+        policy,
+        reason,
+        is_remote: chosen.replica.failure_domain != *query.home,
+        expected_outstanding: chosen.load.outstanding as u32,
+        is_saturated: chosen.load.is_saturated(),
+        expected_cached_tokens: TokenCount(chosen.cached_tokens as u64),
+    }
+}
+
 fn routing_arms<'a>(config: &'a FleetConfig, service: &ServiceName) -> Option<&'a [RoutingArm]> {
     match config.services.get(service)? {
         Service::Model(model) => Some(&model.routing),
--- a/lib/src/routing/speed.rs
+++ b/lib/src/routing/speed.rs
@@ -28,6 +28,20 @@
     pub was_unqueued: bool,
 }
 
+impl AnswerTiming {
+    /// Returns the time between tokens, or the whole time if there was only one.
+    ///
+    /// The time to the first token is left out where there is another measure: it
+    /// contains queueing, and a replica must not look slow because it is popular.
+    pub fn step_us(self) -> f64 {
+        if self.output_tokens.0 < 2 {
+            return self.total.as_micros() as f64;
+        }
+        let streaming = self.total.saturating_sub(self.first_token);
+        streaming.as_micros() as f64 / (self.output_tokens.0 - 1) as f64
+    }
+}
+
 /// Moving averages of each replica's and of each service's speed.
 #[derive(Clone, Debug, Default)]
 pub struct ReplicaSpeeds {
@@ -57,7 +71,7 @@
         timing: AnswerTiming,
         now: Timestamp,
     ) {
-        let step_us = step_us(timing);
+        let step_us = timing.step_us();
         let entry = self
             .replicas
             .entry(replica.clone())
@@ -130,6 +144,11 @@
             .map_or(0.0, |speed| speed.prefill_us_per_token)
     }
 
+    /// Forgets one replica's speed, so that it is measured anew.
+    pub fn forget_one(&mut self, replica: &ReplicaId) {
+        self.replicas.remove(replica);
+    }
+
     /// Drops what is remembered of replicas that are not kept.
     pub fn forget(&mut self, is_kept: impl Fn(&ReplicaId) -> bool) {
         self.replicas.retain(|replica, _| is_kept(replica));
@@ -142,18 +161,6 @@
     }
 }
 
-/// Returns the time between tokens, or the whole time if there was only one.
-///
-/// The time to the first token is left out where there is another measure: it
-/// contains queueing, and a replica must not look slow because it is popular.
-fn step_us(timing: AnswerTiming) -> f64 {
-    if timing.output_tokens.0 < 2 {
-        return timing.total.as_micros() as f64;
-    }
-    let streaming = timing.total.saturating_sub(timing.first_token);
-    streaming.as_micros() as f64 / (timing.output_tokens.0 - 1) as f64
-}
-
 fn moved(old: f64, new: f64) -> f64 {
     old + NEW_ANSWER_WEIGHT * (new - old)
 }
--- a/lib/tests/test_routing.rs
+++ b/lib/tests/test_routing.rs
@@ -121,6 +121,7 @@
             prefixes: &self.prefixes,
             excluded: &self.excluded,
             home: &self.home,
+            may_probe: true,
             prompt_tokens: TokenCount(1_000),
         };
         let random = self.sent.wrapping_mul(0x9e37_79b9_7f4a_7c15);
@@ -454,3 +455,96 @@
 
     assert_eq!(free, 1);
 }
+
+/// Sends one request a tick for so long, and lets `fails` decide what becomes of each.
+///
+/// Returns how many went to each replica.
+fn send_for(
+    sender: &mut Sender,
+    snapshot: &RoutingSnapshot,
+    ticks: std::ops::Range<u64>,
+    fails: impl Fn(&str) -> bool,
+) -> BTreeMap<String, u32> {
+    let mut counts = BTreeMap::new();
+    for now in ticks.map(|tick| Timestamp(tick * 10)) {
+        let chosen = sender.choose(snapshot, now).unwrap().replica.id;
+        *counts.entry(chosen.to_string()).or_default() += 1;
+        if fails(&chosen.to_string()) {
+            sender.router.record_failure(&chosen, now);
+        } else {
+            let service = sender.service.clone();
+            sender
+                .router
+                .record_answer(&service, &chosen, &[], timing(100), now);
+        }
+    }
+    counts
+}
+
+fn busy_replicas() -> Vec<Replica> {
+    (1..=4)
+        .map(|number| replica(&format!("g{number}"), "cumbaya", 4 * u32::from(number > 1)))
+        .collect()
+}
+
+// g1 fails each request within the same tick, so it never has any outstanding. To a
+// policy that only counts requests it looks idle, and would get nearly all of them.
+#[rstest]
+#[case::least_outstanding(RoutingPolicy::LeastOutstanding)]
+#[case::expected_latency(RoutingPolicy::ExpectedLatency)]
+fn a_replica_that_fails_at_once_does_not_attract_traffic(#[case] policy: RoutingPolicy) {
+    let snapshot = snapshot(policy, busy_replicas());
+    let mut sender = sender();
+
+    let counts = send_for(&mut sender, &snapshot, 100..1_100, |id| id == "g1");
+
+    assert!(sender.router.is_ejected(&ReplicaId::Group(name("g1"))));
+    assert!(counts["g1"] < 15, "{counts:?}");
+}
+
+#[test]
+fn an_ejected_replica_returns_after_probes_that_succeed() {
+    let snapshot = snapshot(RoutingPolicy::LeastOutstanding, busy_replicas());
+    let mut sender = sender();
+    send_for(&mut sender, &snapshot, 100..300, |id| id == "g1");
+    let was_ejected = sender.router.is_ejected(&ReplicaId::Group(name("g1")));
+
+    let after = send_for(&mut sender, &snapshot, 300..1_500, |_| false);
+
+    assert!(was_ejected);
+    assert!(!sender.router.is_ejected(&ReplicaId::Group(name("g1"))));
+    assert!(after["g1"] > 100, "{after:?}");
+}
+
+// Every replica fails, as when a request kills what it meets. None stands out, so none
+// is taken away from the service.
+#[test]
+fn no_replica_is_ejected_when_all_fail_alike() {
+    let snapshot = snapshot(RoutingPolicy::RoundRobin, busy_replicas());
+    let mut sender = sender();
+
+    send_for(&mut sender, &snapshot, 100..1_100, |_| true);
+
+    for number in 1..=4 {
+        let id = ReplicaId::Group(name(&format!("g{number}")));
+        assert!(!sender.router.is_ejected(&id));
+    }
+}
+
+#[test]
+fn no_more_than_the_ceiling_is_ejected() {
+    let replicas: Vec<Replica> = (1..=10)
+        .map(|number| replica(&format!("g{number}"), "cumbaya", 0))
+        .collect();
+    let snapshot = snapshot(RoutingPolicy::RoundRobin, replicas.clone());
+    let mut sender = sender();
+    let failing = ["g1", "g2", "g3", "g4"];
+
+    send_for(&mut sender, &snapshot, 100..600, |id| failing.contains(&id));
+
+    let ejected = replicas
+        .iter()
+        .filter(|replica| sender.router.is_ejected(&replica.id))
+        .count();
+    assert_eq!(ejected, 3);
+}
