--- a/lib/src/domain/mod.rs
+++ b/lib/src/domain/mod.rs
@@ -19,6 +19,5 @@
 pub mod lease;
 pub mod membership;
 pub mod parameters;
-pub mod placement;
 pub mod report;
 pub mod spread_tree;
