cli: verify a data folder offline; daemon: let programs prepare

An operator who copies or moves a data folder could not tell whether the copy is whole without starting a daemon on it. verify-data prints what storage::verify finds and changes nothing.

--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -8,6 +8,7 @@
 mod init;
 mod policies;
 mod status;
+mod verify_data;
 mod watch;
 
 pub use policies::policy_name;
@@ -31,7 +32,7 @@
 }
 
 /// Returns the command lines of all commands.
-pub fn all() -> [Command; 9] {
+pub fn all() -> [Command; 10] {
     [
         apply::command(),
         confirm::command(),
@@ -42,6 +43,7 @@
         drain::command(),
         policies::command(),
         init::command(),
+        verify_data::command(),
     ]
 }
 
@@ -53,6 +55,7 @@
 pub fn run(matches: &ArgMatches, output: &mut Output<'_>) -> Result<(), CommandError> {
     match matches.subcommand() {
         Some((init::NAME, arguments)) => init::run(arguments, output),
+        Some((verify_data::NAME, arguments)) => verify_data::run(arguments, output),
         Some((name, arguments)) => run_connected(name, arguments, output),
         // The command line requires a command.
         None => Ok(()),
--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -6,7 +6,10 @@
     operator_api::OperatorError,
     prelude::*, //
 };
-use cicadabend_daemon::settings::SettingsError;
+use cicadabend_daemon::{
+    settings::SettingsError,
+    storage::StorageError, //
+};
 use displaydoc::Display;
 use thiserror::Error;
 
@@ -144,6 +147,8 @@
         /// How long.
         waited_ms: u64,
     },
+    /// the data folder is damaged or cannot be read: {0}
+    Storage(StorageError),
     /// cannot start: {0}
     Runtime(io::Error),
 }
@@ -156,7 +161,8 @@
             Self::File { .. }
             | Self::Exists { .. }
             | Self::Settings { .. }
-            | Self::NoToken { .. } => EXIT_SETTINGS,
+            | Self::NoToken { .. }
+            | Self::Storage(_) => EXIT_SETTINGS,
             Self::Refused(OperatorError::Unauthorized) => EXIT_UNAUTHORIZED,
             Self::Refused(OperatorError::NoQuorum)
             | Self::Unreachable { .. }
@@ -229,6 +235,9 @@
             Self::NotInForce { .. } => {
                 "`cicadabend status` names who has not applied it".to_owned()
             }
+            Self::Storage(StorageError::FolderInUse { .. }) => {
+                "stop the control daemon first, or verify a copy of the folder".to_owned()
+            }
             Self::Exists { .. } => "give a folder that is empty or does not exist".to_owned(),
             _ => return None,
         };
--- a/cli/tests/runner/main.rs
+++ b/cli/tests/runner/main.rs
@@ -4,4 +4,5 @@
 
 mod support;
 mod test_plans;
+mod test_verify_data;
 mod test_viewing;
--- a/daemon/src/metrics/listener.rs
+++ b/daemon/src/metrics/listener.rs
@@ -30,10 +30,7 @@
 };
 
 use super::Metrics;
-use crate::{
-    duty,
-    stop::StopSignal, //
-};
+use crate::duty;
 
 /// Where the figures are.
 pub const PATH_METRICS: &str = "/metrics";
@@ -45,7 +42,7 @@
 /// # Errors
 ///
 /// Returns the operating system's error if the address cannot be listened on.
-pub fn serve(listen: SocketAddr, metrics: Metrics, _stop: StopSignal) -> io::Result<SocketAddr> {
+pub fn serve(listen: SocketAddr, metrics: Metrics) -> io::Result<SocketAddr> {
     let listener = StdListener::bind(listen)?;
     listener.set_nonblocking(true)?;
     let address = listener.local_addr()?;
--- a/daemon/src/program.rs
+++ b/daemon/src/program.rs
@@ -44,6 +44,7 @@
     settings::{
         self,
         DaemonSettings,
+        MetricSettings,
         Settings, //
     },
     stop::{
@@ -125,10 +126,31 @@
 where
     S: DaemonSettings,
     Body: FnOnce(S, Process) -> Result<(), Box<dyn Error>>,
+{
+    run_prepared(program, Ok, body)
+}
+
+/// Runs a program as [`run`] does, with a further check of the settings before it starts.
+///
+/// `prepare` reads what the settings name, such as a token file, and starts nothing;
+/// `--check-config` calls it as well. What it returns goes to `body`.
+pub fn run_prepared<S, P, Prepare, Body>(
+    program: &Program,
+    prepare: Prepare,
+    body: Body,
+) -> ExitCode
+where
+    S: DaemonSettings,
+    Prepare: FnOnce(S) -> Result<P, Box<dyn Error>>,
+    Body: FnOnce(P, Process) -> Result<(), Box<dyn Error>>,
 {
     let matches = command(program).get_matches();
-    let settings = match read_settings::<S>(&matches) {
-        Ok(settings) => settings,
+    let checked = read_settings::<S>(&matches).and_then(|settings| {
+        let (logs, metrics) = (settings.logs().clone(), settings.metrics().clone());
+        prepare(settings).map(|prepared| (prepared, logs, metrics))
+    });
+    let (prepared, logs, metrics) = match checked {
+        Ok(checked) => checked,
         Err(error) => {
             eprintln!("{}: {error}", program.name);
             return ExitCode::from(EXIT_SETTINGS);
@@ -138,11 +160,11 @@
         println!("{}: the settings are valid", program.name);
         return ExitCode::from(EXIT_OK);
     }
-    if let Err(error) = logs::start(settings.logs()) {
+    if let Err(error) = logs::start(&logs) {
         eprintln!("{}: {error}", program.name);
         return ExitCode::from(EXIT_FAILED);
     }
-    let outcome = start(program, &settings).and_then(|process| body(settings, process));
+    let outcome = start(program, &metrics).and_then(|process| body(prepared, process));
     match outcome {
         Ok(()) => {
             LogEvent::Stopped {}.emit();
@@ -156,19 +178,19 @@
     }
 }
 
-fn read_settings<S: Settings>(matches: &ArgMatches) -> Result<S, settings::SettingsError> {
+fn read_settings<S: Settings>(matches: &ArgMatches) -> Result<S, Box<dyn Error>> {
     let path = matches
         .get_one::<String>("config")
         .cloned()
         .unwrap_or_default();
-    settings::load(&path)
+    Ok(settings::load(&path)?)
 }
 
-fn start<S: DaemonSettings>(program: &Program, settings: &S) -> Result<Process, Box<dyn Error>> {
+fn start(program: &Program, settings: &MetricSettings) -> Result<Process, Box<dyn Error>> {
     let (stop_requester, stop) = stop::on_signals()?;
-    let metrics = Metrics::start(program.name, settings.metrics())?;
-    if let Some(listen) = settings.metrics().listen {
-        let address = metrics::serve(listen, metrics.clone(), stop.clone())?;
+    let metrics = Metrics::start(program.name, settings)?;
+    if let Some(listen) = settings.listen {
+        let address = metrics::serve(listen, metrics.clone())?;
         LogEvent::MetricsListening { address }.emit();
     }
     LogEvent::Started {
