--- a/testing/testutils/src/lib.rs
+++ b/testing/testutils/src/lib.rs
@@ -3,10 +3,11 @@
 //! - [`deployment`]: starts a small cluster in a temporary folder and ends it when dropped.
 //! - [`process`]: one process of it: pause, resume, terminate, kill, its log.
 //! - [`fault_proxy`]: a TCP proxy in the path, from the library noxious.
-//! - [`client`]: a caller over HTTP.
+//! - [`caller`] and [`client`]: what callers ask, and whether they got all of it.
 //! - [`operator`]: an operator over HTTP.
 //! - [`wait`]: waiting on a condition with a deadline.
 
+pub mod caller;
 pub mod client;
 pub mod deployment;
 pub mod fault_proxy;
