--- a/control/src/inbox.rs
+++ b/control/src/inbox.rs
@@ -24,7 +24,8 @@
             PeerMessage::Agreement(_) => &destinations.agreement,
             PeerMessage::ConfigAck(_)
             | PeerMessage::ConfigRequest { .. }
-            | PeerMessage::Report(_) => &destinations.spread,
+            | PeerMessage::Report(_)
+            | PeerMessage::ControlHello(_) => &destinations.spread,
             PeerMessage::Lease(_)
             | PeerMessage::Config(_)
             | PeerMessage::Table(_)
--- a/control/src/main.rs
+++ b/control/src/main.rs
@@ -10,12 +10,12 @@
 
 mod command_line;
 mod inbox;
-mod observed;
 mod operators;
 mod replication;
 mod run;
 mod settings;
 mod spread;
+mod view;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/control/src/operators/body.rs
@@ -0,0 +1,67 @@
+//! Reads an operator's request body and writes the answer's.
+
+use bytes::Bytes;
+use http::{
+    Request,
+    Response,
+    StatusCode,
+    header, //
+};
+use http_body_util::{
+    BodyExt,
+    Full,
+    LengthLimitError,
+    Limited, //
+};
+use hyper::body::Incoming;
+use serde::{
+    Serialize,
+    de::DeserializeOwned, //
+};
+
+use super::refusal::Refusal;
+
+/// An answer to an operator.
+pub(super) type Answer = Response<Full<Bytes>>;
+
+/// Reads a JSON body of at most `limit_bytes`.
+pub(super) async fn read<T: DeserializeOwned>(
+    request: Request<Incoming>,
+    limit_bytes: u64,
+) -> Result<T, Refusal> {
+    let limit = usize::try_from(limit_bytes).unwrap_or(usize::MAX);
+    let collected = Limited::new(request.into_body(), limit).collect().await;
+    let body = collected.map_err(|error| match error.is::<LengthLimitError>() {
+        true => Refusal::too_large(),
+        false => Refusal::bad_request(format!("the body broke off: {error}")),
+    })?;
+    parse(&body.to_bytes())
+}
+
+fn parse<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Refusal> {
+    let mut json = serde_json::Deserializer::from_slice(bytes);
+    let value = serde_path_to_error::deserialize(&mut json).map_err(|error| {
+        let path = error.path().to_string();
+        Refusal::bad_request(format!("$.{path}: {}", error.into_inner()))
+    })?;
+    json.end()
+        .map_err(|error| Refusal::bad_request(format!("$: {error}")))?;
+    Ok(value)
+}
+
+/// Returns an answer with a JSON body.
+pub(super) fn json<T: Serialize>(status: StatusCode, value: &T) -> Answer {
+    let Ok(body) = serde_json::to_vec(value) else {
+        // Every type answered here has text keys, so this is a fault of the program.
+        let mut answer = Response::new(Full::default());
+        *answer.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+        return answer;
+    };
+    let mut answer = Response::new(Full::new(Bytes::from(body)));
+    *answer.status_mut() = status;
+    let content_type = header::HeaderValue::from_static("application/json");
+    answer
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, content_type);
+    answer
+}
--- a/control/src/operators/mod.rs
+++ b/control/src/operators/mod.rs
@@ -1,20 +1,23 @@
 //! The operators' HTTP listener: plans, confirmations, status and history.
 
+mod body;
 mod listener;
+mod plans;
+mod refusal;
 mod requests;
 pub(crate) mod tokens;
 
 use std::sync::Arc;
 
+use cicadabend::fleet::spread::Topology;
 use cicadabend_daemon::{
     clock::Clock,
     settings::ControlSettings, //
 };
 
 use crate::{
-    observed::ObservedFleet,
     replication::ReplicationHandle,
-    spread::Acknowledged, //
+    view::SharedView, //
 };
 
 pub(crate) use listener::serve;
@@ -23,14 +26,14 @@
 pub(crate) struct Operators {
     /// The settings.
     pub(crate) settings: Arc<ControlSettings>,
+    /// The processes that the settings name.
+    pub(crate) topology: Topology,
     /// Who may ask.
     pub(crate) tokens: tokens::OperatorTokens,
     /// The log.
     pub(crate) replication: ReplicationHandle,
-    /// The failure domains' reports.
-    pub(crate) observed: ObservedFleet,
-    /// The daemons' acknowledgements.
-    pub(crate) acknowledged: Acknowledged,
+    /// What the failure domains and the other control daemons say.
+    pub(crate) view: SharedView,
     /// This process's clock.
     pub(crate) clock: Clock,
 }
--- a/control/src/run.rs
+++ b/control/src/run.rs
@@ -39,7 +39,6 @@
         self,
         Destinations, //
     },
-    observed::ObservedFleet,
     operators::{
         self,
         Operators, //
@@ -50,10 +49,10 @@
     },
     settings::LoadedSettings,
     spread::{
-        Acknowledged,
         Spread,
-        entry_daemons, //
+        topology, //
     },
+    view::SharedView,
 };
 
 const PEER_INBOX_CAPACITY: usize = 4_096;
@@ -96,20 +95,20 @@
         spread: spread_in,
     };
     let inbox = spawn("inbox", move || inbox::sort(inbox_out, destinations))?;
-    let spread = Spread {
-        replication: replication.clone(),
-        peers: peers.sender(),
-        observed: ObservedFleet::default(),
-        acknowledged: Acknowledged::default(),
+    let view = SharedView::default();
+    let spread = Spread::new(
+        &control,
+        replication.clone(),
+        peers.sender(),
+        view.clone(),
         clock,
-        entries: entry_daemons(&control),
-    };
+    );
     let operators = Arc::new(Operators {
         settings: Arc::clone(&control),
+        topology: topology(&control),
         tokens: settings.tokens,
         replication,
-        observed: spread.observed.clone(),
-        acknowledged: spread.acknowledged.clone(),
+        view,
         clock,
     });
     let spread = spawn("spread", move || spread.run(spread_out))?;
--- a/control/src/spread/mod.rs
+++ b/control/src/spread/mod.rs
@@ -1,21 +1,21 @@
 //! Sends the accepted configuration to entry daemons and takes in what they report.
+//!
+//! The decisions are in [`cicadabend::fleet::spread`]; this thread carries them out.
 
 use std::{
-    collections::BTreeMap,
-    sync::{
-        Arc,
-        Mutex,
-        MutexGuard,
-        PoisonError, //
-    },
-    time::Duration,
+    sync::Arc,
+    time::Duration, //
 };
 
 use cicadabend::{
-    fleet::FleetState,
+    fleet::spread::{
+        ControlSpread,
+        Sending,
+        Topology, //
+    },
+    ids::Address,
     peer_api::{
-        ConfigBody,
-        ConfigUpdate,
+        ControlHello,
         PeerMessage, //
     },
     prelude::*,
@@ -34,119 +34,133 @@
 };
 
 use crate::{
-    observed::ObservedFleet,
-    replication::ReplicationHandle, //
+    replication::ReplicationHandle,
+    view::SharedView, //
 };
 
-/// How often a change is looked for and a digest sent.
-const DIGEST_INTERVAL_MS: u64 = 300;
-
-/// The revision that each entry daemon last acknowledged; clones share it.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Acknowledged {
-    revisions: Arc<Mutex<BTreeMap<DaemonId, Revision>>>,
-}
-
-impl Acknowledged {
-    /// Returns the last acknowledged revision of each daemon that was heard.
-    pub(crate) fn revisions(&self) -> BTreeMap<DaemonId, Revision> {
-        self.lock().clone()
-    }
-
-    fn raise(&self, daemon: DaemonId, applied: Revision) {
-        // Acknowledgements overtake each other, and a daemon never goes back.
-        let mut revisions = self.lock();
-        let known = revisions.entry(daemon).or_default();
-        *known = applied.max(*known);
-    }
-
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<DaemonId, Revision>> {
-        self.revisions
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-}
+/// How often the log's state is looked at; changes in between go out as one.
+const TICK_MS: u64 = 50;
+/// How often the other control daemons are told that this one lives.
+const HELLO_INTERVAL_MS: u64 = 500;
 
 /// The duty of the `spread` thread.
 pub(crate) struct Spread {
-    /// The log's state.
-    pub(crate) replication: ReplicationHandle,
-    /// To all peers.
-    pub(crate) peers: PeerSender,
-    /// Where reports are kept.
-    pub(crate) observed: ObservedFleet,
-    /// Where acknowledgements are kept.
-    pub(crate) acknowledged: Acknowledged,
-    /// This process's clock.
-    pub(crate) clock: Clock,
-    /// The entry daemons of the settings.
-    pub(crate) entries: Vec<DaemonId>,
+    decisions: ControlSpread,
+    replication: ReplicationHandle,
+    peers: PeerSender,
+    view: SharedView,
+    clock: Clock,
+    other_controls: Vec<DaemonId>,
+    operators: Option<Address>,
 }
 
-/// Returns the entry daemons that the settings name.
-pub(crate) fn entry_daemons(settings: &ControlSettings) -> Vec<DaemonId> {
-    let entries = settings
-        .peers
-        .iter()
-        .filter(|peer| peer.role == PeerRole::Entry);
-    entries.map(|peer| peer.daemon.clone()).collect()
+/// Returns the processes that the settings name.
+pub(crate) fn topology(settings: &ControlSettings) -> Topology {
+    let of_role = |role: PeerRole| {
+        let peers = settings.peers.iter().filter(move |peer| peer.role == role);
+        peers.map(|peer| (peer.daemon.clone(), peer.failure_domain.clone()))
+    };
+    let own = (settings.daemon.clone(), settings.failure_domain.clone());
+    Topology {
+        own: settings.daemon.clone(),
+        controls: of_role(PeerRole::Control).chain([own]).collect(),
+        entries: of_role(PeerRole::Entry).collect(),
+    }
 }
 
 impl Spread {
+    /// Makes the duty; it starts with [`Self::run`].
+    pub(crate) fn new(
+        settings: &ControlSettings,
+        replication: ReplicationHandle,
+        peers: PeerSender,
+        view: SharedView,
+        clock: Clock,
+    ) -> Self {
+        let topology = topology(settings);
+        let others = topology.controls.keys();
+        let others = others.filter(|daemon| **daemon != topology.own);
+        let operators = settings.operators.listen;
+        Self {
+            other_controls: others.cloned().collect(),
+            decisions: ControlSpread::new(topology),
+            replication,
+            peers,
+            view,
+            clock,
+            // An operator cannot be sent to a listener on all addresses.
+            operators: (!operators.ip().is_unspecified()).then_some(operators),
+        }
+    }
+
     /// Spreads until the ring of messages is closed.
-    pub(crate) async fn run(self, mut messages: Receiver<Incoming>) {
-        let mut interval = tokio::time::interval(Duration::from_millis(DIGEST_INTERVAL_MS));
-        let mut sent = Revision::default();
+    pub(crate) async fn run(mut self, mut messages: Receiver<Incoming>) {
+        let mut tick = tokio::time::interval(Duration::from_millis(TICK_MS));
+        let mut hello = tokio::time::interval(Duration::from_millis(HELLO_INTERVAL_MS));
         loop {
             tokio::select! {
                 incoming = messages.next() => match incoming {
                     Some(incoming) => self.handle(incoming),
                     None => return,
                 },
-                _ = interval.tick() => sent = self.send_to_all(sent),
+                _ = tick.tick() => self.spread(),
+                _ = hello.tick() => self.say_hello(),
             }
         }
     }
 
-    fn handle(&self, incoming: Incoming) {
+    fn handle(&mut self, incoming: Incoming) {
+        let now = self.clock.now();
+        let from = incoming.from;
         match incoming.message {
-            PeerMessage::ConfigAck(ack) => self.acknowledged.raise(incoming.from, ack.applied),
-            PeerMessage::Report(report) => self.observed.keep(report, self.clock.now()),
+            PeerMessage::ConfigAck(ack) => self.decisions.hear_acknowledgement(&from, ack.applied),
             PeerMessage::ConfigRequest { have } => {
-                let state = self.replication.local();
-                if state.revision() > have {
-                    self.peers.send(&incoming.from, whole(&state));
-                }
+                self.take_accepted();
+                let answer = self.decisions.answer(&from, have, now);
+                self.send(answer);
+            }
+            PeerMessage::Report(report) => {
+                self.decisions.hear_report(&from, report, now);
+                self.view.publish(&self.decisions);
             }
+            PeerMessage::ControlHello(hello) => {
+                self.decisions.hear_control(from, hello, now);
+                self.view.publish(&self.decisions);
+            }
+            // The inbox hands over the kinds above only.
             _ => {}
         }
     }
 
-    fn send_to_all(&self, sent: Revision) -> Revision {
+    fn spread(&mut self) {
+        self.take_accepted();
+        let sendings = self.decisions.tick(self.clock.now());
+        self.send(sendings);
+    }
+
+    fn take_accepted(&mut self) {
         let state = self.replication.local();
-        let message = match state.revision() > sent {
-            true => whole(&state),
-            false => digest(&state),
-        };
-        for entry in &self.entries {
-            self.peers.send(entry, message.clone());
+        if state.revision() > self.decisions.revision() {
+            let config = Arc::new(state.config().clone());
+            self.decisions.accept(state.revision(), config);
         }
-        state.revision()
     }
-}
 
-fn digest(state: &FleetState) -> PeerMessage {
-    PeerMessage::Config(ConfigUpdate {
-        revision: state.revision(),
-        base: None,
-        body: ConfigBody::Digest,
-    })
-}
+    fn send(&self, sendings: impl IntoIterator<Item = Sending>) {
+        for sending in sendings {
+            self.peers
+                .send(&sending.to, PeerMessage::Config(sending.update));
+        }
+    }
 
-fn whole(state: &FleetState) -> PeerMessage {
-    PeerMessage::Config(ConfigUpdate {
-        revision: state.revision(),
-        base: None,
-        body: ConfigBody::Whole(Box::new(state.config().clone())),
-    })
+    fn say_hello(&self) {
+        let hello = ControlHello {
+            operators: self.operators,
+            hears: self.decisions.hears(self.clock.now()),
+        };
+        for control in &self.other_controls {
+            self.peers
+                .send(control, PeerMessage::ControlHello(hello.clone()));
+        }
+    }
 }
--- /dev/null
+++ b/control/src/view.rs
@@ -0,0 +1,65 @@
+//! What the `spread` thread has heard, for the `operators` thread to read.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc, //
+};
+
+use arc_swap::ArcSwap;
+use cicadabend::{
+    fleet::spread::{
+        ControlSpread,
+        HeardReport, //
+    },
+    ids::Address,
+    operator_api::DomainStatus,
+    peer_api::DomainReport,
+    prelude::*,
+};
+
+/// Reports and operators' addresses at one moment; replaced as a whole.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FleetView {
+    /// The last report of each failure domain.
+    pub(crate) reports: BTreeMap<FailureDomain, HeardReport>,
+    /// Where other control daemons take operators' requests.
+    pub(crate) operator_addresses: BTreeMap<DaemonId, Address>,
+}
+
+impl FleetView {
+    /// Returns the reports as plans are made from them.
+    pub(crate) fn domain_reports(&self) -> Vec<DomainReport> {
+        let reports = self.reports.values();
+        reports.map(|heard| (*heard.report).clone()).collect()
+    }
+
+    /// Returns the reports with their ages.
+    pub(crate) fn domains(&self, now: Timestamp) -> Vec<DomainStatus> {
+        let status = |heard: &HeardReport| DomainStatus {
+            age_ms: u64::try_from(now.since(heard.at).as_millis()).unwrap_or(u64::MAX),
+            report: (*heard.report).clone(),
+        };
+        self.reports.values().map(status).collect()
+    }
+}
+
+/// The pointer by which threads share the newest [`FleetView`].
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SharedView {
+    view: Arc<ArcSwap<FleetView>>,
+}
+
+impl SharedView {
+    /// Returns the newest view.
+    pub(crate) fn load(&self) -> Arc<FleetView> {
+        self.view.load_full()
+    }
+
+    /// Replaces the view by what `spread` has heard.
+    pub(crate) fn publish(&self, spread: &ControlSpread) {
+        self.view.store(Arc::new(FleetView {
+            reports: spread.reports().clone(),
+            operator_addresses: spread.operator_addresses(),
+        }));
+    }
+}
--- a/control/tests/daemon/fixtures.rs
+++ b/control/tests/daemon/fixtures.rs
@@ -20,7 +20,13 @@
 };
 
 use bytes::Bytes;
-use cicadabend::prelude::*;
+use cicadabend::{
+    peer_api::{
+        DomainReport,
+        PeerMessage, //
+    },
+    prelude::*,
+};
 use cicadabend_daemon::{
     peers::{
         Incoming,
@@ -221,6 +227,25 @@
         Self { peers, inbox }
     }
 
+    /// Reports as the leader of its failure domain.
+    pub fn report(&self, applied: Revision, sequence: u64) {
+        let sender = self.peers.sender();
+        let report = DomainReport {
+            failure_domain: "cumbaya".parse().expect("a valid name"),
+            leader: sender.identity().daemon.clone(),
+            epoch: 1,
+            sequence,
+            applied,
+            lagging: Default::default(),
+            unreachable: Vec::new(),
+            groups: Vec::new(),
+            vms: Vec::new(),
+            group_downtime_ms: 0,
+            stranded_accelerator_ms: 0,
+        };
+        sender.send(&control_1(), PeerMessage::Report(report));
+    }
+
     /// Waits for the next message.
     pub async fn next(&mut self) -> Incoming {
         tokio::time::timeout(DEADLINE, self.inbox.next())
--- a/control/tests/daemon/test_thin_path.rs
+++ b/control/tests/daemon/test_thin_path.rs
@@ -3,7 +3,6 @@
 use crate::fixtures::{
     ANA,
     ControlDaemon,
-    DEADLINE,
     EntryPeer,
     control_1,
     free_address,
@@ -12,7 +11,6 @@
 };
 use cicadabend::{
     peer_api::{
-        ConfigAck,
         ConfigBody,
         PeerMessage, //
     },
@@ -48,6 +46,7 @@
     assert_eq!(config["revision"], 1);
 
     receive_whole(&mut entry, Revision(1)).await;
+    entry.report(Revision(0), 0);
     wait_for_in_force(&control, &entry).await;
     assert_eq!(control.terminate(), Some(0));
 }
@@ -73,20 +72,14 @@
 }
 
 async fn wait_for_in_force(control: &ControlDaemon, entry: &EntryPeer) {
-    let deadline = tokio::time::Instant::now() + DEADLINE;
-    loop {
-        let ack = PeerMessage::ConfigAck(ConfigAck {
-            applied: Revision(1),
-            daemons: 1,
-            lagging: Default::default(),
-        });
-        entry.peers.sender().send(&control_1(), ack);
+    for sequence in 1.. {
+        entry.report(Revision(1), sequence);
         let (_, status) = control.request(ANA, Method::GET, "/v1/status", "").await;
         if status["in_force"] == true && status["unreachable"] == serde_json::json!([]) {
             assert_eq!(status["revision"], 1);
             return;
         }
-        assert!(tokio::time::Instant::now() < deadline, "{status}");
+        assert!(sequence < 400, "{status}");
         tokio::time::sleep(std::time::Duration::from_millis(50)).await;
     }
 }
--- /dev/null
+++ b/lib/src/fleet/effects.rs
@@ -0,0 +1,277 @@
+//! What a configuration would do to the groups of the observed fleet.
+//!
+//! The effects of an intent are those that the accepted configuration would not
+//! have anyway: a domain leader that is already building a group goes on doing so
+//! whether or not the plan is confirmed.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+use super::{
+    FleetConfig,
+    ModelService,
+    Service, //
+};
+use crate::{
+    chart::UpstreamState,
+    domain::placement::{
+        Missing,
+        NewGroup,
+        Placement,
+        PlacementVm,
+        place,
+        weights_name, //
+    },
+    operator_api::{
+        PlanChange,
+        PlanImpact, //
+    },
+    peer_api::{
+        Assignment,
+        DomainReport,
+        GroupReport,
+        VmReport, //
+    },
+    prelude::*,
+};
+
+/// Why groups are missing in a failure domain that nothing is known of.
+const NO_REPORT: &str = "no report of this failure domain has been received";
+
+/// What an intent would do to groups, and what that touches.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct GroupEffects {
+    /// Groups that stop, start or are missing, by failure domain.
+    pub changes: Vec<PlanChange>,
+    /// Totals over all of them.
+    pub impact: PlanImpact,
+}
+
+/// Returns what replacing `base` by `wanted` would do to the reported groups.
+pub fn group_effects(
+    base: &FleetConfig,
+    wanted: &FleetConfig,
+    reports: &[DomainReport],
+) -> GroupEffects {
+    let mut effects = GroupEffects::default();
+    let mut touched = Touched::default();
+    for failure_domain in failure_domains(base, wanted, reports) {
+        let report = reports
+            .iter()
+            .find(|report| report.failure_domain == failure_domain);
+        match report {
+            Some(report) => {
+                let domain = Domain::new(report);
+                domain.compare(base, wanted, &mut effects.changes, &mut touched);
+            }
+            None => missing_report(base, wanted, &failure_domain, &mut effects.changes),
+        }
+    }
+    effects.impact = touched.impact(&effects.changes, wanted);
+    effects
+}
+
+fn failure_domains(
+    base: &FleetConfig,
+    wanted: &FleetConfig,
+    reports: &[DomainReport],
+) -> BTreeSet<FailureDomain> {
+    let configured = models(base).chain(models(wanted));
+    let configured = configured.flat_map(|(_, model)| model.groups_by_failure_domain.keys());
+    let reported = reports.iter().map(|report| &report.failure_domain);
+    configured.chain(reported).cloned().collect()
+}
+
+fn models(config: &FleetConfig) -> impl Iterator<Item = (&ServiceName, &ModelService)> {
+    config
+        .services
+        .iter()
+        .filter_map(|(name, service)| match service {
+            Service::Model(model) => Some((name, model)),
+            Service::Plain(_) => None,
+        })
+}
+
+fn missing_report(
+    base: &FleetConfig,
+    wanted: &FleetConfig,
+    failure_domain: &FailureDomain,
+    changes: &mut Vec<PlanChange>,
+) {
+    let groups_of = |model: &ModelService| {
+        let groups = model.groups_by_failure_domain.get(failure_domain);
+        groups.copied().unwrap_or_default()
+    };
+    for (service, model) in models(wanted) {
+        let before = models(base).find(|(name, _)| *name == service);
+        let same = before.is_some_and(|(_, before)| before == model);
+        if !same && groups_of(model) > 0 {
+            changes.push(PlanChange::MissingCapacity {
+                service: service.clone(),
+                failure_domain: failure_domain.clone(),
+                groups: groups_of(model),
+                reason: NO_REPORT.to_owned(),
+            });
+        }
+    }
+}
+
+/// One failure domain in the form that placement takes.
+struct Domain<'a> {
+    report: &'a DomainReport,
+    vms: Vec<PlacementVm>,
+    current: Vec<Assignment>,
+}
+
+impl<'a> Domain<'a> {
+    fn new(report: &'a DomainReport) -> Self {
+        let engines = report.vms.iter().filter(|vm| vm.plain_service.is_none());
+        let assignments = report.groups.iter().map(|group| group.assignment.clone());
+        Self {
+            report,
+            vms: engines.map(|vm| placement_vm(vm, report)).collect(),
+            current: assignments.collect(),
+        }
+    }
+
+    fn compare(
+        &self,
+        base: &FleetConfig,
+        wanted: &FleetConfig,
+        changes: &mut Vec<PlanChange>,
+        touched: &mut Touched,
+    ) {
+        let anyway = self.place(base);
+        let planned = self.place(wanted);
+        for stopped in &planned.stop {
+            if !anyway.stop.iter().any(|stop| stop.group == stopped.group) {
+                changes.extend(self.stop(&stopped.group, touched));
+            }
+        }
+        for started in &planned.start {
+            if !anyway.start.iter().any(|start| same_group(start, started)) {
+                changes.push(self.start(started, wanted, touched));
+            }
+        }
+        for missing in &planned.missing {
+            if !anyway.missing.contains(missing) {
+                changes.push(self.missing(missing));
+            }
+        }
+    }
+
+    fn place(&self, config: &FleetConfig) -> Placement {
+        let failure_domain = &self.report.failure_domain;
+        place(config, failure_domain, &self.vms, &self.current)
+    }
+
+    fn stop(&self, group: &GroupId, touched: &mut Touched) -> Option<PlanChange> {
+        let mut groups = self.report.groups.iter();
+        let reported = groups.find(|reported| reported.assignment.group == *group)?;
+        let members = reported.assignment.members.clone();
+        touched.vms(self.report, &members);
+        Some(PlanChange::StopGroup {
+            group: group.clone(),
+            failure_domain: self.report.failure_domain.clone(),
+            members,
+            running_requests: reported.load.running,
+        })
+    }
+
+    fn start(&self, started: &NewGroup, wanted: &FleetConfig, touched: &mut Touched) -> PlanChange {
+        touched.vms(self.report, &started.members);
+        touched.weight_loads += self.weight_loads(started, wanted);
+        PlanChange::StartGroup {
+            service: started.service.clone(),
+            failure_domain: self.report.failure_domain.clone(),
+            members: started.members.clone(),
+            spans_fabric_domains: started.spans_fabric_domains,
+        }
+    }
+
+    fn missing(&self, missing: &Missing) -> PlanChange {
+        PlanChange::MissingCapacity {
+            service: missing.service.clone(),
+            failure_domain: self.report.failure_domain.clone(),
+            groups: missing.groups,
+            reason: missing.reason.to_string(),
+        }
+    }
+
+    fn weight_loads(&self, started: &NewGroup, wanted: &FleetConfig) -> u64 {
+        let Some(Service::Model(model)) = wanted.services.get(&started.service) else {
+            return 0;
+        };
+        let weights = weights_name(&model.model, &model.version);
+        let holds = |member: &VmId| {
+            let mut vms = self.vms.iter();
+            vms.any(|vm| vm.vm == *member && vm.weights.contains(&weights))
+        };
+        let loading = started.members.iter().filter(|member| !holds(member));
+        loading.count() as u64
+    }
+}
+
+fn same_group(one: &NewGroup, other: &NewGroup) -> bool {
+    one.service == other.service && one.members == other.members
+}
+
+fn placement_vm(vm: &VmReport, report: &DomainReport) -> PlacementVm {
+    let groups = report.groups.iter();
+    let member_of = |group: &&GroupReport| group.assignment.members.contains(&vm.vm);
+    let weights = groups
+        .filter(member_of)
+        .map(|group| weights_name(&group.assignment.model, &group.assignment.version));
+    PlacementVm {
+        vm: vm.vm.clone(),
+        fabric_domain: vm.fabric_domain.clone(),
+        accelerators: vm.accelerators,
+        // A state of a newer version is no reason to build on the VM.
+        state: vm.state.parse().unwrap_or(UpstreamState::Unknown),
+        weights: weights.collect(),
+    }
+}
+
+/// What the changes so far touch.
+#[derive(Default)]
+struct Touched {
+    accelerators: BTreeMap<VmId, Accelerators>,
+    weight_loads: u64,
+}
+
+impl Touched {
+    fn vms(&mut self, report: &DomainReport, members: &[VmId]) {
+        for vm in report.vms.iter().filter(|vm| members.contains(&vm.vm)) {
+            self.accelerators.insert(vm.vm.clone(), vm.accelerators);
+        }
+    }
+
+    fn impact(&self, changes: &[PlanChange], wanted: &FleetConfig) -> PlanImpact {
+        let mut impact = PlanImpact::default();
+        for change in changes {
+            match change {
+                PlanChange::StartGroup { .. } => impact.groups_started += 1,
+                PlanChange::StopGroup {
+                    running_requests, ..
+                } => {
+                    impact.groups_stopped += 1;
+                    impact.requests_touched += running_requests;
+                }
+                PlanChange::Value { .. } | PlanChange::MissingCapacity { .. } => {}
+            }
+        }
+        let accelerators = self.accelerators.values().map(|count| count.0);
+        impact.accelerators_touched = Accelerators(accelerators.sum());
+        impact.expected_duration_ms = self.duration_ms(wanted);
+        impact
+    }
+
+    /// The weight store serves a number of VMs at full rate, so loads go in rounds.
+    fn duration_ms(&self, wanted: &FleetConfig) -> u64 {
+        let at_once = u64::from(wanted.recovery.concurrent_weight_loads.max(1));
+        let rounds = self.weight_loads.div_ceil(at_once);
+        rounds.saturating_mul(wanted.recovery.weight_load_ms)
+    }
+}
--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -2,13 +2,26 @@
 //!
 //! - `config`: what operators state.
 //! - [`diff`]: what differs between two configurations, by JSON path.
+//! - [`validate`]: what is wrong with a configuration, all at once.
+//! - [`effects`]: what a configuration would do to the groups of the observed fleet.
 //! - [`plan`]: what an intent would change.
+//! - [`objection`]: whether the fleet still fits what a plan told.
+//! - [`delta`]: the changed parts of a configuration, for spreading it.
+//! - [`spread`]: which control daemon sends what to which entry daemon.
+//! - [`standing`]: how far the accepted revision has come.
 //! - [`state`]: the state machine that the control daemons replicate.
 
 mod config;
+pub mod delta;
 pub mod diff;
+pub mod effects;
+pub mod objection;
 pub mod plan;
+mod recent_configs;
+pub mod spread;
+pub mod standing;
 pub mod state;
+pub mod validate;
 
 pub use config::{
     FleetConfig,
@@ -22,6 +35,10 @@
     Team,
     Voter, //
 };
+pub use recent_configs::{
+    CONFIGS_KEPT,
+    RecentConfigs, //
+};
 pub use state::{
     FleetAnswer,
     FleetCommand,
--- a/lib/src/fleet/plan.rs
+++ b/lib/src/fleet/plan.rs
@@ -7,7 +7,8 @@
 
 use super::{
     FleetConfig,
-    diff::value_changes, //
+    diff::value_changes,
+    effects::group_effects, //
 };
 use crate::{
     operator_api::{
@@ -16,6 +17,7 @@
         PlanImpact,
         PlanRequest, //
     },
+    peer_api::DomainReport,
     prelude::*,
 };
 
@@ -37,12 +39,23 @@
 }
 
 impl PlanDraft {
-    /// Computes what `request` would change about the accepted configuration.
-    pub fn new(base_revision: Revision, base: &FleetConfig, request: PlanRequest) -> Self {
+    /// Computes what `request` would change about the accepted configuration and the fleet.
+    ///
+    /// The outcome depends on the arguments alone, so that two leaders that see the
+    /// same fleet make the same plan.
+    pub fn new(
+        base_revision: Revision,
+        base: &FleetConfig,
+        reports: &[DomainReport],
+        request: PlanRequest,
+    ) -> Self {
+        let effects = group_effects(base, &request.config, reports);
+        let mut changes = value_changes(base, &request.config);
+        changes.extend(effects.changes);
         Self {
             base_revision,
-            changes: value_changes(base, &request.config),
-            impact: PlanImpact::default(),
+            changes,
+            impact: effects.impact,
             config: request.config,
             operator: request.operator,
             reason: request.reason,
--- a/lib/src/fleet/state.rs
+++ b/lib/src/fleet/state.rs
@@ -26,7 +26,8 @@
     operator_api::{
         ConfirmReply,
         HistoryEntry,
-        Plan, //
+        Plan,
+        PlanChange, //
     },
     prelude::*,
 };
@@ -65,6 +66,10 @@
     pub idempotency_key: IdempotencyKey,
     /// The leader's wall clock, for people only.
     pub at_unix_s: u64,
+    /// What the plan would do to groups now, if the leader saw that it differs from
+    /// what the plan told. It goes through the log, because an answer that did not
+    /// would leave a resend of the same confirmation with another one.
+    pub objection: Option<Vec<PlanChange>>,
 }
 
 /// What applying a command gave.
@@ -214,6 +219,11 @@
         if plan.base_revision != self.revision {
             return self.conflict(plan.base_revision);
         }
+        if let Some(changes_now) = &confirmation.objection {
+            return ConfirmReply::FleetChanged {
+                changes_now: changes_now.clone(),
+            };
+        }
         let plan = plan.clone();
         self.accept(plan, confirmation)
     }
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -83,6 +83,17 @@
     TeamShares(BTreeMap<TeamName, TeamShare>),
     /// Daemon to domain leader: each team's demand there.
     TeamDemand(BTreeMap<TeamName, TeamShare>),
+    /// Control to control: a sign of life, and what the others need of the sender.
+    ControlHello(ControlHello),
+}
+
+/// A control daemon's sign of life to the other control daemons.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ControlHello {
+    /// Where it takes operators' requests; `None` if its listener has no single address.
+    pub operators: Option<Address>,
+    /// The failure domains whose leaders it has heard lately.
+    pub hears: BTreeSet<FailureDomain>,
 }
 
 /// The domain leader's lease; volatile, renewed by a majority of the domain's daemons.
--- /dev/null
+++ b/lib/tests/test_fleet_plan.rs
@@ -0,0 +1,296 @@
+//! What a plan tells: changed values, groups that start, stop or are missing, and totals.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "a fixture that cannot be built fails its test"
+)]
+
+use std::collections::BTreeMap;
+
+use cicadabend::{
+    fleet::{
+        FleetConfig,
+        ModelService,
+        RoutingArm,
+        RoutingPolicy,
+        Service,
+        objection::objection,
+        plan::PlanDraft, //
+    },
+    operator_api::{
+        Plan,
+        PlanChange,
+        PlanImpact,
+        PlanRequest, //
+    },
+    peer_api::{
+        Assignment,
+        DomainReport,
+        GroupReport,
+        VmReport, //
+    },
+    prelude::*,
+    upstream_api::LoadReport,
+};
+
+const VMS_PER_GROUP: u32 = 2;
+
+fn domain(name: &str) -> FailureDomain {
+    name.parse().unwrap()
+}
+
+fn vm(number: usize) -> VmId {
+    format!("vm-{number}").parse().unwrap()
+}
+
+fn config(groups: u32) -> FleetConfig {
+    let model = ModelService {
+        model: "drafting".parse().unwrap(),
+        version: "1".to_owned(),
+        adapters: Vec::new(),
+        vms_per_group: VMS_PER_GROUP,
+        groups_by_failure_domain: BTreeMap::from([(domain("cumbaya"), groups)]),
+        spare_vms_by_failure_domain: BTreeMap::new(),
+        may_span_fabric_domains: false,
+        routing: vec![RoutingArm {
+            policy: RoutingPolicy::RoundRobin,
+            share_percent: Percent(100),
+        }],
+    };
+    FleetConfig {
+        services: BTreeMap::from([("drafting-llm".parse().unwrap(), Service::Model(model))]),
+        ..FleetConfig::default()
+    }
+}
+
+fn vm_report(number: usize, state: &str) -> VmReport {
+    VmReport {
+        vm: vm(number),
+        fabric_domain: "fabric-1".parse().unwrap(),
+        accelerators: Accelerators(8),
+        state: state.to_owned(),
+        group: None,
+        plain_service: None,
+        address: "127.0.0.1:1".parse().unwrap(),
+        slots: Slots(4),
+        load: LoadReport::default(),
+    }
+}
+
+fn group_report(name: &str, members: [usize; 2], running: u32) -> GroupReport {
+    GroupReport {
+        assignment: Assignment {
+            group: name.parse().unwrap(),
+            service: "drafting-llm".parse().unwrap(),
+            model: "drafting".parse().unwrap(),
+            version: "1".to_owned(),
+            adapters: Vec::new(),
+            members: members.map(vm).to_vec(),
+            token: FencingToken {
+                epoch: 1,
+                sequence: members[0] as u32,
+            },
+            admits_requests: true,
+        },
+        state: "serving".to_owned(),
+        address: None,
+        slots: Slots(4),
+        load: LoadReport {
+            running,
+            ..LoadReport::default()
+        },
+    }
+}
+
+/// Four VMs in one fabric domain, the first two of which are a serving group.
+fn report() -> DomainReport {
+    DomainReport {
+        failure_domain: domain("cumbaya"),
+        leader: "entry-1".parse().unwrap(),
+        epoch: 1,
+        sequence: 1,
+        applied: Revision(1),
+        lagging: BTreeMap::new(),
+        unreachable: Vec::new(),
+        groups: vec![group_report("group-1", [1, 2], 3)],
+        vms: (1..=4).map(|number| vm_report(number, "alive")).collect(),
+        group_downtime_ms: 0,
+        stranded_accelerator_ms: 0,
+    }
+}
+
+fn plan(before: &FleetConfig, after: FleetConfig, reports: &[DomainReport]) -> Plan {
+    let request = PlanRequest {
+        config: after,
+        operator: "ana".to_owned(),
+        reason: String::new(),
+    };
+    PlanDraft::new(Revision(1), before, reports, request).numbered(PlanId(1))
+}
+
+fn group_changes(plan: &Plan) -> Vec<PlanChange> {
+    let is_group = |change: &&PlanChange| !matches!(change, PlanChange::Value { .. });
+    plan.changes.iter().filter(is_group).cloned().collect()
+}
+
+fn start_of_second_group() -> PlanChange {
+    PlanChange::StartGroup {
+        service: "drafting-llm".parse().unwrap(),
+        failure_domain: domain("cumbaya"),
+        members: vec![vm(3), vm(4)],
+        spans_fabric_domains: false,
+    }
+}
+
+#[test]
+fn one_group_more_names_its_vms_and_what_that_costs() {
+    let plan = plan(&config(1), config(2), &[report()]);
+
+    let value = PlanChange::Value {
+        path: "$.services.drafting-llm.model.groups_by_failure_domain.cumbaya".to_owned(),
+        before: Some("1".to_owned()),
+        after: Some("2".to_owned()),
+    };
+    assert_eq!(plan.changes, vec![value, start_of_second_group()]);
+    let impact = PlanImpact {
+        groups_started: 1,
+        groups_stopped: 0,
+        requests_touched: 0,
+        accelerators_touched: Accelerators(16),
+        expected_duration_ms: 30_000,
+    };
+    assert_eq!(plan.impact, impact);
+}
+
+#[test]
+fn a_group_less_names_the_requests_that_run_on_it() {
+    let plan = plan(&config(1), config(0), &[report()]);
+
+    let stop = PlanChange::StopGroup {
+        group: "group-1".parse().unwrap(),
+        failure_domain: domain("cumbaya"),
+        members: vec![vm(1), vm(2)],
+        running_requests: 3,
+    };
+    assert_eq!(group_changes(&plan), vec![stop]);
+    assert_eq!(plan.impact.requests_touched, 3);
+    assert_eq!(plan.impact.expected_duration_ms, 0);
+}
+
+#[test]
+fn groups_for_which_there_are_no_vms_are_named_as_missing() {
+    let plan = plan(&config(1), config(4), &[report()]);
+
+    let changes = group_changes(&plan);
+
+    assert_eq!(changes[0], start_of_second_group());
+    assert!(
+        matches!(&changes[1], PlanChange::MissingCapacity { groups: 2, .. }),
+        "{changes:?}"
+    );
+}
+
+#[test]
+fn a_failure_domain_without_a_report_is_named() {
+    let plan = plan(&FleetConfig::default(), config(2), &[]);
+
+    let missing = PlanChange::MissingCapacity {
+        service: "drafting-llm".parse().unwrap(),
+        failure_domain: domain("cumbaya"),
+        groups: 2,
+        reason: "no report of this failure domain has been received".to_owned(),
+    };
+    assert_eq!(group_changes(&plan), vec![missing]);
+}
+
+#[test]
+fn draining_a_vm_stops_its_group_and_builds_another() {
+    let mut drained = config(1);
+    drained.drained_vms.insert(vm(2));
+
+    let plan = plan(&config(1), drained, &[report()]);
+
+    assert_eq!(
+        (plan.impact.groups_stopped, plan.impact.groups_started),
+        (1, 1)
+    );
+    let changes = group_changes(&plan);
+    assert!(matches!(changes[0], PlanChange::StopGroup { .. }));
+    assert!(matches!(changes[1], PlanChange::StartGroup { .. }));
+}
+
+/// The domain leader is about to build a group that the accepted configuration wants.
+/// A plan about something else must not claim that group as its own doing.
+#[test]
+fn what_would_happen_anyway_is_no_part_of_a_plan() {
+    let mut after = config(2);
+    after.recovery.expected_return_ms += 1;
+
+    let plan = plan(&config(2), after, &[report()]);
+
+    assert_eq!(group_changes(&plan), Vec::new());
+    assert_eq!(plan.impact, PlanImpact::default());
+}
+
+#[test]
+fn the_order_of_reports_does_not_change_a_plan() {
+    let other = DomainReport {
+        failure_domain: domain("carcelen"),
+        groups: Vec::new(),
+        ..report()
+    };
+
+    let one = plan(&config(1), config(2), &[report(), other.clone()]);
+    let two = plan(&config(1), config(2), &[other, report()]);
+
+    assert_eq!(one, two);
+}
+
+/// Between plan and confirmation a VM that the plan would use dies. The confirmation
+/// is refused with what the same intent would do now.
+#[test]
+fn a_plan_whose_vm_has_died_meets_an_objection() {
+    let plan = plan(&config(1), config(2), &[report()]);
+    let mut later = report();
+    later.vms[3] = vm_report(4, "dead");
+
+    let objection = objection(&plan, &config(1), &[later]);
+
+    let changes_now = objection.unwrap();
+    assert!(
+        matches!(
+            changes_now[..],
+            [PlanChange::MissingCapacity { groups: 1, .. }]
+        ),
+        "{changes_now:?}"
+    );
+}
+
+#[test]
+fn a_plan_without_group_effects_fits_whatever_the_fleet_does() {
+    let mut after = config(1);
+    after.recovery.expected_return_ms += 1;
+    let plan = plan(&config(1), after, &[report()]);
+    let mut later = report();
+    later.vms[0] = vm_report(1, "dead");
+
+    assert_eq!(objection(&plan, &config(1), &[later]), None);
+}
+
+#[test]
+fn requests_that_come_and_go_are_no_objection() {
+    let plan = plan(&config(1), config(0), &[report()]);
+    let mut later = report();
+    later.groups[0].load.running = 40;
+
+    assert_eq!(objection(&plan, &config(1), &[later]), None);
+}
+
+/// The leader of the control daemons has just changed and has heard no report yet.
+/// What it cannot see must not keep an operator from acting.
+#[test]
+fn a_failure_domain_that_is_not_heard_is_no_objection() {
+    let plan = plan(&config(1), config(2), &[report()]);
+
+    assert_eq!(objection(&plan, &config(1), &[]), None);
+}
--- /dev/null
+++ b/lib/tests/test_fleet_spread.rs
@@ -0,0 +1,369 @@
+//! Which control daemon sends what to whom, and when a revision is in force.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "a fixture that cannot be built fails its test"
+)]
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    sync::Arc,
+};
+
+use cicadabend::{
+    fleet::{
+        CONFIGS_KEPT,
+        FleetConfig,
+        delta::ConfigDelta,
+        spread::{
+            ControlSpread,
+            Sending,
+            Topology, //
+        },
+        standing::{
+            Standing,
+            standing, //
+        }, //
+    },
+    peer_api::{
+        ConfigBody,
+        ConfigUpdate,
+        ControlHello,
+        DomainReport, //
+    },
+    prelude::*,
+};
+use rstest::rstest;
+
+const DOMAINS: [&str; 3] = ["cumbaya", "carcelen", "sangolqui"];
+
+fn domain(name: &str) -> FailureDomain {
+    name.parse().unwrap()
+}
+
+fn daemon(name: &str) -> DaemonId {
+    name.parse().unwrap()
+}
+
+/// Three failure domains with three entry daemons each; control daemons in the first two.
+fn topology(own: &str) -> Topology {
+    let entry = |domain_name: &&str, number: u32| {
+        let name = daemon(&format!("entry-{domain_name}-{number}"));
+        (name, domain(domain_name))
+    };
+    let entries = DOMAINS
+        .iter()
+        .flat_map(|name| (1..=3).map(move |number| entry(name, number)));
+    Topology {
+        own: daemon(own),
+        controls: BTreeMap::from([
+            (daemon("control-1"), domain("cumbaya")),
+            (daemon("control-2"), domain("carcelen")),
+        ]),
+        entries: entries.collect(),
+    }
+}
+
+fn config(revision: u64) -> Arc<FleetConfig> {
+    let vm: VmId = format!("vm-{revision}").parse().unwrap();
+    Arc::new(FleetConfig {
+        drained_vms: BTreeSet::from([vm]),
+        ..FleetConfig::default()
+    })
+}
+
+fn report(domain_name: &str, sequence: u64, applied: u64) -> DomainReport {
+    DomainReport {
+        failure_domain: domain(domain_name),
+        leader: leader(domain_name),
+        epoch: 1,
+        sequence,
+        applied: Revision(applied),
+        lagging: BTreeMap::new(),
+        unreachable: Vec::new(),
+        groups: Vec::new(),
+        vms: Vec::new(),
+        group_downtime_ms: 0,
+        stranded_accelerator_ms: 0,
+    }
+}
+
+fn leader(domain_name: &str) -> DaemonId {
+    daemon(&format!("entry-{domain_name}-1"))
+}
+
+fn hello(hears: &[&str]) -> ControlHello {
+    ControlHello {
+        operators: None,
+        hears: hears.iter().map(|name| domain(name)).collect(),
+    }
+}
+
+/// `control-1`, which hears all leaders and `control-2`.
+fn spread_at(now: Timestamp, applied: u64) -> ControlSpread {
+    let mut spread = ControlSpread::new(topology("control-1"));
+    hear_all(&mut spread, now, applied);
+    spread
+}
+
+fn hear_all(spread: &mut ControlSpread, now: Timestamp, applied: u64) {
+    for name in DOMAINS {
+        let report = report(name, now.0 + 1, applied);
+        spread.hear_report(&leader(name), report, now);
+    }
+    spread.hear_control(daemon("control-2"), hello(&DOMAINS), now);
+}
+
+fn receivers(sendings: &[Sending]) -> BTreeSet<DaemonId> {
+    sendings.iter().map(|sending| sending.to.clone()).collect()
+}
+
+fn apply(before: &FleetConfig, update: &ConfigUpdate) -> FleetConfig {
+    match &update.body {
+        ConfigBody::Whole(config) => (**config).clone(),
+        ConfigBody::Delta(bytes) => ConfigDelta::from_bytes(bytes)
+            .unwrap()
+            .apply(before)
+            .unwrap(),
+        ConfigBody::Digest => panic!("a digest brings no configuration"),
+    }
+}
+
+#[test]
+fn a_change_goes_as_a_delta_to_the_leader_of_the_own_domain_only() {
+    let mut spread = spread_at(Timestamp(0), 1);
+    spread.accept(Revision(1), config(1));
+    spread.tick(Timestamp(0));
+    spread.accept(Revision(2), config(2));
+
+    let sendings = spread.tick(Timestamp(50));
+
+    let own: Vec<&Sending> = sendings
+        .iter()
+        .filter(|sending| sending.to == leader("cumbaya"))
+        .collect();
+    assert_eq!(own.len(), 1);
+    assert_eq!(own[0].update.base, Some(Revision(1)));
+    assert_eq!(apply(&config(1), &own[0].update), *config(2));
+    let others = BTreeSet::from([leader("cumbaya"), leader("sangolqui")]);
+    assert!(receivers(&sendings).is_subset(&others), "{sendings:?}");
+    assert_eq!(spread.tick(Timestamp(100)), Vec::new());
+}
+
+/// The third failure domain has no control daemon of its own. Exactly one of the two
+/// that hear its leader serves it, by the same rule at both.
+#[test]
+fn a_domain_without_its_own_control_daemon_is_served_by_exactly_one() {
+    let now = Timestamp(0);
+    let serving = ["control-1", "control-2"].map(|own| {
+        let mut spread = ControlSpread::new(topology(own));
+        for other in ["control-1", "control-2"] {
+            spread.hear_control(daemon(other), hello(&DOMAINS), now);
+        }
+        hear_all(&mut spread, now, 1);
+        spread.serves(&domain("sangolqui"), now)
+    });
+
+    assert_ne!(serving[0], serving[1]);
+}
+
+/// `control-2` is silent for longer than a sign of life counts, so that `control-1`
+/// serves its failure domain; when it is heard again, it serves that domain itself.
+#[test]
+fn the_domain_of_a_silent_control_daemon_is_taken_over_and_given_back() {
+    let mut spread = spread_at(Timestamp(0), 1);
+    assert!(!spread.serves(&domain("carcelen"), Timestamp(1_000)));
+
+    assert!(spread.serves(&domain("carcelen"), Timestamp(4_000)));
+
+    spread.hear_control(daemon("control-2"), hello(&DOMAINS), Timestamp(5_000));
+    assert!(!spread.serves(&domain("carcelen"), Timestamp(5_000)));
+}
+
+/// A partition separates `control-2` from the third failure domain but not from
+/// `control-1`, which therefore serves that domain whatever the rule would choose.
+#[test]
+fn a_control_daemon_that_does_not_hear_a_domain_does_not_keep_it() {
+    let now = Timestamp(0);
+    let mut spread = spread_at(now, 1);
+    spread.hear_control(daemon("control-2"), hello(&["carcelen"]), now);
+
+    assert!(spread.serves(&domain("sangolqui"), now));
+}
+
+#[test]
+fn while_no_leader_is_heard_everyone_in_the_domain_gets_a_digest() {
+    let mut spread = ControlSpread::new(topology("control-1"));
+    spread.hear_control(daemon("control-2"), hello(&["sangolqui"]), Timestamp(0));
+    spread.accept(Revision(1), config(1));
+
+    let sendings = spread.tick(Timestamp(0));
+
+    let of_domain = (1..=3).map(|number| daemon(&format!("entry-cumbaya-{number}")));
+    assert_eq!(receivers(&sendings), of_domain.collect());
+    let is_digest = |sending: &Sending| sending.update.body == ConfigBody::Digest;
+    assert!(sendings.iter().all(is_digest));
+}
+
+/// A daemon has missed a change. It asks with what it has and gets the delta; it asks
+/// again from the same revision, because the delta was lost or did not fit, and gets
+/// the whole configuration.
+#[test]
+fn a_daemon_with_a_gap_gets_a_delta_and_then_everything() {
+    let mut spread = spread_at(Timestamp(0), 1);
+    for revision in 1..=5 {
+        spread.accept(Revision(revision), config(revision));
+    }
+    let asking = leader("cumbaya");
+
+    let first = spread.answer(&asking, Revision(3), Timestamp(0)).unwrap();
+    let too_soon = spread.answer(&asking, Revision(3), Timestamp(50));
+    let second = spread.answer(&asking, Revision(3), Timestamp(100)).unwrap();
+
+    assert_eq!(first.update.base, Some(Revision(3)));
+    assert_eq!(apply(&config(3), &first.update), *config(5));
+    assert_eq!(too_soon, None);
+    assert!(matches!(second.update.body, ConfigBody::Whole(_)));
+    assert_eq!(apply(&config(3), &second.update), *config(5));
+}
+
+#[rstest]
+#[case::nothing(0)]
+#[case::a_revision_that_is_no_longer_kept(1)]
+fn a_daemon_far_behind_gets_everything(#[case] have: u64) {
+    let mut spread = spread_at(Timestamp(0), 1);
+    let last = CONFIGS_KEPT as u64 + 10;
+    for revision in 1..=last {
+        spread.accept(Revision(revision), config(revision));
+    }
+
+    let answer = spread.answer(&leader("cumbaya"), Revision(have), Timestamp(0));
+
+    let update = answer.unwrap().update;
+    assert_eq!(update.revision, Revision(last));
+    assert!(matches!(update.body, ConfigBody::Whole(_)));
+}
+
+#[test]
+fn a_daemon_that_is_level_or_unknown_gets_no_answer() {
+    let mut spread = spread_at(Timestamp(0), 1);
+    spread.accept(Revision(1), config(1));
+
+    assert_eq!(
+        spread.answer(&leader("cumbaya"), Revision(1), Timestamp(0)),
+        None
+    );
+    assert_eq!(
+        spread.answer(&daemon("stranger"), Revision(0), Timestamp(0)),
+        None
+    );
+}
+
+#[test]
+fn an_older_revision_is_never_sent_after_a_newer_one() {
+    let mut spread = spread_at(Timestamp(0), 1);
+    spread.accept(Revision(2), config(2));
+    spread.accept(Revision(1), config(1));
+
+    assert_eq!(spread.revision(), Revision(2));
+    let answer = spread.answer(&leader("cumbaya"), Revision(0), Timestamp(0));
+    assert_eq!(answer.unwrap().update.revision, Revision(2));
+}
+
+/// A notice of a change is lost. The daemon does not acknowledge, so it is reminded
+/// soon; once it has acknowledged, digests are rare.
+#[test]
+fn a_daemon_that_does_not_acknowledge_is_reminded() {
+    let mut spread = spread_at(Timestamp(0), 1);
+    spread.accept(Revision(1), config(1));
+    spread.tick(Timestamp(0));
+    spread.accept(Revision(2), config(2));
+    spread.tick(Timestamp(50));
+
+    let count = |spread: &mut ControlSpread, from_ms: u64| {
+        let own = leader("cumbaya");
+        let times = (0..20).map(|tick| Timestamp(from_ms + tick * 100));
+        let sent = times.flat_map(|now| spread.tick(now)).collect::<Vec<_>>();
+        sent.into_iter().filter(|sending| sending.to == own).count()
+    };
+    assert_eq!(count(&mut spread, 100), 4);
+    spread.hear_acknowledgement(&leader("cumbaya"), Revision(2));
+    assert_eq!(count(&mut spread, 2_100), 1);
+}
+
+#[test]
+fn reports_of_strangers_and_older_reports_are_not_kept() {
+    let mut spread = spread_at(Timestamp(0), 1);
+    spread.hear_report(&leader("carcelen"), report("cumbaya", 9, 9), Timestamp(10));
+    spread.hear_report(&leader("cumbaya"), report("cumbaya", 0, 0), Timestamp(10));
+
+    assert_eq!(
+        spread.reports()[&domain("cumbaya")].report.applied,
+        Revision(1)
+    );
+}
+
+fn standing_of(spread: &ControlSpread, revision: u64, now: u64) -> Standing {
+    let entries = topology("control-1").entries;
+    standing(
+        &entries,
+        spread.reports(),
+        Revision(revision),
+        Timestamp(now),
+    )
+}
+
+#[test]
+fn a_revision_is_in_force_when_every_reachable_daemon_has_applied_it() {
+    let spread = spread_at(Timestamp(0), 7);
+
+    assert!(standing_of(&spread, 7, 0).in_force);
+    let newer = standing_of(&spread, 8, 0);
+    assert!(!newer.in_force);
+    assert_eq!(newer.lagging.len(), 9);
+}
+
+#[test]
+fn who_lags_and_who_cannot_be_reached_is_named() {
+    let mut spread = spread_at(Timestamp(0), 7);
+    let lagging = daemon("entry-carcelen-2");
+    let unreachable = daemon("entry-cumbaya-3");
+    let mut slow = report("carcelen", 5, 6);
+    slow.lagging.insert(lagging.clone(), Revision(6));
+    spread.hear_report(&leader("carcelen"), slow, Timestamp(100));
+    let mut torn = report("cumbaya", 5, 7);
+    torn.unreachable.push(unreachable.clone());
+    spread.hear_report(&leader("cumbaya"), torn, Timestamp(100));
+
+    let standing = standing_of(&spread, 7, 100);
+
+    assert!(!standing.in_force);
+    assert_eq!(standing.lagging, BTreeMap::from([(lagging, Revision(6))]));
+    assert_eq!(standing.unreachable, vec![unreachable]);
+}
+
+/// A failure domain is cut off and its reports stop. Its daemons are named as
+/// unreachable, and the revision is in force among those that can be reached.
+#[test]
+fn a_silent_domain_is_unreachable_and_does_not_hold_a_revision_up() {
+    let mut spread = spread_at(Timestamp(0), 1);
+    for name in ["cumbaya", "carcelen"] {
+        spread.hear_report(&leader(name), report(name, 10_000, 2), Timestamp(10_000));
+    }
+
+    let standing = standing_of(&spread, 2, 10_000);
+
+    assert!(standing.in_force);
+    let silent = (1..=3).map(|number| daemon(&format!("entry-sangolqui-{number}")));
+    assert_eq!(standing.unreachable, silent.collect::<Vec<_>>());
+}
+
+#[test]
+fn nothing_is_in_force_while_nobody_is_heard() {
+    let spread = ControlSpread::new(topology("control-1"));
+
+    assert!(!standing_of(&spread, 0, 0).in_force);
+}
--- /dev/null
+++ b/lib/tests/test_fleet_state.rs
@@ -0,0 +1,349 @@
+//! The state machine of accepted configurations: racing operators, resends, bounds, snapshots.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "a fixture that cannot be built fails its test"
+)]
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+use cicadabend::{
+    fleet::{
+        FleetAnswer,
+        FleetCommand,
+        FleetConfig,
+        FleetState,
+        Voter,
+        plan::PlanDraft,
+        state::{
+            ANSWERS_KEPT,
+            Confirmation,
+            HISTORY_KEPT,
+            PLANS_KEPT, //
+        }, //
+    },
+    operator_api::{
+        ConfirmReply,
+        PlanRequest, //
+    },
+    prelude::*,
+};
+use proptest::{
+    prelude::*,
+    test_runner::RngSeed, //
+};
+
+fn drained(vm: usize) -> FleetConfig {
+    FleetConfig {
+        drained_vms: BTreeSet::from([format!("vm-{vm}").parse().unwrap()]),
+        ..FleetConfig::default()
+    }
+}
+
+fn store(state: &mut FleetState, vm: usize, operator: &str) -> PlanId {
+    let request = PlanRequest {
+        config: drained(vm),
+        operator: operator.to_owned(),
+        reason: String::new(),
+    };
+    let draft = PlanDraft::new(state.revision(), state.config(), &[], request);
+    match state.apply(FleetCommand::StorePlan(Box::new(draft))) {
+        FleetAnswer::PlanStored(plan) => plan.id,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn confirmation(plan: PlanId, operator: &str, key: &str) -> Confirmation {
+    Confirmation {
+        plan,
+        operator: operator.to_owned(),
+        idempotency_key: key.parse().unwrap(),
+        at_unix_s: 0,
+        objection: None,
+    }
+}
+
+fn confirm(state: &mut FleetState, plan: PlanId, operator: &str, key: &str) -> ConfirmReply {
+    reply(state.apply(FleetCommand::Confirm(confirmation(plan, operator, key))))
+}
+
+fn reply(answer: FleetAnswer) -> ConfirmReply {
+    match answer {
+        FleetAnswer::Confirmed(reply) => reply,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn accepted(revision: u64) -> ConfirmReply {
+    ConfirmReply::Accepted {
+        revision: Revision(revision),
+    }
+}
+
+/// Two operators hold plans made from the same revision and both confirm. One is
+/// accepted; the other is told which plan won, whose it was and what it changed.
+#[test]
+fn of_two_plans_from_one_revision_one_wins_and_the_other_names_it() {
+    let mut state = FleetState::default();
+    let of_ana = store(&mut state, 1, "ana");
+    let of_bojan = store(&mut state, 2, "bojan");
+
+    let first = confirm(&mut state, of_bojan, "bojan", "k");
+    let second = confirm(&mut state, of_ana, "ana", "k");
+
+    assert_eq!(first, accepted(1));
+    let conflict = ConfirmReply::Conflict {
+        winner: of_bojan,
+        winner_operator: "bojan".to_owned(),
+        revision: Revision(1),
+        changed_paths: vec!["$.drained_vms".to_owned()],
+    };
+    assert_eq!(second, conflict);
+    assert_eq!(*state.config(), drained(2));
+}
+
+/// An operator's answer is lost, another operator's plan is accepted in between, and
+/// the first one resends. The resend gets the first answer and changes nothing.
+#[test]
+fn a_resend_gets_its_first_answer_after_another_plan_was_accepted() {
+    let mut state = FleetState::default();
+    let first = store(&mut state, 1, "ana");
+    assert_eq!(confirm(&mut state, first, "ana", "k1"), accepted(1));
+    let second = store(&mut state, 2, "bojan");
+    assert_eq!(confirm(&mut state, second, "bojan", "k2"), accepted(2));
+
+    let resent = confirm(&mut state, first, "ana", "k1");
+
+    assert_eq!(resent, accepted(1));
+    assert_eq!(state.revision(), Revision(2));
+    assert_eq!(*state.config(), drained(2));
+}
+
+#[test]
+fn a_key_used_for_another_plan_is_refused_by_name() {
+    let mut state = FleetState::default();
+    let first = store(&mut state, 1, "ana");
+    confirm(&mut state, first, "ana", "k");
+    let second = store(&mut state, 2, "ana");
+
+    let reused = confirm(&mut state, second, "ana", "k");
+
+    assert_eq!(reused, ConfirmReply::KeyReused { first_plan: first });
+    assert_eq!(state.revision(), Revision(1));
+}
+
+#[test]
+fn the_same_key_of_another_operator_is_another_key() {
+    let mut state = FleetState::default();
+    let plan = store(&mut state, 1, "ana");
+    confirm(&mut state, plan, "ana", "k");
+
+    let other = confirm(&mut state, plan, "bojan", "k");
+
+    assert!(matches!(other, ConfirmReply::Conflict { winner, .. } if winner == plan));
+}
+
+/// The leader sees at confirmation that the groups differ from what the plan told. The
+/// refusal goes through the log, so that a resend cannot be accepted where the first
+/// confirmation was refused.
+#[test]
+fn a_plan_that_no_longer_fits_the_fleet_is_refused_for_resends_too() {
+    let mut state = FleetState::default();
+    let plan = store(&mut state, 1, "ana");
+    let objecting = Confirmation {
+        objection: Some(Vec::new()),
+        ..confirmation(plan, "ana", "k1")
+    };
+
+    let refused = reply(state.apply(FleetCommand::Confirm(objecting)));
+    let resent = confirm(&mut state, plan, "ana", "k1");
+    let anew = confirm(&mut state, plan, "ana", "k2");
+
+    let changes_now = Vec::new();
+    assert_eq!(refused, ConfirmReply::FleetChanged { changes_now });
+    assert_eq!(resent, refused);
+    assert_eq!(anew, accepted(1));
+}
+
+#[test]
+fn a_plan_computed_for_an_older_revision_is_not_kept() {
+    let mut state = FleetState::default();
+    let request = PlanRequest {
+        config: drained(1),
+        operator: "ana".to_owned(),
+        reason: String::new(),
+    };
+    let outdated = PlanDraft::new(Revision(0), &FleetConfig::default(), &[], request);
+    let plan = store(&mut state, 2, "bojan");
+    confirm(&mut state, plan, "bojan", "k");
+
+    let answer = state.apply(FleetCommand::StorePlan(Box::new(outdated)));
+
+    let revision = Revision(1);
+    assert_eq!(answer, FleetAnswer::PlanOutdated { revision });
+}
+
+#[test]
+fn an_unknown_plan_is_named_as_such() {
+    let mut state = FleetState::default();
+
+    let answer = confirm(&mut state, PlanId(7), "ana", "k");
+
+    assert_eq!(answer, ConfirmReply::UnknownPlan);
+}
+
+#[test]
+fn tables_are_bounded_and_the_oldest_entry_goes_first() {
+    let mut state = FleetState::default();
+    let rounds = ANSWERS_KEPT + 1;
+    let mut plans = Vec::new();
+    for round in 0..rounds {
+        let plan = store(&mut state, round, "ana");
+        confirm(&mut state, plan, "ana", &format!("k{round}"));
+        plans.push(plan);
+    }
+
+    let oldest_kept = plans[rounds - PLANS_KEPT];
+    assert!(state.plan(oldest_kept).is_some());
+    assert!(state.plan(plans[rounds - PLANS_KEPT - 1]).is_none());
+    assert_eq!(state.history().count(), HISTORY_KEPT);
+    let kept = confirm(&mut state, plans[1], "ana", "k1");
+    assert_eq!(kept, accepted(2));
+    let forgotten = confirm(&mut state, plans[0], "ana", "k0");
+    assert_eq!(forgotten, ConfirmReply::UnknownPlan);
+}
+
+#[test]
+fn voters_change_by_one_daemon_at_a_time() {
+    let voter = |disk| Voter {
+        daemon: format!("control-{disk}").parse().unwrap(),
+        disk,
+    };
+    let set = |disks: &[u64]| disks.iter().copied().map(voter).collect::<BTreeSet<_>>();
+    let mut state = FleetState::default();
+    let mut change = |disks: &[u64]| {
+        let voters = set(disks);
+        state.apply(FleetCommand::ChangeVoters { voters })
+    };
+
+    assert_eq!(change(&[1, 2, 3]), FleetAnswer::VotersChanged);
+    assert_eq!(change(&[1, 2, 3, 4]), FleetAnswer::VotersChanged);
+    assert_eq!(change(&[1, 2, 3, 4, 5, 6]), FleetAnswer::VotersRefused);
+    assert_eq!(change(&[2, 3, 4, 5]), FleetAnswer::VotersRefused);
+    assert_eq!(change(&[]), FleetAnswer::VotersRefused);
+    assert_eq!(state.voters(), &set(&[1, 2, 3, 4]));
+}
+
+#[test]
+fn damaged_snapshots_are_refused() {
+    let mut state = FleetState::default();
+    store(&mut state, 1, "ana");
+    let bytes = state.to_bytes().unwrap();
+
+    assert!(FleetState::from_bytes(&bytes[..bytes.len() - 1]).is_err());
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Store(usize),
+    Confirm {
+        plan: u64,
+        operator: usize,
+        key: usize,
+        objects: bool,
+    },
+    Snapshot,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let confirm = (
+        1..12_u64,
+        0..2_usize,
+        0..10_usize,
+        prop::bool::weighted(0.2),
+    );
+    prop_oneof![
+        2 => (0..5_usize).prop_map(Step::Store),
+        4 => confirm.prop_map(|(plan, operator, key, objects)| Step::Confirm {
+            plan,
+            operator,
+            key,
+            objects,
+        }),
+        1 => Just(Step::Snapshot),
+    ]
+}
+
+/// What must hold whatever the order of stores, confirmations and resends.
+#[derive(Default)]
+struct Expected {
+    first_answers: BTreeMap<(usize, usize), (u64, ConfirmReply)>,
+    winners: BTreeMap<Revision, u64>,
+}
+
+impl Expected {
+    fn check(&mut self, plan: u64, key: (usize, usize), answer: &ConfirmReply, base: Revision) {
+        match self.first_answers.get(&key) {
+            Some((first, known)) if *first == plan => assert_eq!(answer, known),
+            Some((first, _)) => {
+                let first_plan = PlanId(*first);
+                assert_eq!(*answer, ConfirmReply::KeyReused { first_plan });
+            }
+            None => {
+                if let ConfirmReply::Accepted { revision } = answer {
+                    assert_eq!(*revision, base.next());
+                    assert_eq!(self.winners.insert(base, plan), None);
+                }
+                self.first_answers.insert(key, (plan, answer.clone()));
+            }
+        }
+    }
+}
+
+fn seeded() -> ProptestConfig {
+    ProptestConfig {
+        cases: 400,
+        rng_seed: RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(seeded())]
+
+    #[test]
+    fn any_interleaving_keeps_one_answer_a_key_and_one_winner_a_base(
+        steps in prop::collection::vec(step(), 1..80)
+    ) {
+        let mut state = FleetState::default();
+        let mut expected = Expected::default();
+        for step in steps {
+            let before = state.revision();
+            match step {
+                Step::Store(vm) => {
+                    store(&mut state, vm, "ana");
+                }
+                Step::Confirm { plan, operator, key, objects } => {
+                    let confirmation = Confirmation {
+                        objection: objects.then(Vec::new),
+                        ..confirmation(PlanId(plan), &format!("o{operator}"), &format!("k{key}"))
+                    };
+                    let answer = reply(state.apply(FleetCommand::Confirm(confirmation)));
+                    expected.check(plan, (operator, key), &answer, before);
+                }
+                Step::Snapshot => {
+                    let restored = FleetState::from_bytes(&state.to_bytes().unwrap()).unwrap();
+                    prop_assert_eq!(&restored, &state);
+                    state = restored;
+                }
+            }
+            prop_assert!(state.revision() >= before);
+            prop_assert!(state.revision().0 - before.0 <= 1);
+        }
+        prop_assert_eq!(state.revision().0 as usize, expected.winners.len());
+    }
+}
