--- a/lib/src/domain/report.rs
+++ b/lib/src/domain/report.rs
@@ -6,6 +6,7 @@
 };
 
 use crate::{
+    chart::UpstreamState,
     domain::{
         admission_gate,
         leader::{
@@ -35,8 +36,6 @@
 pub const STATE_SERVING: &str = "serving";
 /// The state of a group that lacks a member's announcement.
 pub const STATE_INCOMPLETE: &str = "incomplete";
-/// The state of an upstream that wants no new work.
-pub const STATE_LEAVING: &str = "leaving";
 
 /// How long a report of another domain is used without a newer one.
 pub const REPORT_KEPT: Duration = Duration::from_secs(3);
@@ -149,9 +148,9 @@
     now: Timestamp,
 ) -> VmReport {
     let announcement = &upstream.announcement;
-    let state = match view.upstreams.liveness(vm, now) {
-        Liveness::Live if announcement.leaving => STATE_LEAVING.to_owned(),
-        liveness => liveness.to_string(),
+    let state = match view.config.drained_vms.contains(vm) {
+        true => UpstreamState::Drained,
+        false => view.upstreams.state(vm, now),
     };
     let mut groups = leader.assignments();
     let group = groups.find(|assignment| assignment.members.contains(vm));
@@ -161,7 +160,7 @@
         accelerators: upstream
             .engine()
             .map_or(Accelerators(0), |engine| engine.accelerators),
-        state,
+        state: state.to_string(),
         group: group.map(|assignment| assignment.group.clone()),
         plain_service: upstream.plain_service().cloned(),
         address: announcement.address,
@@ -237,8 +236,8 @@
             load_received_at: at,
         })
     });
-    let live = Liveness::Live.to_string();
-    let plain = report.vms.iter().filter(|vm| vm.state == live);
+    let alive = UpstreamState::Alive.to_string();
+    let plain = report.vms.iter().filter(|vm| vm.state == alive);
     let plain = plain.filter_map(|vm| {
         Some(Replica {
             id: ReplicaId::Vm(vm.vm.clone()),
