--- a/lib/src/domain/mod.rs
+++ b/lib/src/domain/mod.rs
@@ -10,8 +10,6 @@
 //! - [`report`]: what other domains learn.
 //! - [`coordinator`]: one daemon's part in all of this.
 
-pub mod placement;
-
 pub mod admission_gate;
 pub mod config_spread;
 pub mod coordinator;
