--- a/lib/src/domain/mod.rs
+++ b/lib/src/domain/mod.rs
@@ -7,6 +7,7 @@
 //! - [`placement`]: which groups there should be.
 //! - [`spread_tree`]: how a configuration comes to all of them.
 //! - [`config_spread`]: which configuration is in force here and below.
+//! - [`placement`]: which VMs make which groups.
 //! - [`report`]: what other domains learn.
 //! - [`coordinator`]: one daemon's part in all of this.
 
@@ -17,5 +18,6 @@
 pub mod lease;
 pub mod membership;
 pub mod parameters;
+pub mod placement;
 pub mod report;
 pub mod spread_tree;
