--- a/cli/tests/runner/test_viewing.rs
+++ b/cli/tests/runner/test_viewing.rs
@@ -16,6 +16,7 @@
     },
     prelude::*,
 };
+use cicadabend_cli::settings::ClientSettings;
 use cicadabend_daemon::settings::{
     ControlSettings,
     EntrySettings,
@@ -236,6 +237,18 @@
     );
 }
 
+#[test]
+fn the_examples_of_both_deployments_have_client_settings() {
+    for name in ["auditorias", "lanterna"] {
+        let root = env!("CARGO_MANIFEST_DIR");
+        let path = format!("{root}/../examples/{name}/client.json");
+
+        let settings = load::<ClientSettings>(&path).unwrap();
+
+        assert_eq!(settings.control.len(), 3);
+    }
+}
+
 #[test]
 fn an_address_where_nothing_listens_is_named() {
     let operator = Operator::of(&["127.0.0.1:1".parse().unwrap()]);
