--- a/lib/src/domain/mod.rs
+++ b/lib/src/domain/mod.rs
@@ -7,7 +7,6 @@
 //! - [`placement`]: which groups there should be.
 //! - [`spread_tree`]: how a configuration comes to all of them.
 //! - [`config_spread`]: which configuration is in force here and below.
-//! - [`placement`]: which VMs make which groups.
 //! - [`report`]: what other domains learn.
 //! - [`coordinator`]: one daemon's part in all of this.
 
