control: refuse bad input by counter and event; start as the other programs do

Cause: the thin path logged by hand, counted nothing and had its own command line. The daemon now runs through the shared program start, logs numbered events with the operator's name, counts each refusal, confirmation answer, dropped message and kind of configuration sent, and bounds operators' requests by tower layers (64 at once, 30 s each, headers and body 10 s).

Tests drive the real process: each kind of bad input with its error, counter and unchanged revision; 20 races of two operators; 16 copies of one confirmation at once; a resend after two crashes and another plan; 300 changes, a crash, and a fresh daemon that must hold the same.

--- a/control/src/inbox.rs
+++ b/control/src/inbox.rs
@@ -2,6 +2,7 @@
 
 use cicadabend::peer_api::PeerMessage;
 use cicadabend_daemon::{
+    metrics::Metrics,
     peers::Incoming,
     ring::{
         Receiver,
@@ -9,23 +10,42 @@
     },
 };
 
+use crate::counters::InboxDrop;
+
 /// The rings towards the threads that handle messages.
 pub(crate) struct Destinations {
     /// Messages of the agreement.
     pub(crate) agreement: Sender<Incoming>,
     /// Reports, acknowledgements and requests for the configuration.
     pub(crate) spread: Sender<Incoming>,
+    /// Counters.
+    pub(crate) metrics: Metrics,
 }
 
 /// Hands on every message until the peers' ring is closed.
 pub(crate) async fn sort(mut inbox: Receiver<Incoming>, destinations: Destinations) {
     while let Some(incoming) = inbox.next().await {
-        let ring = match &incoming.message {
-            PeerMessage::Agreement(_) => &destinations.agreement,
+        if let Err(reason) = destinations.hand_on(incoming) {
+            destinations.metrics.count(reason);
+        }
+    }
+}
+
+impl Destinations {
+    /// A full ring drops the message, because every sender repeats.
+    fn hand_on(&self, incoming: Incoming) -> Result<(), InboxDrop> {
+        match &incoming.message {
+            PeerMessage::Agreement(_) => {
+                let pushed = self.agreement.push(incoming);
+                pushed.map_err(|_| InboxDrop::AgreementRingFull)
+            }
             PeerMessage::ConfigAck(_)
             | PeerMessage::ConfigRequest { .. }
             | PeerMessage::Report(_)
-            | PeerMessage::ControlHello(_) => &destinations.spread,
+            | PeerMessage::ControlHello(_) => {
+                let pushed = self.spread.push(incoming);
+                pushed.map_err(|_| InboxDrop::SpreadRingFull)
+            }
             PeerMessage::Lease(_)
             | PeerMessage::Config(_)
             | PeerMessage::Table(_)
@@ -35,9 +55,7 @@
             | PeerMessage::ClaimReply(_)
             | PeerMessage::Figures(_)
             | PeerMessage::TeamShares(_)
-            | PeerMessage::TeamDemand(_) => continue,
-        };
-        // A full ring drops the message and counts it; every sender repeats.
-        let _ = ring.push(incoming);
+            | PeerMessage::TeamDemand(_) => Err(InboxDrop::NotForControl),
+        }
     }
 }
--- a/control/src/main.rs
+++ b/control/src/main.rs
@@ -5,50 +5,36 @@
 //! - `operators`: the operators' HTTP listener ([`operators`]).
 //! - `agreement`: the replicated log and the fleet's state ([`replication`]).
 //! - `inbox`: sorts messages from other processes by who handles them ([`inbox`]).
-//! - `spread`: sends the configuration and takes in acknowledgements ([`spread`]).
+//! - `spread`: sends the configuration and takes in what domains report ([`spread`]).
 //! - `peers`: hears other processes.
 
-mod command_line;
+mod counters;
+mod events;
 mod inbox;
 mod operators;
 mod replication;
 mod run;
-mod settings;
 mod spread;
 mod view;
 
 use std::process::ExitCode;
 
-use command_line::Action;
+use cicadabend_daemon::{
+    program::{
+        self,
+        Program, //
+    },
+    settings::ControlSettings,
+};
 
-/// The settings are wrong.
-const EXIT_SETTINGS: u8 = 2;
-/// The daemon could not start.
-const EXIT_START: u8 = 1;
+const PROGRAM: Program = Program {
+    name: "cicadabend-control",
+    about: "Keeps the accepted configuration on disk and spreads it to entry daemons",
+    version: env!("CARGO_PKG_VERSION"),
+};
 
 fn main() -> ExitCode {
-    let arguments = command_line::parse();
-    let settings = match settings::load(&arguments.config) {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!(
-                "cicadabend-control: {}: {error}",
-                arguments.config.display()
-            );
-            return ExitCode::from(EXIT_SETTINGS);
-        }
-    };
-    match arguments.action {
-        Action::CheckConfig => {
-            println!("{}: good", arguments.config.display());
-            ExitCode::SUCCESS
-        }
-        Action::Run => match run::run(settings) {
-            Ok(()) => ExitCode::SUCCESS,
-            Err(error) => {
-                eprintln!("cicadabend-control: {error}");
-                ExitCode::from(EXIT_START)
-            }
-        },
-    }
+    program::run(&PROGRAM, |settings: ControlSettings, process| {
+        run::run(settings, process).map_err(Into::into)
+    })
 }
--- a/control/src/operators/body.rs
+++ b/control/src/operators/body.rs
@@ -1,5 +1,7 @@
 //! Reads an operator's request body and writes the answer's.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::{
     Request,
@@ -20,32 +22,52 @@
 };
 
 use super::refusal::Refusal;
+use crate::counters::OperatorRefusal;
 
 /// An answer to an operator.
 pub(super) type Answer = Response<Full<Bytes>>;
 
+/// How long an operator may take to send a body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Reads a JSON body of at most `limit_bytes`.
 pub(super) async fn read<T: DeserializeOwned>(
     request: Request<Incoming>,
     limit_bytes: u64,
 ) -> Result<T, Refusal> {
     let limit = usize::try_from(limit_bytes).unwrap_or(usize::MAX);
-    let collected = Limited::new(request.into_body(), limit).collect().await;
+    let collecting = Limited::new(request.into_body(), limit).collect();
+    let collected = tokio::time::timeout(BODY_TIMEOUT, collecting)
+        .await
+        .map_err(|_| incomplete("the body came too slowly".to_owned()))?;
     let body = collected.map_err(|error| match error.is::<LengthLimitError>() {
         true => Refusal::too_large(),
-        false => Refusal::bad_request(format!("the body broke off: {error}")),
+        false => incomplete(format!("the body broke off: {error}")),
     })?;
     parse(&body.to_bytes())
 }
 
+fn incomplete(text: String) -> Refusal {
+    Refusal::bad_request(OperatorRefusal::BodyIncomplete, text)
+}
+
+fn malformed(text: String) -> Refusal {
+    Refusal::bad_request(OperatorRefusal::Malformed, text)
+}
+
 fn parse<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Refusal> {
     let mut json = serde_json::Deserializer::from_slice(bytes);
     let value = serde_path_to_error::deserialize(&mut json).map_err(|error| {
         let path = error.path().to_string();
-        Refusal::bad_request(format!("$.{path}: {}", error.into_inner()))
+        let at = if path == "." {
+            String::new()
+        } else {
+            format!(".{path}")
+        };
+        malformed(format!("${at}: {}", error.into_inner()))
     })?;
     json.end()
-        .map_err(|error| Refusal::bad_request(format!("$: {error}")))?;
+        .map_err(|error| malformed(format!("$: {error}")))?;
     Ok(value)
 }
 
--- a/control/src/operators/listener.rs
+++ b/control/src/operators/listener.rs
@@ -1,11 +1,13 @@
-//! Accepts operators' connections and ends them gracefully.
+//! Accepts operators' connections, bounds their requests and ends them gracefully.
 
 use std::{
     convert::Infallible,
+    io,
     sync::Arc,
     time::Duration, //
 };
 
+use cicadabend_daemon::stop::StopSignal;
 use hyper::{
     body::Incoming,
     service::service_fn, //
@@ -13,65 +15,134 @@
 use hyper_util::{
     rt::{
         TokioExecutor,
-        TokioIo, //
+        TokioIo,
+        TokioTimer, //
     },
     server::{
         conn::auto,
         graceful::GracefulShutdown, //
     },
 };
-use tokio::{
-    net::TcpListener,
-    sync::watch, //
+use tokio::net::{
+    TcpListener,
+    TcpStream, //
+};
+use tower::{
+    BoxError,
+    Service,
+    ServiceBuilder,
+    ServiceExt,
+    load_shed::error::Overloaded, //
 };
 
-use super::Operators;
+use super::{
+    Operators,
+    body::Answer,
+    refusal::Refusal, //
+};
+use crate::{
+    counters::OperatorRefusal,
+    events::LogEvent, //
+};
 
 /// How long running requests may take to end once the daemon stops.
-const DRAIN_TIMEOUT_MS: u64 = 5_000;
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(5);
 /// The pause after a failed accept, so that a lack of descriptors does not spin.
-const ACCEPT_PAUSE_MS: u64 = 50;
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// How long an operator may take to send a request's headers.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long one request may take; the log gives up on a command earlier.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(30);
+/// How many requests may run at once; operators are people and their scripts.
+const CONCURRENT_REQUESTS: usize = 64;
 
-/// Serves operators until `stop` becomes true.
+type Request = http::Request<Incoming>;
+
+/// Serves operators until a stop is asked for.
 pub(crate) async fn serve(
     operators: Arc<Operators>,
     listener: std::net::TcpListener,
-    mut stop: watch::Receiver<bool>,
+    mut stop: StopSignal,
 ) {
     let listener = match TcpListener::from_std(listener) {
         Ok(listener) => listener,
         Err(error) => {
-            log::error!("CB1502 cannot listen for operators error={error}");
+            let reason = error.to_string();
+            LogEvent::OperatorsUnavailable { reason }.emit();
             return;
         }
     };
-    let server = auto::Builder::new(TokioExecutor::new());
     let graceful = GracefulShutdown::new();
+    let bounded = bounded(Arc::clone(&operators));
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stop| *stop) => break,
-        };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
-            continue;
+            () = stop.requested() => break,
         };
-        let operators = Arc::clone(&operators);
-        let service = service_fn(move |request: http::Request<Incoming>| {
-            let operators = Arc::clone(&operators);
-            async move { Ok::<_, Infallible>(operators.answer(request).await) }
-        });
-        let connection = server.serve_connection(TokioIo::new(stream), service);
-        let connection = graceful.watch(connection.into_owned());
-        // A connection that breaks is the operator's to notice; nothing is lost here.
-        tokio::spawn(async move { connection.await.ok() });
+        match accepted {
+            Ok((stream, _)) => serve_connection(&operators, bounded.clone(), stream, &graceful),
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
     }
     drop(listener);
-    let drain = Duration::from_millis(DRAIN_TIMEOUT_MS);
-    if tokio::time::timeout(drain, graceful.shutdown())
+    if tokio::time::timeout(DRAIN_TIMEOUT, graceful.shutdown())
         .await
         .is_err()
     {
-        log::warn!("CB1503 operators' connections did not end in time");
+        LogEvent::OperatorsCutOff {}.emit();
+    }
+    LogEvent::OperatorsStopped {}.emit();
+}
+
+/// All connections share the limit, because clones of it share its semaphore.
+fn bounded(
+    operators: Arc<Operators>,
+) -> impl Service<Request, Response = Answer, Error = BoxError, Future: Send> + Clone + Send + 'static
+{
+    ServiceBuilder::new()
+        .load_shed()
+        .concurrency_limit(CONCURRENT_REQUESTS)
+        .timeout(REQUEST_TIMEOUT)
+        .service_fn(move |request: Request| {
+            let operators = Arc::clone(&operators);
+            async move { Ok::<_, Infallible>(operators.answer(request).await) }
+        })
+}
+
+fn serve_connection<S>(
+    operators: &Arc<Operators>,
+    bounded: S,
+    stream: TcpStream,
+    graceful: &GracefulShutdown,
+) where
+    S: Service<Request, Response = Answer, Error = BoxError, Future: Send> + Clone + Send + 'static,
+{
+    let operators = Arc::clone(operators);
+    let service = service_fn(move |request: Request| {
+        let operators = Arc::clone(&operators);
+        let answer = bounded.clone().oneshot(request);
+        async move {
+            let answer = answer.await;
+            Ok::<_, io::Error>(answer.unwrap_or_else(|error| operators.refuse(&limit(&error))))
+        }
+    });
+    let mut server = auto::Builder::new(TokioExecutor::new());
+    server
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT);
+    let connection = server.serve_connection(TokioIo::new(stream), service);
+    let connection = graceful.watch(connection.into_owned());
+    // A connection that breaks is the operator's to notice; nothing is lost here.
+    tokio::spawn(async move { connection.await.ok() });
+}
+
+/// Which limit a request ran into.
+fn limit(error: &BoxError) -> Refusal {
+    if error.is::<Overloaded>() {
+        let text = format!("more than {CONCURRENT_REQUESTS} requests are running; try again");
+        return Refusal::bad_request(OperatorRefusal::Overloaded, text);
     }
+    // The time limit; a command may have been given to the log before it.
+    Refusal::outcome_unknown()
 }
--- a/control/src/operators/mod.rs
+++ b/control/src/operators/mod.rs
@@ -12,6 +12,7 @@
 use cicadabend::fleet::spread::Topology;
 use cicadabend_daemon::{
     clock::Clock,
+    metrics::Metrics,
     settings::ControlSettings, //
 };
 
@@ -34,6 +35,8 @@
     pub(crate) replication: ReplicationHandle,
     /// What the failure domains and the other control daemons say.
     pub(crate) view: SharedView,
+    /// Counters.
+    pub(crate) metrics: Metrics,
     /// This process's clock.
     pub(crate) clock: Clock,
 }
--- a/control/src/operators/plans.rs
+++ b/control/src/operators/plans.rs
@@ -26,6 +26,13 @@
     Operators,
     refusal::Refusal, //
 };
+use crate::{
+    counters::{
+        ConfirmAnswer,
+        OperatorRefusal, //
+    },
+    events::LogEvent,
+};
 
 /// How often a plan is computed again because another revision was accepted meanwhile.
 const PLAN_ATTEMPTS: usize = 4;
@@ -45,16 +52,18 @@
             let draft = PlanDraft::new(state.revision(), state.config(), &reports, request.clone());
             let command = FleetCommand::StorePlan(Box::new(draft));
             if let FleetAnswer::PlanStored(plan) = self.propose(command).await? {
-                log::info!(
-                    "CB1505 plan stored plan={} base_revision={} changes={} operator={operator}",
-                    plan.id,
-                    plan.base_revision,
-                    plan.changes.len()
-                );
+                LogEvent::PlanStored {
+                    plan: plan.id,
+                    base_revision: plan.base_revision,
+                    changes: plan.changes.len(),
+                    operator: operator.to_owned(),
+                }
+                .emit();
                 return Ok(*plan);
             }
         }
         Err(Refusal::bad_request(
+            OperatorRefusal::PlanOvertaken,
             "other plans were accepted faster than this one could be made; send it again",
         ))
     }
@@ -76,17 +85,18 @@
             objection: plan.and_then(|plan| objection(plan, state.config(), &reports)),
         });
         let FleetAnswer::Confirmed(reply) = self.propose(command).await? else {
-            return Err(Refusal::replication(
-                crate::replication::ReplicationError::OutcomeUnknown,
-                &self.view.load().operator_addresses,
-            ));
+            return Err(Refusal::outcome_unknown());
         };
-        log::info!(
-            "CB1506 confirmation answered plan={} key={} operator={operator} reply={}",
-            request.plan,
-            request.idempotency_key,
-            reply_name(&reply)
-        );
+        let answer = answer_kind(&reply);
+        self.metrics.count(answer);
+        LogEvent::ConfirmationAnswered {
+            plan: request.plan,
+            key: request.idempotency_key,
+            reply: answer_name(answer),
+            revision: self.replication.local().revision(),
+            operator: operator.to_owned(),
+        }
+        .emit();
         Ok(reply)
     }
 
@@ -98,18 +108,30 @@
             return Ok(());
         }
         let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
-        Err(Refusal::bad_request(lines.join("\n")))
+        Err(Refusal::bad_request(
+            OperatorRefusal::InvalidConfig,
+            lines.join("\n"),
+        ))
     }
 }
 
-/// Returns the reply's kind, as logs name it.
-fn reply_name(reply: &ConfirmReply) -> &'static str {
+fn answer_kind(reply: &ConfirmReply) -> ConfirmAnswer {
     match reply {
-        ConfirmReply::Accepted { .. } => "accepted",
-        ConfirmReply::Conflict { .. } => "conflict",
-        ConfirmReply::UnknownPlan => "unknown_plan",
-        ConfirmReply::KeyReused { .. } => "key_reused",
-        ConfirmReply::FleetChanged { .. } => "fleet_changed",
+        ConfirmReply::Accepted { .. } => ConfirmAnswer::Accepted,
+        ConfirmReply::Conflict { .. } => ConfirmAnswer::Conflict,
+        ConfirmReply::UnknownPlan => ConfirmAnswer::UnknownPlan,
+        ConfirmReply::KeyReused { .. } => ConfirmAnswer::KeyReused,
+        ConfirmReply::FleetChanged { .. } => ConfirmAnswer::FleetChanged,
+    }
+}
+
+fn answer_name(answer: ConfirmAnswer) -> &'static str {
+    match answer {
+        ConfirmAnswer::Accepted => "accepted",
+        ConfirmAnswer::Conflict => "conflict",
+        ConfirmAnswer::UnknownPlan => "unknown_plan",
+        ConfirmAnswer::KeyReused => "key_reused",
+        ConfirmAnswer::FleetChanged => "fleet_changed",
     }
 }
 
--- a/control/src/operators/refusal.rs
+++ b/control/src/operators/refusal.rs
@@ -9,40 +9,41 @@
 };
 use http::StatusCode;
 
-use crate::replication::ReplicationError;
+use crate::{
+    counters::OperatorRefusal,
+    replication::ReplicationError, //
+};
 
 /// An error on its way to an operator.
 #[derive(Debug)]
 pub(super) struct Refusal {
-    /// The HTTP status.
-    pub(super) status: StatusCode,
+    /// Why, for the counter; it decides the HTTP status.
+    pub(super) reason: OperatorRefusal,
     /// The error in the body.
     pub(super) error: OperatorError,
 }
 
 impl Refusal {
-    /// The request cannot be understood or must not be accepted.
-    pub(super) fn bad_request(reason: impl Into<String>) -> Self {
+    /// The request must not be accepted as it is.
+    pub(super) fn bad_request(reason: OperatorRefusal, text: impl Into<String>) -> Self {
         Self {
-            status: StatusCode::BAD_REQUEST,
+            reason,
             error: OperatorError::BadRequest {
-                reason: reason.into(),
+                reason: text.into(),
             },
         }
     }
 
     /// The path or the method does not exist.
     pub(super) fn not_found(method: &http::Method, path: &str) -> Self {
-        Self {
-            status: StatusCode::NOT_FOUND,
-            ..Self::bad_request(format!("there is no {method} {path}"))
-        }
+        let text = format!("there is no {method} {path}");
+        Self::bad_request(OperatorRefusal::NotFound, text)
     }
 
     /// The body is larger than the settings allow.
     pub(super) fn too_large() -> Self {
         Self {
-            status: StatusCode::PAYLOAD_TOO_LARGE,
+            reason: OperatorRefusal::TooLarge,
             error: OperatorError::TooLarge,
         }
     }
@@ -50,11 +51,19 @@
     /// The token is missing or wrong.
     pub(super) fn unauthorized() -> Self {
         Self {
-            status: StatusCode::UNAUTHORIZED,
+            reason: OperatorRefusal::Unauthorized,
             error: OperatorError::Unauthorized,
         }
     }
 
+    /// The command may or may not have been applied.
+    pub(super) fn outcome_unknown() -> Self {
+        Self {
+            reason: OperatorRefusal::OutcomeUnknown,
+            error: OperatorError::OutcomeUnknown,
+        }
+    }
+
     /// The log did not take or apply a command.
     ///
     /// `addresses` say where the leader takes operators' requests.
@@ -62,20 +71,43 @@
         error: ReplicationError,
         addresses: &BTreeMap<DaemonId, Address>,
     ) -> Self {
-        let (status, error) = match error {
+        match error {
             ReplicationError::NotLeader { leader } => {
                 let address = leader.and_then(|leader| addresses.get(&leader));
-                let leader = address.map(Address::to_string);
-                let error = OperatorError::NotLeader { leader };
-                (StatusCode::MISDIRECTED_REQUEST, error)
+                Self {
+                    reason: OperatorRefusal::NotLeader,
+                    error: OperatorError::NotLeader {
+                        leader: address.map(Address::to_string),
+                    },
+                }
             }
-            ReplicationError::NoQuorum => {
-                (StatusCode::SERVICE_UNAVAILABLE, OperatorError::NoQuorum)
-            }
-            ReplicationError::OutcomeUnknown | ReplicationError::Storage(_) => {
-                (StatusCode::BAD_GATEWAY, OperatorError::OutcomeUnknown)
+            ReplicationError::NoQuorum => Self {
+                reason: OperatorRefusal::NoQuorum,
+                error: OperatorError::NoQuorum,
+            },
+            ReplicationError::OutcomeUnknown => Self::outcome_unknown(),
+            // A record whose sync failed may still be on the disk after a restart.
+            ReplicationError::Storage(_) => Self {
+                reason: OperatorRefusal::Storage,
+                error: OperatorError::OutcomeUnknown,
+            },
+        }
+    }
+
+    /// Returns the HTTP status.
+    pub(super) fn status(&self) -> StatusCode {
+        match self.reason {
+            OperatorRefusal::Malformed | OperatorRefusal::InvalidConfig => StatusCode::BAD_REQUEST,
+            OperatorRefusal::Unauthorized => StatusCode::UNAUTHORIZED,
+            OperatorRefusal::NotFound => StatusCode::NOT_FOUND,
+            OperatorRefusal::BodyIncomplete => StatusCode::REQUEST_TIMEOUT,
+            OperatorRefusal::PlanOvertaken => StatusCode::CONFLICT,
+            OperatorRefusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            OperatorRefusal::NotLeader => StatusCode::MISDIRECTED_REQUEST,
+            OperatorRefusal::Overloaded | OperatorRefusal::NoQuorum => {
+                StatusCode::SERVICE_UNAVAILABLE
             }
-        };
-        Self { status, error }
+            OperatorRefusal::OutcomeUnknown | OperatorRefusal::Storage => StatusCode::BAD_GATEWAY,
+        }
     }
 }
--- a/control/src/operators/requests.rs
+++ b/control/src/operators/requests.rs
@@ -40,40 +40,54 @@
     },
     refusal::Refusal, //
 };
-use crate::replication::ReplicationError;
+use crate::{
+    events::LogEvent,
+    replication::ReplicationError, //
+};
 
 impl Operators {
     /// Answers one request; every failure is an answer too.
     pub(super) async fn answer(&self, request: Request<Incoming>) -> Answer {
         let method = request.method().clone();
         let path = request.uri().path().to_owned();
-        match self.dispatch(&method, &path, request).await {
-            Ok(answer) => answer,
-            Err(refusal) => {
-                log::warn!(
-                    "CB1504 operator's request refused method={method} path={path} status={} reason={}",
-                    refusal.status.as_u16(),
-                    refusal.error
-                );
-                json(refusal.status, &refusal.error)
+        let operator = self.authenticate(&request);
+        let outcome = match &operator {
+            Some(operator) => self.dispatch(operator, &method, &path, request).await,
+            None => Err(Refusal::unauthorized()),
+        };
+        outcome.unwrap_or_else(|refusal| {
+            LogEvent::RequestRefused {
+                operator: operator.unwrap_or_else(|| "unknown".to_owned()),
+                method,
+                path,
+                status: refusal.status().as_u16(),
+                reason: refusal.error.to_string(),
             }
-        }
+            .emit();
+            self.refuse(&refusal)
+        })
+    }
+
+    /// Counts a refusal and returns it as an answer.
+    pub(super) fn refuse(&self, refusal: &Refusal) -> Answer {
+        self.metrics.count(refusal.reason);
+        json(refusal.status(), &refusal.error)
     }
 
     async fn dispatch(
         &self,
+        operator: &str,
         method: &Method,
         path: &str,
         request: Request<Incoming>,
     ) -> Result<Answer, Refusal> {
-        let operator = self.authenticate(&request)?;
         match (method, path) {
             (&Method::POST, PATH_PLANS) => {
-                let plan = self.plan(&operator, self.body(request).await?).await?;
+                let plan = self.plan(operator, self.body(request).await?).await?;
                 Ok(json(StatusCode::OK, &plan))
             }
             (&Method::POST, PATH_CONFIRM) => {
-                let reply = self.confirm(&operator, self.body(request).await?).await?;
+                let reply = self.confirm(operator, self.body(request).await?).await?;
                 Ok(json(StatusCode::OK, &reply))
             }
             (&Method::GET, PATH_STATUS) => Ok(json(StatusCode::OK, &self.status().await?)),
@@ -84,13 +98,10 @@
         }
     }
 
-    fn authenticate(&self, request: &Request<Incoming>) -> Result<String, Refusal> {
+    fn authenticate(&self, request: &Request<Incoming>) -> Option<String> {
         let header = request.headers().get(header::AUTHORIZATION);
         let header = header.and_then(|value| value.to_str().ok());
-        let operator = self.tokens.operator(header);
-        operator
-            .map(str::to_owned)
-            .ok_or_else(Refusal::unauthorized)
+        self.tokens.operator(header).map(str::to_owned)
     }
 
     async fn body<T: DeserializeOwned>(&self, request: Request<Incoming>) -> Result<T, Refusal> {
@@ -111,7 +122,8 @@
 
     fn refusal(&self, error: ReplicationError) -> Refusal {
         if let ReplicationError::Storage(reason) = &error {
-            log::error!("CB1507 the log cannot be written reason={reason}");
+            let reason = reason.clone();
+            LogEvent::LogUnavailable { reason }.emit();
         }
         Refusal::replication(error, &self.view.load().operator_addresses)
     }
--- a/control/src/run.rs
+++ b/control/src/run.rs
@@ -8,46 +8,51 @@
     },
     io,
     net::TcpListener,
+    path::Path,
     sync::Arc,
-    thread::JoinHandle, //
+    thread::JoinHandle,
 };
 
 use cicadabend::prelude::*;
 use cicadabend_daemon::{
-    clock::Clock,
     duty,
+    metrics::Metrics,
     peers::{
         PeerError,
         PeerIdentity,
         Peers, //
     },
+    program::Process,
     ring,
     settings::ControlSettings, //
 };
 use displaydoc::Display;
 use thiserror::Error;
-use tokio::{
-    signal::unix::{
-        SignalKind,
-        signal, //
-    },
-    sync::watch,
-};
 
 use crate::{
+    counters::{
+        ConfigSent,
+        ConfirmAnswer,
+        InboxDrop,
+        OperatorRefusal, //
+    },
+    events::LogEvent,
     inbox::{
         self,
         Destinations, //
     },
     operators::{
         self,
-        Operators, //
+        Operators,
+        tokens::{
+            OperatorTokens,
+            TokenError, //
+        }, //
     },
     replication::{
         self,
         ReplicationError, //
     },
-    settings::LoadedSettings,
     spread::{
         Spread,
         topology, //
@@ -62,66 +67,74 @@
 /// Why the daemon cannot start.
 #[derive(Debug, Display, Error)]
 pub(crate) enum RunError {
-    /// cannot listen for operators: {0}
-    Listen(io::Error),
+    /// operators.token_file: {0}
+    Tokens(TokenError),
+    /// operators.listen: cannot listen on {address}: {source}
+    Listen {
+        /// Where.
+        address: std::net::SocketAddr,
+        /// What the operating system says.
+        source: io::Error,
+    },
     /// {0}
     Peers(PeerError),
     /// {0}
     Replication(ReplicationError),
-    /// cannot start a thread or wait for signals: {0}
-    System(io::Error),
+    /// cannot start a thread: {0}
+    Thread(io::Error),
 }
 
-/// Runs the daemon until SIGTERM or SIGINT.
-pub(crate) fn run(settings: LoadedSettings) -> Result<(), RunError> {
-    let clock = Clock::start();
-    let control = Arc::new(settings.control);
-    let listener = listen(&control).map_err(RunError::Listen)?;
+/// Runs the daemon until a stop is asked for.
+pub(crate) fn run(settings: ControlSettings, process: Process) -> Result<(), RunError> {
+    declare_counters(&process.metrics);
+    let tokens = OperatorTokens::read(Path::new(&settings.operators.token_file))
+        .map_err(RunError::Tokens)?;
+    let listener = listen(&settings)?;
+    let settings = Arc::new(settings);
     let (inbox_in, inbox_out) = ring::bounded("peer-inbox", PEER_INBOX_CAPACITY);
     let peers = Peers::start(
-        control.peer_listen,
-        identity(&control),
-        &control.peers,
+        settings.peer_listen,
+        identity(&settings),
+        &settings.peers,
         inbox_in,
     )
     .map_err(RunError::Peers)?;
     let (agreement_in, agreement_out) = ring::bounded("agreement", AGREEMENT_CAPACITY);
     let (spread_in, spread_out) = ring::bounded("spread", SPREAD_CAPACITY);
     let (replication, agreement) =
-        replication::start(&control, peers.sender(), agreement_out, clock)
+        replication::start(&settings, peers.sender(), agreement_out, process.clock)
             .map_err(RunError::Replication)?;
     let destinations = Destinations {
         agreement: agreement_in,
         spread: spread_in,
+        metrics: process.metrics.clone(),
     };
     let inbox = spawn("inbox", move || inbox::sort(inbox_out, destinations))?;
     let view = SharedView::default();
     let spread = Spread::new(
-        &control,
+        &settings,
         replication.clone(),
         peers.sender(),
         view.clone(),
-        clock,
+        process.metrics.clone(),
+        process.clock,
     );
+    let spread = spawn("spread", move || spread.run(spread_out))?;
     let operators = Arc::new(Operators {
-        settings: Arc::clone(&control),
-        topology: topology(&control),
-        tokens: settings.tokens,
+        topology: topology(&settings),
+        settings,
+        tokens,
         replication,
         view,
-        clock,
+        metrics: process.metrics,
+        clock: process.clock,
     });
-    let spread = spawn("spread", move || spread.run(spread_out))?;
-    let (stop, stopped) = watch::channel(false);
+    let stop = process.stop;
     let serving = spawn("operators", move || {
-        operators::serve(operators, listener, stopped)
+        operators::serve(operators, listener, stop)
     })?;
-    log::info!("CB1500 control daemon started daemon={}", control.daemon);
-    wait_for_signal().map_err(RunError::System)?;
-    log::info!("CB1501 control daemon stops daemon={}", control.daemon);
-    // Operators first, so that their running requests still reach the log; then the
-    // peers, whose closed ring ends the inbox, which ends the others.
-    stop.send_replace(true);
+    // The listener ends when a stop is asked for, so that running requests still reach
+    // the log; then the peers, whose closed ring ends the inbox, which ends the others.
     join(serving);
     drop(peers);
     for thread in [inbox, spread, agreement] {
@@ -130,6 +143,13 @@
     Ok(())
 }
 
+fn declare_counters(metrics: &Metrics) {
+    metrics.declare::<OperatorRefusal>();
+    metrics.declare::<ConfirmAnswer>();
+    metrics.declare::<InboxDrop>();
+    metrics.declare::<ConfigSent>();
+}
+
 fn identity(settings: &ControlSettings) -> PeerIdentity {
     PeerIdentity {
         cluster: settings.cluster.clone(),
@@ -143,9 +163,13 @@
     RandomState::new().build_hasher().finish()
 }
 
-fn listen(settings: &ControlSettings) -> io::Result<TcpListener> {
-    let listener = TcpListener::bind(settings.operators.listen)?;
-    listener.set_nonblocking(true)?;
+fn listen(settings: &ControlSettings) -> Result<TcpListener, RunError> {
+    let address = settings.operators.listen;
+    let error = |source| RunError::Listen { address, source };
+    let listener = TcpListener::bind(address).map_err(error)?;
+    listener.set_nonblocking(true).map_err(error)?;
+    let address = listener.local_addr().map_err(error)?;
+    LogEvent::OperatorsListening { address }.emit();
     Ok(listener)
 }
 
@@ -154,25 +178,10 @@
     Make: FnOnce() -> Duty + Send + 'static,
     Duty: Future<Output = ()>,
 {
-    duty::spawn(name, make).map_err(RunError::System)
+    duty::spawn(name, make).map_err(RunError::Thread)
 }
 
 fn join(thread: JoinHandle<()>) {
     // A panic of that thread was already reported by its own hook.
     let _ = thread.join();
 }
-
-fn wait_for_signal() -> io::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    runtime.block_on(async {
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-        Ok(())
-    })
-}
--- a/control/src/spread/mod.rs
+++ b/control/src/spread/mod.rs
@@ -3,7 +3,10 @@
 //! The decisions are in [`cicadabend::fleet::spread`]; this thread carries them out.
 
 use std::{
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::Ordering, //
+    },
     time::Duration, //
 };
 
@@ -15,6 +18,7 @@
     },
     ids::Address,
     peer_api::{
+        ConfigBody,
         ControlHello,
         PeerMessage, //
     },
@@ -22,6 +26,7 @@
 };
 use cicadabend_daemon::{
     clock::Clock,
+    metrics::Metrics,
     peers::{
         Incoming,
         PeerSender, //
@@ -34,6 +39,8 @@
 };
 
 use crate::{
+    counters::ConfigSent,
+    events::LogEvent,
     replication::ReplicationHandle,
     view::SharedView, //
 };
@@ -49,7 +56,9 @@
     replication: ReplicationHandle,
     peers: PeerSender,
     view: SharedView,
+    metrics: Metrics,
     clock: Clock,
+    in_force: Revision,
     other_controls: Vec<DaemonId>,
     operators: Option<Address>,
 }
@@ -75,6 +84,7 @@
         replication: ReplicationHandle,
         peers: PeerSender,
         view: SharedView,
+        metrics: Metrics,
         clock: Clock,
     ) -> Self {
         let topology = topology(settings);
@@ -87,7 +97,9 @@
             replication,
             peers,
             view,
+            metrics,
             clock,
+            in_force: Revision::default(),
             // An operator cannot be sent to a listener on all addresses.
             operators: (!operators.ip().is_unspecified()).then_some(operators),
         }
@@ -116,12 +128,14 @@
             PeerMessage::ConfigAck(ack) => self.decisions.hear_acknowledgement(&from, ack.applied),
             PeerMessage::ConfigRequest { have } => {
                 self.take_accepted();
-                let answer = self.decisions.answer(&from, have, now);
-                self.send(answer);
+                if let Some(answer) = self.decisions.answer(&from, have, now) {
+                    self.send(answer);
+                }
             }
             PeerMessage::Report(report) => {
                 self.decisions.hear_report(&from, report, now);
                 self.view.publish(&self.decisions);
+                self.note_in_force(now);
             }
             PeerMessage::ControlHello(hello) => {
                 self.decisions.hear_control(from, hello, now);
@@ -134,22 +148,64 @@
 
     fn spread(&mut self) {
         self.take_accepted();
-        let sendings = self.decisions.tick(self.clock.now());
-        self.send(sendings);
+        for sending in self.decisions.tick(self.clock.now()) {
+            self.send(sending);
+        }
     }
 
     fn take_accepted(&mut self) {
         let state = self.replication.local();
-        if state.revision() > self.decisions.revision() {
+        let revision = state.revision();
+        if revision > self.decisions.revision() {
             let config = Arc::new(state.config().clone());
-            self.decisions.accept(state.revision(), config);
+            self.decisions.accept(revision, config);
+            LogEvent::RevisionSpreading { revision }.emit();
         }
     }
 
-    fn send(&self, sendings: impl IntoIterator<Item = Sending>) {
-        for sending in sendings {
-            self.peers
-                .send(&sending.to, PeerMessage::Config(sending.update));
+    fn note_in_force(&mut self, now: Timestamp) {
+        let revision = self.decisions.revision();
+        if revision <= self.in_force {
+            return;
+        }
+        let standing = self.decisions.standing(now);
+        if standing.in_force {
+            self.in_force = revision;
+            LogEvent::RevisionInForce {
+                revision,
+                unreachable: standing.unreachable.len(),
+            }
+            .emit();
+        }
+    }
+
+    fn send(&self, sending: Sending) {
+        self.metrics.count(match sending.update.body {
+            ConfigBody::Digest => ConfigSent::Digest,
+            ConfigBody::Delta(_) => ConfigSent::Delta,
+            ConfigBody::Whole(_) => ConfigSent::Whole,
+        });
+        let message = PeerMessage::Config(sending.update);
+        self.peers.send(&sending.to, message);
+    }
+
+    /// The sockets count by themselves; their totals are shown as gauges.
+    fn show_traffic(&self) {
+        let counters = self.peers.counters();
+        let shown = [
+            ("peers_sent_messages", &counters.sent_messages),
+            ("peers_sent_bytes", &counters.sent_bytes),
+            ("peers_received_messages", &counters.received_messages),
+            ("peers_received_bytes", &counters.received_bytes),
+            ("peers_dropped_full", &counters.dropped_full),
+            ("peers_dropped_unknown_peer", &counters.dropped_unknown_peer),
+            ("peers_dropped_ring_full", &counters.dropped_ring_full),
+            ("peers_refused_malformed", &counters.refused_malformed),
+            ("peers_refused_version", &counters.refused_version),
+            ("peers_refused_cluster", &counters.refused_cluster),
+        ];
+        for (name, value) in shown {
+            self.metrics.gauge(name, value.load(Ordering::Relaxed));
         }
     }
 
@@ -158,6 +214,7 @@
             operators: self.operators,
             hears: self.decisions.hears(self.clock.now()),
         };
+        self.show_traffic();
         for control in &self.other_controls {
             self.peers
                 .send(control, PeerMessage::ControlHello(hello.clone()));
--- a/control/tests/daemon/fixtures.rs
+++ b/control/tests/daemon/fixtures.rs
@@ -57,6 +57,8 @@
 
 /// How long a test waits for anything that must happen.
 pub const DEADLINE: Duration = Duration::from_secs(20);
+/// The largest request that the daemon under test takes.
+pub const MAX_REQUEST_BYTES: usize = 64 * 1024;
 /// The token of the operator `ana`.
 pub const ANA: &str = "token-of-ana";
 /// The token of the operator `bojan`.
@@ -75,6 +77,7 @@
     pub folder: TempDir,
     pub operators: SocketAddr,
     pub peer_listen: SocketAddr,
+    pub metrics: SocketAddr,
     child: Option<Child>,
 }
 
@@ -86,6 +89,7 @@
             folder,
             operators: free_address(),
             peer_listen: free_address(),
+            metrics: free_address(),
             child: None,
         };
         daemon.write_settings(entries);
@@ -143,6 +147,39 @@
         (status, value)
     }
 
+    /// Makes a plan and returns it.
+    pub async fn plan(&self, token: &str, intent: &Value) -> Value {
+        let body = intent.to_string();
+        let (status, plan) = self.request(token, Method::POST, "/v1/plans", &body).await;
+        assert_eq!(status, 200, "{plan}");
+        plan
+    }
+
+    /// Confirms a plan and returns the answer.
+    pub async fn confirm(&self, token: &str, plan: &Value, key: &str) -> Value {
+        let body = serde_json::json!({"plan": plan["id"], "idempotency_key": key}).to_string();
+        let (status, reply) = self
+            .request(token, Method::POST, "/v1/confirm", &body)
+            .await;
+        assert_eq!(status, 200, "{reply}");
+        reply
+    }
+
+    /// Makes a plan, confirms it and returns the accepted revision.
+    pub async fn change(&self, intent: &Value, key: &str) -> u64 {
+        let plan = self.plan(ANA, intent).await;
+        let reply = self.confirm(ANA, &plan, key).await;
+        reply["accepted"]["revision"]
+            .as_u64()
+            .unwrap_or_else(|| panic!("{reply}"))
+    }
+
+    /// Returns the daemon's figures.
+    pub async fn figures(&self) -> Value {
+        let (_, body) = request(self.metrics, "", Method::GET, "/metrics", "").await;
+        serde_json::from_slice(&body).expect("figures are JSON")
+    }
+
     fn write_settings(&self, entries: &[PeerAddress]) {
         let tokens = self.folder.path().join("tokens");
         fs::write(&tokens, format!("ana {ANA}\nbojan {BOJAN}\n")).expect("tokens can be written");
@@ -151,9 +188,14 @@
             "daemon": "control-1",
             "failure_domain": "cumbaya",
             "data_folder": path_text(&self.folder.path().join("data")),
-            "operators": {"listen": self.operators, "token_file": path_text(&tokens)},
+            "operators": {
+                "listen": self.operators,
+                "token_file": path_text(&tokens),
+                "max_request_bytes": MAX_REQUEST_BYTES,
+            },
             "peer_listen": self.peer_listen,
             "peers": entries,
+            "metrics": {"listen": self.metrics},
         });
         fs::write(self.settings_path(), settings.to_string()).expect("settings can be written");
     }
--- a/control/tests/daemon/main.rs
+++ b/control/tests/daemon/main.rs
@@ -6,4 +6,7 @@
 )]
 
 mod fixtures;
+mod test_confirmations;
+mod test_refusals;
+mod test_spread;
 mod test_thin_path;
--- a/lib/src/fleet/spread.rs
+++ b/lib/src/fleet/spread.rs
@@ -19,7 +19,11 @@
 
 use super::{
     FleetConfig,
-    recent_configs::RecentConfigs, //
+    recent_configs::RecentConfigs,
+    standing::{
+        Standing,
+        standing, //
+    }, //
 };
 use crate::{
     peer_api::{
@@ -124,6 +128,11 @@
         &self.reports
     }
 
+    /// Returns how far the newest accepted revision has come.
+    pub fn standing(&self, now: Timestamp) -> Standing {
+        standing(&self.topology.entries, &self.reports, self.revision(), now)
+    }
+
     /// Returns where another control daemon takes operators' requests, if it said so.
     pub fn operator_addresses(&self) -> BTreeMap<DaemonId, crate::ids::Address> {
         let said = |(daemon, heard): (&DaemonId, &HeardControl)| {
