load: open-loop load with an account of every request

Cause: "lost, crossed, doubled or falsely not run" has to be found by a tool that does not trust what lies between it and the engines.

--- a/testing/load/src/main.rs
+++ b/testing/load/src/main.rs
@@ -1,2 +1,7 @@
-//! Placeholder until the thin path lands.
-fn main() {}
+//! The load tool's process.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cicadabend_load::commands::execute()
+}
