--- a/daemon/src/settings/mod.rs
+++ b/daemon/src/settings/mod.rs
@@ -1,7 +1,11 @@
 //! JSON settings of the daemons: typed, with units in field names, checked before anything starts.
 
+mod check;
 mod control;
 mod entry;
+mod intent;
+mod load;
+mod repair;
 mod shared;
 
 pub use control::{
@@ -15,7 +19,17 @@
     EntrySettings,
     UpstreamSettings, //
 };
+pub use load::{
+    DaemonSettings,
+    Problem,
+    ProblemList,
+    Settings,
+    SettingsError,
+    load,
+    parse, //
+};
 pub use shared::{
+    LogFormat,
     LogSettings,
     MetricSettings,
     PeerAddress,
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -3,7 +3,10 @@
 //! Every message is one-way and may be lost, doubled or reordered; what needs an
 //! answer says so in its own fields.
 
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 
 use serde::{
     Deserialize,
@@ -80,6 +83,17 @@
     TeamShares(BTreeMap<TeamName, TeamShare>),
     /// Daemon to domain leader: each team's demand there.
     TeamDemand(BTreeMap<TeamName, TeamShare>),
+    /// Control to control: a sign of life, and what the others need of the sender.
+    ControlHello(ControlHello),
+}
+
+/// A control daemon's sign of life to the other control daemons.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ControlHello {
+    /// Where it takes operators' requests; `None` if its listener has no single address.
+    pub operators: Option<Address>,
+    /// The failure domains whose leaders it has heard lately.
+    pub hears: BTreeSet<FailureDomain>,
 }
 
 /// The domain leader's lease; volatile, renewed by a majority of the domain's daemons.
@@ -105,6 +119,8 @@
         epoch: u32,
         /// The number of the request, so that a late grant is not counted for a newer one.
         round: u64,
+        /// The newest round for which the sender has the receiver's grant.
+        confirmed_round: Option<u64>,
     },
     /// Answers a request.
     Reply {
@@ -163,6 +179,8 @@
     pub sequence: u64,
     /// The configuration it follows.
     pub revision: Revision,
+    /// The daemons that the leader hears; they form the spread tree.
+    pub daemons: BTreeSet<DaemonId>,
     /// The assignments.
     pub groups: Vec<Assignment>,
 }
