claims: let a majority of control daemons decide which attempt of a key runs

A request that must run at most once is claimed with a majority of the voting control daemons, without a leader.

Contract changes: ClaimRequest carries voters_number and a replica that knows a newer set answers VotersChanged with it, so that entry daemons learn the voters and nobody is granted a claim by an outdated set; Complete carries the fingerprint.

--- /dev/null
+++ b/lib/src/claims/attempt.rs
@@ -0,0 +1,482 @@
+//! The life of one attempt, from its claim to the recorded outcome.
+
+use std::{
+    collections::BTreeSet,
+    time::Duration, //
+};
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::tally::{
+    Tally,
+    Verdict, //
+};
+use crate::{
+    caller_api::ErrorCode,
+    fleet::Voter,
+    peer_api::{
+        ClaimAction,
+        ClaimKey,
+        ClaimReply,
+        ClaimRequest,
+        ClaimVerdict,
+        Claimant,
+        StoredOutcome,
+        VoterSet, //
+    },
+    prelude::*,
+};
+
+/// How long an entry daemon waits for claim replicas.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ClaimTiming {
+    /// How long answers to `Acquire` are waited for.
+    pub acquire_timeout: Duration,
+    /// How long after its beginning a granted attempt may still be sent; far below the
+    /// replicas' retention.
+    pub start_within: Duration,
+    /// After which silence a question is sent again; doubled each time.
+    pub resend_after: Duration,
+    /// How long outcomes and releases are sent again while no majority has them.
+    pub settle_timeout: Duration,
+    /// The middle of the time after which a refused caller should come back.
+    pub retry_after: Duration,
+}
+
+/// How often an outcome is sent again to replicas that are silent while a majority has it.
+///
+/// Sending on without end would cost more than all other messages together while one
+/// replica is down; a replica that missed an outcome is outvoted by those that have it.
+const RESENDS_BEYOND_MAJORITY: u32 = 3;
+
+impl Default for ClaimTiming {
+    fn default() -> Self {
+        Self {
+            acquire_timeout: Duration::from_millis(1_000),
+            start_within: Duration::from_secs(30),
+            resend_after: Duration::from_millis(200),
+            settle_timeout: Duration::from_secs(30),
+            retry_after: Duration::from_millis(500),
+        }
+    }
+}
+
+/// What is to be done about an attempt.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ClaimOutput {
+    /// Send this to a control daemon.
+    Send {
+        /// The control daemon.
+        to: DaemonId,
+        /// The message.
+        request: ClaimRequest,
+    },
+    /// The attempt may run now; afterwards it is completed or released.
+    Granted {
+        /// The attempt's number.
+        attempt: u64,
+    },
+    /// The attempt does not run; the caller gets its answer now.
+    Refused {
+        /// The attempt's number.
+        attempt: u64,
+        /// Why.
+        refusal: ClaimRefusal,
+    },
+}
+
+/// Why an attempt does not run; closed, so that each has a counter.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ClaimRefusal {
+    /// An earlier sending ran; its outcome is the answer.
+    AlreadyCompleted(StoredOutcome),
+    /// An earlier sending is running, as far as is known.
+    InProgress {
+        /// When to ask again.
+        retry_after: Duration,
+    },
+    /// An earlier sending may have run, and the daemon that sent it is gone.
+    OutcomeUnknown,
+    /// The key was used for a different request.
+    KeyReused,
+    /// Several sendings claimed the key at once and took each other's majority: this
+    /// one did not run.
+    Contended {
+        /// When to send again, different for each of them.
+        retry_after: Duration,
+    },
+    /// No majority could be reached: this sending did not run, and nothing was found
+    /// out about earlier ones.
+    NoMajority {
+        /// When to send again.
+        retry_after: Duration,
+    },
+}
+
+impl ClaimRefusal {
+    /// The names of all refusals, for counters.
+    pub const NAMES: [&'static str; 6] = [
+        "already_completed",
+        "in_progress",
+        "outcome_unknown",
+        "key_reused",
+        "contended",
+        "no_majority",
+    ];
+
+    /// Returns the refusal as it stands in counters.
+    pub fn name(&self) -> &'static str {
+        match self {
+            ClaimRefusal::AlreadyCompleted(_) => "already_completed",
+            ClaimRefusal::InProgress { .. } => "in_progress",
+            ClaimRefusal::OutcomeUnknown => "outcome_unknown",
+            ClaimRefusal::KeyReused => "key_reused",
+            ClaimRefusal::Contended { .. } => "contended",
+            ClaimRefusal::NoMajority { .. } => "no_majority",
+        }
+    }
+
+    /// Returns the code that tells the caller; `None` where the first outcome does.
+    pub fn code(&self) -> Option<ErrorCode> {
+        match self {
+            ClaimRefusal::AlreadyCompleted(_) => None,
+            ClaimRefusal::InProgress { .. } => Some(ErrorCode::InProgress),
+            ClaimRefusal::OutcomeUnknown => Some(ErrorCode::OutcomeUnknown),
+            ClaimRefusal::KeyReused => Some(ErrorCode::KeyReused),
+            ClaimRefusal::Contended { .. } | ClaimRefusal::NoMajority { .. } => {
+                Some(ErrorCode::NotRun)
+            }
+        }
+    }
+
+    /// Returns when the caller should come back, if that helps.
+    pub fn retry_after(&self) -> Option<Duration> {
+        match self {
+            ClaimRefusal::InProgress { retry_after }
+            | ClaimRefusal::Contended { retry_after }
+            | ClaimRefusal::NoMajority { retry_after } => Some(*retry_after),
+            ClaimRefusal::AlreadyCompleted(_)
+            | ClaimRefusal::OutcomeUnknown
+            | ClaimRefusal::KeyReused => None,
+        }
+    }
+}
+
+/// One attempt.
+#[derive(Clone, Debug)]
+pub(super) struct Attempt {
+    key: ClaimKey,
+    claimant: Claimant,
+    fingerprint: u64,
+    timing: ClaimTiming,
+    phase: Phase,
+    began_at: Timestamp,
+    sent_at: Timestamp,
+    resends: u32,
+}
+
+#[derive(Clone, Debug)]
+enum Phase {
+    Acquiring(Tally),
+    Running {
+        voters: VoterSet,
+    },
+    Settling {
+        voters: VoterSet,
+        action: ClaimAction,
+        recorded: BTreeSet<Voter>,
+    },
+}
+
+/// What an attempt's answers have led to.
+pub(super) enum Decision {
+    Undecided,
+    Granted,
+    Refused(ClaimRefusal),
+}
+
+impl Attempt {
+    pub fn new(
+        key: ClaimKey,
+        claimant: Claimant,
+        fingerprint: u64,
+        voters: VoterSet,
+        timing: ClaimTiming,
+        now: Timestamp,
+    ) -> Self {
+        Self {
+            key,
+            claimant,
+            fingerprint,
+            timing,
+            phase: Phase::Acquiring(Tally::new(voters)),
+            began_at: now,
+            sent_at: now,
+            resends: 0,
+        }
+    }
+
+    /// Counts an answer and decides.
+    pub fn take_reply(
+        &mut self,
+        reply: &ClaimReply,
+        now: Timestamp,
+        is_alive: impl Fn(&Claimant) -> bool,
+    ) -> Decision {
+        // A process that was paused finds answers from before the pause. The replicas
+        // may have forgotten the claim since, so these answers grant nothing.
+        if matches!(self.phase, Phase::Acquiring(_)) && self.is_timed_out(now) {
+            return self.time_out(now, is_alive);
+        }
+        if reply.question != self.question() {
+            return Decision::Undecided;
+        }
+        match &mut self.phase {
+            Phase::Acquiring(tally) => {
+                tally.add(&reply.voter, reply.verdict.clone());
+                let verdict = tally.verdict();
+                self.decide(verdict, false, is_alive)
+            }
+            Phase::Settling { recorded, .. } => {
+                if reply.verdict == ClaimVerdict::Recorded {
+                    recorded.insert(reply.voter.clone());
+                }
+                Decision::Undecided
+            }
+            Phase::Running { .. } => Decision::Undecided,
+        }
+    }
+
+    /// Goes over to a newer set of voters.
+    ///
+    /// Answers that were counted by the older set are dropped: half of a majority of
+    /// each would not be a majority of either. The holds stand and are told again.
+    pub fn change_voters(&mut self, new: &VoterSet) {
+        match &mut self.phase {
+            Phase::Acquiring(tally) if tally.voters().number < new.number => {
+                self.phase = Phase::Acquiring(Tally::new(new.clone()));
+            }
+            Phase::Running { voters } | Phase::Settling { voters, .. }
+                if voters.number < new.number =>
+            {
+                *voters = new.clone();
+            }
+            _ => {}
+        }
+    }
+
+    /// Decides by what has come when the time for answers is over.
+    pub fn time_out(&mut self, now: Timestamp, is_alive: impl Fn(&Claimant) -> bool) -> Decision {
+        match &self.phase {
+            Phase::Acquiring(tally) if self.is_timed_out(now) => {
+                let verdict = tally.final_verdict();
+                self.decide(verdict, true, is_alive)
+            }
+            _ => Decision::Undecided,
+        }
+    }
+
+    fn is_timed_out(&self, now: Timestamp) -> bool {
+        now >= self.began_at + self.timing.acquire_timeout
+    }
+
+    /// Returns whether a granted attempt may still be sent to an upstream.
+    ///
+    /// A daemon that was paused after the grant must not send: the replicas may have
+    /// forgotten the claim, and another attempt may have run.
+    pub fn may_start(&self, now: Timestamp) -> bool {
+        self.is_running() && now < self.began_at + self.timing.start_within
+    }
+
+    fn decide(
+        &mut self,
+        verdict: Verdict,
+        is_last: bool,
+        is_alive: impl Fn(&Claimant) -> bool,
+    ) -> Decision {
+        let retry_after = self.jittered_retry_after();
+        let refusal = match verdict {
+            Verdict::Open => return Decision::Undecided,
+            Verdict::HeldBy { is_final, .. } if !is_final && !is_last => {
+                return Decision::Undecided;
+            }
+            Verdict::Granted => {
+                self.run();
+                return Decision::Granted;
+            }
+            Verdict::Completed {
+                fingerprint_differs: true,
+                ..
+            }
+            | Verdict::HeldBy {
+                fingerprint_differs: true,
+                ..
+            } => ClaimRefusal::KeyReused,
+            Verdict::Completed { outcome, .. } => ClaimRefusal::AlreadyCompleted(outcome),
+            Verdict::HeldBy { holder, .. } if is_alive(&holder) => {
+                ClaimRefusal::InProgress { retry_after }
+            }
+            Verdict::HeldBy { .. } => ClaimRefusal::OutcomeUnknown,
+            Verdict::Contended => ClaimRefusal::Contended { retry_after },
+            Verdict::Unreachable => ClaimRefusal::NoMajority { retry_after },
+        };
+        Decision::Refused(refusal)
+    }
+
+    /// Two attempts that took each other's majority must not meet again at once.
+    fn jittered_retry_after(&self) -> Duration {
+        let seed = self.claimant.boot.0.wrapping_add(self.claimant.attempt);
+        let spread = xxh3_64(&seed.to_le_bytes()) % 1_024;
+        self.timing
+            .retry_after
+            .mul_f64(0.5 + spread as f64 / 1_024.0)
+    }
+
+    fn run(&mut self) {
+        let voters = self.voters().clone();
+        self.phase = Phase::Running { voters };
+    }
+
+    /// Goes over to recording what became of the attempt, for good.
+    pub fn settle(&mut self, end: AttemptEnd, now: Timestamp) {
+        let claimant = self.claimant.clone();
+        let action = match end {
+            AttemptEnd::NotRun => ClaimAction::Release { claimant },
+            AttemptEnd::Ran(outcome) => ClaimAction::Complete {
+                claimant,
+                fingerprint: self.fingerprint,
+                outcome,
+            },
+        };
+        self.phase = Phase::Settling {
+            voters: self.voters().clone(),
+            action,
+            recorded: BTreeSet::new(),
+        };
+        self.began_at = now;
+        self.resends = 0;
+    }
+
+    /// Returns whether the attempt is held or running and not settled yet.
+    pub fn is_unsettled(&self) -> bool {
+        !matches!(self.phase, Phase::Settling { .. })
+    }
+
+    /// Returns whether the attempt runs.
+    pub fn is_running(&self) -> bool {
+        matches!(self.phase, Phase::Running { .. })
+    }
+
+    /// Returns whether nothing more is to be sent.
+    pub fn is_over(&self, now: Timestamp) -> bool {
+        match &self.phase {
+            Phase::Settling {
+                voters, recorded, ..
+            } => {
+                let majority = voters.voters.len() / 2 + 1;
+                let is_outvoted =
+                    recorded.len() >= majority && self.resends >= RESENDS_BEYOND_MAJORITY;
+                voters.voters.is_subset(recorded)
+                    || is_outvoted
+                    || now >= self.began_at + self.timing.settle_timeout
+            }
+            _ => false,
+        }
+    }
+
+    /// Returns when the attempt has something to do by itself; `None` while it runs.
+    pub fn next_wake(&self) -> Option<Timestamp> {
+        let resend = self.next_resend();
+        match &self.phase {
+            Phase::Acquiring(_) => Some(resend.min(self.began_at + self.timing.acquire_timeout)),
+            Phase::Settling { .. } => Some(resend),
+            Phase::Running { .. } => None,
+        }
+    }
+
+    /// Returns whether silent replicas are to be asked again.
+    pub fn is_resend_due(&self, now: Timestamp) -> bool {
+        !self.is_running() && now >= self.next_resend()
+    }
+
+    fn next_resend(&self) -> Timestamp {
+        self.sent_at + self.timing.resend_after * (1 << self.resends.min(5))
+    }
+
+    /// Asks silent voters once more.
+    pub fn resend(&mut self, now: Timestamp) -> Vec<ClaimOutput> {
+        self.resends += 1;
+        self.questions(now)
+    }
+
+    /// Returns the present question for each voter that has not answered it.
+    pub fn questions(&mut self, now: Timestamp) -> Vec<ClaimOutput> {
+        self.sent_at = now;
+        let action = match &self.phase {
+            Phase::Running { .. } => return Vec::new(),
+            Phase::Settling { action, .. } => action.clone(),
+            Phase::Acquiring(_) => ClaimAction::Acquire {
+                claimant: self.claimant.clone(),
+                fingerprint: self.fingerprint,
+            },
+        };
+        let request = ClaimRequest {
+            question: self.question(),
+            key: self.key.clone(),
+            voters_number: self.voters().number,
+            action,
+        };
+        self.voters()
+            .voters
+            .iter()
+            .filter(|voter| !self.has_answered(voter))
+            .map(|voter| ClaimOutput::Send {
+                to: voter.daemon.clone(),
+                request: request.clone(),
+            })
+            .collect()
+    }
+
+    fn has_answered(&self, voter: &Voter) -> bool {
+        match &self.phase {
+            Phase::Acquiring(tally) => tally.has_answered(voter),
+            Phase::Settling { recorded, .. } => recorded.contains(voter),
+            Phase::Running { .. } => true,
+        }
+    }
+
+    fn voters(&self) -> &VoterSet {
+        match &self.phase {
+            Phase::Acquiring(tally) => tally.voters(),
+            Phase::Running { voters } | Phase::Settling { voters, .. } => voters,
+        }
+    }
+
+    /// Returns the present question's number.
+    ///
+    /// It is a hash of the run, the attempt, the set of voters and the phase, so that a
+    /// late answer to an earlier question, or to the run before a restart, is not
+    /// counted for this one.
+    pub fn question(&self) -> u64 {
+        let phase = match &self.phase {
+            Phase::Acquiring(_) => 0,
+            Phase::Running { .. } => 1,
+            Phase::Settling { .. } => 2,
+        };
+        let parts = [
+            self.claimant.boot.0,
+            self.claimant.attempt,
+            self.voters().number,
+            phase,
+        ];
+        xxh3_64(&parts.map(u64::to_le_bytes).concat())
+    }
+}
+
+/// How an attempt ended.
+pub(super) enum AttemptEnd {
+    /// It certainly did not run and never will.
+    NotRun,
+    /// It ran, or may have.
+    Ran(StoredOutcome),
+}
--- /dev/null
+++ b/lib/src/claims/tally.rs
@@ -0,0 +1,160 @@
+//! What the answers to one `Acquire` add up to.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    fleet::Voter,
+    peer_api::{
+        ClaimVerdict,
+        Claimant,
+        StoredOutcome,
+        VoterSet, //
+    },
+};
+
+/// The answers of the voters so far, one each.
+#[derive(Clone, Debug)]
+pub(super) struct Tally {
+    voters: VoterSet,
+    answers: BTreeMap<Voter, ClaimVerdict>,
+}
+
+/// What the answers prove.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum Verdict {
+    /// A majority holds the key for this attempt.
+    Granted,
+    /// Another attempt has run.
+    Completed {
+        outcome: StoredOutcome,
+        fingerprint_differs: bool,
+    },
+    /// Another attempt has a majority, or may have one.
+    HeldBy {
+        holder: Claimant,
+        fingerprint_differs: bool,
+        /// Whether further answers could change this.
+        is_final: bool,
+    },
+    /// Neither this attempt nor any other can have a majority.
+    Contended,
+    /// Too few answers can be had; nothing is known of other attempts.
+    Unreachable,
+    /// Further answers may grant it.
+    Open,
+}
+
+impl Tally {
+    pub fn new(voters: VoterSet) -> Self {
+        Self {
+            voters,
+            answers: BTreeMap::new(),
+        }
+    }
+
+    pub fn voters(&self) -> &VoterSet {
+        &self.voters
+    }
+
+    /// Counts an answer; only named voters count, each once, its disk number included.
+    ///
+    /// A control daemon that lost its disk has another number and has forgotten its
+    /// claims: counting it could make a second majority.
+    pub fn add(&mut self, voter: &Voter, verdict: ClaimVerdict) {
+        if self.voters.voters.contains(voter) {
+            self.answers.insert(voter.clone(), verdict);
+        }
+    }
+
+    pub fn has_answered(&self, voter: &Voter) -> bool {
+        self.answers.contains_key(voter)
+    }
+
+    pub fn verdict(&self) -> Verdict {
+        if let Some(completed) = self.completed() {
+            return completed;
+        }
+        let majority = self.majority();
+        let held = self.count(|answer| matches!(answer, ClaimVerdict::Held));
+        if !self.voters.voters.is_empty() && held >= majority {
+            return Verdict::Granted;
+        }
+        let silent = self.voters.voters.len() - self.answers.len();
+        let unavailable = self.count(|answer| matches!(answer, ClaimVerdict::Unavailable));
+        if held + silent >= majority {
+            return Verdict::Open;
+        }
+        self.not_granted(majority, silent, unavailable)
+    }
+
+    /// Returns what the answers so far prove if no further ones come.
+    pub fn final_verdict(&self) -> Verdict {
+        match self.verdict() {
+            Verdict::Open => {
+                let silent = self.voters.voters.len() - self.answers.len();
+                let unavailable = self.count(|answer| matches!(answer, ClaimVerdict::Unavailable));
+                self.not_granted(self.majority(), silent, unavailable)
+            }
+            verdict => verdict,
+        }
+    }
+
+    fn not_granted(&self, majority: usize, silent: usize, unavailable: usize) -> Verdict {
+        let Some((holder, count, fingerprint_differs)) = self.strongest_other() else {
+            return if silent + unavailable >= majority {
+                Verdict::Unreachable
+            } else {
+                Verdict::Contended
+            };
+        };
+        if count + silent + unavailable < majority {
+            return Verdict::Contended;
+        }
+        Verdict::HeldBy {
+            holder,
+            fingerprint_differs,
+            is_final: count >= majority || silent == 0,
+        }
+    }
+
+    /// One replica that knows the outcome is enough: only the attempt that ran sends it.
+    fn completed(&self) -> Option<Verdict> {
+        self.answers.values().find_map(|answer| match answer {
+            ClaimVerdict::Completed {
+                outcome,
+                fingerprint_differs,
+            } => Some(Verdict::Completed {
+                outcome: outcome.clone(),
+                fingerprint_differs: *fingerprint_differs,
+            }),
+            _ => None,
+        })
+    }
+
+    fn strongest_other(&self) -> Option<(Claimant, usize, bool)> {
+        let mut counts: BTreeMap<&Claimant, (usize, bool)> = BTreeMap::new();
+        for answer in self.answers.values() {
+            if let ClaimVerdict::HeldByOther {
+                holder,
+                fingerprint_differs,
+            } = answer
+            {
+                let entry = counts.entry(holder).or_default();
+                entry.0 += 1;
+                entry.1 |= fingerprint_differs;
+            }
+        }
+        counts
+            .into_iter()
+            .max_by_key(|(_, (count, _))| *count)
+            .map(|(holder, (count, differs))| (holder.clone(), count, differs))
+    }
+
+    fn majority(&self) -> usize {
+        self.voters.voters.len() / 2 + 1
+    }
+
+    fn count(&self, is_counted: impl Fn(&ClaimVerdict) -> bool) -> usize {
+        self.answers.values().filter(|a| is_counted(a)).count()
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod admission;
 pub mod caller_api;
 pub mod chart;
+pub mod claims;
 pub mod domain;
 pub mod fleet;
 pub mod ids;
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -16,7 +16,8 @@
 use crate::{
     fleet::{
         FleetConfig,
-        RoutingPolicy, //
+        RoutingPolicy,
+        Voter, //
     },
     ids::Address,
     prelude::*,
@@ -267,6 +268,8 @@
     pub question: u64,
     /// What is claimed.
     pub key: ClaimKey,
+    /// The number of the set of voters that the sender counts answers by.
+    pub voters_number: u64,
     /// What is asked.
     pub action: ClaimAction,
 }
@@ -310,6 +313,8 @@
     Complete {
         /// The attempt.
         claimant: Claimant,
+        /// As in `Acquire`; a replica that never saw that checks resends by this one.
+        fingerprint: u64,
         /// What the caller got.
         outcome: StoredOutcome,
     },
@@ -332,7 +337,7 @@
     /// The question's number.
     pub question: u64,
     /// The replica's run; answers of two runs are not added up.
-    pub voter: crate::fleet::Voter,
+    pub voter: Voter,
     /// The answer.
     pub verdict: ClaimVerdict,
 }
@@ -360,6 +365,17 @@
     Recorded,
     /// The replica cannot answer now, for example because its disk is full.
     Unavailable,
+    /// The sender counts by an outdated set of voters; nothing was recorded.
+    VotersChanged(VoterSet),
+}
+
+/// The control daemons whose answers about claims count.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct VoterSet {
+    /// Grows with each change; zero before the first.
+    pub number: u64,
+    /// The voters; each change adds or removes one.
+    pub voters: BTreeSet<Voter>,
 }
 
 /// Figures of one policy since the last message.
