docs: list log events and metrics, checked against the code

Operators had no list of what the programs say and count. Two pages are written from the declarations; a test compares them and says how to write them anew.

The test reads source text, because the control daemon is a program without a library crate and its events cannot be asked for.

--- /dev/null
+++ b/daemon/tests/catalogue/pages.rs
@@ -0,0 +1,100 @@
+//! The catalogue pages as text.
+
+use std::fmt::Write;
+
+use super::sources::{
+    Event,
+    Metric,
+    Sources, //
+};
+
+const LOG_EVENTS_HEAD: &str = "\
+# Log events
+
+This page is written from the declarations in the code, and a test compares them:
+`UPDATE_DOCS=1 cargo test -p cicadabend-daemon --test catalogue`.
+
+A line is `TIME LEVEL THREAD CODE TEXT key=value …`, or one JSON object if
+`logs.format` is `json`. The code and the text of an event never change their
+meaning; fields may be added. What a request's events have in common is the field
+`request`.
+";
+
+const METRICS_HEAD: &str = "\
+# Metrics
+
+This page is written from the declarations in the code, and a test compares them:
+`UPDATE_DOCS=1 cargo test -p cicadabend-daemon --test catalogue`.
+
+Each process sends its metrics to the StatsD server at `metrics.statsd`, with the
+program's name in front (`cicadabend_entry.…`), and answers `GET /metrics` on
+`metrics.listen` as JSON with the objects `counters`, `gauges` and `timers`. Counters
+grow from the start of the process. A name that ends in `.*` has one counter for each
+variant of a closed enum.
+";
+
+const CRATES: [(&str, &str); 3] = [
+    ("daemon", "Every process"),
+    ("entry", "Entry daemon"),
+    ("control", "Control daemon"),
+];
+
+pub fn log_events(sources: &Sources) -> String {
+    let mut page = LOG_EVENTS_HEAD.to_owned();
+    for (crate_name, heading) in CRATES {
+        let events: Vec<&Event> = sources
+            .events
+            .iter()
+            .filter(|event| event.crate_name == crate_name)
+            .collect();
+        if events.is_empty() {
+            continue;
+        }
+        write!(page, "\n## {heading}\n\n").unwrap();
+        page.push_str(
+            "| code | level | text | fields | meaning |\n| --- | --- | --- | --- | --- |\n",
+        );
+        for event in events {
+            let (level, text, meaning) = (&event.level, &event.text, &event.explanation);
+            let fields = code_list(&event.fields);
+            let number = event.number;
+            writeln!(
+                page,
+                "| CB{number:04} | {level} | {text} | {fields} | {meaning} |"
+            )
+            .unwrap();
+        }
+    }
+    page
+}
+
+pub fn metrics(sources: &Sources) -> String {
+    let mut page = METRICS_HEAD.to_owned();
+    for (crate_name, heading) in CRATES {
+        let metrics: Vec<&Metric> = sources
+            .metrics
+            .iter()
+            .filter(|metric| metric.crate_name == crate_name)
+            .collect();
+        if metrics.is_empty() {
+            continue;
+        }
+        write!(page, "\n## {heading}\n\n").unwrap();
+        page.push_str("| name | kind | meaning |\n| --- | --- | --- |\n");
+        for metric in metrics {
+            let Metric {
+                name,
+                kind,
+                explanation,
+                ..
+            } = metric;
+            writeln!(page, "| `{name}` | {kind} | {explanation} |").unwrap();
+        }
+    }
+    page
+}
+
+fn code_list(names: &[String]) -> String {
+    let quoted: Vec<String> = names.iter().map(|name| format!("`{name}`")).collect();
+    quoted.join(", ")
+}
