--- a/daemon/src/program.rs
+++ b/daemon/src/program.rs
@@ -144,8 +144,26 @@
     Prepare: FnOnce(S) -> Result<P, Box<dyn Error>>,
     Body: FnOnce(P, Process) -> Result<(), Box<dyn Error>>,
 {
-    let matches = command(program).get_matches();
-    let checked = read_settings::<S>(&matches).and_then(|settings| {
+    let code = match command(program).try_get_matches() {
+        Ok(matches) => run_parsed(program, &matches, prepare, body),
+        Err(error) => error.exit(),
+    };
+    ExitCode::from(code)
+}
+
+/// Runs a program as [`run_prepared`] does, on a parsed command line; returns the exit code.
+pub fn run_parsed<S, P, Prepare, Body>(
+    program: &Program,
+    matches: &ArgMatches,
+    prepare: Prepare,
+    body: Body,
+) -> u8
+where
+    S: DaemonSettings,
+    Prepare: FnOnce(S) -> Result<P, Box<dyn Error>>,
+    Body: FnOnce(P, Process) -> Result<(), Box<dyn Error>>,
+{
+    let checked = read_settings::<S>(matches).and_then(|settings| {
         let (logs, metrics) = (settings.logs().clone(), settings.metrics().clone());
         prepare(settings).map(|prepared| (prepared, logs, metrics))
     });
@@ -153,27 +171,27 @@
         Ok(checked) => checked,
         Err(error) => {
             eprintln!("{}: {error}", program.name);
-            return ExitCode::from(EXIT_SETTINGS);
+            return EXIT_SETTINGS;
         }
     };
     if matches.get_flag("check-config") {
         println!("{}: the settings are valid", program.name);
-        return ExitCode::from(EXIT_OK);
+        return EXIT_OK;
     }
     if let Err(error) = logs::start(&logs) {
         eprintln!("{}: {error}", program.name);
-        return ExitCode::from(EXIT_FAILED);
+        return EXIT_FAILED;
     }
     let outcome = start(program, &metrics).and_then(|process| body(prepared, process));
     match outcome {
         Ok(()) => {
             LogEvent::Stopped {}.emit();
-            ExitCode::from(EXIT_OK)
+            EXIT_OK
         }
         Err(error) => {
             let reason = error.to_string();
             LogEvent::Failed { reason }.emit();
-            ExitCode::from(EXIT_FAILED)
+            EXIT_FAILED
         }
     }
 }
