fleet: let plans follow their chart and tell what is left of them

Cause: the plan chart was drawn and checked but nothing ran by it, and an accepted plan vanished from an operator's sight.

Change: the log's state machine steps each kept plan through the chart; what is accepted, refused or repeated is what the chart's actions say. GET /v1/progress tells the last accepted plan's state, who lags, which groups are still to start, stop or are missing, and which do not serve yet. It is computed from the log and the reports alone, so a new leader goes on telling it. Ruled out: keeping progress in the log, one entry for each group that stands or falls.

Charts are checked before the daemon starts.

--- a/control/src/main.rs
+++ b/control/src/main.rs
@@ -19,6 +19,7 @@
 
 use std::process::ExitCode;
 
+use cicadabend::chart::validate_all_charts;
 use cicadabend_daemon::{
     program::{
         self,
@@ -35,6 +36,7 @@
 
 fn main() -> ExitCode {
     program::run(&PROGRAM, |settings: ControlSettings, process| {
+        validate_all_charts()?;
         run::run(settings, process).map_err(Into::into)
     })
 }
--- a/control/src/operators/requests.rs
+++ b/control/src/operators/requests.rs
@@ -7,6 +7,7 @@
         FleetAnswer,
         FleetCommand,
         FleetState,
+        progress::progress,
         standing::standing, //
     },
     operator_api::{
@@ -18,7 +19,9 @@
         PATH_HISTORY,
         PATH_PLANS,
         PATH_POLICIES,
+        PATH_PROGRESS,
         PATH_STATUS,
+        PlanProgress,
         PolicyFigures, //
     },
 };
@@ -93,6 +96,7 @@
             (&Method::GET, PATH_STATUS) => Ok(json(StatusCode::OK, &self.status().await?)),
             (&Method::GET, PATH_HISTORY) => Ok(json(StatusCode::OK, &self.history().await?)),
             (&Method::GET, PATH_CONFIG) => Ok(json(StatusCode::OK, &self.config().await?)),
+            (&Method::GET, PATH_PROGRESS) => Ok(json(StatusCode::OK, &self.progress().await?)),
             (&Method::GET, PATH_POLICIES) => Ok(json(StatusCode::OK, &Vec::<PolicyFigures>::new())),
             (method, path) => Err(Refusal::not_found(method, path)),
         }
@@ -147,6 +151,15 @@
         })
     }
 
+    async fn progress(&self) -> Result<Option<PlanProgress>, Refusal> {
+        let state = self.read().await?;
+        let view = self.view.load();
+        let entries = &self.topology.entries;
+        let now = self.clock.now();
+        let standing = standing(entries, &view.reports, state.revision(), now);
+        Ok(progress(&state, &standing, &view.domain_reports()))
+    }
+
     async fn history(&self) -> Result<Vec<HistoryEntry>, Refusal> {
         Ok(self.read().await?.history().cloned().collect())
     }
--- a/lib/src/fleet/effects.rs
+++ b/lib/src/fleet/effects.rs
@@ -58,10 +58,7 @@
     let mut effects = GroupEffects::default();
     let mut touched = Touched::default();
     for failure_domain in failure_domains(base, wanted, reports) {
-        let report = reports
-            .iter()
-            .find(|report| report.failure_domain == failure_domain);
-        match report {
+        match report_of(&failure_domain, reports) {
             Some(report) => {
                 let domain = Domain::new(report);
                 domain.compare(base, wanted, &mut effects.changes, &mut touched);
@@ -73,6 +70,34 @@
     effects
 }
 
+/// Returns what the configuration still has to do to groups.
+pub fn remaining_changes(config: &FleetConfig, reports: &[DomainReport]) -> Vec<PlanChange> {
+    let nothing = FleetConfig::default();
+    let mut changes = Vec::new();
+    let mut touched = Touched::default();
+    for failure_domain in failure_domains(&nothing, config, reports) {
+        match report_of(&failure_domain, reports) {
+            Some(report) => {
+                let domain = Domain::new(report);
+                let planned = domain.place(config);
+                let anyway = Placement::default();
+                domain.changes(&planned, &anyway, config, &mut changes, &mut touched);
+            }
+            None => missing_report(&nothing, config, &failure_domain, &mut changes),
+        }
+    }
+    changes
+}
+
+fn report_of<'a>(
+    failure_domain: &FailureDomain,
+    reports: &'a [DomainReport],
+) -> Option<&'a DomainReport> {
+    reports
+        .iter()
+        .find(|report| report.failure_domain == *failure_domain)
+}
+
 fn failure_domains(
     base: &FleetConfig,
     wanted: &FleetConfig,
@@ -145,6 +170,18 @@
     ) {
         let anyway = self.place(base);
         let planned = self.place(wanted);
+        self.changes(&planned, &anyway, wanted, changes, touched);
+    }
+
+    /// Adds what `planned` does and `anyway` does not.
+    fn changes(
+        &self,
+        planned: &Placement,
+        anyway: &Placement,
+        wanted: &FleetConfig,
+        changes: &mut Vec<PlanChange>,
+        touched: &mut Touched,
+    ) {
         for stopped in &planned.stop {
             if !anyway.stop.iter().any(|stop| stop.group == stopped.group) {
                 changes.extend(self.stop(&stopped.group, touched));
--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 //! - [`effects`]: what a configuration would do to the groups of the observed fleet.
 //! - [`plan`]: what an intent would change.
 //! - [`objection`]: whether the fleet still fits what a plan told.
+//! - [`progress`]: what the accepted plan still has to bring about.
 //! - [`delta`]: the changed parts of a configuration, for spreading it.
 //! - [`spread`]: which control daemon sends what to which entry daemon.
 //! - [`standing`]: how far the accepted revision has come.
@@ -15,8 +16,10 @@
 pub mod delta;
 pub mod diff;
 pub mod effects;
+mod kept_plan;
 pub mod objection;
 pub mod plan;
+pub mod progress;
 mod recent_configs;
 pub mod spread;
 pub mod standing;
--- a/lib/src/fleet/state.rs
+++ b/lib/src/fleet/state.rs
@@ -20,9 +20,15 @@
     FleetConfig,
     Voter,
     diff::changed_paths,
+    kept_plan::KeptPlan,
     plan::PlanDraft, //
 };
 use crate::{
+    chart::{
+        PlanAction,
+        PlanEvent,
+        PlanState, //
+    },
     operator_api::{
         ConfirmReply,
         HistoryEntry,
@@ -119,7 +125,7 @@
     revision: Revision,
     config: FleetConfig,
     last_plan: PlanId,
-    plans: BTreeMap<PlanId, Plan>,
+    plans: BTreeMap<PlanId, KeptPlan>,
     answers: BTreeMap<AnswerKey, KeptAnswer>,
     answers_by_age: VecDeque<AnswerKey>,
     history: VecDeque<HistoryEntry>,
@@ -139,7 +145,12 @@
 
     /// Returns the plan of this number, if it is kept.
     pub fn plan(&self, id: PlanId) -> Option<&Plan> {
-        self.plans.get(&id)
+        self.plans.get(&id).map(|kept| &kept.plan)
+    }
+
+    /// Returns where a kept plan stands in the plan's chart.
+    pub fn plan_state(&self, id: PlanId) -> Option<PlanState> {
+        self.plans.get(&id).map(|kept| kept.state)
     }
 
     /// Returns the accepted revisions, newest first.
@@ -192,7 +203,7 @@
         }
         self.last_plan = self.last_plan.next();
         let plan = draft.numbered(self.last_plan);
-        self.plans.insert(plan.id, plan.clone());
+        self.plans.insert(plan.id, KeptPlan::new(plan.clone()));
         while self.plans.len() > PLANS_KEPT {
             self.plans.pop_first();
         }
@@ -213,23 +224,46 @@
     }
 
     fn decide(&mut self, confirmation: &Confirmation) -> ConfirmReply {
-        let Some(plan) = self.plans.get(&confirmation.plan) else {
+        let accepted = self.revision;
+        let Some(kept) = self.plans.get_mut(&confirmation.plan) else {
             return ConfirmReply::UnknownPlan;
         };
-        if plan.base_revision != self.revision {
-            return self.conflict(plan.base_revision);
-        }
-        if let Some(changes_now) = &confirmation.objection {
+        if let (PlanState::Proposed, Some(changes_now)) = (kept.state, &confirmation.objection) {
             return ConfirmReply::FleetChanged {
                 changes_now: changes_now.clone(),
             };
         }
-        let plan = plan.clone();
-        self.accept(plan, confirmation)
+        let base = kept.plan.base_revision;
+        let accepted_as = kept.accepted_as;
+        let actions = kept.step(PlanEvent::Confirmed, accepted);
+        if actions.contains(&PlanAction::AcceptRevision) {
+            return self.accept(confirmation);
+        }
+        match accepted_as {
+            Some(revision) => ConfirmReply::Accepted { revision },
+            None => self.conflict(base),
+        }
     }
 
-    fn accept(&mut self, plan: Plan, confirmation: &Confirmation) -> ConfirmReply {
-        self.revision = self.revision.next();
+    fn accept(&mut self, confirmation: &Confirmation) -> ConfirmReply {
+        let before = self.revision;
+        self.revision = before.next();
+        for (id, kept) in &mut self.plans {
+            if *id != confirmation.plan {
+                kept.step(PlanEvent::OtherAccepted, before);
+            }
+        }
+        if let Some(kept) = self.plans.get_mut(&confirmation.plan) {
+            kept.accepted_as = Some(self.revision);
+            let plan = kept.plan.clone();
+            self.record(plan, confirmation);
+        }
+        ConfirmReply::Accepted {
+            revision: self.revision,
+        }
+    }
+
+    fn record(&mut self, plan: Plan, confirmation: &Confirmation) {
         let mut paths = changed_paths(&plan.changes);
         paths.truncate(PATHS_KEPT);
         self.history.push_back(HistoryEntry {
@@ -244,9 +278,6 @@
             self.history.pop_front();
         }
         self.config = plan.config;
-        ConfirmReply::Accepted {
-            revision: self.revision,
-        }
     }
 
     fn conflict(&self, base: Revision) -> ConfirmReply {
--- a/lib/src/operator_api.rs
+++ b/lib/src/operator_api.rs
@@ -28,6 +28,8 @@
 pub const PATH_HISTORY: &str = "/v1/history";
 /// `GET` the accepted [`FleetConfig`] with its revision, as [`AcceptedConfig`].
 pub const PATH_CONFIG: &str = "/v1/config";
+/// `GET` a [`PlanProgress`], or `null` before the first plan is accepted.
+pub const PATH_PROGRESS: &str = "/v1/progress";
 /// `GET` figures by service and policy, as a list of [`PolicyFigures`].
 pub const PATH_POLICIES: &str = "/v1/policies";
 
@@ -179,6 +181,27 @@
     pub config: FleetConfig,
 }
 
+/// How far the last accepted plan has come.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PlanProgress {
+    /// The plan.
+    pub plan: PlanId,
+    /// The revision it became.
+    pub revision: Revision,
+    /// Where it stands, by the name in the plan's state chart.
+    pub state: String,
+    /// Whether every reachable daemon has applied it.
+    pub in_force: bool,
+    /// Daemons that have not applied it, with the revision they last acknowledged.
+    pub lagging: BTreeMap<DaemonId, Revision>,
+    /// Daemons that have not been heard from lately.
+    pub unreachable: Vec<DaemonId>,
+    /// What is still to be done to groups, by the last reports.
+    pub remaining: Vec<PlanChange>,
+    /// Groups that stand in a domain's table but do not take requests now.
+    pub not_serving: Vec<GroupId>,
+}
+
 /// A revision in the history.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HistoryEntry {
