--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -12,30 +12,32 @@
 
 use arc_swap::ArcSwap;
 use cicadabend::{
+    chart::{
+        self,
+        ChartError, //
+    },
     ids::Address,
     prelude::*,
     routing::RoutingSnapshot, //
 };
 use cicadabend_daemon::{
-    clock::Clock,
     peers::{
         Incoming,
         PeerError,
         PeerIdentity,
         Peers, //
     },
+    program::{
+        self,
+        Process, //
+    },
     ring,
-    settings::EntrySettings, //
+    settings::EntrySettings,
+    stop::StopSignal,
 };
 use displaydoc::Display;
 use thiserror::Error;
-use tokio::{
-    signal::unix::{
-        SignalKind,
-        signal, //
-    },
-    sync::watch,
-};
+use tokio::sync::watch;
 
 use crate::{
     domain::{
@@ -59,27 +61,29 @@
         /// What the operating system says.
         source: io::Error,
     },
-    /// cannot start a thread: {0}
-    Thread(io::Error),
-    /// cannot wait for signals: {0}
-    Signals(io::Error),
+    /// cannot run a thread: {0}
+    Thread(#[from] io::Error),
+    /// {0}
+    Chart(#[from] ChartError),
     /// cannot talk to peers: {0}
-    Peers(PeerError),
+    Peers(#[from] PeerError),
     /// cannot coordinate the failure domain: {0}
-    Domain(DomainError),
+    Domain(#[from] DomainError),
 }
 
-/// Runs the daemon until a signal asks it to stop and everything has ended.
+/// Runs the daemon until it is asked to stop and everything has ended.
 ///
 /// # Errors
 ///
-/// Returns [`ProcessError`] if a listener, a thread or the signal handling cannot be set up.
-pub fn run(settings: EntrySettings) -> Result<(), ProcessError> {
+/// Returns [`ProcessError`] if a state chart is faulty, a listener or a thread
+/// cannot be set up, or a thread panicked.
+pub fn run(settings: EntrySettings, process: Process) -> Result<(), ProcessError> {
+    chart::validate_all_charts()?;
     let address = settings.callers.listen;
     let listener =
         TcpListener::bind(address).map_err(|source| ProcessError::Listen { address, source })?;
     let snapshot = Arc::new(ArcSwap::from_pointee(RoutingSnapshot::default()));
-    let clock = Clock::start();
+    let clock = process.clock;
     let boot = draw_boot();
     let (peers, inbox) = start_peers(&settings, boot)?;
     let (stop_domain, domain_stopped) = watch::channel(false);
@@ -91,31 +95,28 @@
         clock,
         domain_stopped,
         DomainContext::default(),
-    )
-    .map_err(ProcessError::Domain)?;
+    )?;
     let (stop, stopped) = watch::channel(false);
     let setup = serve::ServeSetup {
-        settings: settings.clone(),
+        settings,
         listener,
         snapshot,
         clock,
+        counters: Arc::default(),
         boot,
     };
-    let serving = serve::start(setup, stopped).map_err(ProcessError::Thread)?;
-    wait_for_stop_signal()?;
-    log::info!("CB1102 stopping daemon={}", settings.daemon);
+    let serving = serve::start(setup, stopped)?;
+    wait_for_stop(process.stop)?;
     // The receivers are gone only if the thread has ended already.
     let _ = stop.send(true);
-    // A panic of a thread was already reported by its own hook.
-    let _ = serving.thread.join();
+    program::join(serving.thread)?;
     // The domain is coordinated until the last request has ended: its lease and its
     // view of upstreams are what running requests depend on.
     let _ = stop_domain.send(true);
     for thread in domain.threads {
-        let _ = thread.join();
+        program::join(thread)?;
     }
     drop(peers);
-    log::info!("CB1103 stopped daemon={}", settings.daemon);
     Ok(())
 }
 
@@ -134,8 +135,7 @@
         identity,
         &settings.peers,
         inbox_sender,
-    )
-    .map_err(ProcessError::Peers)?;
+    )?;
     Ok((peers, inbox))
 }
 
@@ -145,22 +145,8 @@
     BootId(RandomState::new().hash_one(std::process::id()))
 }
 
-/// Waits for the first SIGTERM or SIGINT.
-///
-/// The handlers stay installed after that, so a second signal does not end the
-/// process: it would cut off the requests that the first one lets finish.
-fn wait_for_stop_signal() -> Result<(), ProcessError> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(ProcessError::Signals)?;
-    runtime.block_on(async {
-        let mut terminate = signal(SignalKind::terminate()).map_err(ProcessError::Signals)?;
-        let mut interrupt = signal(SignalKind::interrupt()).map_err(ProcessError::Signals)?;
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-        Ok(())
-    })
+fn wait_for_stop(mut stop: StopSignal) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().build()?;
+    runtime.block_on(stop.requested());
+    Ok(())
 }
--- /dev/null
+++ b/entry/src/serve/attempt.rs
@@ -0,0 +1,112 @@
+//! One attempt of a request at one replica.
+
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use cicadabend::{
+    prelude::*,
+    routing::{
+        Choice,
+        Replica,
+        ReplicaId, //
+    },
+    upstream_api::PATH_CANCEL,
+};
+use http::Request;
+use http_body_util::BodyExt;
+use tokio::time::timeout;
+
+use super::{
+    body::RequestBody,
+    server::Server,
+    upstream::SentBytes, //
+};
+
+/// How long an engine may take to accept a cancel request.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Counts the request at its replica, and stops counting it once when dropped.
+pub(super) struct Attempt {
+    pub(super) choice: Choice,
+    pub(super) sent: Rc<SentBytes>,
+    server: Rc<Server>,
+    request_id: RequestId,
+    is_cancelled: bool,
+}
+
+impl Attempt {
+    /// Starts to count the request at the chosen replica.
+    pub(super) fn start(server: &Rc<Server>, choice: Choice, request_id: &RequestId) -> Self {
+        let now = server.clock.now();
+        server.counters.note_attempt_started();
+        server
+            .own_load
+            .borrow_mut()
+            .started(&choice.replica.id, now);
+        Self {
+            choice,
+            sent: Rc::default(),
+            server: Rc::clone(server),
+            request_id: request_id.clone(),
+            is_cancelled: false,
+        }
+    }
+
+    /// Returns the replica.
+    pub(super) fn replica(&self) -> &Replica {
+        &self.choice.replica
+    }
+
+    /// Tells an engine to stop, once; the end of the connection tells a plain service.
+    pub(super) fn cancel(&mut self) {
+        let is_engine = matches!(self.replica().id, ReplicaId::Group(_));
+        if self.is_cancelled || !is_engine {
+            return;
+        }
+        self.is_cancelled = true;
+        self.server.counters.note_cancel();
+        let server = Rc::clone(&self.server);
+        let replica = self.replica().clone();
+        let path = format!("{PATH_CANCEL}/{}", self.request_id);
+        tokio::task::spawn_local(async move {
+            if timeout(CANCEL_TIMEOUT, send_cancel(&server, &replica, &path))
+                .await
+                .is_err()
+            {
+                log::debug!("CB1121 cancel not answered replica={}", replica.id);
+            }
+        });
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        let now = self.server.clock.now();
+        self.server.counters.note_attempt_ended();
+        let mut own_load = self.server.own_load.borrow_mut();
+        own_load.ended(&self.choice.replica.id, now);
+    }
+}
+
+/// Sends a cancel request over a connection of its own; failure is left to the engine,
+/// which also sees the end of the request's connection.
+async fn send_cancel(server: &Server, replica: &Replica, path: &str) {
+    let mut request = Request::new(RequestBody::whole(Bytes::new()));
+    *request.method_mut() = http::Method::POST;
+    let Ok(uri) = path.parse() else { return };
+    *request.uri_mut() = uri;
+    let host = replica.address.to_string();
+    super::headers::set(request.headers_mut(), "host", &host);
+    let Ok(lease) = server.pool.lease(replica.address).await else {
+        return;
+    };
+    let Ok((response, lease)) = lease.send(request, &SentBytes::default()).await else {
+        return;
+    };
+    if response.into_body().collect().await.is_ok() {
+        lease.give_back();
+    }
+}
--- a/entry/src/serve/body.rs
+++ b/entry/src/serve/body.rs
@@ -26,7 +26,11 @@
     sleep, //
 };
 
-use super::upstream::Lease;
+use super::{
+    event_body::EventBody,
+    passed_body::PassedBody,
+    replay::ReplayReader, //
+};
 
 /// Why a body ended before its end.
 #[derive(Debug, Display, Error)]
@@ -37,6 +41,8 @@
     TooSlow,
     /// the body is larger than allowed
     TooLarge,
+    /// the answer broke off and its rest is lost
+    AnswerBroken,
 }
 
 /// A body from a caller; pauses and size are limited, nothing is buffered.
@@ -98,7 +104,13 @@
     /// All of it is here.
     Whole(Option<Bytes>),
     /// It passes through as the caller sends it.
-    Streamed(CallerBody),
+    Replayed(ReplayReader),
+}
+
+impl RequestBody {
+    pub(super) fn whole(bytes: Bytes) -> Self {
+        RequestBody::Whole(Some(bytes).filter(|b| !b.is_empty()))
+    }
 }
 
 impl Body for RequestBody {
@@ -111,14 +123,14 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
             RequestBody::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            RequestBody::Streamed(body) => Pin::new(body).poll_frame(context),
+            RequestBody::Replayed(reader) => Pin::new(reader).poll_frame(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             RequestBody::Whole(bytes) => bytes.is_none(),
-            RequestBody::Streamed(body) => body.is_end_stream(),
+            RequestBody::Replayed(reader) => reader.is_end_stream(),
         }
     }
 
@@ -127,7 +139,7 @@
             RequestBody::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
             }
-            RequestBody::Streamed(body) => body.size_hint(),
+            RequestBody::Replayed(reader) => reader.size_hint(),
         }
     }
 }
@@ -137,7 +149,9 @@
     /// All of it is here.
     Whole(Option<Bytes>),
     /// It passes through as the upstream sends it.
-    Passed(PassedBody),
+    Passed(Box<PassedBody>),
+    /// It is a stream of events, each of which is checked.
+    Events(Box<EventBody>),
 }
 
 impl AnswerBody {
@@ -157,14 +171,15 @@
         match self.get_mut() {
             AnswerBody::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
             AnswerBody::Passed(body) => body.poll_frame(context),
+            AnswerBody::Events(body) => body.poll_frame(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             AnswerBody::Whole(bytes) => bytes.is_none(),
-            // The end must be polled, so that the connection goes back to the pool.
-            AnswerBody::Passed(_) => false,
+            // The end must be polled, so that the request's life ends with it.
+            AnswerBody::Passed(_) | AnswerBody::Events(_) => false,
         }
     }
 
@@ -173,44 +188,8 @@
             AnswerBody::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
             }
-            AnswerBody::Passed(body) => body.incoming.size_hint(),
-        }
-    }
-}
-
-/// An upstream's body with the connection it comes over.
-///
-/// Dropping it before its end closes that connection.
-pub(super) struct PassedBody {
-    incoming: Incoming,
-    lease: Option<Lease>,
-}
-
-impl PassedBody {
-    pub(super) fn new(incoming: Incoming, lease: Lease) -> Self {
-        Self {
-            incoming,
-            lease: Some(lease),
-        }
-    }
-
-    fn poll_frame(
-        &mut self,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let frame = ready!(Pin::new(&mut self.incoming).poll_frame(context));
-        match frame {
-            Some(Ok(frame)) => Poll::Ready(Some(Ok(frame))),
-            Some(Err(error)) => {
-                self.lease = None;
-                Poll::Ready(Some(Err(error.into())))
-            }
-            None => {
-                if let Some(lease) = self.lease.take() {
-                    lease.give_back();
-                }
-                Poll::Ready(None)
-            }
+            AnswerBody::Passed(body) => body.size_hint(),
+            AnswerBody::Events(_) => SizeHint::default(),
         }
     }
 }
--- a/entry/src/serve/completions.rs
+++ b/entry/src/serve/completions.rs
@@ -12,12 +12,12 @@
 use cicadabend::{
     caller_api::ErrorCode,
     fleet::Service,
-    prelude::*, //
+    prelude::*,
+    request::RequestTraits, //
 };
 use http::{
     Request,
-    Response,
-    header, //
+    Response, //
 };
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -28,18 +28,28 @@
     body::{
         AnswerBody,
         BodyError,
-        CallerBody,
-        RequestBody, //
+        CallerBody, //
     },
     caller::Caller,
-    plain,
-    server::Server, //
+    drive,
+    server::Server,
+    spec::{
+        Kind,
+        Spec,
+        SpecBody,
+        Wishes, //
+    },
 };
 
+/// How many bytes of a prompt make one token, roughly.
+const BYTES_PER_TOKEN: u64 = 4;
+
 /// What is read of a completion request; the rest is the engine's.
 #[derive(Deserialize)]
 struct Completion {
     model: String,
+    #[serde(default)]
+    stream: bool,
 }
 
 /// Answers a completion request.
@@ -48,6 +58,7 @@
     caller: Caller,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Refusal> {
+    let wishes = Wishes::read(server, request.headers())?;
     let (head, body) = request.into_parts();
     let body = read_whole(server, body).await?;
     let completion: Completion = serde_json::from_slice(&body).map_err(|error| {
@@ -55,10 +66,18 @@
         Refusal::new(ErrorCode::BadRequest, message)
     })?;
     let service = model_service(&caller, &completion.model)?;
-    let replica = plain::choose(server, &caller, &service)?;
-    let mut request = Request::from_parts(head, RequestBody::Whole(Some(body)));
-    request.headers_mut().remove(header::CONTENT_LENGTH);
-    plain::forward(server, &caller, &replica, request).await
+    let kind = Kind::Completion {
+        is_streamed: completion.stream,
+    };
+    let traits = RequestTraits {
+        needs_claim: wishes.is_not_repeatable,
+        is_repeatable: !wishes.is_not_repeatable,
+    };
+    let prompt_tokens = TokenCount(body.len() as u64 / BYTES_PER_TOKEN);
+    let request = Request::from_parts(head, SpecBody::Whole(body));
+    let mut spec = Spec::new(caller, service, kind, wishes, traits, request);
+    spec.prompt_tokens = prompt_tokens;
+    drive::answer(server, spec).await
 }
 
 fn model_service(caller: &Caller, model: &str) -> Result<ServiceName, Refusal> {
@@ -90,9 +109,9 @@
 
 fn body_refusal(error: &BodyError) -> Refusal {
     let code = match error {
-        BodyError::Broken(_) => ErrorCode::BadRequest,
         BodyError::TooSlow => ErrorCode::CallerTooSlow,
         BodyError::TooLarge => ErrorCode::TooLarge,
+        BodyError::Broken(_) | BodyError::AnswerBroken => ErrorCode::BadRequest,
     };
     Refusal::new(code, format!("The body could not be read: {error}."))
 }
--- /dev/null
+++ b/entry/src/serve/event_body.rs
@@ -0,0 +1,236 @@
+//! A streamed answer: whole, in order, from one generation, or visibly broken.
+
+use std::{
+    future::Future,
+    pin::Pin,
+    task::{
+        Context,
+        Poll, //
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use cicadabend::{
+    caller_api::ErrorCode,
+    chart::RequestEvent,
+    request::StreamTracker, //
+};
+use http_body::Frame;
+use tokio::time::{
+    Instant,
+    Sleep,
+    sleep, //
+};
+
+use super::{
+    answer::Refusal,
+    body::BodyError,
+    event_source::{
+        AnswerFault,
+        Batch,
+        EventSource, //
+    },
+    exchange::Failure,
+    resume::{
+        self,
+        Resuming, //
+    },
+    run::{
+        Next,
+        RequestRun, //
+    },
+};
+
+/// How long the error event gets to leave before the connection is ended.
+///
+/// hyper drops what it has not written yet when a body fails.
+const ERROR_EVENT_FLUSH_MS: u64 = 20;
+
+/// Where the next part of the answer comes from.
+enum Stage {
+    /// Events of which the first are in hand.
+    First(Bytes, EventSource),
+    /// A connection to the replica.
+    Live(EventSource),
+    /// Nowhere, until the replica goes on.
+    Resuming(Resuming),
+    /// Nowhere; the caller has been told and the connection ends soon.
+    Told(Pin<Box<Sleep>>),
+    /// The answer has ended or broken.
+    Over,
+}
+
+/// The body with the request it answers; dropping it before its end means that the caller left.
+pub(super) struct EventBody {
+    stage: Stage,
+    run: RequestRun,
+    tracker: StreamTracker,
+    silence: Silence,
+}
+
+/// Notices that nothing came for too long.
+///
+/// The timer is moved only when it fires, so that each event costs a clock read
+/// and no work on timers.
+struct Silence {
+    limit: Duration,
+    last: Instant,
+    timer: Pin<Box<Sleep>>,
+}
+
+impl Silence {
+    fn new(limit: Duration) -> Self {
+        Self {
+            limit,
+            last: Instant::now(),
+            timer: Box::pin(sleep(limit)),
+        }
+    }
+
+    fn end(&mut self) {
+        self.last = Instant::now();
+    }
+
+    /// Returns whether nothing came for the limit.
+    fn poll(&mut self, context: &mut Context<'_>) -> bool {
+        while self.timer.as_mut().poll(context).is_ready() {
+            let end = self.last + self.limit;
+            if end <= Instant::now() {
+                self.last = Instant::now();
+                return true;
+            }
+            self.timer.as_mut().reset(end);
+        }
+        false
+    }
+}
+
+type PolledFrame = Poll<Option<Result<Frame<Bytes>, BodyError>>>;
+
+impl EventBody {
+    pub(super) fn new(
+        run: RequestRun,
+        first: Bytes,
+        source: EventSource,
+        tracker: StreamTracker,
+    ) -> Self {
+        let limit_ms = run.server.settings.callers.first_byte_timeout_ms;
+        Self {
+            stage: Stage::First(first, source),
+            run,
+            tracker,
+            silence: Silence::new(Duration::from_millis(limit_ms)),
+        }
+    }
+
+    pub(super) fn poll_frame(&mut self, context: &mut Context<'_>) -> PolledFrame {
+        loop {
+            let polled = match std::mem::replace(&mut self.stage, Stage::Over) {
+                Stage::First(first, source) => {
+                    self.stage = Stage::Live(source);
+                    Some(Poll::Ready(Some(Ok(Frame::data(first)))))
+                }
+                Stage::Live(source) => self.poll_live(source, context),
+                Stage::Resuming(resuming) => self.poll_resuming(resuming, context),
+                Stage::Told(timer) => Some(self.poll_told(timer, context)),
+                Stage::Over => Some(Poll::Ready(None)),
+            };
+            if let Some(polled) = polled {
+                return polled;
+            }
+        }
+    }
+
+    /// Returns `None` if the stage has changed and is to be polled again.
+    fn poll_live(
+        &mut self,
+        mut source: EventSource,
+        context: &mut Context<'_>,
+    ) -> Option<PolledFrame> {
+        match source.poll_events(&mut self.tracker, context) {
+            Poll::Ready(Ok(Batch::Events(events))) => {
+                self.silence.end();
+                self.run.progressed();
+                self.stage = Stage::Live(source);
+                Some(Poll::Ready(Some(Ok(Frame::data(events)))))
+            }
+            Poll::Ready(Ok(Batch::End)) if self.tracker.is_done() => {
+                source.give_back();
+                Some(self.end())
+            }
+            Poll::Ready(_) if self.tracker.is_done() => Some(self.end()),
+            Poll::Ready(Ok(Batch::End)) => self.broke(AnswerFault::EndedEarly.into()),
+            Poll::Ready(Err(fault)) => self.broke(fault.into()),
+            Poll::Pending if self.silence.poll(context) => {
+                self.broke(Failure::Broken("nothing came for too long".to_owned()))
+            }
+            Poll::Pending => {
+                self.stage = Stage::Live(source);
+                Some(Poll::Pending)
+            }
+        }
+    }
+
+    fn poll_resuming(
+        &mut self,
+        mut resuming: Resuming,
+        context: &mut Context<'_>,
+    ) -> Option<PolledFrame> {
+        match resuming.as_mut().poll(context) {
+            Poll::Pending => {
+                self.stage = Stage::Resuming(resuming);
+                Some(Poll::Pending)
+            }
+            Poll::Ready(Ok(source)) => {
+                self.run.apply(RequestEvent::Resumed);
+                self.silence.end();
+                self.stage = Stage::Live(source);
+                None
+            }
+            Poll::Ready(Err(failure)) => self.broke(failure),
+        }
+    }
+
+    fn poll_told(&mut self, mut timer: Pin<Box<Sleep>>, context: &mut Context<'_>) -> PolledFrame {
+        if timer.as_mut().poll(context).is_pending() {
+            self.stage = Stage::Told(timer);
+            return Poll::Pending;
+        }
+        Poll::Ready(Some(Err(BodyError::AnswerBroken)))
+    }
+
+    fn end(&mut self) -> PolledFrame {
+        self.run.ended(self.tracker.passed());
+        Poll::Ready(None)
+    }
+
+    /// Asks for the rest, or tells the caller that the answer is not whole.
+    fn broke(&mut self, failure: Failure) -> Option<PolledFrame> {
+        let message = failure.to_string();
+        let can_resume = self.tracker.can_resume() && !matches!(failure, Failure::GroupGone);
+        match self.run.broke(can_resume, failure) {
+            Next::Resume => {
+                let position = self.tracker.passed();
+                self.stage = Stage::Resuming(resume::start(&self.run, position)?);
+                None
+            }
+            _ => Some(self.tell(&message)),
+        }
+    }
+
+    fn tell(&mut self, message: &str) -> PolledFrame {
+        let traits = self.run.spec.traits;
+        let message = format!("The answer broke off: {message}.");
+        let mut refusal = Refusal::new(ErrorCode::AnswerBroken, message);
+        refusal.retry_is_safe = traits.is_repeatable || traits.needs_claim;
+        refusal.delivered_positions = Some(self.tracker.passed());
+        self.run.server.counters.note_refusal(refusal.code);
+        let id = self.run.spec.caller.request_id.as_str();
+        let body = serde_json::to_string(&refusal.body(id)).unwrap_or_default();
+        let event = Bytes::from(format!("event: error\ndata: {body}\n\n"));
+        let flush = Duration::from_millis(ERROR_EVENT_FLUSH_MS);
+        self.stage = Stage::Told(Box::pin(sleep(flush)));
+        Poll::Ready(Some(Ok(Frame::data(event))))
+    }
+}
--- /dev/null
+++ b/entry/src/serve/event_source.rs
@@ -0,0 +1,129 @@
+//! The events of an answer as they come over one connection.
+
+use std::{
+    pin::Pin,
+    task::{
+        Context,
+        Poll,
+        ready, //
+    },
+};
+
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
+use cicadabend::request::{
+    EventVerdict,
+    StreamEvent,
+    StreamFault,
+    StreamTracker,
+    first_event_len, //
+};
+use displaydoc::Display;
+use http_body::Body;
+use hyper::body::Incoming;
+use thiserror::Error;
+
+use super::upstream::{
+    Lease,
+    reason, //
+};
+
+/// The largest event; an engine that sends more without a blank line sends garbage.
+const EVENT_LIMIT_BYTES: usize = 1024 * 1024;
+
+/// Why no more events can be taken from a connection.
+#[derive(Debug, Display, Error)]
+pub(super) enum AnswerFault {
+    /// the connection broke: {0}
+    Broken(String),
+    /// the stream ended before its last event
+    EndedEarly,
+    /// {0}
+    Stream(#[from] StreamFault),
+    /// an event is not text
+    NotText,
+    /// an event is too large
+    TooLarge,
+}
+
+/// What comes next.
+pub(super) enum Batch {
+    /// Whole events that may be passed on.
+    Events(Bytes),
+    /// The end of the connection's answer.
+    End,
+}
+
+/// The connection and what has come over it of an event that is not whole yet.
+pub(super) struct EventSource {
+    incoming: Incoming,
+    lease: Lease,
+    buffer: BytesMut,
+}
+
+impl EventSource {
+    pub(super) fn new(incoming: Incoming, lease: Lease) -> Self {
+        Self {
+            incoming,
+            lease,
+            buffer: BytesMut::new(),
+        }
+    }
+
+    /// Keeps the connection for a later request; the answer must have ended.
+    pub(super) fn give_back(self) {
+        self.lease.give_back();
+    }
+
+    /// Waits for whole events that the tracker lets pass.
+    pub(super) fn poll_events(
+        &mut self,
+        tracker: &mut StreamTracker,
+        context: &mut Context<'_>,
+    ) -> Poll<Result<Batch, AnswerFault>> {
+        loop {
+            let frame = match ready!(Pin::new(&mut self.incoming).poll_frame(context)) {
+                None => return Poll::Ready(Ok(Batch::End)),
+                Some(Err(error)) => {
+                    return Poll::Ready(Err(AnswerFault::Broken(reason(&error))));
+                }
+                Some(Ok(frame)) => frame,
+            };
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            self.buffer.extend_from_slice(&data);
+            let events = self.take_events(tracker)?;
+            if !events.is_empty() {
+                return Poll::Ready(Ok(Batch::Events(events)));
+            }
+        }
+    }
+
+    /// Takes all whole events out of the buffer and leaves out duplicates.
+    ///
+    /// If a later event is at fault, those before it are passed first: the same
+    /// fault comes up again with the next call, since the event stays in the buffer.
+    fn take_events(&mut self, tracker: &mut StreamTracker) -> Result<Bytes, AnswerFault> {
+        let mut taken = BytesMut::new();
+        while let Some(length) = first_event_len(&self.buffer) {
+            let event = StreamEvent::parse(&self.buffer[..length]);
+            let event = event.ok_or(AnswerFault::NotText);
+            let verdict = event.and_then(|event| Ok(tracker.accept(&event)?));
+            match verdict {
+                Ok(EventVerdict::Pass | EventVerdict::Last) => {
+                    taken.unsplit(self.buffer.split_to(length));
+                }
+                Ok(EventVerdict::Duplicate) => drop(self.buffer.split_to(length)),
+                Err(_) if !taken.is_empty() => break,
+                Err(fault) => return Err(fault),
+            }
+        }
+        if self.buffer.len() > EVENT_LIMIT_BYTES {
+            return Err(AnswerFault::TooLarge);
+        }
+        Ok(taken.freeze())
+    }
+}
--- a/entry/src/serve/handler.rs
+++ b/entry/src/serve/handler.rs
@@ -58,6 +58,7 @@
             answer
         }
         Err(refusal) => {
+            server.counters.note_refusal(refusal.code);
             log::debug!("CB1110 refused request={id} code={}", refusal.code.name());
             refusal.answer(&id)
         }
--- a/entry/src/serve/headers.rs
+++ b/entry/src/serve/headers.rs
@@ -58,3 +58,14 @@
 pub(super) fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
+
+/// Returns the bytes in hexadecimal.
+pub(super) fn hex(bytes: &[u8]) -> String {
+    use std::fmt::Write;
+    let mut text = String::with_capacity(bytes.len() * 2);
+    for byte in bytes {
+        // Writing into a String cannot fail.
+        let _ = write!(text, "{byte:02x}");
+    }
+    text
+}
--- a/entry/src/serve/mod.rs
+++ b/entry/src/serve/mod.rs
@@ -7,14 +7,25 @@
 //! - `answer`: bodies of answers, and errors in their one form.
 
 mod answer;
+mod attempt;
 mod body;
 mod caller;
 mod completions;
+mod counters;
+mod drive;
+mod event_body;
+mod event_source;
+mod exchange;
 mod handler;
 mod headers;
 mod listener;
+mod passed_body;
 mod plain;
+mod replay;
+mod resume;
+mod run;
 mod server;
+mod spec;
 mod upstream;
 
 use std::{
@@ -40,6 +51,8 @@
 
 use server::Server;
 
+pub use counters::ServeCounters;
+
 /// What the serving thread is given.
 pub struct ServeSetup {
     /// The daemon's settings.
@@ -50,6 +63,8 @@
     pub snapshot: Arc<ArcSwap<RoutingSnapshot>>,
     /// The process's clock.
     pub clock: Clock,
+    /// What the metrics thread reads.
+    pub counters: Arc<ServeCounters>,
     /// This run of the process.
     pub boot: BootId,
 }
@@ -70,18 +85,20 @@
 pub fn start(setup: ServeSetup, stopped: watch::Receiver<bool>) -> io::Result<Serving> {
     let address = setup.listener.local_addr()?;
     setup.listener.set_nonblocking(true)?;
-    let thread = duty::spawn("serve", move || async move {
-        let listener = match tokio::net::TcpListener::from_std(setup.listener) {
-            Ok(listener) => listener,
-            Err(error) => {
-                log::error!("CB1100 cannot serve callers: {error}");
-                return;
-            }
-        };
-        log::info!("CB1101 serving callers address={address}");
-        let server = Server::new(setup.settings, setup.snapshot, setup.boot);
-        let server = Rc::new(server);
-        listener::run(listener, server, stopped).await;
-    })?;
+    let thread = duty::spawn("serve", move || serve(setup, address, stopped))?;
     Ok(Serving { address, thread })
 }
+
+async fn serve(setup: ServeSetup, address: Address, stopped: watch::Receiver<bool>) {
+    let listener = match setup.listener.try_clone() {
+        Ok(listener) => tokio::net::TcpListener::from_std(listener),
+        Err(error) => Err(error),
+    };
+    match listener {
+        Ok(listener) => {
+            log::info!("CB1101 serving callers address={address}");
+            listener::run(listener, Rc::new(Server::new(setup)), stopped).await;
+        }
+        Err(error) => log::error!("CB1100 cannot serve callers: {error}"),
+    }
+}
--- /dev/null
+++ b/entry/src/serve/passed_body.rs
@@ -0,0 +1,72 @@
+//! An upstream's body that passes through unchanged.
+
+use std::{
+    pin::Pin,
+    task::{
+        Context,
+        Poll,
+        ready, //
+    },
+};
+
+use bytes::Bytes;
+use http_body::{
+    Body,
+    Frame,
+    SizeHint, //
+};
+use hyper::body::Incoming;
+
+use super::{
+    body::BodyError,
+    exchange::Failure,
+    run::RequestRun,
+    upstream::{
+        Lease,
+        reason, //
+    },
+};
+
+/// The body with the request it answers; dropping it before its end means that the caller left.
+pub(super) struct PassedBody {
+    run: RequestRun,
+    incoming: Incoming,
+    lease: Option<Lease>,
+}
+
+impl PassedBody {
+    pub(super) fn new(run: RequestRun, incoming: Incoming, lease: Lease) -> Self {
+        Self {
+            run,
+            incoming,
+            lease: Some(lease),
+        }
+    }
+
+    pub(super) fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+
+    pub(super) fn poll_frame(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match ready!(Pin::new(&mut self.incoming).poll_frame(context)) {
+            Some(Ok(frame)) => Poll::Ready(Some(Ok(frame))),
+            Some(Err(error)) => {
+                self.lease = None;
+                self.run.broke(false, Failure::Broken(reason(&error)));
+                // The error ends the caller's connection without the last chunk, so
+                // that the caller cannot take the part it has for the whole.
+                Poll::Ready(Some(Err(BodyError::AnswerBroken)))
+            }
+            None => {
+                if let Some(lease) = self.lease.take() {
+                    self.run.ended(1);
+                    lease.give_back();
+                }
+                Poll::Ready(None)
+            }
+        }
+    }
+}
--- a/entry/src/serve/plain.rs
+++ b/entry/src/serve/plain.rs
@@ -6,51 +6,42 @@
 };
 
 use cicadabend::{
-    caller_api::{
-        ErrorCode,
-        HEADER_AUTHORIZATION,
-        HEADER_GROUP as HEADER_ANSWERED_BY,
-        HEADER_REQUEST_ID,
-        HEADER_REVISION, //
+    caller_api::ErrorCode,
+    fleet::{
+        PlainService,
+        Service, //
     },
-    fleet::Service,
     prelude::*,
-    routing::{
-        Replica,
-        ReplicaId, //
-    },
-    upstream_api::{
-        HEADER_FENCING_TOKEN,
-        HEADER_GROUP, //
-    },
+    request::RequestTraits,
 };
 use http::{
-    HeaderMap,
-    HeaderValue,
+    Method,
     Request,
-    Response,
-    Uri,
-    header, //
+    Response, //
+};
+use hyper::body::{
+    Body,
+    Incoming, //
 };
-use hyper::body::Incoming;
 
 use super::{
     answer::Refusal,
     body::{
         AnswerBody,
-        CallerBody,
-        PassedBody,
-        RequestBody, //
+        CallerBody, //
     },
     caller::Caller,
-    headers,
+    drive,
+    replay::Replay,
     server::Server,
-    upstream::AttemptError, //
+    spec::{
+        Kind,
+        Spec,
+        SpecBody,
+        Wishes, //
+    },
 };
 
-/// When to come back if no replica can take a request.
-const NO_REPLICA_RETRY_MS: u64 = 1_000;
-
 /// Answers a request to a plain service.
 pub(super) async fn answer(
     server: &Rc<Server>,
@@ -58,97 +49,37 @@
     service: ServiceName,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Refusal> {
-    match caller.snapshot.config.services.get(&service) {
-        Some(Service::Plain(_)) => {}
-        _ => {
-            let message = format!("No plain service is named {service:?}.");
-            return Err(Refusal::new(ErrorCode::UnknownService, message));
-        }
-    }
-    let replica = choose(server, &caller, &service)?;
+    let Some(Service::Plain(plain)) = caller.snapshot.config.services.get(&service) else {
+        let message = format!("No plain service is named \"{service}\".");
+        return Err(Refusal::new(ErrorCode::UnknownService, message));
+    };
+    let wishes = Wishes::read(server, request.headers())?;
+    let traits = traits(plain, request.method(), &wishes);
     let callers = &server.settings.callers;
+    let limit = callers.max_body_bytes;
+    // A length that is known to be too large is refused before anything is sent.
+    if request.body().size_hint().lower() > limit.0 {
+        let message = format!("The body is larger than {limit}.");
+        return Err(Refusal::new(ErrorCode::TooLarge, message));
+    }
     let pause_limit = Duration::from_millis(callers.read_timeout_ms);
-    let limit_bytes = callers.max_body_bytes.0;
-    let request =
-        request.map(|body| RequestBody::Streamed(CallerBody::new(body, pause_limit, limit_bytes)));
-    forward(server, &caller, &replica, request).await
-}
-
-/// Chooses the replica for a request.
-pub(super) fn choose(
-    server: &Server,
-    caller: &Caller,
-    service: &ServiceName,
-) -> Result<Replica, Refusal> {
-    server
-        .next_replica(&caller.snapshot, service)
-        .ok_or_else(|| {
-            let message = format!("No whole replica of {service} can take the request now.");
-            Refusal::new(ErrorCode::NotRun, message).retry_after_ms(NO_REPLICA_RETRY_MS)
-        })
+    let request = request.map(|body| {
+        let body = CallerBody::new(body, pause_limit, limit.0);
+        SpecBody::Streamed(Replay::new(body))
+    });
+    let spec = Spec::new(caller, service, Kind::Plain, wishes, traits, request);
+    drive::answer(server, spec).await
 }
 
-/// Sends a request to a replica and passes the answer on.
-pub(super) async fn forward(
-    server: &Rc<Server>,
-    caller: &Caller,
-    replica: &Replica,
-    request: Request<RequestBody>,
-) -> Result<Response<AnswerBody>, Refusal> {
-    let request = upstream_request(caller, replica, request);
-    let lease = server
-        .pool
-        .lease(replica.address)
-        .await
-        .map_err(|error| attempt_refusal(&error))?;
-    let (response, lease) = lease
-        .send(request)
-        .await
-        .map_err(|error| attempt_refusal(&error))?;
-    let mut answer = response.map(|incoming| AnswerBody::Passed(PassedBody::new(incoming, lease)));
-    headers::remove_hop_by_hop(answer.headers_mut());
-    let revision = caller.snapshot.revision.to_string();
-    headers::set(answer.headers_mut(), HEADER_REVISION, &revision);
-    let by = replica.id.to_string();
-    headers::set(answer.headers_mut(), HEADER_ANSWERED_BY, &by);
-    Ok(answer)
-}
-
-fn attempt_refusal(error: &AttemptError) -> Refusal {
-    let code = match error {
-        AttemptError::NotConnected { .. } | AttemptError::NothingWritten { .. } => {
-            ErrorCode::NotRun
-        }
-        AttemptError::Broken { .. } => ErrorCode::OutcomeUnknown,
-    };
-    Refusal::new(code, format!("The replica did not answer: {error}."))
-}
-
-/// Turns a caller's request into the one that the replica gets.
-fn upstream_request(
-    caller: &Caller,
-    replica: &Replica,
-    request: Request<RequestBody>,
-) -> Request<RequestBody> {
-    let (mut head, body) = request.into_parts();
-    let path = head.uri.path_and_query().cloned();
-    head.uri = path.map(Uri::from).unwrap_or_default();
-    head.version = http::Version::HTTP_11;
-    headers::remove_hop_by_hop(&mut head.headers);
-    // The key is the caller's secret; upstreams have no use for it.
-    head.headers.remove(HEADER_AUTHORIZATION);
-    set_upstream_headers(&mut head.headers, caller, replica);
-    Request::from_parts(head, body)
-}
-
-fn set_upstream_headers(map: &mut HeaderMap, caller: &Caller, replica: &Replica) {
-    if let Ok(host) = HeaderValue::from_str(&replica.address.to_string()) {
-        map.insert(header::HOST, host);
-    }
-    headers::set(map, HEADER_REQUEST_ID, caller.request_id.as_str());
-    if let ReplicaId::Group(group) = &replica.id {
-        headers::set(map, HEADER_GROUP, group.as_str());
-        let token = replica.token.to_number().to_string();
-        headers::set(map, HEADER_FENCING_TOKEN, &token);
+/// A request is not repeatable if the caller or its method says so.
+///
+/// With an idempotency key such a request is also claimed, so that a resend over
+/// another entry daemon does not run it again.
+fn traits(plain: &PlainService, method: &Method, wishes: &Wishes) -> RequestTraits {
+    let is_repeatable_method = method.is_safe() || plain.unsafe_methods_are_repeatable;
+    let is_repeatable = is_repeatable_method && !wishes.is_not_repeatable;
+    RequestTraits {
+        needs_claim: !is_repeatable && wishes.idempotency_key.is_some(),
+        is_repeatable,
     }
 }
--- /dev/null
+++ b/entry/src/serve/run.rs
@@ -0,0 +1,419 @@
+//! One request on its way: its life, its attempt, and the actions that the chart asks for.
+
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
+
+use cicadabend::{
+    admission::{
+        RetryDecision,
+        RetryReason,
+        RetrySituation, //
+    },
+    caller_api::ErrorCode,
+    chart::{
+        RequestAction,
+        RequestEvent,
+        RequestState, //
+    },
+    prelude::*,
+    request::{
+        Permit,
+        RequestLife, //
+    },
+    routing::{
+        AnswerTiming,
+        Choice,
+        Prefix,
+        ReplicaId,
+        RouteQuery,
+        RoutingSnapshot, //
+    },
+    upstream_api::session_prefix_hash,
+};
+use http::StatusCode;
+use tokio::time::Instant;
+
+use super::{
+    answer::Refusal,
+    attempt::Attempt,
+    exchange::Failure,
+    server::Server,
+    spec::Spec, //
+};
+
+/// When to come back if no replica can take a request.
+const NO_REPLICA_RETRY_MS: u64 = 1_000;
+/// How often the rest of an answer is asked for without getting any of it.
+const RESUME_LIMIT: u32 = 4;
+
+/// What the driver of the request has to do next.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Next {
+    /// Nothing; the request is where it was.
+    Wait,
+    /// Connect to the attempt's replica after a delay.
+    Connect {
+        /// Spreads the retries of requests that failed together.
+        delay: Duration,
+    },
+    /// No replica can take the request.
+    NoReplica,
+    /// Pass the answer on.
+    Pass,
+    /// Ask for the rest of the answer.
+    Resume,
+    /// Answer that the request did not run.
+    AnswerNotRun,
+    /// Answer that the request may have run.
+    AnswerOutcomeUnknown,
+    /// End the answer so that the caller sees that it is not whole.
+    AnswerBroken,
+    /// The request's life is over.
+    Over,
+}
+
+/// A request from its admission to its end; dropping it earlier means that its caller left.
+pub(super) struct RequestRun {
+    pub(super) server: Rc<Server>,
+    pub(super) spec: Rc<Spec>,
+    pub(super) attempt: Option<Attempt>,
+    life: RequestLife,
+    choice: Option<Choice>,
+    tried: Vec<ReplicaId>,
+    attempts: u32,
+    failure: Option<Failure>,
+    refusal: Option<Refusal>,
+    sent_at: Instant,
+    first_token: Duration,
+    resumes_without_progress: u32,
+    can_resume: bool,
+}
+
+impl RequestRun {
+    /// Takes a request in.
+    pub(super) fn new(server: &Rc<Server>, spec: Spec) -> Result<Self, Refusal> {
+        let life = RequestLife::new(spec.traits).map_err(|error| {
+            // The charts are checked when the daemon starts, so this is never reached.
+            Refusal::new(ErrorCode::NotRun, error.to_string())
+        })?;
+        Ok(Self {
+            server: Rc::clone(server),
+            spec: Rc::new(spec),
+            attempt: None,
+            life,
+            choice: None,
+            tried: Vec::new(),
+            attempts: 0,
+            failure: None,
+            refusal: None,
+            sent_at: Instant::now(),
+            first_token: Duration::ZERO,
+            resumes_without_progress: 0,
+            can_resume: false,
+        })
+    }
+
+    /// Takes an event, does what can be done at once, and returns the rest.
+    pub(super) fn apply(&mut self, event: RequestEvent) -> Next {
+        let mut delay = Duration::ZERO;
+        let reason = self.retry_reason();
+        let situation = RetrySituation {
+            reason,
+            attempts: self.attempts,
+            is_repeatable: self.spec.traits.is_repeatable,
+            deadline: Some(self.deadline()),
+        };
+        let Self { server, spec, .. } = &*self;
+        let resume = self.can_resume && self.resumes_without_progress < RESUME_LIMIT;
+        let server = Rc::clone(server);
+        let spec = Rc::clone(spec);
+        let actions = self.life.apply(event, |permit| match permit {
+            Permit::Resume => resume,
+            Permit::Retry => spec.can_replay() && may_retry(&server, situation, &mut delay),
+        });
+        let mut next = Next::Wait;
+        for action in actions {
+            next = self.act(*action, delay).unwrap_or(next);
+        }
+        if next == Next::Wait && self.life.is_over() {
+            next = Next::Over;
+        }
+        next
+    }
+
+    /// Carries out one action; returns what is left for the driver.
+    fn act(&mut self, action: RequestAction, delay: Duration) -> Option<Next> {
+        match action {
+            RequestAction::ChooseAnother => {
+                self.server.counters.note_retry(self.retry_reason());
+                self.choose();
+            }
+            RequestAction::TakeSlot => self.take_slot(),
+            RequestAction::FreeSlot => self.attempt = None,
+            RequestAction::CancelUpstream => {
+                if let Some(attempt) = &mut self.attempt {
+                    attempt.cancel();
+                }
+            }
+            RequestAction::Connect => {
+                return Some(match &self.attempt {
+                    Some(_) => Next::Connect { delay },
+                    None => Next::NoReplica,
+                });
+            }
+            RequestAction::PassAnswer => return Some(Next::Pass),
+            RequestAction::ResumeAnswer => return Some(Next::Resume),
+            RequestAction::AnswerNotRun => return Some(Next::AnswerNotRun),
+            RequestAction::AnswerOutcomeUnknown => return Some(Next::AnswerOutcomeUnknown),
+            RequestAction::AnswerBroken => return Some(Next::AnswerBroken),
+            RequestAction::SendRequest
+            | RequestAction::RequestClaim
+            | RequestAction::ReleaseClaim
+            | RequestAction::KeepClaim
+            | RequestAction::CompleteClaim
+            | RequestAction::AnswerDuplicate => {}
+        }
+        None
+    }
+
+    /// Chooses a replica; those that failed come last.
+    pub(super) fn choose(&mut self) -> bool {
+        let snapshot = self.server.snapshot.load_full();
+        let choice = self.choose_excluding(&snapshot, &self.tried);
+        self.choice = choice.or_else(|| self.choose_excluding(&snapshot, &[]));
+        self.choice.is_some()
+    }
+
+    fn choose_excluding(
+        &self,
+        snapshot: &RoutingSnapshot,
+        excluded: &[ReplicaId],
+    ) -> Option<Choice> {
+        let prefixes = self.prefixes();
+        let query = RouteQuery {
+            service: &self.spec.service,
+            request: &self.spec.caller.request_id,
+            session: prefixes.first().map(|prefix| prefix.hash),
+            prefixes: &prefixes,
+            excluded,
+            home: &self.server.settings.failure_domain,
+            prompt_tokens: self.spec.prompt_tokens,
+        };
+        let own = self.server.own_load.borrow();
+        let now = self.server.clock.now();
+        let mut router = self.server.router.borrow_mut();
+        router.choose(&query, snapshot, &own, now, self.server.random())
+    }
+
+    /// Returns the prefix that the requests of the session share.
+    fn prefixes(&self) -> Vec<Prefix> {
+        let session = self.spec.wishes.session.as_deref();
+        let prefix = |session| Prefix {
+            hash: session_prefix_hash(session),
+            tokens: self.spec.prompt_tokens,
+        };
+        session.map(prefix).into_iter().collect()
+    }
+
+    fn take_slot(&mut self) {
+        let Some(choice) = self.choice.take() else {
+            return;
+        };
+        if self.attempts == 0 {
+            self.server.retry_budget.borrow_mut().note_request();
+        }
+        self.attempts += 1;
+        self.tried.push(choice.replica.id.clone());
+        self.sent_at = Instant::now();
+        let id = &self.spec.caller.request_id;
+        self.attempt = Some(Attempt::start(&self.server, choice, id));
+    }
+
+    /// Notes why the attempt failed and what that means for the request.
+    pub(super) fn fail(&mut self, failure: Failure) -> Next {
+        log::debug!(
+            "CB1122 attempt failed request={} attempt={} reason={failure}",
+            self.spec.caller.request_id,
+            self.attempts
+        );
+        let event = match &failure {
+            Failure::NothingWritten(_) => RequestEvent::ConnectFailed,
+            Failure::NotStarted { .. } => RequestEvent::NotStarted,
+            Failure::DeadlinePassed { .. } => RequestEvent::DeadlinePassed,
+            Failure::Broken(_)
+            | Failure::GroupGone
+            | Failure::FailedByUpstream { .. }
+            | Failure::Invalid(_) => RequestEvent::UpstreamFailed,
+        };
+        let is_written = !matches!(
+            failure,
+            Failure::NothingWritten(_) | Failure::DeadlinePassed { is_written: false }
+        );
+        self.failure = Some(failure);
+        if is_written {
+            self.apply(RequestEvent::Connected);
+        }
+        self.apply(event)
+    }
+
+    /// Notes that the first part of an answer is here.
+    pub(super) fn answered(&mut self) -> Next {
+        self.first_token = self.sent_at.elapsed();
+        self.apply(RequestEvent::Connected);
+        self.apply(RequestEvent::RequestSent);
+        self.apply(RequestEvent::FirstByte)
+    }
+
+    /// Notes that the answer broke off; `can_resume` says whether its rest can be asked for.
+    pub(super) fn broke(&mut self, can_resume: bool, failure: Failure) -> Next {
+        self.can_resume = can_resume;
+        self.failure = Some(failure);
+        let event = match self.life.state() {
+            RequestState::Resuming => RequestEvent::ResumeFailed,
+            _ => RequestEvent::AnswerBroke,
+        };
+        let next = self.apply(event);
+        if next == Next::Resume {
+            self.resumes_without_progress += 1;
+            self.server.counters.note_resume();
+        }
+        next
+    }
+
+    /// Notes that part of the answer came.
+    pub(super) fn progressed(&mut self) {
+        self.resumes_without_progress = 0;
+    }
+
+    /// Returns how often the rest was asked for since something last came.
+    pub(super) fn resumes(&self) -> u32 {
+        self.resumes_without_progress
+    }
+
+    /// Notes that the whole answer was delivered.
+    pub(super) fn ended(&mut self, output_tokens: u64) {
+        self.record_timing(output_tokens);
+        self.apply(RequestEvent::AnswerEnded);
+    }
+
+    fn record_timing(&mut self, output_tokens: u64) {
+        let Some(attempt) = &self.attempt else {
+            return;
+        };
+        let expected_cached = attempt.choice.expected_cached_tokens.0;
+        let uncached = self.spec.prompt_tokens.0.saturating_sub(expected_cached);
+        let timing = AnswerTiming {
+            first_token: self.first_token,
+            total: self.sent_at.elapsed(),
+            output_tokens: TokenCount(output_tokens),
+            uncached_tokens: TokenCount(uncached),
+            was_unqueued: !attempt.choice.is_saturated,
+        };
+        let now = self.server.clock.now();
+        let replica = &attempt.replica().id;
+        let prefixes = self.prefixes();
+        let mut router = self.server.router.borrow_mut();
+        router.record_answer(&self.spec.service, replica, &prefixes, timing, now);
+    }
+
+    /// Refuses the request with this error.
+    pub(super) fn refuse(&mut self, refusal: Refusal) -> Next {
+        self.refusal = Some(refusal);
+        self.apply(RequestEvent::Refused)
+    }
+
+    /// Returns the error that fits where the request stands.
+    pub(super) fn refusal(&mut self) -> Refusal {
+        let mut refusal = match self.life.state() {
+            RequestState::RefusedNotRun => self.not_run(),
+            _ => self.outcome_unknown(),
+        };
+        let traits = self.spec.traits;
+        refusal.retry_is_safe |= traits.is_repeatable || traits.needs_claim;
+        refusal
+    }
+
+    fn not_run(&mut self) -> Refusal {
+        if let Some(refusal) = self.refusal.take() {
+            return refusal;
+        }
+        let why = self.failure_text();
+        let code = match self.failure {
+            Some(Failure::DeadlinePassed { .. }) => ErrorCode::DeadlineCannotBeMet,
+            _ => ErrorCode::NotRun,
+        };
+        Refusal::new(code, format!("The request did not run: {why}."))
+            .retry_after_ms(NO_REPLICA_RETRY_MS)
+    }
+
+    fn outcome_unknown(&self) -> Refusal {
+        let why = self.failure_text();
+        let code = match self.failure {
+            Some(Failure::Invalid(_) | Failure::FailedByUpstream { .. }) => {
+                ErrorCode::UpstreamInvalid
+            }
+            _ => ErrorCode::OutcomeUnknown,
+        };
+        Refusal::new(code, format!("The request may have run: {why}."))
+    }
+
+    fn failure_text(&self) -> String {
+        match &self.failure {
+            Some(failure) => failure.to_string(),
+            None => "no whole replica can take it now".to_owned(),
+        }
+    }
+
+    fn retry_reason(&self) -> RetryReason {
+        match &self.failure {
+            None | Some(Failure::NothingWritten(_)) => RetryReason::ConnectFailed,
+            Some(Failure::NotStarted { status }) if *status == StatusCode::CONFLICT => {
+                RetryReason::StaleToken
+            }
+            Some(Failure::NotStarted { .. }) => RetryReason::RefusedByUpstream,
+            Some(Failure::Broken(_) | Failure::GroupGone) => RetryReason::BrokenBeforeAnswer,
+            Some(Failure::DeadlinePassed { .. }) => RetryReason::TimedOutBeforeAnswer,
+            Some(Failure::FailedByUpstream { .. } | Failure::Invalid(_)) => {
+                RetryReason::FailedByUpstream
+            }
+        }
+    }
+
+    fn deadline(&self) -> Timestamp {
+        let left = self.spec.wishes.deadline;
+        self.server.clock.now() + left.saturating_duration_since(Instant::now())
+    }
+}
+
+impl Drop for RequestRun {
+    /// The caller left: hyper drops the request's future or its answer's body.
+    fn drop(&mut self) {
+        if self.life.is_over() {
+            return;
+        }
+        let is_connecting = self.life.state() == RequestState::Connecting;
+        let sent = self.attempt.as_ref().map(|attempt| attempt.sent.seal());
+        if is_connecting && sent.is_some_and(|bytes| bytes > 0) {
+            self.apply(RequestEvent::Connected);
+        }
+        self.apply(RequestEvent::CallerGone);
+    }
+}
+
+fn may_retry(server: &Server, situation: RetrySituation, delay: &mut Duration) -> bool {
+    let now = server.clock.now();
+    let random = server.random();
+    let mut budget = server.retry_budget.borrow_mut();
+    match budget.decide(situation, &server.backoff, now, random) {
+        RetryDecision::After(after) => {
+            *delay = after;
+            true
+        }
+        RetryDecision::GiveUp(reason) => {
+            log::debug!("CB1123 not tried again reason={}", reason.name());
+            false
+        }
+    }
+}
--- a/entry/src/serve/server.rs
+++ b/entry/src/serve/server.rs
@@ -11,30 +11,56 @@
 
 use arc_swap::ArcSwap;
 use cicadabend::{
-    fleet::FleetConfig,
+    admission::{
+        Backoff,
+        RetryBudget, //
+    },
+    fleet::{
+        FleetConfig,
+        Team, //
+    },
     prelude::*,
     routing::{
-        Replica,
+        OwnLoad,
+        Router,
         RoutingSnapshot, //
     },
 };
-use cicadabend_daemon::settings::EntrySettings;
+use cicadabend_daemon::{
+    clock::Clock,
+    settings::EntrySettings, //
+};
+use rand::{
+    RngCore,
+    SeedableRng,
+    rngs::SmallRng, //
+};
 use sha2::{
     Digest,
     Sha256, //
 };
 
-use super::upstream::Pool;
+use super::{
+    counters::ServeCounters,
+    headers,
+    upstream::Pool, //
+};
 
 /// The serving thread's state; it never leaves the thread.
 pub(super) struct Server {
     pub(super) settings: EntrySettings,
     pub(super) snapshot: Arc<ArcSwap<RoutingSnapshot>>,
+    pub(super) clock: Clock,
+    pub(super) counters: Arc<ServeCounters>,
     pub(super) pool: Pool,
     pub(super) draining: Cell<bool>,
+    pub(super) router: RefCell<Router>,
+    pub(super) own_load: RefCell<OwnLoad>,
+    pub(super) retry_budget: RefCell<RetryBudget>,
+    pub(super) backoff: Backoff,
+    random: RefCell<SmallRng>,
     request_count: Cell<u64>,
     boot: BootId,
-    turns: RefCell<HashMap<ServiceName, usize>>,
     teams: RefCell<TeamIndex>,
 }
 
@@ -47,7 +73,7 @@
 
 impl TeamIndex {
     fn of(config: &Arc<FleetConfig>) -> Self {
-        let entry = |(name, team): (&TeamName, &cicadabend::fleet::Team)| {
+        let entry = |(name, team): (&TeamName, &Team)| {
             (team.api_key_sha256.to_ascii_lowercase(), name.clone())
         };
         Self {
@@ -58,20 +84,22 @@
 }
 
 impl Server {
-    pub(super) fn new(
-        settings: EntrySettings,
-        snapshot: Arc<ArcSwap<RoutingSnapshot>>,
-        boot: BootId,
-    ) -> Self {
-        let pool = Pool::new(settings.upstreams.connect_timeout_ms);
+    pub(super) fn new(setup: super::ServeSetup) -> Self {
+        let pool = Pool::new(setup.settings.upstreams.connect_timeout_ms);
         Self {
-            settings,
-            snapshot,
+            settings: setup.settings,
+            snapshot: setup.snapshot,
+            clock: setup.clock,
+            counters: setup.counters,
             pool,
             draining: Cell::new(false),
+            router: RefCell::default(),
+            own_load: RefCell::default(),
+            retry_budget: RefCell::default(),
+            backoff: Backoff::default(),
+            random: RefCell::new(SmallRng::seed_from_u64(setup.boot.0)),
             request_count: Cell::new(0),
-            boot,
-            turns: RefCell::default(),
+            boot: setup.boot,
             teams: RefCell::default(),
         }
     }
@@ -81,6 +109,11 @@
         !self.draining.get() && self.snapshot.load().ready
     }
 
+    /// Draws an evenly spread number.
+    pub(super) fn random(&self) -> u64 {
+        self.random.borrow_mut().next_u64()
+    }
+
     /// Makes an id for a request that came without one.
     pub(super) fn new_request_id(&self) -> Option<RequestId> {
         let number = self.request_count.get() + 1;
@@ -91,38 +124,11 @@
 
     /// Returns the team that an API key belongs to.
     pub(super) fn team_of_key(&self, config: &Arc<FleetConfig>, key: &str) -> Option<TeamName> {
-        let hash = hex(&Sha256::digest(key.as_bytes()));
+        let hash = headers::hex(&Sha256::digest(key.as_bytes()));
         let mut teams = self.teams.borrow_mut();
         if !Arc::ptr_eq(&teams.config, config) {
             *teams = TeamIndex::of(config);
         }
         teams.by_key_sha256.get(&hash).cloned()
     }
-
-    /// Returns the service's next replica in turn.
-    pub(super) fn next_replica(
-        &self,
-        snapshot: &RoutingSnapshot,
-        service: &ServiceName,
-    ) -> Option<Replica> {
-        let candidates = || snapshot.replicas.iter().filter(|r| &r.service == service);
-        let count = candidates().count();
-        if count == 0 {
-            return None;
-        }
-        let mut turns = self.turns.borrow_mut();
-        let turn = turns.entry(service.clone()).or_default();
-        *turn = turn.wrapping_add(1);
-        candidates().nth(*turn % count).cloned()
-    }
-}
-
-fn hex(bytes: &[u8]) -> String {
-    use std::fmt::Write;
-    let mut text = String::with_capacity(bytes.len() * 2);
-    for byte in bytes {
-        // Writing into a String cannot fail.
-        let _ = write!(text, "{byte:02x}");
-    }
-    text
 }
--- /dev/null
+++ b/entry/src/serve/spec.rs
@@ -0,0 +1,230 @@
+//! One caller's request, in the form in which it can be sent to a replica, also twice.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use cicadabend::{
+    caller_api::{
+        ErrorCode,
+        HEADER_AUTHORIZATION,
+        HEADER_DEADLINE_MS,
+        HEADER_IDEMPOTENCY_KEY,
+        HEADER_NOT_REPEATABLE,
+        HEADER_REQUEST_ID,
+        HEADER_SESSION, //
+    },
+    prelude::*,
+    request::RequestTraits,
+    routing::{
+        Replica,
+        ReplicaId, //
+    },
+    upstream_api::{
+        HEADER_FENCING_TOKEN,
+        HEADER_GROUP,
+        HEADER_RESUME_FROM, //
+    },
+};
+use http::{
+    HeaderMap,
+    HeaderValue,
+    Request,
+    Uri,
+    header,
+    request::Parts, //
+};
+use sha2::{
+    Digest,
+    Sha256, //
+};
+use tokio::time::Instant;
+
+use super::{
+    answer::Refusal,
+    body::RequestBody,
+    caller::Caller,
+    headers,
+    replay::Replay,
+    server::Server, //
+};
+
+/// Which kind of service the request is for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Kind {
+    /// A model; the answer is a stream of events or one JSON document.
+    Completion {
+        /// Whether the caller asked for a stream.
+        is_streamed: bool,
+    },
+    /// A plain service.
+    Plain,
+}
+
+/// The body, as often as it is needed.
+pub(super) enum SpecBody {
+    /// All of it is here.
+    Whole(Bytes),
+    /// It passes through; a short beginning is kept.
+    Streamed(Replay),
+}
+
+/// What the caller's headers ask for.
+pub(super) struct Wishes {
+    pub(super) idempotency_key: Option<IdempotencyKey>,
+    pub(super) is_not_repeatable: bool,
+    pub(super) session: Option<String>,
+    pub(super) deadline: Instant,
+}
+
+/// The request.
+pub(super) struct Spec {
+    pub(super) caller: Caller,
+    pub(super) service: ServiceName,
+    pub(super) kind: Kind,
+    pub(super) wishes: Wishes,
+    pub(super) traits: RequestTraits,
+    pub(super) prompt_tokens: TokenCount,
+    head: Parts,
+    body: SpecBody,
+}
+
+impl Wishes {
+    /// Reads the documented headers.
+    pub(super) fn read(server: &Server, map: &HeaderMap) -> Result<Self, Refusal> {
+        let is_not_repeatable = match headers::text(map, HEADER_NOT_REPEATABLE) {
+            None | Some("false") => false,
+            Some("true") => true,
+            Some(_) => return Err(bad_header(HEADER_NOT_REPEATABLE, "'true' or 'false'")),
+        };
+        let idempotency_key = headers::text(map, HEADER_IDEMPOTENCY_KEY).map(idempotency_key);
+        if is_not_repeatable && idempotency_key.is_none() {
+            let allowed = "given together with an idempotency-key";
+            return Err(bad_header(HEADER_NOT_REPEATABLE, allowed));
+        }
+        Ok(Self {
+            idempotency_key,
+            is_not_repeatable,
+            session: headers::text(map, HEADER_SESSION).map(str::to_owned),
+            deadline: Instant::now() + first_byte_limit(server, map)?,
+        })
+    }
+}
+
+impl Spec {
+    /// Puts a request together.
+    pub(super) fn new(
+        caller: Caller,
+        service: ServiceName,
+        kind: Kind,
+        wishes: Wishes,
+        traits: RequestTraits,
+        request: Request<SpecBody>,
+    ) -> Self {
+        let (mut head, body) = request.into_parts();
+        let path = head.uri.path_and_query().cloned();
+        head.uri = path.map(Uri::from).unwrap_or_default();
+        headers::remove_hop_by_hop(&mut head.headers);
+        // The key is the caller's secret; upstreams have no use for it.
+        head.headers.remove(HEADER_AUTHORIZATION);
+        // The body follows without waiting, so nothing may be awaited.
+        head.headers.remove(header::EXPECT);
+        let id = caller.request_id.as_str();
+        headers::set(&mut head.headers, HEADER_REQUEST_ID, id);
+        Self {
+            caller,
+            service,
+            kind,
+            wishes,
+            traits,
+            prompt_tokens: TokenCount(0),
+            head,
+            body,
+        }
+    }
+
+    /// Returns whether the whole body can be sent once more.
+    pub(super) fn can_replay(&self) -> bool {
+        match &self.body {
+            SpecBody::Whole(_) => true,
+            SpecBody::Streamed(replay) => replay.can_replay(),
+        }
+    }
+
+    /// Returns the request as a replica gets it.
+    pub(super) fn request_to(
+        &self,
+        replica: &Replica,
+        resume_from: Option<u64>,
+    ) -> Request<RequestBody> {
+        let body = match &self.body {
+            SpecBody::Whole(bytes) => RequestBody::whole(bytes.clone()),
+            SpecBody::Streamed(replay) => RequestBody::Replayed(replay.reader()),
+        };
+        let mut request = Request::new(body);
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self.head.uri.clone();
+        *request.headers_mut() = self.head.headers.clone();
+        let map = request.headers_mut();
+        if let SpecBody::Whole(_) = self.body {
+            map.remove(header::CONTENT_LENGTH);
+        }
+        if let Ok(host) = HeaderValue::from_str(&replica.address.to_string()) {
+            map.insert(header::HOST, host);
+        }
+        self.set_group(map, replica);
+        let left = self
+            .wishes
+            .deadline
+            .saturating_duration_since(Instant::now());
+        headers::set(map, HEADER_DEADLINE_MS, &left.as_millis().to_string());
+        if let Some(position) = resume_from {
+            headers::set(map, HEADER_RESUME_FROM, &position.to_string());
+        }
+        request
+    }
+
+    fn set_group(&self, map: &mut HeaderMap, replica: &Replica) {
+        if let ReplicaId::Group(group) = &replica.id {
+            headers::set(map, HEADER_GROUP, group.as_str());
+            let token = replica.token.to_number().to_string();
+            headers::set(map, HEADER_FENCING_TOKEN, &token);
+        }
+    }
+}
+
+fn bad_header(name: &str, allowed: &str) -> Refusal {
+    let message = format!("The header {name} must be {allowed}.");
+    Refusal::new(ErrorCode::BadRequest, message)
+}
+
+/// Returns the key without the quotes of a structured field (RFC 9651).
+///
+/// Keys with characters or lengths that a name may not have are hashed, so that
+/// every key that the published draft allows works.
+fn idempotency_key(text: &str) -> IdempotencyKey {
+    let text = text.trim();
+    let quoted = text.strip_prefix('"').and_then(|t| t.strip_suffix('"'));
+    let key = quoted.unwrap_or(text);
+    match key.parse() {
+        Ok(key) => key,
+        Err(_) => hashed_key(key),
+    }
+}
+
+fn hashed_key(key: &str) -> IdempotencyKey {
+    let hash = format!("sha256:{}", headers::hex(&Sha256::digest(key)));
+    // PANIC: hexadecimal digits and a prefix of letters and ':' are always a name.
+    #[expect(clippy::expect_used, reason = "the text is a name by its making")]
+    hash.parse().expect("a hash is a name")
+}
+
+fn first_byte_limit(server: &Server, map: &HeaderMap) -> Result<Duration, Refusal> {
+    let Some(text) = headers::text(map, HEADER_DEADLINE_MS) else {
+        let limit_ms = server.settings.callers.first_byte_timeout_ms;
+        return Ok(Duration::from_millis(limit_ms));
+    };
+    match text.parse::<u32>() {
+        Ok(limit_ms) => Ok(Duration::from_millis(u64::from(limit_ms))),
+        Err(_) => Err(bad_header(HEADER_DEADLINE_MS, "a number of milliseconds")),
+    }
+}
--- a/entry/src/serve/upstream.rs
+++ b/entry/src/serve/upstream.rs
@@ -170,6 +170,29 @@
     }
 }
 
+/// What an attempt has written to its connection, known also after its future was dropped.
+#[derive(Default)]
+pub(super) struct SentBytes {
+    on: RefCell<Option<(Rc<Wire>, u64)>>,
+}
+
+impl SentBytes {
+    /// Ends all writing of the attempt and returns how many bytes were written.
+    ///
+    /// Sealed first, counted second: nothing can be written in between or later, so
+    /// zero is a proof that the upstream saw nothing. Must not be called once the
+    /// connection serves another request.
+    pub(super) fn seal(&self) -> u64 {
+        match &*self.on.borrow() {
+            None => 0,
+            Some((wire, before)) => {
+                wire.sealed.set(true);
+                wire.written.get() - before
+            }
+        }
+    }
+}
+
 type Idle = Rc<RefCell<HashMap<Address, Vec<Connection>>>>;
 
 /// All connections to upstreams that wait for a request.
@@ -239,6 +262,17 @@
     }
 }
 
+/// Returns an error with its causes, which hyper leaves out of its own text.
+pub(super) fn reason(error: &hyper::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = std::error::Error::source(error);
+    while let Some(cause) = source {
+        text = format!("{text}: {cause}");
+        source = cause.source();
+    }
+    text
+}
+
 /// A connection in use by one request; dropping it closes the connection.
 pub(super) struct Lease {
     address: Address,
@@ -251,19 +285,20 @@
     pub(super) async fn send(
         mut self,
         request: Request<RequestBody>,
+        sent: &SentBytes,
     ) -> Result<(Response<Incoming>, Lease), AttemptError> {
-        let before = self.connection.wire.written.get();
+        let wire = Rc::clone(&self.connection.wire);
+        let before = wire.written.get();
+        sent.on.replace(Some((wire, before)));
         match self.connection.sender.send_request(request).await {
             Ok(response) => Ok((response, self)),
-            Err(error) => Err(self.failure(before, &error)),
+            Err(error) => Err(self.failure(sent, &error)),
         }
     }
 
-    fn failure(self, before: u64, error: &hyper::Error) -> AttemptError {
-        let (address, reason) = (self.address, error.to_string());
-        // Sealed first, counted second: nothing can be written in between or later.
-        self.connection.wire.sealed.set(true);
-        match self.connection.wire.written.get() - before {
+    fn failure(self, sent: &SentBytes, error: &hyper::Error) -> AttemptError {
+        let (address, reason) = (self.address, reason(error));
+        match sent.seal() {
             0 => AttemptError::NothingWritten { address, reason },
             written => AttemptError::Broken {
                 address,
--- a/entry/tests/test_serve/support/serving.rs
+++ b/entry/tests/test_serve/support/serving.rs
@@ -7,6 +7,10 @@
         TcpListener, //
     },
     sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use arc_swap::ArcSwap;
@@ -34,6 +38,7 @@
 };
 use cicadabend_entry::serve::{
     self,
+    ServeCounters,
     ServeSetup,
     Serving, //
 };
@@ -54,6 +59,7 @@
 pub struct Fixture {
     pub address: SocketAddr,
     pub snapshot: Arc<ArcSwap<RoutingSnapshot>>,
+    pub counters: Arc<ServeCounters>,
     stop: watch::Sender<bool>,
     serving: Option<Serving>,
 }
@@ -79,17 +85,20 @@
         change(&mut settings);
         let snapshot = Arc::new(ArcSwap::from_pointee(snapshot(engines, plain)));
         let (stop, stopped) = watch::channel(false);
+        let counters = Arc::new(ServeCounters::default());
         let setup = ServeSetup {
             settings,
             listener: TcpListener::bind("127.0.0.1:0").unwrap(),
             snapshot: Arc::clone(&snapshot),
             clock: Clock::start(),
+            counters: Arc::clone(&counters),
             boot: BootId(7),
         };
         let serving = serve::start(setup, stopped).unwrap();
         Self {
             address: serving.address,
             snapshot,
+            counters,
             stop,
             serving: Some(serving),
         }
@@ -106,6 +115,22 @@
         self.snapshot.store(Arc::new(next));
     }
 
+    /// Returns a counter of the serving thread.
+    pub fn counter(&self, name: &str) -> u64 {
+        let all = self.counters.all();
+        let found = all.into_iter().find(|(known, _)| known == name);
+        found.unwrap_or_else(|| panic!("no counter {name}")).1
+    }
+
+    /// Waits until a counter has this value.
+    pub fn wait_for_counter(&self, name: &str, value: u64) {
+        let end = Instant::now() + Duration::from_secs(10);
+        while self.counter(name) != value {
+            assert!(Instant::now() < end, "{name} is {}", self.counter(name));
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     /// Asks the thread to drain.
     pub fn stop(&self) {
         self.stop.send(true).unwrap();
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod operator_api;
 pub mod peer_api;
 pub mod prelude;
+pub mod request;
 pub mod routing;
 pub mod time;
 pub mod units;
