--- a/entry/src/serve/run.rs
+++ b/entry/src/serve/run.rs
@@ -200,6 +200,7 @@
             excluded,
             home: &self.server.settings.failure_domain,
             prompt_tokens: self.spec.prompt_tokens,
+            may_probe: self.spec.traits.is_repeatable,
         };
         let own = self.server.own_load.borrow();
         let now = self.server.clock.now();
