serve: run claimed requests at most once, and answer resends with the first outcome

Cause: a request marked as not repeatable was answered without a claim. Change: the serving thread claims the team's idempotency key with a majority of the control daemons before any byte is sent, asks again whether it may start right before sending, goes on when the caller leaves, and stores the outcome; draining waits until outcomes are recorded. Ruled out: ending a claimed request with its caller, which would leave an unknown outcome for each lost connection.

--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -17,6 +17,10 @@
         ChartError, //
     },
     ids::Address,
+    peer_api::{
+        ClaimReply,
+        PeerMessage, //
+    },
     prelude::*,
     routing::RoutingSnapshot, //
 };
@@ -25,6 +29,7 @@
         Incoming,
         PeerError,
         PeerIdentity,
+        PeerSender,
         Peers, //
     },
     program::{
@@ -32,7 +37,10 @@
         Process, //
     },
     ring,
-    settings::EntrySettings,
+    settings::{
+        EntrySettings,
+        PeerRole, //
+    },
     stop::StopSignal,
 };
 use displaydoc::Display;
@@ -45,11 +53,16 @@
         DomainContext,
         DomainError, //
     },
-    serve, //
+    serve::{
+        self,
+        ClaimLink, //
+    },
 };
 
 /// How many messages from peers wait for the domain thread; senders repeat what is dropped.
 const PEER_INBOX_CAPACITY: usize = 4_096;
+/// How many answers about claims wait for the serving thread; it asks again for what is dropped.
+const CLAIM_REPLY_CAPACITY: usize = 4_096;
 
 /// Why the daemon cannot run.
 #[derive(Debug, Display, Error)]
@@ -86,6 +99,12 @@
     let clock = process.clock;
     let boot = draw_boot();
     let (peers, inbox) = start_peers(&settings, boot)?;
+    let (claim_replies, replies) = ring::bounded("claim-replies", CLAIM_REPLY_CAPACITY);
+    let context = DomainContext {
+        claim_replies: Some(claim_replies),
+        ..DomainContext::default()
+    };
+    let claims = claim_link(&settings, peers.sender(), replies);
     let (stop_domain, domain_stopped) = watch::channel(false);
     let domain = domain::start(
         &settings,
@@ -94,7 +113,7 @@
         Arc::clone(&snapshot),
         clock,
         domain_stopped,
-        DomainContext::default(),
+        context,
     )?;
     let (stop, stopped) = watch::channel(false);
     let setup = serve::ServeSetup {
@@ -103,6 +122,7 @@
         snapshot,
         clock,
         counters: Arc::default(),
+        claims,
         boot,
     };
     let serving = serve::start(setup, stopped)?;
@@ -139,6 +159,23 @@
     Ok((peers, inbox))
 }
 
+/// Returns the serving thread's way to the control daemons.
+fn claim_link(
+    settings: &EntrySettings,
+    peers: PeerSender,
+    replies: ring::Receiver<ClaimReply>,
+) -> ClaimLink {
+    let control = settings
+        .peers
+        .iter()
+        .filter(|peer| peer.role == PeerRole::Control);
+    ClaimLink {
+        send: Box::new(move |to, request| peers.send(to, PeerMessage::Claim(request))),
+        replies,
+        control_daemons: control.map(|peer| peer.daemon.clone()).collect(),
+    }
+}
+
 /// Draws the number that tells this run from others.
 fn draw_boot() -> BootId {
     // Each `RandomState` is keyed from the system's random source.
--- a/entry/src/serve/body.rs
+++ b/entry/src/serve/body.rs
@@ -20,10 +20,13 @@
 };
 use hyper::body::Incoming;
 use thiserror::Error;
-use tokio::time::{
-    Instant,
-    Sleep,
-    sleep, //
+use tokio::{
+    sync::mpsc,
+    time::{
+        Instant,
+        Sleep,
+        sleep, //
+    },
 };
 
 use super::{
@@ -152,6 +155,8 @@
     Passed(Box<PassedBody>),
     /// It is a stream of events, each of which is checked.
     Events(Box<EventBody>),
+    /// It comes from a request that goes on without its caller.
+    Relayed(mpsc::Receiver<Result<Frame<Bytes>, BodyError>>),
 }
 
 impl AnswerBody {
@@ -172,6 +177,7 @@
             AnswerBody::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
             AnswerBody::Passed(body) => body.poll_frame(context),
             AnswerBody::Events(body) => body.poll_frame(context),
+            AnswerBody::Relayed(frames) => frames.poll_recv(context),
         }
     }
 
@@ -179,7 +185,7 @@
         match self {
             AnswerBody::Whole(bytes) => bytes.is_none(),
             // The end must be polled, so that the request's life ends with it.
-            AnswerBody::Passed(_) | AnswerBody::Events(_) => false,
+            AnswerBody::Passed(_) | AnswerBody::Events(_) | AnswerBody::Relayed(_) => false,
         }
     }
 
@@ -189,7 +195,7 @@
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
             }
             AnswerBody::Passed(body) => body.size_hint(),
-            AnswerBody::Events(_) => SizeHint::default(),
+            AnswerBody::Events(_) | AnswerBody::Relayed(_) => SizeHint::default(),
         }
     }
 }
--- a/entry/src/serve/completions.rs
+++ b/entry/src/serve/completions.rs
@@ -107,7 +107,8 @@
     Ok(whole.freeze())
 }
 
-fn body_refusal(error: &BodyError) -> Refusal {
+/// Returns the error for a body that could not be read.
+pub(super) fn body_refusal(error: &BodyError) -> Refusal {
     let code = match error {
         BodyError::TooSlow => ErrorCode::CallerTooSlow,
         BodyError::TooLarge => ErrorCode::TooLarge,
--- a/entry/src/serve/counters.rs
+++ b/entry/src/serve/counters.rs
@@ -7,7 +7,8 @@
 
 use cicadabend::{
     admission::RetryReason,
-    caller_api::ErrorCode, //
+    caller_api::ErrorCode,
+    claims::ClaimRefusal, //
 };
 
 /// What callers were refused and what was sent again; read by the metrics thread.
@@ -15,6 +16,7 @@
 pub struct ServeCounters {
     refusals: [AtomicU64; ErrorCode::ALL.len()],
     retries: [AtomicU64; RetryReason::ALL.len()],
+    claim_refusals: [AtomicU64; ClaimRefusal::NAMES.len()],
     requests: AtomicU64,
     attempts_running: AtomicU64,
     resumes: AtomicU64,
@@ -43,6 +45,15 @@
         }
     }
 
+    /// Notes a claim that was not granted.
+    pub fn note_claim_refusal(&self, refusal: &ClaimRefusal) {
+        let mut names = ClaimRefusal::NAMES.iter();
+        let index = names.position(|known| *known == refusal.name());
+        if let Some(counter) = index.and_then(|index| self.claim_refusals.get(index)) {
+            add(counter);
+        }
+    }
+
     /// Notes a request of a known team.
     pub fn note_request(&self) {
         add(&self.requests);
@@ -78,6 +89,7 @@
         let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
         let refusals = ErrorCode::ALL.iter().zip(&self.refusals);
         let retries = RetryReason::ALL.iter().zip(&self.retries);
+        let claims = ClaimRefusal::NAMES.iter().zip(&self.claim_refusals);
         let totals = [
             ("requests", &self.requests),
             ("attempts_running", &self.attempts_running),
@@ -90,6 +102,7 @@
             .into_iter()
             .chain(refusals.map(|(code, n)| (format!("refused.{}", code.name()), read(n))))
             .chain(retries.map(|(reason, n)| (format!("retried.{}", reason.name()), read(n))))
+            .chain(claims.map(|(name, n)| (format!("claim_refused.{name}"), read(n))))
             .collect()
     }
 }
--- a/entry/src/serve/drive.rs
+++ b/entry/src/serve/drive.rs
@@ -28,6 +28,8 @@
 use super::{
     answer::Refusal,
     body::AnswerBody,
+    completions::body_refusal,
+    detached,
     event_body::EventBody,
     exchange::{
         Answered,
@@ -45,9 +47,22 @@
 };
 
 /// Answers a request: the head and body of an answer, or one error.
+///
+/// A claimed request goes on when its caller leaves, so that a resend gets its outcome.
 pub(super) async fn answer(
     server: &Rc<Server>,
     spec: Spec,
+) -> Result<Response<AnswerBody>, Refusal> {
+    match spec.traits.needs_claim {
+        true => detached::answer(server, spec).await,
+        false => drive(server, spec).await,
+    }
+}
+
+/// Drives a request to the head of its answer.
+pub(super) async fn drive(
+    server: &Rc<Server>,
+    spec: Spec,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let mut run = RequestRun::new(server, spec)?;
     let mut next = admit(&mut run);
@@ -60,7 +75,9 @@
                 },
                 Err(failure) => run.fail(failure),
             },
+            Next::Claim => claim(&mut run).await,
             Next::NoReplica => refuse_no_replica(&mut run),
+            Next::AnswerDuplicate => return run.claim.first_answer(),
             _ => return Err(run.refusal()),
         };
     }
@@ -81,6 +98,28 @@
     run.refuse(refusal)
 }
 
+/// Asks for the claim, bounded by the request's deadline.
+async fn claim(run: &mut RequestRun) -> Next {
+    let Some(key) = run.spec.claim_key() else {
+        return run.apply(RequestEvent::ClaimUnavailable);
+    };
+    let fingerprint = match run.spec.fingerprint().await {
+        Ok(fingerprint) => fingerprint,
+        Err(error) => return run.refuse(body_refusal(&error)),
+    };
+    let (attempt, verdict) = run.server.claims.begin(key, fingerprint);
+    run.claim.asked(attempt);
+    match timeout_at(run.spec.wishes.deadline, verdict).await {
+        Ok(Ok(Ok(()))) => {
+            run.spec.claim.set(Some(attempt));
+            run.apply(RequestEvent::ClaimGranted)
+        }
+        Ok(Ok(Err(refusal))) => run.claim_refused(refusal),
+        Ok(Err(_)) => run.apply(RequestEvent::ClaimUnavailable),
+        Err(_) => run.fail(Failure::DeadlinePassed { is_written: false }),
+    }
+}
+
 /// Makes one attempt, bounded by the request's deadline.
 async fn attempt(run: &mut RequestRun, delay: Duration) -> Result<Answered, Failure> {
     let deadline = run.spec.wishes.deadline;
@@ -109,7 +148,7 @@
             source,
             tracker,
         } => {
-            let mut answer = respond(&run, head);
+            let mut answer = respond(&mut run, head);
             answer.headers_mut().remove(header::CONTENT_LENGTH);
             answer.map(|()| {
                 let body = EventBody::new(run, first, source, tracker);
@@ -117,7 +156,8 @@
             })
         }
         Answered::Whole { head, body } => {
-            let answer = respond(&run, head);
+            let answer = respond(&mut run, head);
+            run.claim.record(&body);
             run.ended(1);
             answer.map(|()| AnswerBody::whole(body))
         }
@@ -126,7 +166,7 @@
             incoming,
             lease,
         } => {
-            let answer = respond(&run, head);
+            let answer = respond(&mut run, head);
             answer.map(|()| {
                 let body = PassedBody::new(run, incoming, lease);
                 AnswerBody::Passed(Box::new(body))
@@ -135,12 +175,15 @@
     }
 }
 
-fn respond(run: &RequestRun, head: Parts) -> Response<()> {
+fn respond(run: &mut RequestRun, head: Parts) -> Response<()> {
     let mut answer = Response::new(());
     *answer.status_mut() = head.status;
     *answer.headers_mut() = head.headers;
     let map = answer.headers_mut();
     headers::remove_hop_by_hop(map);
+    let kind = headers::text(map, header::CONTENT_TYPE.as_str());
+    run.claim
+        .begin_record(head.status, kind.unwrap_or_default());
     let revision = run.spec.caller.snapshot.revision.to_string();
     headers::set(map, HEADER_REVISION, &revision);
     if let Some(attempt) = &run.attempt {
--- a/entry/src/serve/event_body.rs
+++ b/entry/src/serve/event_body.rs
@@ -128,6 +128,7 @@
         loop {
             let polled = match std::mem::replace(&mut self.stage, Stage::Over) {
                 Stage::First(first, source) => {
+                    self.run.claim.record(&first);
                     self.stage = Stage::Live(source);
                     Some(Poll::Ready(Some(Ok(Frame::data(first)))))
                 }
@@ -152,6 +153,7 @@
             Poll::Ready(Ok(Batch::Events(events))) => {
                 self.silence.end();
                 self.run.progressed();
+                self.run.claim.record(&events);
                 self.stage = Stage::Live(source);
                 Some(Poll::Ready(Some(Ok(Frame::data(events)))))
             }
--- a/entry/src/serve/exchange.rs
+++ b/entry/src/serve/exchange.rs
@@ -101,6 +101,8 @@
     },
     /// the replica's answer could not be understood: {0}
     Invalid(String),
+    /// the claim was granted too long ago
+    ClaimLapsed,
     /// the group that gave the beginning of the answer is no longer whole
     GroupGone,
     /// no first byte came in time
@@ -143,6 +145,15 @@
     if Instant::now() >= spec.wishes.deadline {
         return Err(Failure::DeadlinePassed { is_written: false });
     }
+    // A daemon that was paused here for long must not send: the claim may have been
+    // forgotten, and another copy of the request may have run.
+    if spec
+        .claim
+        .get()
+        .is_some_and(|claim| !server.claims.may_start(claim))
+    {
+        return Err(Failure::ClaimLapsed);
+    }
     let (response, lease) = lease.send(spec.request_to(replica, None), sent).await?;
     let status = response.status();
     if did_not_start(&response) {
--- a/entry/src/serve/listener.rs
+++ b/entry/src/serve/listener.rs
@@ -118,7 +118,12 @@
     drop(listener);
     let _ = drain.send(true);
     let limit = Duration::from_millis(callers.drain_timeout_ms);
-    if timeout(limit, open.all_closed()).await.is_err() {
+    let all_done = async {
+        open.all_closed().await;
+        server.detached.all_ended().await;
+        server.claims.all_recorded().await;
+    };
+    if timeout(limit, all_done).await.is_err() {
         let count = open.count.get();
         log::warn!("CB1104 connections cut off at the drain timeout count={count}");
     }
--- a/entry/src/serve/mod.rs
+++ b/entry/src/serve/mod.rs
@@ -10,14 +10,17 @@
 mod attempt;
 mod body;
 mod caller;
+mod claim_desk;
 mod completions;
 mod counters;
+mod detached;
 mod drive;
 mod event_body;
 mod event_source;
 mod exchange;
 mod handler;
 mod headers;
+mod held_claim;
 mod listener;
 mod passed_body;
 mod plain;
@@ -51,6 +54,10 @@
 
 use server::Server;
 
+pub use claim_desk::{
+    ClaimLink,
+    SendClaim, //
+};
 pub use counters::ServeCounters;
 
 /// What the serving thread is given.
@@ -65,6 +72,8 @@
     pub clock: Clock,
     /// What the metrics thread reads.
     pub counters: Arc<ServeCounters>,
+    /// The way to the control daemons.
+    pub claims: ClaimLink,
     /// This run of the process.
     pub boot: BootId,
 }
--- a/entry/src/serve/passed_body.rs
+++ b/entry/src/serve/passed_body.rs
@@ -52,7 +52,12 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match ready!(Pin::new(&mut self.incoming).poll_frame(context)) {
-            Some(Ok(frame)) => Poll::Ready(Some(Ok(frame))),
+            Some(Ok(frame)) => {
+                if let Some(data) = frame.data_ref() {
+                    self.run.claim.record(data);
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
             Some(Err(error)) => {
                 self.lease = None;
                 self.run.broke(false, Failure::Broken(reason(&error)));
--- a/entry/src/serve/replay.rs
+++ b/entry/src/serve/replay.rs
@@ -30,6 +30,11 @@
 
 /// How much of a body is kept; a longer one is sent once only.
 const KEPT_LIMIT_BYTES: usize = 64 * 1024;
+/// How much of a body tells it apart from another one under the same key.
+///
+/// One frame of a caller may be as large as hyper's read buffer, so this stays well
+/// below the limit: the beginning must not push itself out.
+const BEGINNING_BYTES: usize = 16 * 1024;
 
 enum Part {
     Data(Bytes),
@@ -71,6 +76,24 @@
         self.shared.borrow().is_all_kept
     }
 
+    /// Returns the first bytes of the body, the same for every sending of the same body.
+    ///
+    /// # Errors
+    ///
+    /// Returns the body's error if the caller stops sending.
+    pub(super) async fn beginning(&self) -> Result<Vec<u8>, BodyError> {
+        std::future::poll_fn(|context| self.shared.borrow_mut().poll_beginning(context)).await?;
+        let shared = self.shared.borrow();
+        let mut beginning = Vec::new();
+        for part in &shared.kept {
+            if let Part::Data(data) = part {
+                beginning.extend_from_slice(data);
+            }
+        }
+        beginning.truncate(BEGINNING_BYTES);
+        Ok(beginning)
+    }
+
     /// Returns a reader from the beginning; earlier readers must not be read any more.
     pub(super) fn reader(&self) -> ReplayReader {
         ReplayReader {
@@ -87,6 +110,17 @@
 }
 
 impl Shared {
+    /// Reads until the beginning is kept or the body ends.
+    fn poll_beginning(&mut self, context: &mut Context<'_>) -> Poll<Result<(), BodyError>> {
+        while !self.is_ended && self.kept_bytes < BEGINNING_BYTES {
+            match ready!(Pin::new(&mut self.body).poll_frame(context)) {
+                Some(frame) => self.keep(&frame?),
+                None => self.is_ended = true,
+            }
+        }
+        Poll::Ready(Ok(()))
+    }
+
     fn keep(&mut self, frame: &Frame<Bytes>) {
         if let Some(data) = frame.data_ref() {
             self.kept_bytes += data.len();
--- a/entry/src/serve/run.rs
+++ b/entry/src/serve/run.rs
@@ -17,6 +17,7 @@
         RequestEvent,
         RequestState, //
     },
+    claims::ClaimRefusal,
     prelude::*,
     request::{
         Permit,
@@ -39,6 +40,7 @@
     answer::Refusal,
     attempt::Attempt,
     exchange::Failure,
+    held_claim::HeldClaim,
     server::Server,
     spec::Spec, //
 };
@@ -53,6 +55,10 @@
 pub(super) enum Next {
     /// Nothing; the request is where it was.
     Wait,
+    /// Ask for the claim that lets the request run.
+    Claim,
+    /// Answer what the first copy of the request got, or that it runs.
+    AnswerDuplicate,
     /// Connect to the attempt's replica after a delay.
     Connect {
         /// Spreads the retries of requests that failed together.
@@ -85,6 +91,7 @@
     attempts: u32,
     failure: Option<Failure>,
     refusal: Option<Refusal>,
+    pub(super) claim: HeldClaim,
     sent_at: Instant,
     first_token: Duration,
     resumes_without_progress: u32,
@@ -108,6 +115,7 @@
             attempts: 0,
             failure: None,
             refusal: None,
+            claim: HeldClaim::default(),
             sent_at: Instant::now(),
             first_token: Duration::ZERO,
             resumes_without_progress: 0,
@@ -168,12 +176,15 @@
             RequestAction::AnswerNotRun => return Some(Next::AnswerNotRun),
             RequestAction::AnswerOutcomeUnknown => return Some(Next::AnswerOutcomeUnknown),
             RequestAction::AnswerBroken => return Some(Next::AnswerBroken),
-            RequestAction::SendRequest
-            | RequestAction::RequestClaim
-            | RequestAction::ReleaseClaim
-            | RequestAction::KeepClaim
-            | RequestAction::CompleteClaim
-            | RequestAction::AnswerDuplicate => {}
+            RequestAction::RequestClaim => return Some(Next::Claim),
+            RequestAction::AnswerDuplicate => return Some(Next::AnswerDuplicate),
+            RequestAction::ReleaseClaim => self.claim.release(&self.server.claims),
+            RequestAction::KeepClaim => {
+                let id = self.spec.caller.request_id.as_str();
+                self.claim.keep(&self.server.claims, id);
+            }
+            RequestAction::CompleteClaim => self.claim.complete(&self.server.claims),
+            RequestAction::SendRequest => {}
         }
         None
     }
@@ -241,6 +252,7 @@
         );
         let event = match &failure {
             Failure::NothingWritten(_) => RequestEvent::ConnectFailed,
+            Failure::ClaimLapsed => RequestEvent::Refused,
             Failure::NotStarted { .. } => RequestEvent::NotStarted,
             Failure::DeadlinePassed { .. } => RequestEvent::DeadlinePassed,
             Failure::Broken(_)
@@ -250,7 +262,9 @@
         };
         let is_written = !matches!(
             failure,
-            Failure::NothingWritten(_) | Failure::DeadlinePassed { is_written: false }
+            Failure::NothingWritten(_)
+                | Failure::ClaimLapsed
+                | Failure::DeadlinePassed { is_written: false }
         );
         self.failure = Some(failure);
         if is_written {
@@ -319,6 +333,23 @@
         router.record_answer(&self.spec.service, replica, &prefixes, timing, now);
     }
 
+    /// Notes that the claim was not granted.
+    pub(super) fn claim_refused(&mut self, refusal: ClaimRefusal) -> Next {
+        let event = match &refusal {
+            ClaimRefusal::AlreadyCompleted(_)
+            | ClaimRefusal::InProgress { .. }
+            | ClaimRefusal::OutcomeUnknown
+            | ClaimRefusal::KeyReused => RequestEvent::ClaimHeldByOther,
+            ClaimRefusal::Contended { .. } | ClaimRefusal::NoMajority { .. } => {
+                RequestEvent::ClaimUnavailable
+            }
+        };
+        self.server.counters.note_claim_refusal(&refusal);
+        self.refusal = HeldClaim::refusal(&refusal);
+        self.claim.refused(refusal);
+        self.apply(event)
+    }
+
     /// Refuses the request with this error.
     pub(super) fn refuse(&mut self, refusal: Refusal) -> Next {
         self.refusal = Some(refusal);
@@ -369,7 +400,9 @@
 
     fn retry_reason(&self) -> RetryReason {
         match &self.failure {
-            None | Some(Failure::NothingWritten(_)) => RetryReason::ConnectFailed,
+            None | Some(Failure::NothingWritten(_) | Failure::ClaimLapsed) => {
+                RetryReason::ConnectFailed
+            }
             Some(Failure::NotStarted { status }) if *status == StatusCode::CONFLICT => {
                 RetryReason::StaleToken
             }
--- a/entry/src/serve/server.rs
+++ b/entry/src/serve/server.rs
@@ -6,6 +6,7 @@
         RefCell, //
     },
     collections::HashMap,
+    rc::Rc,
     sync::Arc, //
 };
 
@@ -41,7 +42,9 @@
 };
 
 use super::{
+    claim_desk::ClaimDesk,
     counters::ServeCounters,
+    detached::Detached,
     headers,
     upstream::Pool, //
 };
@@ -53,6 +56,8 @@
     pub(super) clock: Clock,
     pub(super) counters: Arc<ServeCounters>,
     pub(super) pool: Pool,
+    pub(super) claims: Rc<ClaimDesk>,
+    pub(super) detached: Rc<Detached>,
     pub(super) draining: Cell<bool>,
     pub(super) router: RefCell<Router>,
     pub(super) own_load: RefCell<OwnLoad>,
@@ -86,12 +91,16 @@
 impl Server {
     pub(super) fn new(setup: super::ServeSetup) -> Self {
         let pool = Pool::new(setup.settings.upstreams.connect_timeout_ms);
+        let daemon = setup.settings.daemon.clone();
+        let claims = ClaimDesk::start(setup.claims, daemon, setup.boot, setup.clock);
         Self {
             settings: setup.settings,
             snapshot: setup.snapshot,
             clock: setup.clock,
             counters: setup.counters,
             pool,
+            claims,
+            detached: Rc::default(),
             draining: Cell::new(false),
             router: RefCell::default(),
             own_load: RefCell::default(),
--- a/entry/src/serve/spec.rs
+++ b/entry/src/serve/spec.rs
@@ -1,6 +1,9 @@
 //! One caller's request, in the form in which it can be sent to a replica, also twice.
 
-use std::time::Duration;
+use std::{
+    cell::Cell,
+    time::Duration, //
+};
 
 use bytes::Bytes;
 use cicadabend::{
@@ -13,6 +16,7 @@
         HEADER_REQUEST_ID,
         HEADER_SESSION, //
     },
+    peer_api::ClaimKey,
     prelude::*,
     request::RequestTraits,
     routing::{
@@ -41,7 +45,10 @@
 
 use super::{
     answer::Refusal,
-    body::RequestBody,
+    body::{
+        BodyError,
+        RequestBody, //
+    },
     caller::Caller,
     headers,
     replay::Replay,
@@ -84,6 +91,8 @@
     pub(super) wishes: Wishes,
     pub(super) traits: RequestTraits,
     pub(super) prompt_tokens: TokenCount,
+    /// The attempt that holds the claim, once it is granted.
+    pub(super) claim: Cell<Option<u64>>,
     head: Parts,
     body: SpecBody,
 }
@@ -137,6 +146,7 @@
             wishes,
             traits,
             prompt_tokens: TokenCount(0),
+            claim: Cell::new(None),
             head,
             body,
         }
@@ -150,6 +160,37 @@
         }
     }
 
+    /// Returns a hash that tells two requests with the same idempotency key apart.
+    ///
+    /// Of a body that passes through, the beginning is read for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the body's error if the caller stops sending.
+    pub(super) async fn fingerprint(&self) -> Result<u64, BodyError> {
+        let mut hash = Sha256::new();
+        hash.update(self.head.method.as_str());
+        hash.update([0]);
+        hash.update(self.head.uri.to_string());
+        hash.update([0]);
+        match &self.body {
+            SpecBody::Whole(body) => hash.update(body),
+            SpecBody::Streamed(replay) => hash.update(replay.beginning().await?),
+        }
+        let digest = hash.finalize();
+        let first = digest.iter().take(size_of::<u64>());
+        Ok(first.fold(0, |sum, byte| (sum << 8) | u64::from(*byte)))
+    }
+
+    /// Returns what the request is claimed by, if it must be.
+    pub(super) fn claim_key(&self) -> Option<ClaimKey> {
+        let key = self.wishes.idempotency_key.clone()?;
+        Some(ClaimKey {
+            team: self.caller.team.clone(),
+            key,
+        })
+    }
+
     /// Returns the request as a replica gets it.
     pub(super) fn request_to(
         &self,
--- a/entry/tests/test_serve/main.rs
+++ b/entry/tests/test_serve/main.rs
@@ -3,6 +3,8 @@
 #[cfg(test)]
 mod support;
 
+#[cfg(test)]
+mod test_at_most_once;
 #[cfg(test)]
 mod test_drain;
 #[cfg(test)]
--- a/entry/tests/test_serve/support/mod.rs
+++ b/entry/tests/test_serve/support/mod.rs
@@ -1,6 +1,7 @@
 //! A serving thread in this process, scripted upstreams and plain socket callers.
 
 mod caller;
+mod claims;
 mod serving;
 mod upstream;
 
@@ -8,6 +9,7 @@
     Answer,
     RawCaller, //
 };
+pub use claims::ClaimVoters;
 pub use serving::{
     API_KEY,
     Fixture,
--- a/entry/tests/test_serve/support/serving.rs
+++ b/entry/tests/test_serve/support/serving.rs
@@ -44,7 +44,10 @@
 };
 use tokio::sync::watch;
 
-use super::RawCaller;
+use super::{
+    ClaimVoters,
+    RawCaller, //
+};
 
 /// The key of the only team.
 pub const API_KEY: &str = "key-of-team-one";
@@ -80,6 +83,16 @@
         engines: &[SocketAddr],
         plain: &[SocketAddr],
         change: impl FnOnce(&mut EntrySettings),
+    ) -> Self {
+        Self::start_with_voters(engines, plain, &ClaimVoters::start(), change)
+    }
+
+    /// Starts with these control daemons.
+    pub fn start_with_voters(
+        engines: &[SocketAddr],
+        plain: &[SocketAddr],
+        voters: &ClaimVoters,
+        change: impl FnOnce(&mut EntrySettings),
     ) -> Self {
         let mut settings = settings();
         change(&mut settings);
@@ -92,6 +105,7 @@
             snapshot: Arc::clone(&snapshot),
             clock: Clock::start(),
             counters: Arc::clone(&counters),
+            claims: voters.link(),
             boot: BootId(7),
         };
         let serving = serve::start(setup, stopped).unwrap();
--- a/lib/src/caller_api.rs
+++ b/lib/src/caller_api.rs
@@ -24,6 +24,8 @@
 pub const HEADER_SERVICE: &str = "x-cicadabend-service";
 /// On answers: which routing policy chose the replica.
 pub const HEADER_POLICY: &str = "x-cicadabend-policy";
+/// On answers: `true` says that this is the answer to an earlier sending of the request.
+pub const HEADER_REPLAYED: &str = "x-cicadabend-replayed";
 /// On answers: which group served.
 pub const HEADER_GROUP: &str = "x-cicadabend-group";
 /// On answers: the revision the request was served by.
