--- /dev/null
+++ b/entry/src/serve/drive.rs
@@ -0,0 +1,205 @@
+//! Drives one request from admission to the head of its answer.
+
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
+
+use cicadabend::{
+    caller_api::{
+        ErrorCode,
+        HEADER_GROUP,
+        HEADER_POLICY,
+        HEADER_REVISION, //
+    },
+    chart::RequestEvent,
+    fleet::RoutingPolicy,
+};
+use http::{
+    Response,
+    header,
+    response::Parts, //
+};
+use tokio::time::{
+    sleep,
+    timeout_at, //
+};
+
+use super::{
+    answer::Refusal,
+    body::AnswerBody,
+    completions::body_refusal,
+    detached,
+    event_body::EventBody,
+    exchange::{
+        Answered,
+        Failure,
+        exchange, //
+    },
+    headers,
+    passed_body::PassedBody,
+    run::{
+        Next,
+        RequestRun, //
+    },
+    server::Server,
+    spec::Spec,
+};
+
+/// Answers a request: the head and body of an answer, or one error.
+///
+/// A claimed request goes on when its caller leaves, so that a resend gets its outcome.
+pub(super) async fn answer(
+    server: &Rc<Server>,
+    spec: Spec,
+) -> Result<Response<AnswerBody>, Refusal> {
+    match spec.traits.needs_claim {
+        true => detached::answer(server, spec).await,
+        false => drive(server, spec).await,
+    }
+}
+
+/// Drives a request to the head of its answer.
+pub(super) async fn drive(
+    server: &Rc<Server>,
+    spec: Spec,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let mut run = RequestRun::new(server, spec)?;
+    let mut next = admit(&mut run);
+    loop {
+        next = match next {
+            Next::Connect { delay } => match attempt(&mut run, delay).await {
+                Ok(answered) => match run.answered() {
+                    Next::Pass => return Ok(pass(run, answered)),
+                    other => other,
+                },
+                Err(failure) => run.fail(failure),
+            },
+            Next::Claim => claim(&mut run).await,
+            Next::NoReplica => refuse_no_replica(&mut run),
+            Next::AnswerDuplicate => return run.claim.first_answer(),
+            _ => return Err(run.refusal()),
+        };
+    }
+}
+
+fn admit(run: &mut RequestRun) -> Next {
+    match run.choose() {
+        true => run.apply(RequestEvent::Admitted),
+        false => refuse_no_replica(run),
+    }
+}
+
+fn refuse_no_replica(run: &mut RequestRun) -> Next {
+    const RETRY_MS: u64 = 1_000;
+    let service = &run.spec.service;
+    let message = format!("No whole replica of {service} can take the request now.");
+    let refusal = Refusal::new(ErrorCode::NotRun, message).retry_after_ms(RETRY_MS);
+    run.refuse(refusal)
+}
+
+/// Asks for the claim, bounded by the request's deadline.
+async fn claim(run: &mut RequestRun) -> Next {
+    let Some(key) = run.spec.claim_key() else {
+        return run.apply(RequestEvent::ClaimUnavailable);
+    };
+    let fingerprint = match run.spec.fingerprint().await {
+        Ok(fingerprint) => fingerprint,
+        Err(error) => return run.refuse(body_refusal(&error)),
+    };
+    let (attempt, verdict) = run.server.claims.begin(key, fingerprint);
+    run.claim.asked(attempt);
+    match timeout_at(run.spec.wishes.deadline, verdict).await {
+        Ok(Ok(Ok(()))) => {
+            run.spec.claim.set(Some(attempt));
+            run.apply(RequestEvent::ClaimGranted)
+        }
+        Ok(Ok(Err(refusal))) => run.claim_refused(refusal),
+        Ok(Err(_)) => run.apply(RequestEvent::ClaimUnavailable),
+        Err(_) => run.fail(Failure::DeadlinePassed { is_written: false }),
+    }
+}
+
+/// Makes one attempt, bounded by the request's deadline.
+async fn attempt(run: &mut RequestRun, delay: Duration) -> Result<Answered, Failure> {
+    let deadline = run.spec.wishes.deadline;
+    if !delay.is_zero() {
+        sleep(delay).await;
+    }
+    let Some(attempt) = &run.attempt else {
+        return Err(Failure::DeadlinePassed { is_written: false });
+    };
+    let sent = Rc::clone(&attempt.sent);
+    let work = exchange(&run.server, &run.spec, attempt.replica(), &sent);
+    match timeout_at(deadline, work).await {
+        Ok(outcome) => outcome,
+        Err(_) => Err(Failure::DeadlinePassed {
+            is_written: sent.seal() > 0,
+        }),
+    }
+}
+
+/// Turns an upstream's answer into the caller's.
+fn pass(mut run: RequestRun, answered: Answered) -> Response<AnswerBody> {
+    match answered {
+        Answered::Events {
+            head,
+            first,
+            source,
+            tracker,
+        } => {
+            let mut answer = respond(&mut run, head);
+            answer.headers_mut().remove(header::CONTENT_LENGTH);
+            answer.map(|()| {
+                let body = EventBody::new(run, first, source, tracker);
+                AnswerBody::Events(Box::new(body))
+            })
+        }
+        Answered::Whole { head, body } => {
+            let answer = respond(&mut run, head);
+            run.claim.record(&body);
+            run.ended(1);
+            answer.map(|()| AnswerBody::whole(body))
+        }
+        Answered::Passed {
+            head,
+            incoming,
+            lease,
+        } => {
+            let answer = respond(&mut run, head);
+            answer.map(|()| {
+                let body = PassedBody::new(run, incoming, lease);
+                AnswerBody::Passed(Box::new(body))
+            })
+        }
+    }
+}
+
+fn respond(run: &mut RequestRun, head: Parts) -> Response<()> {
+    let mut answer = Response::new(());
+    *answer.status_mut() = head.status;
+    *answer.headers_mut() = head.headers;
+    let map = answer.headers_mut();
+    headers::remove_hop_by_hop(map);
+    let kind = headers::text(map, header::CONTENT_TYPE.as_str());
+    run.claim
+        .begin_record(head.status, kind.unwrap_or_default());
+    let revision = run.spec.caller.snapshot.revision.to_string();
+    headers::set(map, HEADER_REVISION, &revision);
+    if let Some(attempt) = &run.attempt {
+        headers::set(map, HEADER_GROUP, &attempt.replica().id.to_string());
+        let policy = policy_name(attempt.choice.policy);
+        headers::set(map, HEADER_POLICY, policy);
+    }
+    answer
+}
+
+fn policy_name(policy: RoutingPolicy) -> &'static str {
+    match policy {
+        RoutingPolicy::RoundRobin => "round_robin",
+        RoutingPolicy::LeastOutstanding => "least_outstanding",
+        RoutingPolicy::PowerOfTwoChoices => "power_of_two_choices",
+        RoutingPolicy::PrefixAffinity => "prefix_affinity",
+        RoutingPolicy::ExpectedLatency => "expected_latency",
+    }
+}
