--- a/control/src/spread/mod.rs
+++ b/control/src/spread/mod.rs
@@ -1,27 +1,32 @@
 //! Sends the accepted configuration to entry daemons and takes in what they report.
+//!
+//! The decisions are in [`cicadabend::fleet::spread`]; this thread carries them out.
 
 use std::{
-    collections::BTreeMap,
     sync::{
         Arc,
-        Mutex,
-        MutexGuard,
-        PoisonError, //
+        atomic::Ordering, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use cicadabend::{
-    fleet::FleetState,
+    fleet::spread::{
+        ControlSpread,
+        Sending,
+        Topology, //
+    },
+    ids::Address,
     peer_api::{
         ConfigBody,
-        ConfigUpdate,
+        ControlHello,
         PeerMessage, //
     },
     prelude::*,
 };
 use cicadabend_daemon::{
     clock::Clock,
+    metrics::Metrics,
     peers::{
         Incoming,
         PeerSender, //
@@ -34,119 +39,185 @@
 };
 
 use crate::{
-    observed::ObservedFleet,
-    replication::ReplicationHandle, //
+    counters::ConfigSent,
+    events::LogEvent,
+    replication::ReplicationHandle,
+    view::SharedView, //
 };
 
-/// How often a change is looked for and a digest sent.
-const DIGEST_INTERVAL_MS: u64 = 300;
-
-/// The revision that each entry daemon last acknowledged; clones share it.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Acknowledged {
-    revisions: Arc<Mutex<BTreeMap<DaemonId, Revision>>>,
-}
-
-impl Acknowledged {
-    /// Returns the last acknowledged revision of each daemon that was heard.
-    pub(crate) fn revisions(&self) -> BTreeMap<DaemonId, Revision> {
-        self.lock().clone()
-    }
-
-    fn raise(&self, daemon: DaemonId, applied: Revision) {
-        // Acknowledgements overtake each other, and a daemon never goes back.
-        let mut revisions = self.lock();
-        let known = revisions.entry(daemon).or_default();
-        *known = applied.max(*known);
-    }
-
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<DaemonId, Revision>> {
-        self.revisions
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-}
+/// How often the log's state is looked at; changes in between go out as one.
+const TICK_MS: u64 = 50;
+/// How often the other control daemons are told that this one lives.
+const HELLO_INTERVAL_MS: u64 = 500;
 
 /// The duty of the `spread` thread.
 pub(crate) struct Spread {
-    /// The log's state.
-    pub(crate) replication: ReplicationHandle,
-    /// To all peers.
-    pub(crate) peers: PeerSender,
-    /// Where reports are kept.
-    pub(crate) observed: ObservedFleet,
-    /// Where acknowledgements are kept.
-    pub(crate) acknowledged: Acknowledged,
-    /// This process's clock.
-    pub(crate) clock: Clock,
-    /// The entry daemons of the settings.
-    pub(crate) entries: Vec<DaemonId>,
+    decisions: ControlSpread,
+    replication: ReplicationHandle,
+    peers: PeerSender,
+    view: SharedView,
+    metrics: Metrics,
+    clock: Clock,
+    in_force: Revision,
+    other_controls: Vec<DaemonId>,
+    operators: Option<Address>,
 }
 
-/// Returns the entry daemons that the settings name.
-pub(crate) fn entry_daemons(settings: &ControlSettings) -> Vec<DaemonId> {
-    let entries = settings
-        .peers
-        .iter()
-        .filter(|peer| peer.role == PeerRole::Entry);
-    entries.map(|peer| peer.daemon.clone()).collect()
+/// Returns the processes that the settings name.
+pub(crate) fn topology(settings: &ControlSettings) -> Topology {
+    let of_role = |role: PeerRole| {
+        let peers = settings.peers.iter().filter(move |peer| peer.role == role);
+        peers.map(|peer| (peer.daemon.clone(), peer.failure_domain.clone()))
+    };
+    let own = (settings.daemon.clone(), settings.failure_domain.clone());
+    Topology {
+        own: settings.daemon.clone(),
+        controls: of_role(PeerRole::Control).chain([own]).collect(),
+        entries: of_role(PeerRole::Entry).collect(),
+    }
 }
 
 impl Spread {
+    /// Makes the duty; it starts with [`Self::run`].
+    pub(crate) fn new(
+        settings: &ControlSettings,
+        replication: ReplicationHandle,
+        peers: PeerSender,
+        view: SharedView,
+        metrics: Metrics,
+        clock: Clock,
+    ) -> Self {
+        let topology = topology(settings);
+        let others = topology.controls.keys();
+        let others = others.filter(|daemon| **daemon != topology.own);
+        let operators = settings.operators.listen;
+        Self {
+            other_controls: others.cloned().collect(),
+            decisions: ControlSpread::new(topology),
+            replication,
+            peers,
+            view,
+            metrics,
+            clock,
+            in_force: Revision::default(),
+            // An operator cannot be sent to a listener on all addresses.
+            operators: (!operators.ip().is_unspecified()).then_some(operators),
+        }
+    }
+
     /// Spreads until the ring of messages is closed.
-    pub(crate) async fn run(self, mut messages: Receiver<Incoming>) {
-        let mut interval = tokio::time::interval(Duration::from_millis(DIGEST_INTERVAL_MS));
-        let mut sent = Revision::default();
+    pub(crate) async fn run(mut self, mut messages: Receiver<Incoming>) {
+        let mut tick = tokio::time::interval(Duration::from_millis(TICK_MS));
+        let mut hello = tokio::time::interval(Duration::from_millis(HELLO_INTERVAL_MS));
         loop {
             tokio::select! {
                 incoming = messages.next() => match incoming {
                     Some(incoming) => self.handle(incoming),
                     None => return,
                 },
-                _ = interval.tick() => sent = self.send_to_all(sent),
+                _ = tick.tick() => self.spread(),
+                _ = hello.tick() => self.say_hello(),
             }
         }
     }
 
-    fn handle(&self, incoming: Incoming) {
+    fn handle(&mut self, incoming: Incoming) {
+        let now = self.clock.now();
+        let from = incoming.from;
         match incoming.message {
-            PeerMessage::ConfigAck(ack) => self.acknowledged.raise(incoming.from, ack.applied),
-            PeerMessage::Report(report) => self.observed.keep(report, self.clock.now()),
+            PeerMessage::ConfigAck(ack) => self.decisions.hear_acknowledgement(&from, ack.applied),
             PeerMessage::ConfigRequest { have } => {
-                let state = self.replication.local();
-                if state.revision() > have {
-                    self.peers.send(&incoming.from, whole(&state));
+                self.take_accepted();
+                if let Some(answer) = self.decisions.answer(&from, have, now) {
+                    self.send(answer);
                 }
             }
+            PeerMessage::Report(report) => {
+                self.decisions.hear_report(&from, report, now);
+                self.view.publish(&self.decisions);
+                self.note_in_force(now);
+            }
+            PeerMessage::ControlHello(hello) => {
+                self.decisions.hear_control(from, hello, now);
+                self.view.publish(&self.decisions);
+            }
+            // The inbox hands over the kinds above only.
             _ => {}
         }
     }
 
-    fn send_to_all(&self, sent: Revision) -> Revision {
+    fn spread(&mut self) {
+        self.take_accepted();
+        for sending in self.decisions.tick(self.clock.now()) {
+            self.send(sending);
+        }
+    }
+
+    fn take_accepted(&mut self) {
         let state = self.replication.local();
-        let message = match state.revision() > sent {
-            true => whole(&state),
-            false => digest(&state),
-        };
-        for entry in &self.entries {
-            self.peers.send(entry, message.clone());
+        let revision = state.revision();
+        if revision > self.decisions.revision() {
+            let config = Arc::new(state.config().clone());
+            self.decisions.accept(revision, config);
+            LogEvent::RevisionSpreading { revision }.emit();
         }
-        state.revision()
     }
-}
 
-fn digest(state: &FleetState) -> PeerMessage {
-    PeerMessage::Config(ConfigUpdate {
-        revision: state.revision(),
-        base: None,
-        body: ConfigBody::Digest,
-    })
-}
+    fn note_in_force(&mut self, now: Timestamp) {
+        let revision = self.decisions.revision();
+        if revision <= self.in_force {
+            return;
+        }
+        let standing = self.decisions.standing(now);
+        if standing.in_force {
+            self.in_force = revision;
+            LogEvent::RevisionInForce {
+                revision,
+                unreachable: standing.unreachable.len(),
+            }
+            .emit();
+        }
+    }
 
-fn whole(state: &FleetState) -> PeerMessage {
-    PeerMessage::Config(ConfigUpdate {
-        revision: state.revision(),
-        base: None,
-        body: ConfigBody::Whole(Box::new(state.config().clone())),
-    })
+    fn send(&self, sending: Sending) {
+        self.metrics.count(match sending.update.body {
+            ConfigBody::Digest => ConfigSent::Digest,
+            ConfigBody::Delta(_) => ConfigSent::Delta,
+            ConfigBody::Whole(_) => ConfigSent::Whole,
+        });
+        let message = PeerMessage::Config(sending.update);
+        self.peers.send(&sending.to, message);
+    }
+
+    /// The sockets count by themselves; their totals are shown as gauges.
+    fn show_traffic(&self) {
+        let counters = self.peers.counters();
+        let shown = [
+            ("peers_sent_messages", &counters.sent_messages),
+            ("peers_sent_bytes", &counters.sent_bytes),
+            ("peers_received_messages", &counters.received_messages),
+            ("peers_received_bytes", &counters.received_bytes),
+            ("peers_dropped_full", &counters.dropped_full),
+            ("peers_dropped_unknown_peer", &counters.dropped_unknown_peer),
+            ("peers_dropped_ring_full", &counters.dropped_ring_full),
+            ("peers_refused_malformed", &counters.refused_malformed),
+            ("peers_refused_version", &counters.refused_version),
+            ("peers_refused_cluster", &counters.refused_cluster),
+        ];
+        for (name, value) in shown {
+            self.metrics.gauge(name, value.load(Ordering::Relaxed));
+        }
+    }
+
+    fn say_hello(&self) {
+        let hello = ControlHello {
+            operators: self.operators,
+            hears: self.decisions.hears(self.clock.now()),
+        };
+        self.show_traffic();
+        for control in &self.other_controls {
+            self.peers
+                .send(control, PeerMessage::ControlHello(hello.clone()));
+        }
+    }
 }
