recovery: compare the policies on five more scripts

Cause: no script had a free VM without weights, a store that feeds only one load, or a fabric domain that goes dark bit by bit, so three rules of the planner were never measured.

--- a/lib/tests/recovery_script/mod.rs
+++ b/lib/tests/recovery_script/mod.rs
@@ -68,6 +68,7 @@
     pub groups: u32,
     pub vms_per_group: u32,
     pub spares: u32,
+    pub concurrent_weight_loads: u32,
     pub faults: Vec<(u64, Fault)>,
     pub end_ms: u64,
 }
@@ -120,7 +121,7 @@
     "cumbaya".parse().unwrap()
 }
 
-pub fn config_of(script: &Script, recovery: RecoverySettings) -> FleetConfig {
+fn config_of(script: &Script, recovery: RecoverySettings) -> FleetConfig {
     let service = ModelService {
         model: "drafting-llm".parse().unwrap(),
         version: "1".to_owned(),
@@ -136,7 +137,10 @@
     };
     FleetConfig {
         services: BTreeMap::from([("drafts".parse().unwrap(), Service::Model(service))]),
-        recovery,
+        recovery: RecoverySettings {
+            concurrent_weight_loads: script.concurrent_weight_loads,
+            ..recovery
+        },
         ..FleetConfig::default()
     }
 }
@@ -457,6 +461,7 @@
         groups: 4,
         vms_per_group: 4,
         spares: 1,
+        concurrent_weight_loads: 4,
         faults: Vec::new(),
         end_ms: 600_000,
     };
@@ -464,6 +469,11 @@
         fabrics: vec![("f1", 8), ("f2", 8), ("f3", 8)],
         ..usual.clone()
     };
+    let no_spare = Script {
+        fabrics: vec![("f1", 10), ("f2", 10)],
+        spares: 0,
+        ..usual.clone()
+    };
     let back = |vm, keeps_weights| Fault::Return { vm, keeps_weights };
     let dark = |keeps_weights| {
         vec![
@@ -543,7 +553,45 @@
                     },
                 ),
             ],
-            ..roomy
+            ..roomy.clone()
+        },
+        Script {
+            name: "paused 12 s, free VM without weights",
+            faults: vec![(10_000, Fault::Lose("f1-0")), (22_000, back("f1-0", true))],
+            ..no_spare.clone()
+        },
+        Script {
+            name: "one lost for good, free VM without weights",
+            faults: vec![(10_000, Fault::Lose("f1-0"))],
+            ..no_spare.clone()
+        },
+        Script {
+            name: "second loss during repair, another free VM",
+            faults: vec![
+                (10_000, Fault::Lose("f1-0")),
+                (30_000, Fault::LoseReplacement),
+            ],
+            ..no_spare.clone()
+        },
+        Script {
+            name: "four groups lose one each, the store feeds one",
+            faults: ["f1-0", "f1-4", "f2-0", "f2-4"]
+                .into_iter()
+                .map(|vm| (10_000, Fault::Lose(vm)))
+                .collect(),
+            concurrent_weight_loads: 1,
+            ..no_spare
+        },
+        Script {
+            name: "fabric domain lost one VM a second, room",
+            faults: [
+                "f1-0", "f1-1", "f1-2", "f1-3", "f1-4", "f1-5", "f1-6", "f1-7",
+            ]
+            .into_iter()
+            .zip(10..)
+            .map(|(vm, second)| (second * 1_000, Fault::Lose(vm)))
+            .collect(),
+            ..roomy.clone()
         },
         Script {
             name: "one VM flaps, spare",
--- a/lib/tests/test_recovery.rs
+++ b/lib/tests/test_recovery.rs
@@ -49,6 +49,7 @@
         groups,
         vms_per_group: 2,
         spares,
+        concurrent_weight_loads: 4,
         faults: Vec::new(),
         end_ms: 0,
     }
@@ -388,13 +389,13 @@
             script: Script {
                 fabrics: vec![("f1", a), ("f2", b), ("f3", c)],
                 vms_per_group,
+                concurrent_weight_loads: weights.2,
                 ..script(Vec::new(), groups, spares)
             },
             settings: RecoverySettings {
                 policy,
                 group_downtime_weight: weights.0,
                 stranded_accelerator_weight: weights.1,
-                concurrent_weight_loads: weights.2,
                 ..RecoverySettings::default()
             },
             may_span,
@@ -563,7 +564,7 @@
         live_through(&mut run, &fleet.events);
 
         let one_group = fleet.script.vms_per_group;
-        let bound = fleet.settings.concurrent_weight_loads.max(one_group);
+        let bound = fleet.script.concurrent_weight_loads.max(one_group);
         prop_assert!(run.outcome.most_loads <= bound, "{} loads", run.outcome.most_loads);
     }
 }
