recovery: give a group back to a fabric domain that was only paused

Cause: a repair that still loads was given up only for VMs of the same fabric domain. A whole domain that came back with its weights stayed idle while its group loaded elsewhere.

Change: restoring also weighs a full set of free VMs that hold the weights in any one fabric domain. A group that serves is still never touched.

--- a/lib/src/domain/recovery/policies.rs
+++ b/lib/src/domain/recovery/policies.rs
@@ -261,30 +261,38 @@
         }
     }
 
-    /// Returns the members with free VMs that hold the weights in the places of those that do not.
+    /// Returns the members that could serve soonest, from the group and free VMs with the weights.
     fn with_holders(&self, group: &GroupNow<'a>) -> Option<Vec<VmId>> {
-        let situation = self.situation;
-        let holds = |vm: &VmId| situation.holds(vm, &group.weights);
-        let kept = group.assignment.members.iter().find(|vm| holds(vm));
-        let home = kept.and_then(|vm| situation.fabric(vm))?;
-        let mut holders = self
-            .free
-            .iter()
-            .filter(|vm| holds(vm) && situation.fabric(vm) == Some(home));
-        let mut changed = false;
-        let members = group.assignment.members.iter().map(|member| {
-            if holds(member) {
-                return member.clone();
-            }
-            match holders.next() {
-                Some(holder) => {
-                    changed = true;
-                    (*holder).clone()
-                }
-                None => member.clone(),
-            }
+        let size = group.assignment.members.len();
+        let free = self.free.iter();
+        let fabrics: BTreeSet<_> = free.filter_map(|vm| self.situation.fabric(vm)).collect();
+        let moved = fabrics.into_iter().filter_map(|fabric| {
+            let holders = self.free_holders(group, fabric);
+            (holders.len() >= size).then(|| holders.into_iter().take(size).cloned().collect())
         });
-        let members: Vec<VmId> = members.collect();
-        changed.then_some(members)
+        let choices = self.filled_with_holders(group).into_iter().chain(moved);
+        choices.min_by_key(|members: &Vec<VmId>| self.situation.ready_in(members, &group.weights).0)
+    }
+
+    /// Puts free VMs with the weights in the places of members that lack them.
+    fn filled_with_holders(&self, group: &GroupNow<'a>) -> Option<Vec<VmId>> {
+        let members = &group.assignment.members;
+        let holds = |vm: &VmId| self.situation.holds(vm, &group.weights);
+        let kept = members.iter().find(|vm| holds(vm))?;
+        let home = self.situation.fabric(kept)?;
+        let mut holders = self.free_holders(group, home).into_iter();
+        let place = |vm: &VmId| match holds(vm) {
+            true => vm.clone(),
+            false => holders.next().unwrap_or(vm).clone(),
+        };
+        let filled: Vec<VmId> = members.iter().map(place).collect();
+        (filled != *members).then_some(filled)
+    }
+
+    fn free_holders(&self, group: &GroupNow<'a>, fabric: &FabricDomain) -> Vec<&'a VmId> {
+        let free = self.free.iter().copied();
+        free.filter(|vm| self.situation.fabric(vm) == Some(fabric))
+            .filter(|vm| self.situation.holds(vm, &group.weights))
+            .collect()
     }
 }
--- a/lib/tests/test_recovery.rs
+++ b/lib/tests/test_recovery.rs
@@ -223,6 +223,24 @@
     assert!(group_of(&run, "f1-0").is_some());
 }
 
+#[test]
+fn a_fabric_domain_that_was_only_paused_takes_its_group_back_before_it_is_rebuilt() {
+    // A whole fabric domain is silent for longer than the lease, and the rebuilt group
+    // still loads when it is back with its weights. The callers' wait ends at once.
+    let mut run = run(&script(vec![("f1", 2), ("f2", 2)], 1, 0));
+
+    run.suffer(&Fault::LoseFabric("f1"));
+    pass(&mut run, 10_000);
+    run.suffer(&Fault::ReturnFabric {
+        fabric: "f1",
+        keeps_weights: true,
+    });
+    pass(&mut run, 4_000);
+
+    assert_eq!(kinds(&run), [RepairKind::Rebuild, RepairKind::Restore]);
+    assert_eq!(run.serving().len(), 1);
+}
+
 #[test]
 fn a_lost_vm_that_returns_after_the_repair_becomes_a_spare() {
     let mut run = run(&script(vec![("f1", 3)], 1, 1));
