agreement: add the replicated log's decisions as a pure state machine

Cause: what operators decide must be kept by a majority of control daemons, must not revert, and must survive leaders that are paused, cut off or lose their disk.

A voter is a daemon and a disk number, so a lost disk is another voter.

Entries are applied only after this disk has recorded that they are committed: otherwise a restarted process could show an older state than it had shown. The price is a second sync before a change is answered; it is batched with others.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`upstream_api`], [`peer_api`], [`operator_api`], [`caller_api`]: the messages
 //!   between processes.
 
+pub mod agreement;
 pub mod caller_api;
 pub mod chart;
 pub mod domain;
--- /dev/null
+++ b/lib/tests/test_agreement/cluster/checker.rs
@@ -0,0 +1,250 @@
+//! What must hold after every event.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet,
+    HashMap, //
+};
+
+use cicadabend::{
+    agreement::{
+        Entry,
+        EntryBody,
+        LogIndex,
+        Node,
+        ProposalFailure,
+        ProposalId,
+        ReadId,
+        Recovered,
+        RoleName,
+        Snapshot,
+        Status,
+        Term, //
+    },
+    fleet::Voter, //
+};
+
+use super::{
+    SimNode,
+    Violation, //
+};
+
+/// What has been seen so far, to compare later events with.
+#[derive(Default)]
+pub struct Checker {
+    leaders: BTreeMap<Term, Voter>,
+    committed: BTreeMap<LogIndex, Entry>,
+    /// Every entry of any log, with the term of the entry before it.
+    seen: HashMap<(LogIndex, Term), (Entry, Option<Term>)>,
+    /// The highest entry that each voter's state machine has shown.
+    shown: BTreeMap<Voter, LogIndex>,
+    /// Commands whose proposers were told that they never happen.
+    denied: BTreeSet<u64>,
+    highest_shown: LogIndex,
+    /// What was shown anywhere when a read began.
+    reads: BTreeMap<ReadId, LogIndex>,
+}
+
+fn command_of(entry: &Entry) -> Option<u64> {
+    match &entry.body {
+        EntryBody::Command(bytes) => Some(u64::from_le_bytes(bytes[..].try_into().unwrap())),
+        _ => None,
+    }
+}
+
+fn require(holds: bool, otherwise: impl FnOnce() -> Violation) -> Result<(), Violation> {
+    if holds { Ok(()) } else { Err(otherwise()) }
+}
+
+impl Checker {
+    /// Checks a node after an event.
+    pub fn check_node(
+        &mut self,
+        nodes: &[SimNode],
+        lost_disks: &BTreeMap<Voter, Recovered>,
+        at: usize,
+    ) -> Result<(), Violation> {
+        let Some(node) = &nodes[at].node else {
+            return Ok(());
+        };
+        let status = node.status();
+        self.check_log(node, &status)?;
+        self.check_leader(node, &status)?;
+        self.check_commit(nodes, lost_disks, node, &status)
+    }
+
+    /// Equal places and terms mean equal entries, and equal logs before them.
+    fn check_log(&mut self, node: &Node, status: &Status) -> Result<(), Violation> {
+        let mut index = status.last;
+        while let Some(entry) = node.entry(index) {
+            let before = node.entry(index.previous()).map(|entry| entry.term);
+            let key = (index, entry.term);
+            let (seen, seen_before) = self
+                .seen
+                .entry(key)
+                .or_insert_with(|| (entry.clone(), before));
+            require(seen == entry, || format!("two entries at {key:?}"))?;
+            if let (Some(one), Some(other)) = (&seen_before, before) {
+                require(*one == other, || format!("different logs before {key:?}"))?;
+            }
+            *seen_before = seen_before.or(before);
+            index = index.previous();
+        }
+        Ok(())
+    }
+
+    /// One leader a term, and it has all that was committed before.
+    fn check_leader(&mut self, node: &Node, status: &Status) -> Result<(), Violation> {
+        if status.role != RoleName::Leader {
+            return Ok(());
+        }
+        let known = self.leaders.get(&status.term);
+        if let Some(leader) = known {
+            return require(*leader == status.voter, || {
+                let term = status.term;
+                format!("{leader:?} and {:?} lead in term {term}", status.voter)
+            });
+        }
+        self.leaders.insert(status.term, status.voter.clone());
+        for (index, entry) in &self.committed {
+            let lacks = *index > status.last;
+            let differs = node.entry(*index).is_some_and(|own| own != entry);
+            require(!lacks && !differs, || {
+                format!("the leader of term {} lacks committed {index}", status.term)
+            })?;
+        }
+        Ok(())
+    }
+
+    /// What is committed stays, and the disks of a majority have it.
+    fn check_commit(
+        &mut self,
+        nodes: &[SimNode],
+        lost_disks: &BTreeMap<Voter, Recovered>,
+        node: &Node,
+        status: &Status,
+    ) -> Result<(), Violation> {
+        let mut index = status.commit;
+        while let Some(entry) = node.entry(index) {
+            if let Some(committed) = self.committed.get(&index) {
+                require(committed == entry, || format!("committed {index} changed"))?;
+            } else {
+                if status.role == RoleName::Leader {
+                    check_disks(nodes, lost_disks, status, entry)?;
+                }
+                self.commit(entry)?;
+            }
+            index = index.previous();
+        }
+        Ok(())
+    }
+
+    fn commit(&mut self, entry: &Entry) -> Result<(), Violation> {
+        let command = command_of(entry);
+        let was_denied = command.is_some_and(|command| self.denied.contains(&command));
+        require(!was_denied, || {
+            format!("{command:?} was committed after its proposer heard that it never will")
+        })?;
+        self.committed.insert(entry.index, entry.clone());
+        Ok(())
+    }
+
+    pub fn check_apply(&mut self, sim: &SimNode, entry: &Entry) -> Result<(), Violation> {
+        let index = entry.index;
+        require(index == sim.applied.next(), || {
+            format!("{:?} applies {index} after {}", sim.voter, sim.applied)
+        })?;
+        // The check of the commit itself follows after the event.
+        if let Some(committed) = self.committed.get(&index) {
+            require(committed == entry, || {
+                format!("applied {index} is not what was committed")
+            })?;
+        }
+        self.show(sim, index);
+        Ok(())
+    }
+
+    pub fn check_restore(&mut self, sim: &SimNode, snapshot: &Snapshot) -> Result<(), Violation> {
+        let index = snapshot.index;
+        require(snapshot.data == index.0.to_le_bytes(), || {
+            format!("the snapshot of {index} holds another state")
+        })?;
+        require(index > sim.applied, || {
+            format!("{:?} goes back to {index}", sim.voter)
+        })?;
+        let committed = self.committed.get(&index).map(|entry| entry.term);
+        require(committed == Some(snapshot.term), || {
+            format!("the snapshot of {index} is not what was committed")
+        })?;
+        self.show(sim, index);
+        Ok(())
+    }
+
+    fn show(&mut self, sim: &SimNode, index: LogIndex) {
+        let shown = self.shown.entry(sim.voter.clone()).or_default();
+        *shown = index.max(*shown);
+        self.highest_shown = self.highest_shown.max(index);
+    }
+
+    /// A restarted process shows at least what it had shown.
+    pub fn check_restart(&self, sim: &SimNode) -> Result<(), Violation> {
+        let shown = self.shown.get(&sim.voter).copied().unwrap_or_default();
+        require(sim.applied >= shown, || {
+            format!(
+                "{:?} shows {} after it had shown {shown}",
+                sim.voter, sim.applied
+            )
+        })
+    }
+
+    pub fn check_failure(
+        &mut self,
+        id: ProposalId,
+        reason: &ProposalFailure,
+    ) -> Result<(), Violation> {
+        if *reason == ProposalFailure::Unknown {
+            return Ok(());
+        }
+        self.denied.insert(id.0);
+        let mut committed = self.committed.values();
+        let happened = committed.any(|entry| command_of(entry) == Some(id.0));
+        require(!happened, || {
+            format!("{id:?} is committed, its proposer hears {reason:?}")
+        })
+    }
+
+    pub fn read_begins(&mut self, id: ReadId) {
+        self.reads.insert(id, self.highest_shown);
+    }
+
+    /// A read shows all that anyone had been shown before it began.
+    pub fn check_read(&self, sim: &SimNode, id: ReadId) -> Result<(), Violation> {
+        let needed = self.reads[&id];
+        require(sim.applied >= needed, || {
+            format!(
+                "{:?} reads {} although {needed} was shown",
+                sim.voter, sim.applied
+            )
+        })
+    }
+}
+
+fn check_disks(
+    nodes: &[SimNode],
+    lost_disks: &BTreeMap<Voter, Recovered>,
+    status: &Status,
+    entry: &Entry,
+) -> Result<(), Violation> {
+    let on_disk = |voter: &Voter| {
+        let mut nodes = nodes.iter();
+        let sim = nodes.find(|sim| sim.voter == *voter);
+        let disk = sim.map(|sim| &sim.disk.synced);
+        disk.or(lost_disks.get(voter)).is_some_and(|stored| {
+            stored.snapshot.index >= entry.index || stored.entries.contains(entry)
+        })
+    };
+    require(status.voters.has_majority(on_disk), || {
+        let index = entry.index;
+        format!("{index} is committed without being on a majority's disks")
+    })
+}
--- /dev/null
+++ b/lib/tests/test_agreement/main.rs
@@ -0,0 +1,10 @@
+//! The agreement among simulated nodes: named situations and random schedules.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "a fixture that fails should end its test"
+)]
+
+mod cluster;
+mod random;
+mod situations;
