--- /dev/null
+++ b/control/src/operators/requests.rs
@@ -0,0 +1,174 @@
+//! Answers one request of an operator.
+
+use std::sync::Arc;
+
+use cicadabend::{
+    fleet::{
+        FleetAnswer,
+        FleetCommand,
+        FleetState,
+        progress::progress,
+        standing::standing, //
+    },
+    operator_api::{
+        AcceptedConfig,
+        FleetStatus,
+        HistoryEntry,
+        PATH_CONFIG,
+        PATH_CONFIRM,
+        PATH_HISTORY,
+        PATH_PLANS,
+        PATH_POLICIES,
+        PATH_PROGRESS,
+        PATH_STATUS,
+        PlanProgress,
+        PolicyFigures, //
+    },
+};
+use http::{
+    Method,
+    Request,
+    StatusCode,
+    header, //
+};
+use hyper::body::Incoming;
+use serde::de::DeserializeOwned;
+
+use super::{
+    Operators,
+    body::{
+        self,
+        Answer,
+        json, //
+    },
+    refusal::Refusal, //
+};
+use crate::{
+    events::LogEvent,
+    replication::ReplicationError, //
+};
+
+impl Operators {
+    /// Answers one request; every failure is an answer too.
+    pub(super) async fn answer(&self, request: Request<Incoming>) -> Answer {
+        let method = request.method().clone();
+        let path = request.uri().path().to_owned();
+        let operator = self.authenticate(&request);
+        let outcome = match &operator {
+            Some(operator) => self.dispatch(operator, &method, &path, request).await,
+            None => Err(Refusal::unauthorized()),
+        };
+        outcome.unwrap_or_else(|refusal| {
+            LogEvent::RequestRefused {
+                operator: operator.unwrap_or_else(|| "unknown".to_owned()),
+                method,
+                path,
+                status: refusal.status().as_u16(),
+                reason: refusal.error.to_string(),
+            }
+            .emit();
+            self.refuse(&refusal)
+        })
+    }
+
+    /// Counts a refusal and returns it as an answer.
+    pub(super) fn refuse(&self, refusal: &Refusal) -> Answer {
+        self.metrics.count(refusal.reason);
+        json(refusal.status(), &refusal.error)
+    }
+
+    async fn dispatch(
+        &self,
+        operator: &str,
+        method: &Method,
+        path: &str,
+        request: Request<Incoming>,
+    ) -> Result<Answer, Refusal> {
+        match (method, path) {
+            (&Method::POST, PATH_PLANS) => {
+                let plan = self.plan(operator, self.body(request).await?).await?;
+                Ok(json(StatusCode::OK, &plan))
+            }
+            (&Method::POST, PATH_CONFIRM) => {
+                let reply = self.confirm(operator, self.body(request).await?).await?;
+                Ok(json(StatusCode::OK, &reply))
+            }
+            (&Method::GET, PATH_STATUS) => Ok(json(StatusCode::OK, &self.status().await?)),
+            (&Method::GET, PATH_HISTORY) => Ok(json(StatusCode::OK, &self.history().await?)),
+            (&Method::GET, PATH_CONFIG) => Ok(json(StatusCode::OK, &self.config().await?)),
+            (&Method::GET, PATH_PROGRESS) => Ok(json(StatusCode::OK, &self.progress().await?)),
+            (&Method::GET, PATH_POLICIES) => Ok(json(StatusCode::OK, &Vec::<PolicyFigures>::new())),
+            (method, path) => Err(Refusal::not_found(method, path)),
+        }
+    }
+
+    fn authenticate(&self, request: &Request<Incoming>) -> Option<String> {
+        let header = request.headers().get(header::AUTHORIZATION);
+        let header = header.and_then(|value| value.to_str().ok());
+        self.tokens.operator(header).map(str::to_owned)
+    }
+
+    async fn body<T: DeserializeOwned>(&self, request: Request<Incoming>) -> Result<T, Refusal> {
+        body::read(request, self.settings.operators.max_request_bytes.0).await
+    }
+
+    /// Returns a state that holds every command acknowledged before the call.
+    pub(super) async fn read(&self) -> Result<Arc<FleetState>, Refusal> {
+        let state = self.replication.read().await;
+        state.map_err(|error| self.refusal(error))
+    }
+
+    /// Gives a command to the log and returns what applying it gave.
+    pub(super) async fn propose(&self, command: FleetCommand) -> Result<FleetAnswer, Refusal> {
+        let answer = self.replication.propose(command).await;
+        answer.map_err(|error| self.refusal(error))
+    }
+
+    fn refusal(&self, error: ReplicationError) -> Refusal {
+        if let ReplicationError::Storage(reason) = &error {
+            let reason = reason.clone();
+            LogEvent::LogUnavailable { reason }.emit();
+        }
+        Refusal::replication(error, &self.view.load().operator_addresses)
+    }
+
+    async fn status(&self) -> Result<FleetStatus, Refusal> {
+        let state = self.read().await?;
+        let view = self.view.load();
+        let now = self.clock.now();
+        let entries = &self.topology.entries;
+        let standing = standing(entries, &view.reports, state.revision(), now);
+        let replication = self.replication.status();
+        let own = || self.settings.daemon.clone();
+        Ok(FleetStatus {
+            leader: replication.leader.unwrap_or_else(own),
+            term: replication.term,
+            revision: state.revision(),
+            in_force: standing.in_force,
+            lagging: standing.lagging,
+            unreachable: standing.unreachable,
+            domains: view.domains(now),
+        })
+    }
+
+    async fn progress(&self) -> Result<Option<PlanProgress>, Refusal> {
+        let state = self.read().await?;
+        let view = self.view.load();
+        let entries = &self.topology.entries;
+        let now = self.clock.now();
+        let standing = standing(entries, &view.reports, state.revision(), now);
+        Ok(progress(&state, &standing, &view.domain_reports()))
+    }
+
+    async fn history(&self) -> Result<Vec<HistoryEntry>, Refusal> {
+        Ok(self.read().await?.history().cloned().collect())
+    }
+
+    async fn config(&self) -> Result<AcceptedConfig, Refusal> {
+        let state = self.read().await?;
+        Ok(AcceptedConfig {
+            revision: state.revision(),
+            config: state.config().clone(),
+        })
+    }
+}
--- /dev/null
+++ b/entry/src/process.rs
@@ -0,0 +1,189 @@
+//! Starts the daemon's threads and stops them in order.
+
+use std::{
+    hash::{
+        BuildHasher,
+        RandomState, //
+    },
+    io,
+    net::TcpListener,
+    sync::Arc, //
+};
+
+use arc_swap::ArcSwap;
+use cicadabend::{
+    chart::{
+        self,
+        ChartError, //
+    },
+    ids::Address,
+    peer_api::{
+        ClaimReply,
+        PeerMessage, //
+    },
+    prelude::*,
+    routing::RoutingSnapshot, //
+};
+use cicadabend_daemon::{
+    peers::{
+        Incoming,
+        PeerError,
+        PeerIdentity,
+        PeerSender,
+        Peers, //
+    },
+    program::{
+        self,
+        Process, //
+    },
+    ring,
+    settings::{
+        EntrySettings,
+        PeerRole, //
+    },
+    stop::StopSignal,
+};
+use displaydoc::Display;
+use thiserror::Error;
+use tokio::sync::watch;
+
+use crate::{
+    domain::{
+        self,
+        DomainContext,
+        DomainError, //
+    },
+    serve::{
+        self,
+        ClaimLink, //
+    },
+};
+
+/// How many messages from peers wait for the domain thread; senders repeat what is dropped.
+const PEER_INBOX_CAPACITY: usize = 4_096;
+/// How many answers about claims wait for the serving thread; it asks again for what is dropped.
+const CLAIM_REPLY_CAPACITY: usize = 4_096;
+
+/// Why the daemon cannot run.
+#[derive(Debug, Display, Error)]
+pub enum ProcessError {
+    /// cannot listen for callers on {address}: {source}
+    Listen {
+        /// Where.
+        address: Address,
+        /// What the operating system says.
+        source: io::Error,
+    },
+    /// cannot run a thread: {0}
+    Thread(#[from] io::Error),
+    /// {0}
+    Chart(#[from] ChartError),
+    /// cannot talk to peers: {0}
+    Peers(#[from] PeerError),
+    /// cannot coordinate the failure domain: {0}
+    Domain(#[from] DomainError),
+}
+
+/// Runs the daemon until it is asked to stop and everything has ended.
+///
+/// # Errors
+///
+/// Returns [`ProcessError`] if a state chart is faulty, a listener or a thread
+/// cannot be set up, or a thread panicked.
+pub fn run(settings: EntrySettings, process: Process) -> Result<(), ProcessError> {
+    chart::validate_all_charts()?;
+    let address = settings.callers.listen;
+    let listener =
+        TcpListener::bind(address).map_err(|source| ProcessError::Listen { address, source })?;
+    let snapshot = Arc::new(ArcSwap::from_pointee(RoutingSnapshot::default()));
+    let clock = process.clock;
+    let boot = draw_boot();
+    let (peers, inbox) = start_peers(&settings, boot)?;
+    let (claim_replies, replies) = ring::bounded("claim-replies", CLAIM_REPLY_CAPACITY);
+    let context = DomainContext {
+        claim_replies: Some(claim_replies),
+        ..DomainContext::default()
+    };
+    let claims = claim_link(&settings, peers.sender(), replies);
+    let (stop_domain, domain_stopped) = watch::channel(false);
+    let domain = domain::start(
+        &settings,
+        peers.sender(),
+        inbox,
+        Arc::clone(&snapshot),
+        clock,
+        domain_stopped,
+        context,
+    )?;
+    let (stop, stopped) = watch::channel(false);
+    let setup = serve::ServeSetup {
+        settings,
+        listener,
+        snapshot,
+        clock,
+        counters: Arc::default(),
+        claims,
+        boot,
+    };
+    let serving = serve::start(setup, stopped)?;
+    wait_for_stop(process.stop)?;
+    // The receivers are gone only if the thread has ended already.
+    let _ = stop.send(true);
+    program::join(serving.thread)?;
+    // The domain is coordinated until the last request has ended: its lease and its
+    // view of upstreams are what running requests depend on.
+    let _ = stop_domain.send(true);
+    for thread in domain.threads {
+        program::join(thread)?;
+    }
+    drop(peers);
+    Ok(())
+}
+
+fn start_peers(
+    settings: &EntrySettings,
+    boot: BootId,
+) -> Result<(Peers, ring::Receiver<Incoming>), ProcessError> {
+    let (inbox_sender, inbox) = ring::bounded("peer-inbox", PEER_INBOX_CAPACITY);
+    let identity = PeerIdentity {
+        cluster: settings.cluster.clone(),
+        daemon: settings.daemon.clone(),
+        boot,
+    };
+    let peers = Peers::start(
+        settings.peer_listen,
+        identity,
+        &settings.peers,
+        inbox_sender,
+    )?;
+    Ok((peers, inbox))
+}
+
+/// Returns the serving thread's way to the control daemons.
+fn claim_link(
+    settings: &EntrySettings,
+    peers: PeerSender,
+    replies: ring::Receiver<ClaimReply>,
+) -> ClaimLink {
+    let control = settings
+        .peers
+        .iter()
+        .filter(|peer| peer.role == PeerRole::Control);
+    ClaimLink {
+        send: Box::new(move |to, request| peers.send(to, PeerMessage::Claim(request))),
+        replies,
+        control_daemons: control.map(|peer| peer.daemon.clone()).collect(),
+    }
+}
+
+/// Draws the number that tells this run from others.
+fn draw_boot() -> BootId {
+    // Each `RandomState` is keyed from the system's random source.
+    BootId(RandomState::new().hash_one(std::process::id()))
+}
+
+fn wait_for_stop(mut stop: StopSignal) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().build()?;
+    runtime.block_on(stop.requested());
+    Ok(())
+}
--- /dev/null
+++ b/entry/src/serve/mod.rs
@@ -0,0 +1,113 @@
+//! The thread that answers callers.
+//!
+//! - `listener`: accepts connections and drains them.
+//! - `handler`: from one HTTP request to one answer.
+//! - `completions` and `plain`: the two kinds of services.
+//! - `upstream`: connections to upstreams, whose written bytes are counted.
+//! - `answer`: bodies of answers, and errors in their one form.
+
+mod answer;
+mod attempt;
+mod body;
+mod caller;
+mod claim_desk;
+mod completions;
+mod counters;
+mod detached;
+mod drive;
+mod event_body;
+mod event_source;
+mod exchange;
+mod handler;
+mod headers;
+mod held_claim;
+mod listener;
+mod passed_body;
+mod plain;
+mod replay;
+mod resume;
+mod run;
+mod server;
+mod spec;
+mod upstream;
+
+use std::{
+    io,
+    net::TcpListener,
+    rc::Rc,
+    sync::Arc,
+    thread::JoinHandle, //
+};
+
+use arc_swap::ArcSwap;
+use cicadabend::{
+    ids::Address,
+    prelude::*,
+    routing::RoutingSnapshot, //
+};
+use cicadabend_daemon::{
+    clock::Clock,
+    duty,
+    settings::EntrySettings, //
+};
+use tokio::sync::watch;
+
+use server::Server;
+
+pub use claim_desk::{
+    ClaimLink,
+    SendClaim, //
+};
+pub use counters::ServeCounters;
+
+/// What the serving thread is given.
+pub struct ServeSetup {
+    /// The daemon's settings.
+    pub settings: EntrySettings,
+    /// Where callers connect.
+    pub listener: TcpListener,
+    /// What requests are served by; the domain thread replaces it.
+    pub snapshot: Arc<ArcSwap<RoutingSnapshot>>,
+    /// The process's clock.
+    pub clock: Clock,
+    /// What the metrics thread reads.
+    pub counters: Arc<ServeCounters>,
+    /// The way to the control daemons.
+    pub claims: ClaimLink,
+    /// This run of the process.
+    pub boot: BootId,
+}
+
+/// The serving thread.
+pub struct Serving {
+    /// Where callers connect.
+    pub address: Address,
+    /// Ends when the daemon has drained.
+    pub thread: JoinHandle<()>,
+}
+
+/// Starts the serving thread; it drains and ends once `stopped` turns true.
+///
+/// # Errors
+///
+/// Returns the operating system's error if the listener or the thread cannot be set up.
+pub fn start(setup: ServeSetup, stopped: watch::Receiver<bool>) -> io::Result<Serving> {
+    let address = setup.listener.local_addr()?;
+    setup.listener.set_nonblocking(true)?;
+    let thread = duty::spawn("serve", move || serve(setup, address, stopped))?;
+    Ok(Serving { address, thread })
+}
+
+async fn serve(setup: ServeSetup, address: Address, stopped: watch::Receiver<bool>) {
+    let listener = match setup.listener.try_clone() {
+        Ok(listener) => tokio::net::TcpListener::from_std(listener),
+        Err(error) => Err(error),
+    };
+    match listener {
+        Ok(listener) => {
+            log::info!("CB1101 serving callers address={address}");
+            listener::run(listener, Rc::new(Server::new(setup)), stopped).await;
+        }
+        Err(error) => log::error!("CB1100 cannot serve callers: {error}"),
+    }
+}
--- /dev/null
+++ b/entry/src/serve/server.rs
@@ -0,0 +1,143 @@
+//! What all requests of the serving thread share.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::HashMap,
+    rc::Rc,
+    sync::Arc, //
+};
+
+use arc_swap::ArcSwap;
+use cicadabend::{
+    admission::{
+        Backoff,
+        RetryBudget, //
+    },
+    fleet::{
+        FleetConfig,
+        Team, //
+    },
+    prelude::*,
+    routing::{
+        OwnLoad,
+        Router,
+        RoutingSnapshot, //
+    },
+};
+use cicadabend_daemon::{
+    clock::Clock,
+    settings::EntrySettings, //
+};
+use rand::{
+    RngCore,
+    SeedableRng,
+    rngs::SmallRng, //
+};
+use sha2::{
+    Digest,
+    Sha256, //
+};
+
+use super::{
+    claim_desk::ClaimDesk,
+    counters::ServeCounters,
+    detached::Detached,
+    headers,
+    upstream::Pool, //
+};
+
+/// The serving thread's state; it never leaves the thread.
+pub(super) struct Server {
+    pub(super) settings: EntrySettings,
+    pub(super) snapshot: Arc<ArcSwap<RoutingSnapshot>>,
+    pub(super) clock: Clock,
+    pub(super) counters: Arc<ServeCounters>,
+    pub(super) pool: Pool,
+    pub(super) claims: Rc<ClaimDesk>,
+    pub(super) detached: Rc<Detached>,
+    pub(super) draining: Cell<bool>,
+    pub(super) router: RefCell<Router>,
+    pub(super) own_load: RefCell<OwnLoad>,
+    pub(super) retry_budget: RefCell<RetryBudget>,
+    pub(super) backoff: Backoff,
+    random: RefCell<SmallRng>,
+    request_count: Cell<u64>,
+    boot: BootId,
+    teams: RefCell<TeamIndex>,
+}
+
+/// Teams by the hash of their key, for one configuration.
+#[derive(Default)]
+struct TeamIndex {
+    config: Arc<FleetConfig>,
+    by_key_sha256: HashMap<String, TeamName>,
+}
+
+impl TeamIndex {
+    fn of(config: &Arc<FleetConfig>) -> Self {
+        let entry = |(name, team): (&TeamName, &Team)| {
+            (team.api_key_sha256.to_ascii_lowercase(), name.clone())
+        };
+        Self {
+            config: Arc::clone(config),
+            by_key_sha256: config.teams.iter().map(entry).collect(),
+        }
+    }
+}
+
+impl Server {
+    pub(super) fn new(setup: super::ServeSetup) -> Self {
+        let pool = Pool::new(setup.settings.upstreams.connect_timeout_ms);
+        let daemon = setup.settings.daemon.clone();
+        let claims = ClaimDesk::start(setup.claims, daemon, setup.boot, setup.clock);
+        Self {
+            settings: setup.settings,
+            snapshot: setup.snapshot,
+            clock: setup.clock,
+            counters: setup.counters,
+            pool,
+            claims,
+            detached: Rc::default(),
+            draining: Cell::new(false),
+            router: RefCell::default(),
+            own_load: RefCell::default(),
+            retry_budget: RefCell::default(),
+            backoff: Backoff::default(),
+            random: RefCell::new(SmallRng::seed_from_u64(setup.boot.0)),
+            request_count: Cell::new(0),
+            boot: setup.boot,
+            teams: RefCell::default(),
+        }
+    }
+
+    /// Returns whether the balancer should send callers here.
+    pub(super) fn is_ready(&self) -> bool {
+        !self.draining.get() && self.snapshot.load().ready
+    }
+
+    /// Draws an evenly spread number.
+    pub(super) fn random(&self) -> u64 {
+        self.random.borrow_mut().next_u64()
+    }
+
+    /// Makes an id for a request that came without one.
+    pub(super) fn new_request_id(&self) -> Option<RequestId> {
+        let number = self.request_count.get() + 1;
+        self.request_count.set(number);
+        let daemon = &self.settings.daemon;
+        format!("{daemon}-{:x}-{number}", self.boot.0).parse().ok()
+    }
+
+    /// Returns the team that an API key belongs to.
+    pub(super) fn team_of_key(&self, config: &Arc<FleetConfig>, key: &str) -> Option<TeamName> {
+        let hash = headers::hex(&Sha256::digest(key.as_bytes()));
+        let mut teams = self.teams.borrow_mut();
+        if !Arc::ptr_eq(&teams.config, config) {
+            *teams = TeamIndex::of(config);
+        }
+        teams.by_key_sha256.get(&hash).cloned()
+    }
+}
