--- a/control/src/inbox.rs
+++ b/control/src/inbox.rs
@@ -16,7 +16,7 @@
 pub(crate) struct Destinations {
     /// Messages of the agreement.
     pub(crate) agreement: Sender<Incoming>,
-    /// Reports, acknowledgements and requests for the configuration.
+    /// Reports, acknowledgements, figures and requests for the configuration.
     pub(crate) spread: Sender<Incoming>,
     /// Counters.
     pub(crate) metrics: Metrics,
@@ -42,6 +42,7 @@
             PeerMessage::ConfigAck(_)
             | PeerMessage::ConfigRequest { .. }
             | PeerMessage::Report(_)
+            | PeerMessage::Figures(_)
             | PeerMessage::ControlHello(_) => {
                 let pushed = self.spread.push(incoming);
                 pushed.map_err(|_| InboxDrop::SpreadRingFull)
@@ -53,7 +54,6 @@
             | PeerMessage::Relay(_)
             | PeerMessage::Claim(_)
             | PeerMessage::ClaimReply(_)
-            | PeerMessage::Figures(_)
             | PeerMessage::TeamShares(_)
             | PeerMessage::TeamDemand(_) => Err(InboxDrop::NotForControl),
         }
--- a/control/src/operators/requests.rs
+++ b/control/src/operators/requests.rs
@@ -21,8 +21,7 @@
         PATH_POLICIES,
         PATH_PROGRESS,
         PATH_STATUS,
-        PlanProgress,
-        PolicyFigures, //
+        PlanProgress, //
     },
 };
 use http::{
@@ -97,7 +96,7 @@
             (&Method::GET, PATH_HISTORY) => Ok(json(StatusCode::OK, &self.history().await?)),
             (&Method::GET, PATH_CONFIG) => Ok(json(StatusCode::OK, &self.config().await?)),
             (&Method::GET, PATH_PROGRESS) => Ok(json(StatusCode::OK, &self.progress().await?)),
-            (&Method::GET, PATH_POLICIES) => Ok(json(StatusCode::OK, &Vec::<PolicyFigures>::new())),
+            (&Method::GET, PATH_POLICIES) => Ok(json(StatusCode::OK, &self.view.load().policies)),
             (method, path) => Err(Refusal::not_found(method, path)),
         }
     }
--- a/control/src/spread/mod.rs
+++ b/control/src/spread/mod.rs
@@ -11,10 +11,13 @@
 };
 
 use cicadabend::{
-    fleet::spread::{
-        ControlSpread,
-        Sending,
-        Topology, //
+    fleet::{
+        policy_figures::PolicyTotals,
+        spread::{
+            ControlSpread,
+            Sending,
+            Topology, //
+        }, //
     },
     ids::Address,
     peer_api::{
@@ -53,6 +56,7 @@
 /// The duty of the `spread` thread.
 pub(crate) struct Spread {
     decisions: ControlSpread,
+    policies: PolicyTotals,
     replication: ReplicationHandle,
     peers: PeerSender,
     view: SharedView,
@@ -94,6 +98,7 @@
         Self {
             other_controls: others.cloned().collect(),
             decisions: ControlSpread::new(topology),
+            policies: PolicyTotals::default(),
             replication,
             peers,
             view,
@@ -134,12 +139,18 @@
             }
             PeerMessage::Report(report) => {
                 self.decisions.hear_report(&from, report, now);
-                self.view.publish(&self.decisions);
+                self.publish();
                 self.note_in_force(now);
             }
             PeerMessage::ControlHello(hello) => {
                 self.decisions.hear_control(from, hello, now);
-                self.view.publish(&self.decisions);
+                self.publish();
+            }
+            PeerMessage::Figures(figures) => {
+                for delta in &figures {
+                    self.policies.add(delta);
+                }
+                self.publish();
             }
             // The inbox hands over the kinds above only.
             _ => {}
@@ -158,11 +169,16 @@
         let revision = state.revision();
         if revision > self.decisions.revision() {
             let config = Arc::new(state.config().clone());
+            self.policies.keep_configured(&config);
             self.decisions.accept(revision, config);
             LogEvent::RevisionSpreading { revision }.emit();
         }
     }
 
+    fn publish(&self) {
+        self.view.publish(&self.decisions, &self.policies);
+    }
+
     fn note_in_force(&mut self, now: Timestamp) {
         let revision = self.decisions.revision();
         if revision <= self.in_force {
--- a/control/src/view.rs
+++ b/control/src/view.rs
@@ -7,23 +7,31 @@
 
 use arc_swap::ArcSwap;
 use cicadabend::{
-    fleet::spread::{
-        ControlSpread,
-        HeardReport, //
+    fleet::{
+        policy_figures::PolicyTotals,
+        spread::{
+            ControlSpread,
+            HeardReport, //
+        }, //
     },
     ids::Address,
-    operator_api::DomainStatus,
+    operator_api::{
+        DomainStatus,
+        PolicyFigures, //
+    },
     peer_api::DomainReport,
     prelude::*,
 };
 
-/// Reports and operators' addresses at one moment; replaced as a whole.
+/// Reports, figures and operators' addresses at one moment; replaced as a whole.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct FleetView {
     /// The last report of each failure domain.
     pub(crate) reports: BTreeMap<FailureDomain, HeardReport>,
     /// Where other control daemons take operators' requests.
     pub(crate) operator_addresses: BTreeMap<DaemonId, Address>,
+    /// What routing policies did.
+    pub(crate) policies: Vec<PolicyFigures>,
 }
 
 impl FleetView {
@@ -56,10 +64,11 @@
     }
 
     /// Replaces the view by what `spread` has heard.
-    pub(crate) fn publish(&self, spread: &ControlSpread) {
+    pub(crate) fn publish(&self, spread: &ControlSpread, policies: &PolicyTotals) {
         self.view.store(Arc::new(FleetView {
             reports: spread.reports().clone(),
             operator_addresses: spread.operator_addresses(),
+            policies: policies.figures(),
         }));
     }
 }
--- /dev/null
+++ b/lib/src/fleet/policy_figures.rs
@@ -0,0 +1,171 @@
+//! What routing policies did, summed over all entry daemons.
+
+use std::collections::BTreeMap;
+
+use super::{
+    FleetConfig,
+    RoutingPolicy,
+    Service, //
+};
+use crate::{
+    operator_api::PolicyFigures,
+    peer_api::FiguresDelta,
+    prelude::*, //
+};
+
+/// How many buckets hold every duration that a number of microseconds can say.
+pub const BUCKETS: usize = 65;
+
+/// The factor from the standard error to half of a 95 % confidence interval.
+const CONFIDENCE_95: f64 = 1.96;
+const US_PER_MS: f64 = 1_000.0;
+
+/// Returns the bucket of a duration: bucket 0 holds zero, bucket `n` holds durations
+/// from `2^(n-1)` up to but not including `2^n`.
+pub fn bucket_of(duration_us: u64) -> usize {
+    (u64::BITS - duration_us.leading_zeros()) as usize
+}
+
+/// Sums of what daemons have told, for the policies that are in force.
+#[derive(Clone, Debug, Default)]
+pub struct PolicyTotals {
+    totals: BTreeMap<(ServiceName, RoutingPolicy), Totals>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Totals {
+    requests: u64,
+    failures: u64,
+    cache_hits: u64,
+    first_token_sum_us: u64,
+    first_token_sum_squares: f64,
+    first_token: Histogram,
+    between_tokens: Histogram,
+}
+
+impl PolicyTotals {
+    /// Adds what a daemon has told.
+    pub fn add(&mut self, delta: &FiguresDelta) {
+        let key = (delta.service.clone(), delta.policy);
+        let totals = self.totals.entry(key).or_default();
+        totals.requests += delta.requests;
+        totals.failures += delta.failures;
+        totals.cache_hits += delta.cache_hits;
+        totals.first_token_sum_us += delta.first_token_sum_us;
+        totals.first_token_sum_squares += delta.first_token_sum_squares;
+        totals.first_token.add(&delta.first_token_buckets);
+        totals.between_tokens.add(&delta.between_tokens_buckets);
+    }
+
+    /// Forgets policies that the configuration no longer has, so that a policy that is
+    /// put in force again starts from nothing.
+    pub fn keep_configured(&mut self, config: &FleetConfig) {
+        self.totals.retain(|(service, policy), _| {
+            let routing = match config.services.get(service) {
+                Some(Service::Model(model)) => &model.routing,
+                Some(Service::Plain(plain)) => &plain.routing,
+                None => return false,
+            };
+            routing.iter().any(|arm| arm.policy == *policy)
+        });
+    }
+
+    /// Returns the figures of each service and policy that has been told of.
+    pub fn figures(&self) -> Vec<PolicyFigures> {
+        let all = self.totals.iter();
+        all.map(|((service, policy), totals)| totals.figures(service, *policy))
+            .collect()
+    }
+}
+
+impl Totals {
+    fn figures(&self, service: &ServiceName, policy: RoutingPolicy) -> PolicyFigures {
+        let (mean_us, half_width_us) = self.first_token_mean_us();
+        PolicyFigures {
+            service: service.clone(),
+            policy,
+            requests: self.requests,
+            failures: self.failures,
+            first_token_p50_ms: self.first_token.quantile_us(0.5) / US_PER_MS,
+            first_token_p95_ms: self.first_token.quantile_us(0.95) / US_PER_MS,
+            first_token_mean_ms: mean_us / US_PER_MS,
+            first_token_mean_ci_ms: half_width_us / US_PER_MS,
+            between_tokens_p95_ms: self.between_tokens.quantile_us(0.95) / US_PER_MS,
+            cache_hit_percent: percent(self.cache_hits, self.requests),
+        }
+    }
+
+    /// Returns the mean and half the width of its 95 % confidence interval.
+    fn first_token_mean_us(&self) -> (f64, f64) {
+        let count = self.first_token.count();
+        if count == 0 {
+            return (0.0, 0.0);
+        }
+        let count = count as f64;
+        let mean = self.first_token_sum_us as f64 / count;
+        if count < 2.0 {
+            return (mean, 0.0);
+        }
+        // Rounding can make the difference of two large sums slightly negative.
+        let deviations = (self.first_token_sum_squares - count * mean * mean).max(0.0);
+        let variance = deviations / (count - 1.0);
+        (mean, CONFIDENCE_95 * (variance / count).sqrt())
+    }
+}
+
+fn percent(part: u64, whole: u64) -> f64 {
+    match whole {
+        0 => 0.0,
+        whole => 100.0 * part as f64 / whole as f64,
+    }
+}
+
+/// Counts of durations by power of two; see [`bucket_of`].
+#[derive(Clone, Debug)]
+struct Histogram {
+    counts: [u64; BUCKETS],
+}
+
+impl Default for Histogram {
+    fn default() -> Self {
+        Self {
+            counts: [0; BUCKETS],
+        }
+    }
+}
+
+impl Histogram {
+    fn add(&mut self, counts: &[u32]) {
+        for (sum, count) in self.counts.iter_mut().zip(counts) {
+            *sum += u64::from(*count);
+        }
+    }
+
+    fn count(&self) -> u64 {
+        self.counts.iter().sum()
+    }
+
+    /// Durations are taken as spread evenly within their bucket.
+    fn quantile_us(&self, quantile: f64) -> f64 {
+        let mut rank = quantile * self.count() as f64;
+        for (bucket, count) in self.counts.iter().enumerate() {
+            let count = *count as f64;
+            if count > 0.0 && rank <= count {
+                let (low, high) = bounds_us(bucket);
+                return low + (high - low) * rank / count;
+            }
+            rank -= count;
+        }
+        0.0
+    }
+}
+
+fn bounds_us(bucket: usize) -> (f64, f64) {
+    match bucket {
+        0 => (0.0, 0.0),
+        bucket => {
+            let high = 2_f64.powi(i32::try_from(bucket).unwrap_or(i32::MAX));
+            (high / 2.0, high)
+        }
+    }
+}
--- a/lib/src/operator_api.rs
+++ b/lib/src/operator_api.rs
@@ -262,7 +262,7 @@
     pub first_token_p50_ms: f64,
     /// 95th percentile of the time to the first token.
     pub first_token_p95_ms: f64,
-    /// Half the width of the 95 % confidence interval of the mean time to the first token.
+    /// Mean time to the first token.
     pub first_token_mean_ms: f64,
     /// Half the width of that mean's 95 % confidence interval.
     pub first_token_mean_ci_ms: f64,
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -406,9 +406,9 @@
     pub first_token_sum_us: u64,
     /// Sum of their squares.
     pub first_token_sum_squares: f64,
-    /// Times to the first token, by power-of-two bucket of microseconds.
+    /// Times to the first token, by [`bucket_of`](crate::fleet::policy_figures::bucket_of).
     pub first_token_buckets: Vec<u32>,
-    /// Times between tokens, by power-of-two bucket of microseconds.
+    /// Times between tokens, by [`bucket_of`](crate::fleet::policy_figures::bucket_of).
     pub between_tokens_buckets: Vec<u32>,
 }
 
--- /dev/null
+++ b/lib/tests/test_policy_figures.rs
@@ -0,0 +1,112 @@
+//! What routing policies did, summed over all entry daemons.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "a fixture that cannot be built fails its test"
+)]
+
+use cicadabend::{
+    fleet::{
+        FleetConfig,
+        PlainService,
+        RoutingArm,
+        RoutingPolicy,
+        Service,
+        policy_figures::{
+            BUCKETS,
+            PolicyTotals,
+            bucket_of, //
+        }, //
+    },
+    peer_api::FiguresDelta,
+    prelude::*,
+};
+use rstest::rstest;
+
+fn delta(policy: RoutingPolicy, times_us: &[u64]) -> FiguresDelta {
+    let mut buckets = vec![0; BUCKETS];
+    for time in times_us {
+        buckets[bucket_of(*time)] += 1;
+    }
+    FiguresDelta {
+        service: "drafting-llm".parse().unwrap(),
+        policy,
+        requests: times_us.len() as u64,
+        failures: 0,
+        cache_hits: 1,
+        first_token_sum_us: times_us.iter().sum(),
+        first_token_sum_squares: times_us.iter().map(|time| (*time as f64).powi(2)).sum(),
+        first_token_buckets: buckets.clone(),
+        between_tokens_buckets: buckets,
+    }
+}
+
+#[rstest]
+#[case(0, 0)]
+#[case(1, 1)]
+#[case(2, 2)]
+#[case(3, 2)]
+#[case(4, 3)]
+#[case(u64::MAX, 64)]
+fn durations_fall_into_buckets_of_powers_of_two(#[case] duration_us: u64, #[case] bucket: usize) {
+    assert_eq!(bucket_of(duration_us), bucket);
+}
+
+#[test]
+fn figures_of_all_daemons_are_summed_by_policy() {
+    let mut totals = PolicyTotals::default();
+    totals.add(&delta(RoutingPolicy::RoundRobin, &[1_000, 3_000]));
+    totals.add(&delta(RoutingPolicy::RoundRobin, &[2_000, 2_000]));
+    totals.add(&delta(RoutingPolicy::PrefixAffinity, &[500]));
+
+    let figures = totals.figures();
+
+    assert_eq!(figures.len(), 2);
+    let round_robin = &figures[0];
+    assert_eq!(round_robin.requests, 4);
+    assert_eq!(round_robin.first_token_mean_ms, 2.0);
+    assert_eq!(round_robin.cache_hit_percent, 50.0);
+    // Variance of 1, 2, 2, 3 ms is 2/3; half the interval is 1.96 times the root of 2/3 / 4.
+    assert!((round_robin.first_token_mean_ci_ms - 0.8).abs() < 0.01);
+    assert!((1.024..=2.048).contains(&round_robin.first_token_p50_ms));
+    assert!((2.048..=4.096).contains(&round_robin.first_token_p95_ms));
+}
+
+#[test]
+fn nothing_told_gives_no_numbers_that_are_none() {
+    let mut totals = PolicyTotals::default();
+    totals.add(&delta(RoutingPolicy::RoundRobin, &[]));
+
+    let figures = totals.figures();
+
+    assert_eq!(figures[0].first_token_mean_ms, 0.0);
+    assert_eq!(figures[0].first_token_p95_ms, 0.0);
+    assert_eq!(figures[0].cache_hit_percent, 0.0);
+}
+
+#[test]
+fn a_policy_that_is_no_longer_in_force_is_forgotten() {
+    let mut totals = PolicyTotals::default();
+    totals.add(&delta(RoutingPolicy::RoundRobin, &[1_000]));
+    totals.add(&delta(RoutingPolicy::PrefixAffinity, &[1_000]));
+    let service = Service::Plain(PlainService {
+        routing: vec![RoutingArm {
+            policy: RoutingPolicy::PrefixAffinity,
+            share_percent: Percent(100),
+        }],
+        unsafe_methods_are_repeatable: false,
+    });
+    let config = FleetConfig {
+        services: [("drafting-llm".parse().unwrap(), service)].into(),
+        ..FleetConfig::default()
+    };
+
+    totals.keep_configured(&config);
+
+    let policies: Vec<_> = totals
+        .figures()
+        .iter()
+        .map(|figures| figures.policy)
+        .collect();
+    assert_eq!(policies, vec![RoutingPolicy::PrefixAffinity]);
+}
