fleet: give receivers the same rules for deltas that control has

Cause: a receiver had to write for itself when a delta fits, and a daemon that cannot use deltas waited for a second request before it got everything.

Change: RecentConfigs receives updates (applied, behind, same, older) and gives the newest change for passing on; a request from the base of a delta that was sent is answered with everything at once. The control tests' own receiver is gone in favour of it. A seeded test loses, doubles and reorders 500 updates.

--- a/control/tests/daemon/test_spread.rs
+++ b/control/tests/daemon/test_spread.rs
@@ -1,14 +1,12 @@
 //! Hundreds of changes, restarts and a daemon that applies what it is sent.
 
-use std::sync::Arc;
-
 use cicadabend::{
     fleet::{
         FleetConfig,
-        delta::ConfigDelta, //
+        RecentConfigs,
+        Update, //
     },
     peer_api::{
-        ConfigBody,
         ConfigUpdate,
         PeerMessage, //
     },
@@ -49,11 +47,10 @@
     json!({"config": {"teams": teams}, "operator": "", "reason": "a test"})
 }
 
-/// What a domain leader holds: a configuration whose revision never falls.
+/// What a domain leader holds, and how it asks and reports.
 struct Holder {
     entry: EntryPeer,
-    revision: Revision,
-    config: Arc<FleetConfig>,
+    configs: RecentConfigs,
     reports: u64,
     older_seen: u64,
 }
@@ -62,51 +59,33 @@
     fn new(entry: EntryPeer) -> Self {
         Self {
             entry,
-            revision: Revision(0),
-            config: Arc::default(),
+            configs: RecentConfigs::default(),
             reports: 0,
             older_seen: 0,
         }
     }
 
     async fn hold(&mut self, wanted: Revision) {
-        while self.revision < wanted {
+        while self.configs.revision() < wanted {
             if let PeerMessage::Config(update) = self.entry.next().await.message {
-                self.take(update);
+                self.take(&update);
             }
         }
     }
 
-    fn take(&mut self, update: ConfigUpdate) {
-        if update.revision < self.revision {
-            self.older_seen += 1;
-            return;
-        }
-        let sender = self.entry.peers.sender();
-        match self.apply(&update) {
-            Some(config) => {
-                self.config = Arc::new(config);
-                self.revision = update.revision;
+    fn take(&mut self, update: &ConfigUpdate) {
+        match self.configs.receive(update) {
+            Update::Applied => {
                 self.reports += 1;
-                self.entry.report(self.revision, self.reports);
+                self.entry.report(self.configs.revision(), self.reports);
             }
-            None if update.revision > self.revision => {
-                let have = self.revision;
-                sender.send(&control_1(), PeerMessage::ConfigRequest { have });
+            Update::Behind => {
+                let have = self.configs.revision();
+                let request = PeerMessage::ConfigRequest { have };
+                self.entry.peers.sender().send(&control_1(), request);
             }
-            None => {}
-        }
-    }
-
-    fn apply(&self, update: &ConfigUpdate) -> Option<FleetConfig> {
-        match &update.body {
-            ConfigBody::Digest => None,
-            ConfigBody::Whole(config) => Some((**config).clone()),
-            ConfigBody::Delta(_) if update.base != Some(self.revision) => None,
-            ConfigBody::Delta(bytes) => ConfigDelta::from_bytes(bytes)
-                .ok()?
-                .apply(&self.config)
-                .ok(),
+            Update::Same => {}
+            Update::Older => self.older_seen += 1,
         }
     }
 }
@@ -147,10 +126,10 @@
 
     let (revision, config) = accepted(&control).await;
     assert_eq!(revision, CHANGES);
-    assert_eq!(*holder.config, config);
+    assert_eq!(*holder.configs.config(), config);
     let mut fresh = Holder::new(EntryPeer::start(&addresses[1], control.peer_listen));
     fresh.hold(Revision(CHANGES)).await;
-    assert_eq!(*fresh.config, config);
+    assert_eq!(*fresh.configs.config(), config);
     let last = control.change(&intent(CHANGES + 1), "one-more").await;
     fresh.hold(Revision(last)).await;
     assert_eq!((holder.older_seen, fresh.older_seen), (0, 0));
@@ -188,7 +167,7 @@
     let wholes = figure(&control, "counters", "config_sent.whole").await - before.1;
     let deltas = figure(&control, "counters", "config_sent.delta").await;
     let bytes = received() - before.0;
-    let whole = postcard::to_stdvec(&*holder.config)
+    let whole = postcard::to_stdvec(&*holder.configs.config())
         .expect("a configuration")
         .len();
     println!(
--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -42,7 +42,8 @@
 };
 pub use recent_configs::{
     CONFIGS_KEPT,
-    RecentConfigs, //
+    RecentConfigs,
+    Update, //
 };
 pub use state::{
     FleetAnswer,
--- a/lib/src/fleet/recent_configs.rs
+++ b/lib/src/fleet/recent_configs.rs
@@ -1,6 +1,7 @@
-//! The last accepted configurations, from which deltas are made.
+//! The last configurations that a process held, from which deltas are made.
 
 use std::{
+    cmp::Ordering,
     collections::VecDeque,
     sync::Arc, //
 };
@@ -20,6 +21,19 @@
 /// How many configurations are kept; a daemon further behind gets a whole one.
 pub const CONFIGS_KEPT: usize = 64;
 
+/// What an update was to its receiver.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Update {
+    /// It is newer and was taken over.
+    Applied,
+    /// It is newer, but it does not bring all that is needed; the sender is to be asked.
+    Behind,
+    /// It is what is held already.
+    Same,
+    /// It is older than what is held.
+    Older,
+}
+
 /// The newest configuration and those shortly before it; its revision never falls.
 #[derive(Clone, Debug, Default)]
 pub struct RecentConfigs {
@@ -38,6 +52,48 @@
         }
     }
 
+    /// Takes an update from another process; one that is older is never taken over.
+    pub fn receive(&mut self, update: &ConfigUpdate) -> Update {
+        match update.revision.cmp(&self.revision()) {
+            Ordering::Less => return Update::Older,
+            Ordering::Equal => return Update::Same,
+            Ordering::Greater => {}
+        }
+        match self.config_of(update) {
+            Some(config) => {
+                self.accept(update.revision, Arc::new(config));
+                Update::Applied
+            }
+            None => Update::Behind,
+        }
+    }
+
+    /// Returns the newest configuration; the empty one before the first.
+    pub fn config(&self) -> Arc<FleetConfig> {
+        let newest = self.kept.back();
+        newest.map_or_else(Arc::default, |(_, config)| Arc::clone(config))
+    }
+
+    /// Returns the newest configuration as a message for one who was level before it.
+    pub fn latest(&self) -> ConfigUpdate {
+        let before = self.kept.iter().nth_back(1).map(|(revision, _)| *revision);
+        let delta = before.and_then(|before| self.delta_from(before));
+        delta.unwrap_or_else(|| self.whole())
+    }
+
+    fn config_of(&self, update: &ConfigUpdate) -> Option<FleetConfig> {
+        match &update.body {
+            ConfigBody::Digest => None,
+            ConfigBody::Whole(config) => Some((**config).clone()),
+            ConfigBody::Delta(_) if update.base != Some(self.revision()) => None,
+            // A delta that does not fit is asked for as a whole configuration.
+            ConfigBody::Delta(bytes) => {
+                let delta = ConfigDelta::from_bytes(bytes).ok()?;
+                delta.apply(&self.config()).ok()
+            }
+        }
+    }
+
     /// Returns the newest revision.
     pub fn revision(&self) -> Revision {
         let newest = self.kept.back();
@@ -55,12 +111,10 @@
 
     /// Returns the newest configuration as a message.
     pub fn whole(&self) -> ConfigUpdate {
-        let newest = self.kept.back();
-        let config = newest.map(|(_, config)| FleetConfig::clone(config));
         ConfigUpdate {
             revision: self.revision(),
             base: None,
-            body: ConfigBody::Whole(Box::new(config.unwrap_or_default())),
+            body: ConfigBody::Whole(Box::new((*self.config()).clone())),
         }
     }
 
--- a/lib/src/fleet/spread.rs
+++ b/lib/src/fleet/spread.rs
@@ -87,8 +87,8 @@
     acknowledged: Revision,
     digest_at: Option<Timestamp>,
     answered_at: Option<Timestamp>,
-    /// The base of the last delta that it got as an answer.
-    answered_from: Option<Revision>,
+    /// The base of the last delta that it was sent.
+    delta_from: Option<Revision>,
 }
 
 /// The decisions of the `spread` thread of a control daemon.
@@ -201,11 +201,11 @@
         }
         target.answered_at = Some(now);
         target.sent = self.configs.revision();
-        // A daemon that asks again from the same base could not use the delta: it
-        // was lost, or the daemon holds something else under that revision.
-        let asks_again = target.answered_from == Some(have);
-        let delta = self.configs.delta_from(have).filter(|_| !asks_again);
-        target.answered_from = delta.is_some().then_some(have);
+        // A daemon that asks from the base of a delta that it was sent could not use
+        // it: it was lost, or the daemon holds something else under that revision.
+        let could_not_use = target.delta_from == Some(have);
+        let delta = self.configs.delta_from(have).filter(|_| !could_not_use);
+        target.delta_from = delta.is_some().then_some(have);
         Some(Sending {
             to: from.clone(),
             update: delta.unwrap_or_else(|| self.configs.whole()),
@@ -295,6 +295,7 @@
         target.sent = target.sent.max(applied);
         if target.sent < revision {
             let delta = self.configs.delta_from(target.sent);
+            target.delta_from = delta.is_some().then_some(target.sent);
             target.sent = revision;
             target.digest_at = Some(now);
             // Without a common base a digest lets the daemon say what it has.
--- a/lib/tests/test_fleet_spread.rs
+++ b/lib/tests/test_fleet_spread.rs
@@ -17,6 +17,8 @@
     fleet::{
         CONFIGS_KEPT,
         FleetConfig,
+        RecentConfigs,
+        Update,
         delta::ConfigDelta,
         spread::{
             ControlSpread,
@@ -36,6 +38,10 @@
     },
     prelude::*,
 };
+use rand::{
+    Rng,
+    SeedableRng, //
+};
 use rstest::rstest;
 
 const DOMAINS: [&str; 3] = ["cumbaya", "carcelen", "sangolqui"];
@@ -230,6 +236,59 @@
     assert_eq!(apply(&config(3), &second.update), *config(5));
 }
 
+/// A daemon that cannot use the delta it was sent asks, and needs no second try.
+#[test]
+fn a_daemon_that_asks_from_the_base_of_its_delta_gets_everything_at_once() {
+    let mut spread = spread_at(Timestamp(0), 1);
+    spread.accept(Revision(1), config(1));
+    spread.accept(Revision(2), config(2));
+    let sent = spread.tick(Timestamp(0));
+    let own = leader("cumbaya");
+    assert!(sent.iter().any(|sending| {
+        sending.to == own && matches!(sending.update.body, ConfigBody::Delta(_))
+    }));
+
+    let answer = spread.answer(&own, Revision(1), Timestamp(1)).unwrap();
+
+    assert!(matches!(answer.update.body, ConfigBody::Whole(_)));
+}
+
+/// One daemon holds and passes on, another one receives; messages are lost, doubled and
+/// reordered in a seeded way. The receiver never goes back and ends with the last one.
+#[test]
+fn a_receiver_of_lost_doubled_and_reordered_updates_never_goes_back() {
+    let mut random = rand::rngs::SmallRng::seed_from_u64(7);
+    let mut sender = RecentConfigs::default();
+    let mut receiver = RecentConfigs::default();
+    let mut in_flight: Vec<ConfigUpdate> = Vec::new();
+    for revision in 1..=500 {
+        sender.accept(Revision(revision), config(revision));
+        in_flight.push(sender.latest());
+        for _ in 0..random.random_range(0..3) {
+            if in_flight.is_empty() {
+                break;
+            }
+            let chosen = random.random_range(0..in_flight.len());
+            let update = match random.random_bool(0.3) {
+                true => in_flight[chosen].clone(),
+                false => in_flight.swap_remove(chosen),
+            };
+            let before = receiver.revision();
+            if receiver.receive(&update) == Update::Behind && random.random_bool(0.5) {
+                in_flight.push(sender.whole());
+            }
+            assert!(receiver.revision() >= before);
+            assert!(
+                receiver.revision() == Revision(0)
+                    || *receiver.config() == *config(receiver.revision().0)
+            );
+        }
+    }
+    assert_eq!(receiver.receive(&sender.whole()), Update::Applied);
+    assert_eq!(receiver.receive(&sender.latest()), Update::Same);
+    assert_eq!(receiver.config(), sender.config());
+}
+
 #[rstest]
 #[case::nothing(0)]
 #[case::a_revision_that_is_no_longer_kept(1)]
