control: replicate the accepted commands among all control daemons

Cause: the log was a file of one daemon, so more than one control daemon was refused.

A planned stop hands leadership over first. A voter set has a number, so that claims can be counted by it.

Ruled out: answering proposals whose leader stepped down at once with "unknown". The node tells later whether the entry was superseded; only the timeout of the caller makes it unknown.

--- /dev/null
+++ b/control/src/replication/error.rs
@@ -0,0 +1,51 @@
+//! Why a command was not applied, or may not have been.
+
+use cicadabend::{
+    agreement::{
+        ProposalFailure,
+        Unavailable, //
+    },
+    prelude::*,
+};
+use displaydoc::Display;
+use thiserror::Error;
+
+/// Why a command was not applied, or may not have been.
+#[derive(Clone, Debug, Display, Error)]
+pub(crate) enum ReplicationError {
+    /// this control daemon is not the leader
+    NotLeader {
+        /// Who is, if known.
+        leader: Option<DaemonId>,
+    },
+    /// no majority of control daemons can be reached; nothing was changed
+    NoQuorum,
+    /// the command may or may not have been applied
+    OutcomeUnknown,
+    /// the data folder cannot be used: {0}
+    Storage(String),
+}
+
+impl From<Unavailable> for ReplicationError {
+    fn from(reason: Unavailable) -> Self {
+        match reason {
+            Unavailable::NotLeader { leader } => Self::NotLeader {
+                leader: Some(leader.daemon),
+            },
+            Unavailable::NoQuorum => Self::NoQuorum,
+        }
+    }
+}
+
+impl From<ProposalFailure> for ReplicationError {
+    fn from(failure: ProposalFailure) -> Self {
+        match failure {
+            ProposalFailure::NotAppended(reason) => reason.into(),
+            // Another leader committed something else in its place.
+            ProposalFailure::Superseded => Self::NotLeader { leader: None },
+            ProposalFailure::Unknown => Self::OutcomeUnknown,
+            // Changes of voters are answered as the fleet's state answers them.
+            ProposalFailure::ChangeRefused(_) => Self::NoQuorum,
+        }
+    }
+}
--- a/control/src/run.rs
+++ b/control/src/run.rs
@@ -24,7 +24,11 @@
     },
     program::Process,
     ring,
-    settings::ControlSettings, //
+    settings::ControlSettings,
+    storage::{
+        DataFolder,
+        StorageError, //
+    },
 };
 use displaydoc::Display;
 use thiserror::Error;
@@ -78,6 +82,8 @@
     },
     /// {0}
     Peers(PeerError),
+    /// data_folder: {0}
+    Storage(StorageError),
     /// {0}
     Replication(ReplicationError),
     /// cannot start a thread: {0}
@@ -101,9 +107,16 @@
     .map_err(RunError::Peers)?;
     let (agreement_in, agreement_out) = ring::bounded("agreement", AGREEMENT_CAPACITY);
     let (spread_in, spread_out) = ring::bounded("spread", SPREAD_CAPACITY);
+    let folder = DataFolder::open(
+        Path::new(&settings.data_folder),
+        &settings.daemon,
+        random_number(),
+    )
+    .map_err(RunError::Storage)?;
     let (replication, agreement) =
-        replication::start(&settings, peers.sender(), agreement_out, process.clock)
+        replication::start(&settings, &folder, &process, peers.sender(), agreement_out)
             .map_err(RunError::Replication)?;
+    let log = replication.clone();
     let destinations = Destinations {
         agreement: agreement_in,
         spread: spread_in,
@@ -136,11 +149,15 @@
     // The listener ends when a stop is asked for, so that running requests still reach
     // the log; then the peers, whose closed ring ends the inbox, which ends the others.
     join(serving);
+    log.hand_over();
     drop(peers);
     for thread in [inbox, spread, agreement] {
         join(thread);
     }
-    Ok(())
+    match log.failure() {
+        Some(reason) => Err(RunError::Replication(ReplicationError::Storage(reason))),
+        None => Ok(()),
+    }
 }
 
 fn declare_counters(metrics: &Metrics) {
@@ -159,7 +176,7 @@
 }
 
 /// The standard library seeds its hashers from the operating system's random source.
-fn random_number() -> u64 {
+pub(crate) fn random_number() -> u64 {
     RandomState::new().build_hasher().finish()
 }
 
--- a/lib/src/agreement/leader.rs
+++ b/lib/src/agreement/leader.rs
@@ -149,10 +149,14 @@
 
     /// Returns whether a majority has answered within the length of the lease.
     pub(super) fn leads_with_quorum(&self) -> bool {
+        self.leads_until().is_some_and(|until| self.now < until)
+    }
+
+    pub(super) fn leads_until(&self) -> Option<Timestamp> {
         let Role::Leader(leadership) = &self.role else {
-            return false;
+            return None;
         };
-        self.now < leadership.quorum_at + self.settings.lease()
+        Some(leadership.quorum_at + self.settings.lease())
     }
 
     /// Ends a leadership whose majority is silent, so that its clients turn elsewhere.
--- a/lib/src/agreement/membership.rs
+++ b/lib/src/agreement/membership.rs
@@ -27,6 +27,21 @@
 /// The first term is drawn from this many.
 const FOUNDING_TERMS: u64 = 1 << 20;
 
+fn remove(set: &mut VoterSet, voter: &Voter) -> Result<(), ChangeRefusal> {
+    if set.learners.remove(voter) {
+        return Ok(());
+    }
+    if !set.voters.contains(voter) {
+        return Err(ChangeRefusal::NotMember);
+    }
+    if set.voters.len() == 1 {
+        return Err(ChangeRefusal::LastVoter);
+    }
+    set.voters.remove(voter);
+    set.number += 1;
+    Ok(())
+}
+
 impl Node {
     pub(super) fn change_voters(&mut self, id: ProposalId, change: VoterChange) {
         if self.takes_proposals() {
@@ -71,15 +86,9 @@
                     return Err(ChangeRefusal::NotCaughtUp);
                 }
                 set.voters.insert(voter);
+                set.number += 1;
             }
-            VoterChange::Remove(voter) => {
-                if set.voters.len() == 1 && set.voters.contains(&voter) {
-                    return Err(ChangeRefusal::LastVoter);
-                }
-                if !set.voters.remove(&voter) && !set.learners.remove(&voter) {
-                    return Err(ChangeRefusal::NotMember);
-                }
-            }
+            VoterChange::Remove(voter) => remove(&mut set, &voter)?,
         }
         Ok(set)
     }
--- a/lib/src/agreement/node.rs
+++ b/lib/src/agreement/node.rs
@@ -121,8 +121,8 @@
     pub term: Term,
     /// The leader it knows; itself if it leads.
     pub leader: Option<Voter>,
-    /// Whether it leads and a majority has answered within the lease.
-    pub leads_with_quorum: bool,
+    /// Until when it leads unless a majority answers again; `None` if it does not lead.
+    pub leads_until: Option<Timestamp>,
     /// The last entry of its log.
     pub last: LogIndex,
     /// What it knows to be committed.
@@ -180,7 +180,10 @@
             log,
             snapshot,
         };
-        node.reset_election_timer();
+        // A single voter has nobody to wait for.
+        if !node.other_voters().is_empty() {
+            node.reset_election_timer();
+        }
         node.recover_state_machine();
         node
     }
@@ -212,7 +215,7 @@
             role: self.role_name(),
             term: self.term,
             leader: self.leader().cloned(),
-            leads_with_quorum: self.leads_with_quorum(),
+            leads_until: self.leads_until(),
             last: self.log.last().index,
             commit: self.commit,
             applied: self.applied,
--- a/lib/src/agreement/types.rs
+++ b/lib/src/agreement/types.rs
@@ -93,6 +93,8 @@
 /// Who votes, and who is being brought up to date before it may vote.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct VoterSet {
+    /// Grows by one with each change of the voters; zero before the first set.
+    pub number: u64,
     /// Those whose votes and acknowledgements count.
     pub voters: BTreeSet<Voter>,
     /// Those that get the log but do not count.
@@ -103,6 +105,7 @@
     /// Makes a set without learners.
     pub fn of(voters: impl IntoIterator<Item = Voter>) -> Self {
         Self {
+            number: 1,
             voters: voters.into_iter().collect(),
             learners: BTreeSet::new(),
         }
