--- a/lib/tests/test_request_life.rs
+++ b/lib/tests/test_request_life.rs
@@ -93,6 +93,25 @@
     assert_eq!(life.state(), RequestState::Broken);
 }
 
+/// The caller goes away after bytes of its request were sent; then a doubled grant of its
+/// claim arrives. Giving the claim back would let a resend run the request once more.
+#[test]
+fn a_late_grant_does_not_give_back_the_claim_of_a_request_that_may_run() {
+    let mut life = RequestLife::new(CLAIMED).unwrap();
+    let before = [
+        RequestEvent::Admitted,
+        RequestEvent::ClaimGranted,
+        RequestEvent::Connected,
+        RequestEvent::CallerGone,
+    ];
+    apply_all(&mut life, &before);
+
+    let actions = life.apply(RequestEvent::ClaimGranted, |_| false);
+
+    assert_eq!(life.state(), RequestState::Cancelled);
+    assert!(!actions.contains(&RequestAction::ReleaseClaim));
+}
+
 /// What an observer of the sockets knows: whether some upstream may have run it.
 #[derive(Default)]
 struct Sockets {
