settings: name keys that stand twice; check intents before sending

JSON readers keep the last of two equal keys, so a team copied without renaming vanished silently. Both keys are named now. Paths begin with '$' everywhere, as in plans, and an intent is checked by the same rules as in the control daemon before anything is sent; the expected texts of tests follow the paths.

--- a/daemon/src/settings/intent.rs
+++ b/daemon/src/settings/intent.rs
@@ -1,6 +1,11 @@
 //! An operator's intent file.
 
-use cicadabend::fleet::FleetConfig;
+use std::collections::BTreeSet;
+
+use cicadabend::fleet::{
+    FleetConfig,
+    validate::config_problems, //
+};
 
 use super::{
     Problem,
@@ -10,8 +15,14 @@
 impl Settings for FleetConfig {
     const EXAMPLE: &'static str = include_str!("example_intent.json");
 
-    /// The control daemon checks the rules, because only it knows the fleet.
+    /// Failure domains are left to the control daemon, because only it knows them.
     fn problems(&self) -> Vec<Problem> {
-        Vec::new()
+        let problems = config_problems(self, &BTreeSet::new());
+        let converted = problems.into_iter().map(|problem| Problem {
+            path: problem.path,
+            found: String::new(),
+            allowed: problem.problem,
+        });
+        converted.collect()
     }
 }
--- a/daemon/src/settings/load.rs
+++ b/daemon/src/settings/load.rs
@@ -8,19 +8,19 @@
 
 use displaydoc::Display;
 use serde::de::DeserializeOwned;
-use serde_json::Value;
 use thiserror::Error;
 
 use super::{
     LogSettings,
     MetricSettings,
+    read,
     repair, //
 };
 
 /// One thing that is wrong in a settings file.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Problem {
-    /// Where, as a JSON path such as `peers[2].address`.
+    /// Where, as a JSON path such as `$.peers[2].address`.
     pub path: String,
     /// The value found, as JSON; empty if there is none.
     pub found: String,
@@ -29,10 +29,10 @@
 }
 
 impl Problem {
-    /// Makes a problem from a value that can be shown.
-    pub fn new(path: impl Into<String>, found: impl fmt::Display, allowed: &str) -> Self {
+    /// Makes a problem from a value that can be shown; `path` begins below the root.
+    pub fn new(path: impl fmt::Display, found: impl fmt::Display, allowed: &str) -> Self {
         Self {
-            path: path.into(),
+            path: format!("$.{path}"),
             found: found.to_string(),
             allowed: allowed.to_owned(),
         }
@@ -122,8 +122,9 @@
 ///
 /// Returns [`SettingsError`] with all problems of the text.
 pub fn parse<S: Settings>(text: &str) -> Result<S, SettingsError> {
-    let value: Value = serde_json::from_str(text).map_err(SettingsError::Syntax)?;
-    let (settings, mut problems) = repair::typed::<S>(value);
+    let (value, mut problems) = read::value(text).map_err(SettingsError::Syntax)?;
+    let (settings, of_types) = repair::typed::<S>(value);
+    problems.extend(of_types);
     if let Some(settings) = &settings {
         let of_rules = settings.problems();
         // A value that was put in place of a wrong one must not be reported as found.
--- a/daemon/src/settings/mod.rs
+++ b/daemon/src/settings/mod.rs
@@ -5,6 +5,7 @@
 mod entry;
 mod intent;
 mod load;
+mod read;
 mod repair;
 mod shared;
 
--- a/daemon/src/settings/repair.rs
+++ b/daemon/src/settings/repair.rs
@@ -176,20 +176,13 @@
 }
 
 fn path_text(steps: &[Step]) -> String {
-    let mut path = String::new();
+    let mut path = "$".to_owned();
     for step in steps {
         match step {
-            Step::Key(key) if path.is_empty() => path.push_str(key),
-            Step::Key(key) => {
-                path.push('.');
-                path.push_str(key);
-            }
+            Step::Key(key) => path.push_str(&format!(".{key}")),
             Step::Index(index) => path.push_str(&format!("[{index}]")),
         }
     }
-    if path.is_empty() {
-        path.push('$');
-    }
     path
 }
 
--- a/daemon/tests/test_program.rs
+++ b/daemon/tests/test_program.rs
@@ -143,9 +143,9 @@
     assert_eq!(
         stderr,
         "tested-program: the settings have 2 problem(s):\n  \
-         peers[1].role: found \"observer\"; allowed: unknown variant `observer`, expected \
+         $.peers[1].role: found \"observer\"; allowed: unknown variant `observer`, expected \
          `entry` or `control`\n  \
-         callers.queue_capacity: found 0; allowed: 1 or more\n"
+         $.callers.queue_capacity: found 0; allowed: 1 or more\n"
     );
     assert_eq!(code, 3);
 }
--- a/daemon/tests/test_settings.rs
+++ b/daemon/tests/test_settings.rs
@@ -2,6 +2,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
+use cicadabend::fleet::FleetConfig;
 use cicadabend_daemon::settings::{
     ControlSettings,
     EntrySettings,
@@ -59,32 +60,32 @@
     assert_eq!(
         paths,
         [
-            "callers.listen",
-            "callers.max_conections",
-            "callers.queue_capacity",
-            "peer_listen",
-            "peers[1].daemon",
-            "peers[1].role",
-            "upstreams.lease_ms",
+            "$.callers.listen",
+            "$.callers.max_conections",
+            "$.callers.queue_capacity",
+            "$.peer_listen",
+            "$.peers[1].daemon",
+            "$.peers[1].role",
+            "$.upstreams.lease_ms",
         ]
     );
 }
 
 #[rstest]
-#[case("/callers/read_timeout_ms", json!(0), "callers.read_timeout_ms")]
-#[case("/callers/read_timeout_ms", json!(-1), "callers.read_timeout_ms")]
-#[case("/callers/read_timeout_ms", json!("5s"), "callers.read_timeout_ms")]
-#[case("/domain/heartbeat_ms", json!(1_500), "domain.leader_lease_ms")]
-#[case("/domain/clock_rate_error_percent", json!(51), "domain.clock_rate_error_percent")]
-#[case("/logs/level", json!("loud"), "logs.level")]
-#[case("/logs/format", json!("xml"), "logs.format")]
-#[case("/peers/0/failure_domain", json!("domain-b"), "peers[0].failure_domain")]
-#[case("/peers/1/daemon", json!("entry-1"), "peers[1].daemon")]
-#[case("/peers/1/address", json!("127.0.0.1:8082"), "peers[1].address")]
-#[case("/peers/1/address", json!("0.0.0.0:1"), "peers[1].address")]
-#[case("/metrics/listen", json!("127.0.0.1:8080"), "metrics.listen")]
-#[case("/cluster", json!(""), "cluster")]
-#[case("/peers", json!({}), "peers")]
+#[case("/callers/read_timeout_ms", json!(0), "$.callers.read_timeout_ms")]
+#[case("/callers/read_timeout_ms", json!(-1), "$.callers.read_timeout_ms")]
+#[case("/callers/read_timeout_ms", json!("5s"), "$.callers.read_timeout_ms")]
+#[case("/domain/heartbeat_ms", json!(1_500), "$.domain.leader_lease_ms")]
+#[case("/domain/clock_rate_error_percent", json!(51), "$.domain.clock_rate_error_percent")]
+#[case("/logs/level", json!("loud"), "$.logs.level")]
+#[case("/logs/format", json!("xml"), "$.logs.format")]
+#[case("/peers/0/failure_domain", json!("domain-b"), "$.peers[0].failure_domain")]
+#[case("/peers/1/daemon", json!("entry-1"), "$.peers[1].daemon")]
+#[case("/peers/1/address", json!("127.0.0.1:8082"), "$.peers[1].address")]
+#[case("/peers/1/address", json!("0.0.0.0:1"), "$.peers[1].address")]
+#[case("/metrics/listen", json!("127.0.0.1:8080"), "$.metrics.listen")]
+#[case("/cluster", json!(""), "$.cluster")]
+#[case("/peers", json!({}), "$.peers")]
 fn a_bad_value_is_named_by_its_path(
     #[case] pointer: &str,
     #[case] bad: Value,
@@ -107,7 +108,7 @@
 
     assert_eq!(
         error.to_string(),
-        "the settings have 1 problem(s):\n  upstreams.lease_ms: found 600; \
+        "the settings have 1 problem(s):\n  $.upstreams.lease_ms: found 600; \
          allowed: at least twice upstreams.announce_interval_ms (500)"
     );
 }
@@ -121,3 +122,42 @@
         "the settings are not JSON: expected value at line 2 column 14"
     );
 }
+
+/// The operator is told of both keys. Somebody copies a team and forgets to rename it;
+/// keeping only the last one would silently drop the first team's limits.
+#[test]
+fn a_key_that_stands_twice_is_named_by_its_path() {
+    let text = r#"{"teams": {"norte": {"weight": 1, "weight": 2}, "norte": {}}}"#;
+
+    let error = parse::<FleetConfig>(text).unwrap_err().to_string();
+
+    let twice = "this key stands twice in its object";
+    assert!(
+        error.contains(&format!("$.teams.norte.weight: {twice}")),
+        "{error}"
+    );
+    assert!(
+        error.contains(&format!("$.teams.norte: {twice}")),
+        "{error}"
+    );
+}
+
+#[test]
+fn an_intent_is_checked_by_the_rules_of_the_control_daemon() {
+    let mut intent: Value = serde_json::from_str(FleetConfig::EXAMPLE).unwrap();
+    intent["services"]["drafting-llm"]["model"]["vms_per_group"] = json!(0);
+    intent["teams"]["quito-norte"]["weight"] = json!(0);
+
+    let error = parse::<FleetConfig>(&intent.to_string())
+        .unwrap_err()
+        .to_string();
+
+    assert!(
+        error.contains("$.services.drafting-llm.model.vms_per_group: is 0"),
+        "{error}"
+    );
+    assert!(
+        error.contains("$.teams.quito-norte.weight: is 0"),
+        "{error}"
+    );
+}
