--- a/daemon/src/logs.rs
+++ b/daemon/src/logs.rs
@@ -33,6 +33,7 @@
 
 use crate::settings::{
     LogFormat,
+    LogLevel,
     LogSettings, //
 };
 
@@ -58,7 +59,7 @@
 pub fn start(settings: &LogSettings) -> Result<(), LogError> {
     let format = settings.format;
     let dispatch = fern::Dispatch::new()
-        .level(level_of(settings))
+        .level(filter_of(settings.level))
         .format(move |out, _, record| {
             let line = line_of(format, record, wall_clock());
             out.finish(format_args!("{line}"));
@@ -73,9 +74,14 @@
     dispatch.apply().map_err(|_| LogError::Twice)
 }
 
-fn level_of(settings: &LogSettings) -> LevelFilter {
-    let level = settings.level.as_deref().unwrap_or("info");
-    level.parse().unwrap_or(LevelFilter::Info)
+fn filter_of(level: LogLevel) -> LevelFilter {
+    match level {
+        LogLevel::Error => LevelFilter::Error,
+        LogLevel::Warn => LevelFilter::Warn,
+        LogLevel::Info => LevelFilter::Info,
+        LogLevel::Debug => LevelFilter::Debug,
+        LogLevel::Trace => LevelFilter::Trace,
+    }
 }
 
 fn wall_clock() -> Duration {
--- a/daemon/src/settings/check.rs
+++ b/daemon/src/settings/check.rs
@@ -197,11 +197,6 @@
     }
 
     fn logs(&mut self, logs: &LogSettings) {
-        let level = logs.level.as_deref().unwrap_or("info");
-        let known = ["error", "warn", "info", "debug", "trace"].contains(&level);
-        let quoted = format!("{level:?}");
-        let allowed = "\"error\", \"warn\", \"info\", \"debug\" or \"trace\"";
-        self.require(known, "logs.level", quoted, allowed);
         if let Some(file) = &logs.file {
             self.path_text("logs.file", file);
         }
--- a/daemon/src/settings/mod.rs
+++ b/daemon/src/settings/mod.rs
@@ -31,6 +31,7 @@
 };
 pub use shared::{
     LogFormat,
+    LogLevel,
     LogSettings,
     MetricSettings,
     PeerAddress,
--- a/daemon/src/settings/shared.rs
+++ b/daemon/src/settings/shared.rs
@@ -37,14 +37,31 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LogSettings {
-    /// The lowest level written: `error`, `warn`, `info`, `debug` or `trace`; `info` if absent.
-    pub level: Option<String>,
+    /// The lowest level written.
+    pub level: LogLevel,
     /// The file that lines are appended to; standard error if absent.
     pub file: Option<String>,
     /// How a line is written.
     pub format: LogFormat,
 }
 
+/// The lowest level of the log lines that are written.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogLevel {
+    /// Something is lost or will be.
+    Error,
+    /// Something unexpected that the system handles by itself.
+    Warn,
+    /// Changes of state.
+    #[default]
+    Info,
+    /// Detail for a developer.
+    Debug,
+    /// Everything, that of libraries included.
+    Trace,
+}
+
 /// How a log line is written.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
