--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! - [`program`]: command line, settings, logs and signals of every program.
 //! - [`stop`]: the graceful stop.
-//! - [`logs`] and [`events`]: numbered log events; [`metrics`]: counters and timers.
+//! - [`logs`] and [`mod@events`]: numbered log events; [`metrics`]: counters and timers.
 //! - [`settings`]: JSON settings, validated before anything starts.
 //! - [`ring`]: the bounded rings that join a process's threads.
 //! - [`duty`]: one named thread with its own single-threaded runtime for each duty.
--- a/daemon/src/metrics/listener.rs
+++ b/daemon/src/metrics/listener.rs
@@ -33,9 +33,9 @@
 use crate::duty;
 
 /// Where the figures are.
-pub const PATH_METRICS: &str = "/metrics";
+const PATH_METRICS: &str = "/metrics";
 
-/// Starts the thread `observe`, which answers [`PATH_METRICS`] until the process ends.
+/// Starts the thread `observe`, which answers `GET /metrics` until the process ends.
 ///
 /// It goes on while the process drains, because that is when people look.
 ///
