domain: attack lease, table and gate with random schedules; mend what they found

Nothing had shown that the order of steps in a VM's move holds when daemons sleep.

Schedules of pauses, crashes, partitions, slow networks, engines that die, move, double or ignore tokens, and regrouping, run against whole domains of pure coordinators; after each event: one lease holder, each VM in one served group over all daemons, no group served without a member for longer than can be known, tables and revisions never back.

Found and mended: a daemon that slept, woke and regained its routing lease counted an announcement that had waited for it as new. A routing lease now goes only to daemons that route by the newest table, and covers only announcements that came after it began. From reading the shrunk runs: after a majority restarted, a daemon may lead twice under one epoch; its tables now have numbers far apart by run, and a daemon acknowledges the table it holds rather than the one that came.

Ruled out: counting every announcement from the answer before it on its connection. Engines that spread announcements over several connections would not be served.

Planted faults (voters that forget, clocks beyond the settings, routing by the table alone) are each noticed.

--- a/lib/src/domain/admission_gate.rs
+++ b/lib/src/domain/admission_gate.rs
@@ -31,13 +31,13 @@
 pub fn admitted_groups<'a>(
     table: &'a DomainTable,
     upstreams: &'a Upstreams,
-    has_routing_lease: bool,
+    routing_lease_since: Option<Timestamp>,
     now: Timestamp,
 ) -> Vec<AdmittedGroup<'a>> {
     let admitted = table.groups.iter().filter(|group| group.admits_requests);
     admitted
         .filter_map(|assignment| {
-            let first = admit(assignment, upstreams, has_routing_lease, now)?;
+            let first = admit(assignment, upstreams, routing_lease_since, now)?;
             Some(AdmittedGroup { assignment, first })
         })
         .collect()
@@ -47,22 +47,22 @@
 pub fn admits(
     assignment: &Assignment,
     upstreams: &Upstreams,
-    has_routing_lease: bool,
+    routing_lease_since: Option<Timestamp>,
     now: Timestamp,
 ) -> bool {
-    admit(assignment, upstreams, has_routing_lease, now).is_some()
+    admit(assignment, upstreams, routing_lease_since, now).is_some()
 }
 
 /// Returns whether every member announces exactly this assignment and is ready.
 pub fn is_complete(
     assignment: &Assignment,
     upstreams: &Upstreams,
-    has_routing_lease: bool,
+    routing_lease_since: Option<Timestamp>,
     now: Timestamp,
 ) -> bool {
     let mut members = assignment.members.iter();
     members.all(|vm| {
-        let member = upstreams.current(vm, has_routing_lease, now);
+        let member = upstreams.current(vm, routing_lease_since, now);
         member.is_some_and(|member| matches(assignment, member))
     })
 }
@@ -70,18 +70,18 @@
 fn admit<'a>(
     assignment: &Assignment,
     upstreams: &'a Upstreams,
-    has_routing_lease: bool,
+    routing_lease_since: Option<Timestamp>,
     now: Timestamp,
 ) -> Option<&'a Upstream> {
     let usable = |vm: &VmId| {
-        let member = upstreams.current(vm, has_routing_lease, now);
+        let member = upstreams.current(vm, routing_lease_since, now);
         let is_live = upstreams.liveness(vm, now) == Liveness::Live;
         is_live && member.is_some_and(|member| !member.announcement.leaving)
     };
     if !assignment.members.iter().all(usable) {
         return None;
     }
-    if !is_complete(assignment, upstreams, has_routing_lease, now) {
+    if !is_complete(assignment, upstreams, routing_lease_since, now) {
         return None;
     }
     upstreams.get(assignment.members.first()?)
--- a/lib/src/domain/coordinator.rs
+++ b/lib/src/domain/coordinator.rs
@@ -191,6 +191,12 @@
             self.upstreams.credit_pause(passed);
         }
         self.last_tick = now;
+        let behind = match &self.leader {
+            Some(leader) => leader.behind(&self.parameters),
+            None => self.parameters.daemons.iter().collect(),
+        };
+        let behind = behind.into_iter().cloned().collect();
+        self.lease.withhold_routing_leases(behind);
         for (to, message) in self.lease.tick(now) {
             self.actions
                 .push(Action::Send(to, PeerMessage::Lease(message)));
@@ -378,21 +384,20 @@
             return;
         }
         let order = |table: &DomainTable| (table.epoch, table.sequence);
-        let is_newer = self
-            .table
-            .as_ref()
-            .is_none_or(|known| order(known) < order(&table));
-        let ack = PeerMessage::TableAck {
-            epoch: table.epoch,
-            sequence: table.sequence,
-        };
+        let known = self.table.as_ref();
+        let is_newer = known.is_none_or(|known| order(known) < order(&table));
         // The sender is the leader of that epoch, or a daemon that hands an older table over.
         let is_from_leader = self.lease.is_epoch_of(from, table.epoch);
         if is_newer {
             self.table = Some(table);
             self.actions.push(Action::Publish);
         }
-        if is_from_leader {
+        if is_from_leader && let Some(held) = &self.table {
+            // Of what is held, not of what came: the leader sees if it is not its own.
+            let ack = PeerMessage::TableAck {
+                epoch: held.epoch,
+                sequence: held.sequence,
+            };
             self.send(from, ack);
         }
     }
@@ -441,7 +446,8 @@
             .as_ref()
             .is_none_or(|leader| leader.epoch() != epoch)
         {
-            self.leader = Some(Leader::new(epoch, self.table.clone(), now));
+            let run = (self.parameters.seed & u64::from(u32::MAX)) as u32;
+            self.leader = Some(Leader::new(epoch, self.table.clone(), run, now));
             self.losses = Losses::default();
             self.report_sequence = 0;
         }
@@ -573,9 +579,9 @@
         let Some(table) = &self.table else {
             return Vec::new();
         };
-        let has_routing_lease = self.lease.has_routing_lease(now);
+        let routing_lease_since = self.lease.routing_lease_since(now);
         let groups =
-            admission_gate::admitted_groups(table, &self.upstreams, has_routing_lease, now);
+            admission_gate::admitted_groups(table, &self.upstreams, routing_lease_since, now);
         let replicas = groups.into_iter().map(|group| Replica {
             id: ReplicaId::Group(group.assignment.group.clone()),
             service: group.assignment.service.clone(),
--- a/lib/src/domain/leader/admission.rs
+++ b/lib/src/domain/leader/admission.rs
@@ -46,7 +46,7 @@
     pub(super) fn note_matches(&mut self, view: LeaderView<'_>, now: Timestamp) {
         for held in self.held.values_mut() {
             for vm in &held.assignment.members {
-                let member = view.upstreams.current(vm, true, now);
+                let member = view.upstreams.current(vm, view.lease.held_since(), now);
                 if member.is_some_and(|member| is_member(&held.assignment, member)) {
                     held.first_matched.entry(vm.clone()).or_insert(now);
                 }
@@ -64,7 +64,12 @@
         let may_serve = |held: &&HeldGroup| {
             held.stopping.is_none()
                 && !held.assignment.admits_requests
-                && admission_gate::is_complete(&held.assignment, view.upstreams, true, now)
+                && admission_gate::is_complete(
+                    &held.assignment,
+                    view.upstreams,
+                    view.lease.held_since(),
+                    now,
+                )
                 && self.no_daemon_counts_old_group(view, held, now)
         };
         let admitted: Vec<GroupId> = self
--- a/lib/src/domain/leader/mod.rs
+++ b/lib/src/domain/leader/mod.rs
@@ -39,6 +39,9 @@
     },
 };
 
+/// How many tables one run may make, as a power of two.
+const TABLES_OF_A_RUN_BITS: u32 = 24;
+
 /// What the leader's decisions are made from.
 #[derive(Clone, Copy)]
 pub struct LeaderView<'a> {
@@ -86,8 +89,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Stopping {
     since: Timestamp,
-    /// The first table that no longer admits requests to it.
-    sequence: u64,
+    /// The first table that no longer admits requests to it; `None` if none did.
+    sequence: Option<u64>,
     /// When every daemon that may route to it knew that table.
     known_at: Option<Timestamp>,
 }
@@ -114,6 +117,7 @@
     settled: bool,
     inherited: Option<DomainTable>,
     issued: u32,
+    first_sequence: u64,
     sequence: u64,
     published: Option<DomainTable>,
     held: BTreeMap<GroupId, HeldGroup>,
@@ -128,19 +132,25 @@
 
 impl Leader {
     /// Starts an epoch; `inherited` is the newest table that this daemon knows.
-    pub fn new(epoch: u32, inherited: Option<DomainTable>, now: Timestamp) -> Self {
+    ///
+    /// `run` differs by run of the daemon. If a majority restarts, a daemon may lead
+    /// under an epoch that it has led in before; the tables of its two runs then still
+    /// have numbers far apart, and an acknowledgement of one is not taken for the other.
+    pub fn new(epoch: u32, inherited: Option<DomainTable>, run: u32, now: Timestamp) -> Self {
+        let first_sequence = u64::from(run) << TABLES_OF_A_RUN_BITS;
         Self {
             epoch,
             since: now,
             settled: false,
             inherited,
             issued: 0,
-            sequence: 0,
+            first_sequence,
+            sequence: first_sequence,
             published: None,
             held: BTreeMap::new(),
             retired: vec![Retired {
                 members: None,
-                sequence: 1,
+                sequence: first_sequence + 1,
             }],
             acknowledged: BTreeMap::new(),
             commanded: BTreeMap::new(),
@@ -193,7 +203,7 @@
         if epoch != self.epoch {
             return true;
         }
-        if sequence > self.sequence {
+        if sequence > self.sequence || sequence <= self.first_sequence {
             return false;
         }
         let known = self.acknowledged.entry(daemon.clone()).or_default();
--- a/lib/src/domain/leader/planning.rs
+++ b/lib/src/domain/leader/planning.rs
@@ -71,7 +71,7 @@
         let was_admitted = std::mem::take(&mut held.assignment.admits_requests);
         held.stopping = Some(Stopping {
             since: now,
-            sequence: if was_admitted { sequence } else { 0 },
+            sequence: was_admitted.then_some(sequence),
             known_at: None,
         });
     }
@@ -84,7 +84,8 @@
             let stopping = held
                 .stopping
                 .filter(|stopping| stopping.known_at.is_none())?;
-            let is_known = self.is_known(view, stopping.sequence, now);
+            let sequence = stopping.sequence;
+            let is_known = sequence.is_none_or(|sequence| self.is_known(view, sequence, now));
             is_known.then(|| held.assignment.group.clone())
         });
         for group in unknown.collect::<Vec<_>>() {
--- a/lib/src/domain/lease.rs
+++ b/lib/src/domain/lease.rs
@@ -77,7 +77,10 @@
     next_renewal_at: Timestamp,
     heard_at: BTreeMap<DaemonId, (u64, Timestamp)>,
     replied_at: BTreeMap<u64, Timestamp>,
+    routing_since: Timestamp,
     routing_until: Timestamp,
+    /// Daemons that must not get a routing lease, because they route by an older table.
+    behind: BTreeSet<DaemonId>,
     jitter: SmallRng,
 }
 
@@ -103,7 +106,9 @@
             next_renewal_at: now,
             heard_at: BTreeMap::new(),
             replied_at: BTreeMap::new(),
+            routing_since: Timestamp(0),
             routing_until: Timestamp(0),
+            behind: BTreeSet::new(),
             jitter,
             parameters,
         }
@@ -149,12 +154,24 @@
         self.highest_epoch
     }
 
-    /// Returns whether the leader has confirmed lately that it hears this daemon.
+    /// Returns since when this daemon has had a routing lease without a break, if it has one.
     ///
-    /// Until it ends, the leader waits for this daemon's acknowledgement before
-    /// it moves a VM.
-    pub fn has_routing_lease(&self, now: Timestamp) -> bool {
-        self.held_epoch(now).is_some() || now < self.routing_until
+    /// The leader gives it to daemons that it hears and that route by its newest
+    /// table. Until it ends, the leader waits for this daemon's acknowledgement
+    /// before it moves a VM.
+    pub fn routing_lease_since(&self, now: Timestamp) -> Option<Timestamp> {
+        if self.held_epoch(now).is_some() {
+            return self.held_since();
+        }
+        (now < self.routing_until).then_some(self.routing_since)
+    }
+
+    /// Sets who must not get a routing lease, because it routes by an older table.
+    ///
+    /// Such a daemon may have slept while a VM was moved, and an announcement that
+    /// waited for it meanwhile would look new to it.
+    pub fn withhold_routing_leases(&mut self, behind: BTreeSet<DaemonId>) {
+        self.behind = behind;
     }
 
     /// Returns the time after which `daemon` certainly has no routing lease of this leader.
@@ -410,7 +427,11 @@
         }
         self.count_grant(&own, epoch, round, now);
         let request = |to: DaemonId| {
-            let confirmed_round = self.heard_at.get(&to).map(|(round, _)| *round);
+            let heard = self
+                .heard_at
+                .get(&to)
+                .filter(|_| !self.behind.contains(&to));
+            let confirmed_round = heard.map(|(round, _)| *round);
             let request = LeaseMessage::Request {
                 epoch,
                 round,
@@ -443,7 +464,7 @@
                     .timing
                     .longer(self.parameters.timing.leader_lease);
             self.probe_at = self.probe_at + self.pause();
-            self.extend_routing_lease(confirmed_round);
+            self.extend_routing_lease(confirmed_round, now);
             self.remember_reply(round, now);
         }
         let reply = LeaseMessage::Reply {
@@ -459,10 +480,13 @@
     ///
     /// Counted from the confirmation's arrival it could outlast the leader's
     /// bound by the time that the message was under way.
-    fn extend_routing_lease(&mut self, confirmed_round: Option<u64>) {
+    fn extend_routing_lease(&mut self, confirmed_round: Option<u64>, now: Timestamp) {
         let lease = self.parameters.timing.leader_lease;
         let replied_at = confirmed_round.and_then(|round| self.replied_at.get(&round));
         if let Some(replied_at) = replied_at {
+            if now >= self.routing_until {
+                self.routing_since = now;
+            }
             self.routing_until = self.routing_until.max(*replied_at + lease);
         }
     }
--- a/lib/src/domain/membership.rs
+++ b/lib/src/domain/membership.rs
@@ -216,14 +216,22 @@
     /// Without a routing lease the leader may have moved the VM without this
     /// daemon's knowledge, so only an announcement counts of which it is certain
     /// that it was made within the last upstream lease: a delayed or relayed one
-    /// might tell of a group that the VM has left.
-    pub fn current(&self, vm: &VmId, has_routing_lease: bool, now: Timestamp) -> Option<&Upstream> {
+    /// might tell of a group that the VM has left. The same goes for one that came
+    /// before the routing lease began, for example while this process was stopped.
+    pub fn current(
+        &self,
+        vm: &VmId,
+        routing_lease_since: Option<Timestamp>,
+        now: Timestamp,
+    ) -> Option<&Upstream> {
         let upstream = self.known.get(vm)?;
         if now < upstream.conflict_until {
             return None;
         }
-        let counted_from = match (has_routing_lease, upstream.source) {
-            (true, _) => upstream.received_at,
+        let received_at = upstream.received_at;
+        let is_covered = routing_lease_since.is_some_and(|since| received_at >= since);
+        let counted_from = match (is_covered, upstream.source) {
+            (true, _) => received_at,
             (false, Source::Direct { made_after }) => made_after?,
             (false, Source::Relayed) => return None,
         };
--- a/lib/src/domain/report.rs
+++ b/lib/src/domain/report.rs
@@ -89,7 +89,8 @@
 }
 
 fn serves(assignment: &Assignment, view: LeaderView<'_>, now: Timestamp) -> bool {
-    assignment.admits_requests && admission_gate::admits(assignment, view.upstreams, true, now)
+    assignment.admits_requests
+        && admission_gate::admits(assignment, view.upstreams, view.lease.held_since(), now)
 }
 
 /// Makes the report of this domain.
--- /dev/null
+++ b/lib/tests/test_domain_schedules/engine.rs
@@ -0,0 +1,109 @@
+//! An engine as the domain sees it.
+
+use std::net::SocketAddr;
+
+use cicadabend::{
+    prelude::*,
+    upstream_api::{
+        Announcement,
+        Command,
+        CommandAction,
+        EngineState,
+        LoadReport,
+        Membership,
+        UpstreamKind, //
+    },
+};
+
+/// One engine process.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    pub vm: VmId,
+    pub boot: BootId,
+    pub address: SocketAddr,
+    pub alive: bool,
+    pub paused: bool,
+    pub state: EngineState,
+    sequence: u64,
+    /// To each daemon: the connection's number and whether an answer is awaited.
+    pub connections: Vec<(u64, bool)>,
+}
+
+impl Engine {
+    pub fn new(number: usize, boot: u64, ignores_tokens: bool, daemons: usize) -> Self {
+        Self {
+            vm: format!("vm-{number}").parse().expect("a valid name"),
+            boot: BootId(boot),
+            address: SocketAddr::from(([127, 0, 0, 1], 10_000 + number as u16)),
+            alive: true,
+            paused: false,
+            state: EngineState {
+                accelerators: Accelerators(8),
+                checks_tokens: !ignores_tokens,
+                ..EngineState::default()
+            },
+            sequence: 0,
+            connections: vec![(boot << 8, false); daemons],
+        }
+    }
+
+    pub fn announcement(&mut self) -> Announcement {
+        self.sequence += 1;
+        Announcement {
+            vm: self.vm.clone(),
+            boot: self.boot,
+            sequence: self.sequence,
+            address: self.address,
+            failure_domain: "cumbaya".parse().expect("a valid name"),
+            fabric_domain: "cumbaya-a".parse().expect("a valid name"),
+            kind: UpstreamKind::Engine(self.state.clone()),
+            leaving: false,
+            slots: Slots(4),
+            load: LoadReport::default(),
+            cache_events: Vec::new(),
+        }
+    }
+
+    /// Obeys or refuses; returns the token under which weights are loaded now.
+    pub fn obey(&mut self, command: Command) -> Option<FencingToken> {
+        let is_stale = command.token < self.state.highest_token;
+        if command.vm != self.vm || (self.state.checks_tokens && is_stale) {
+            return None;
+        }
+        self.state.highest_token = self.state.highest_token.max(command.token);
+        match command.action {
+            CommandAction::JoinGroup {
+                group,
+                service,
+                members,
+                ..
+            } => {
+                let known = self.state.membership.as_ref();
+                if known.is_some_and(|known| known.group == group && known.token == command.token) {
+                    return None;
+                }
+                self.state.membership = Some(Membership {
+                    group,
+                    token: command.token,
+                    service,
+                    members,
+                    ready: false,
+                });
+                Some(command.token)
+            }
+            CommandAction::LeaveGroup => {
+                self.state.membership = None;
+                None
+            }
+            CommandAction::LoadWeights { .. } => None,
+        }
+    }
+
+    pub fn become_ready(&mut self, token: u64) {
+        if let Some(membership) = &mut self.state.membership
+            && membership.token.to_number() == token
+        {
+            membership.ready = true;
+        }
+    }
+}
--- /dev/null
+++ b/lib/tests/test_domain_schedules/main.rs
@@ -0,0 +1,13 @@
+//! Whole failure domains of pure coordinators under random schedules of faults.
+
+#![expect(
+    clippy::expect_used,
+    reason = "a fixture that cannot be set up ends its test"
+)]
+
+mod engine;
+mod invariants;
+mod network;
+mod schedule;
+mod test_schedules;
+mod world;
