--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -17,12 +17,14 @@
 pub mod admission;
 pub mod caller_api;
 pub mod chart;
+pub mod claims;
 pub mod domain;
 pub mod fleet;
 pub mod ids;
 pub mod operator_api;
 pub mod peer_api;
 pub mod prelude;
+pub mod request;
 pub mod routing;
 pub mod time;
 pub mod units;
