load: bench entry against direct, policies, spread and slopes with real processes

Cause: figures must come from the product's processes without the tests' proxies in their path. Change: a cluster on loopback; parts overhead, policies, spread, slopes; JSON, Markdown and SVG; processor time by schedstat, bytes by ss, so the daemons' own counters are not trusted. The fake engine's zero waits take no time, its report lag can be set while it runs; a process of the fixtures tells its id.

--- a/testing/fake-engine/src/fault.rs
+++ b/testing/fake-engine/src/fault.rs
@@ -25,6 +25,8 @@
     pub stop_announcing: bool,
     /// Whether it ignores commands though it accepts them.
     pub ignore_commands: bool,
+    /// How old the load is that announcements report, in place of the settings' value.
+    pub report_lag_ms: Option<u64>,
     /// How late cache events are announced.
     pub cache_event_delay_ms: u64,
     /// One of how many cache events gets lost; zero for none.
@@ -42,6 +44,7 @@
             drop_after_start: false,
             stop_announcing: false,
             ignore_commands: false,
+            report_lag_ms: None,
             cache_event_delay_ms: 0,
             lose_cache_event_every: 0,
         }
--- a/testing/fake-engine/src/generate.rs
+++ b/testing/fake-engine/src/generate.rs
@@ -198,7 +198,7 @@
                 self.state = state;
                 return Err(state);
             }
-            () = tokio::time::sleep_until(self.due) => {}
+            () = until(self.due) => {}
         }
         Ok(Some(self.take_token()))
     }
@@ -288,6 +288,14 @@
     }
 }
 
+/// Waits for a time; one that has come takes no time, where tokio's timer, which counts
+/// whole milliseconds, would take up to one.
+async fn until(due: Instant) {
+    if due > Instant::now() {
+        tokio::time::sleep_until(due).await;
+    }
+}
+
 async fn stopped(stop: &mut watch::Receiver<Option<RunState>>) -> RunState {
     match stop.wait_for(Option::is_some).await {
         Ok(state) => state.unwrap_or(RunState::Broken),
--- a/testing/fake-engine/src/vm.rs
+++ b/testing/fake-engine/src/vm.rs
@@ -164,7 +164,8 @@
         };
         let mut loads = self.loads.borrow_mut();
         loads.push_back((now, load));
-        let lag_ms = self.settings.report_lag_ms;
+        let lag_ms = self.faults.borrow().report_lag_ms;
+        let lag_ms = lag_ms.unwrap_or(self.settings.report_lag_ms);
         let is_old = |at: Timestamp| now.0.saturating_sub(at.0) >= lag_ms;
         while loads.len() > 1 && is_old(loads[1].0) {
             loads.pop_front();
--- /dev/null
+++ b/testing/load/src/bench/slopes.rs
@@ -0,0 +1,298 @@
+//! What one entry daemon uses for control, as a function of the fleet.
+
+use std::{
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use cicadabend::{
+    fleet::RoutingPolicy,
+    prelude::*, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::{
+    BenchError,
+    cluster::{
+        Cluster,
+        Shape, //
+    },
+    plot::{
+        Line,
+        Plot, //
+    },
+    process_stats::{
+        self,
+        Usage, //
+    },
+    progress,
+    report::{
+        Report,
+        Table, //
+    },
+};
+
+/// How long one point is watched.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// What varies.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Axis {
+    /// Engines of the daemon's failure domain, in groups of two.
+    Engines,
+    /// Groups of the failure domain, with as many engines at each point.
+    Groups,
+    /// Entry daemons of the failure domain.
+    Daemons,
+    /// Changes of the configuration a second.
+    Changes,
+}
+
+impl Axis {
+    const ALL: [Axis; 4] = [Axis::Engines, Axis::Groups, Axis::Daemons, Axis::Changes];
+
+    fn name(self) -> &'static str {
+        match self {
+            Axis::Engines => "engines of the failure domain",
+            Axis::Groups => "groups of the failure domain",
+            Axis::Daemons => "entry daemons of the failure domain",
+            Axis::Changes => "changes a second",
+        }
+    }
+
+    /// Returns the values measured at.
+    fn values(self) -> [u32; 4] {
+        match self {
+            Axis::Engines => [8, 24, 48, 96],
+            Axis::Groups => [2, 8, 24, 48],
+            Axis::Daemons => [3, 6, 12, 24],
+            Axis::Changes => [0, 1, 2, 4],
+        }
+    }
+
+    fn shape(self, value: u32) -> Shape {
+        let base = Shape {
+            domains: 1,
+            controls: 1,
+            entries_per_domain: 3,
+            engines_per_domain: 24,
+            vms_per_group: 2,
+            plain_per_domain: 1,
+            ..Shape::default()
+        };
+        match self {
+            Axis::Engines => Shape {
+                engines_per_domain: value as usize,
+                ..base
+            },
+            // 48 engines at each point, in fewer and larger or more and smaller groups.
+            Axis::Groups => Shape {
+                engines_per_domain: 48,
+                vms_per_group: 48 / value.max(1),
+                ..base
+            },
+            Axis::Daemons => Shape {
+                entries_per_domain: value as usize,
+                ..base
+            },
+            Axis::Changes => base,
+        }
+    }
+}
+
+/// One entry daemon at one point.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Point {
+    /// What varies.
+    pub axis: Axis,
+    /// Its value.
+    pub value: u32,
+    /// The daemon that used the most processor time, which is the domain leader as a rule.
+    pub busiest: Usage,
+    /// The median of the domain's entry daemons, by processor time.
+    pub median: Usage,
+}
+
+/// Measures the part.
+///
+/// # Errors
+///
+/// Returns an error if a cluster cannot be measured.
+pub fn measure() -> Result<Report, BenchError> {
+    let mut points = Vec::new();
+    for axis in Axis::ALL {
+        for value in axis.values() {
+            progress(&format!("slopes: {value} {}", axis.name()));
+            points.push(measure_at(axis, value)?);
+        }
+    }
+    Ok(report(&points))
+}
+
+fn measure_at(axis: Axis, value: u32) -> Result<Point, BenchError> {
+    let mut cluster = Cluster::start(axis.shape(value), RoutingPolicy::LeastOutstanding)?;
+    // What the start has stirred up must settle.
+    thread::sleep(Duration::from_secs(1));
+    let names = cluster.entry_names();
+    let processes: Vec<_> = names
+        .iter()
+        .filter_map(|name| cluster.process_id(name))
+        .collect();
+    let before: Vec<_> = processes
+        .iter()
+        .map(|id| process_stats::look(*id))
+        .collect();
+    let changes = if axis == Axis::Changes { value } else { 0 };
+    spend_window(&mut cluster, changes)?;
+    let mut usages: Vec<_> = processes
+        .iter()
+        .zip(&before)
+        .map(|(id, before)| process_stats::usage(before, &process_stats::look(*id)))
+        .collect();
+    cluster.stop();
+    usages.sort_by(|a, b| a.core_percent.total_cmp(&b.core_percent));
+    Ok(Point {
+        axis,
+        value,
+        busiest: usages.last().copied().unwrap_or_default(),
+        median: usages.get(usages.len() / 2).copied().unwrap_or_default(),
+    })
+}
+
+/// Lets the window pass, with this many changes of the configuration a second.
+fn spend_window(cluster: &mut Cluster, changes: u32) -> Result<(), BenchError> {
+    let start = Instant::now();
+    if changes == 0 {
+        thread::sleep(WINDOW);
+        return Ok(());
+    }
+    let mut config = cluster.config(RoutingPolicy::LeastOutstanding)?;
+    let total = u32::try_from(WINDOW.as_secs()).unwrap_or(1) * changes;
+    for change in 0..total {
+        let due = start + Duration::from_secs(1) * change / changes;
+        thread::sleep(due.saturating_duration_since(Instant::now()));
+        for team in config.teams.values_mut() {
+            team.requests_per_second = RatePerSecond(1_000 + change);
+        }
+        cluster.put_in_force(config.clone())?;
+    }
+    thread::sleep((start + WINDOW).saturating_duration_since(Instant::now()));
+    Ok(())
+}
+
+fn report(points: &[Point]) -> Report {
+    let mut tables = Vec::new();
+    let mut plots = Vec::new();
+    for axis in Axis::ALL {
+        let of_axis: Vec<_> = points.iter().filter(|point| point.axis == axis).collect();
+        let mut table = Table::new(
+            &format!("By {}", axis.name()),
+            &[
+                axis.name(),
+                "core % (busiest)",
+                "core % (median)",
+                "MiB (busiest)",
+                "sent B/s (busiest)",
+                "sent B/s (median)",
+                "received B/s (busiest)",
+                "received B/s (median)",
+            ],
+        );
+        for point in &of_axis {
+            table.rows.push(row(point));
+        }
+        let row = |name: &str, figure: fn(&Usage) -> f64| {
+            let fit = fit(&of_axis, figure);
+            vec![
+                name.to_owned(),
+                format!("{:.4}", fit.1),
+                format!("{:.3}", fit.0),
+            ]
+        };
+        let mut fits = Table::new(
+            &format!("Straight lines through them, by {}", axis.name()),
+            &["figure (busiest)", "each one adds", "at zero"],
+        );
+        fits.rows.push(row("core %", |usage| usage.core_percent));
+        fits.rows.push(row("MiB", |usage| usage.resident_mib));
+        fits.rows.push(row("sent B/s", |usage| {
+            usage.sent_bytes_per_second.unwrap_or(0.0)
+        }));
+        fits.rows.push(row("received B/s", |usage| {
+            usage.received_bytes_per_second.unwrap_or(0.0)
+        }));
+        tables.push(table);
+        tables.push(fits);
+        plots.push(plot(axis, &of_axis));
+    }
+    Report {
+        part: "slopes",
+        about: format!(
+            "One failure domain, one control daemon, default timing, no callers; each point is a \
+             cluster of its own, watched for {} s. Processor time is the sum over threads in \
+             schedstat; bytes are those of TCP connections that `ss` shows, to peers, upstreams \
+             and the bench itself. The metrics of one entry daemon by engines, groups, daemons \
+             and changes; the busiest daemon is the domain leader as a rule.",
+            WINDOW.as_secs()
+        ),
+        json: serde_json::json!({ "points": points }),
+        tables,
+        plots,
+        violations: Vec::new(),
+    }
+}
+
+fn row(point: &Point) -> Vec<String> {
+    let bytes = |bytes: Option<f64>| bytes.map_or("-".to_owned(), |b| format!("{b:.0}"));
+    vec![
+        point.value.to_string(),
+        format!("{:.2}", point.busiest.core_percent),
+        format!("{:.2}", point.median.core_percent),
+        format!("{:.1}", point.busiest.resident_mib),
+        bytes(point.busiest.sent_bytes_per_second),
+        bytes(point.median.sent_bytes_per_second),
+        bytes(point.busiest.received_bytes_per_second),
+        bytes(point.median.received_bytes_per_second),
+    ]
+}
+
+/// Returns the least-squares line: its value at zero and its slope.
+fn fit(points: &[&Point], figure: fn(&Usage) -> f64) -> (f64, f64) {
+    let count = points.len().max(1) as f64;
+    let mean_x = points.iter().map(|p| f64::from(p.value)).sum::<f64>() / count;
+    let mean_y = points.iter().map(|p| figure(&p.busiest)).sum::<f64>() / count;
+    let (mut covariance, mut variance) = (0.0, 0.0);
+    for point in points {
+        let x = f64::from(point.value) - mean_x;
+        covariance += x * (figure(&point.busiest) - mean_y);
+        variance += x * x;
+    }
+    let slope = covariance / f64::max(variance, 1e-9);
+    (mean_y - slope * mean_x, slope)
+}
+
+fn plot(axis: Axis, points: &[&Point]) -> Plot {
+    let line = |name: &str, figure: fn(&Point) -> f64| Line {
+        name: name.to_owned(),
+        points: points
+            .iter()
+            .map(|point| (f64::from(point.value), figure(point)))
+            .collect(),
+    };
+    Plot {
+        title: format!("Processor time of one entry daemon by {}", axis.name()),
+        x: axis.name().to_owned(),
+        y: "percent of one core".to_owned(),
+        lines: vec![
+            line("busiest", |point| point.busiest.core_percent),
+            line("median", |point| point.median.core_percent),
+        ],
+    }
+}
--- a/testing/load/src/commands/mod.rs
+++ b/testing/load/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The command line; each command in a file of its own.
 
+pub mod bench;
 pub mod compare;
 pub mod run;
 
@@ -28,6 +29,7 @@
         .arg_required_else_help(true)
         .subcommand(run::command())
         .subcommand(compare::command())
+        .subcommand(bench::command())
 }
 
 /// Runs the command that the process was started with.
@@ -35,6 +37,7 @@
     let matches = command().get_matches();
     let outcome = match matches.subcommand() {
         Some(("run", matches)) => run::execute(matches),
+        Some(("bench", matches)) => bench::execute(matches),
         Some(("compare", matches)) => compare::execute(matches),
         _ => Err("no such command".into()),
     };
--- a/testing/load/src/lib.rs
+++ b/testing/load/src/lib.rs
@@ -9,11 +9,13 @@
 //! - [`account`]: compares what callers were told with what upstreams ran.
 //! - [`statistics`]: latencies and rates of a run.
 //! - [`table`]: results as text.
+//! - [`bench`]: benchmarks with real processes.
 //! - [`commands`]: the command line.
 
 pub mod account;
 pub mod answer;
 pub mod balancer;
+pub mod bench;
 pub mod commands;
 pub mod drive;
 pub mod exchange;
--- a/testing/testutils/src/process.rs
+++ b/testing/testutils/src/process.rs
@@ -76,6 +76,11 @@
         &self.name
     }
 
+    /// Returns the operating system's number of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Asks for a graceful shutdown (SIGTERM).
     pub fn terminate(&self) {
         self.signal(Signal::TERM);
