serve: wait in the admission queue, hedge slow requests, and report demand and figures

Cause: every request was sent at once, whatever its team or the load. Change: requests wait in the library's queue and start while the router sees a free slot; a place is a guard that gives itself back once; a second copy of a slow repeatable request is paid from the retry budget and its loser cancelled; failures, timings and cache events reach the router; demand and figures go to the domain thread. Until shares are lent, a daemon uses its equal part of a limit. Ruled out: the guaranteed half of a share, which would halve every limit while nobody lends.

--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -55,7 +55,8 @@
     },
     serve::{
         self,
-        ClaimLink, //
+        ClaimLink,
+        DomainLink, //
     },
 };
 
@@ -63,6 +64,10 @@
 const PEER_INBOX_CAPACITY: usize = 4_096;
 /// How many answers about claims wait for the serving thread; it asks again for what is dropped.
 const CLAIM_REPLY_CAPACITY: usize = 4_096;
+/// How many cache events wait for the serving thread; a gap in their numbers shows what is dropped.
+const CACHE_NOTICE_CAPACITY: usize = 4_096;
+/// How many notices of demand and figures wait for the domain thread.
+const SERVE_NOTICE_CAPACITY: usize = 64;
 
 /// Why the daemon cannot run.
 #[derive(Debug, Display, Error)]
@@ -100,9 +105,16 @@
     let boot = draw_boot();
     let (peers, inbox) = start_peers(&settings, boot)?;
     let (claim_replies, replies) = ring::bounded("claim-replies", CLAIM_REPLY_CAPACITY);
+    let (cache_sender, cache_notices) = ring::bounded("cache-notices", CACHE_NOTICE_CAPACITY);
+    let (notices, serve_notices) = ring::bounded("serve-notices", SERVE_NOTICE_CAPACITY);
     let context = DomainContext {
         claim_replies: Some(claim_replies),
-        ..DomainContext::default()
+        cache_notices: Some(cache_sender),
+        serve_notices: Some(serve_notices),
+    };
+    let link = DomainLink {
+        cache_notices: Some(cache_notices),
+        notices: Some(notices),
     };
     let claims = claim_link(&settings, peers.sender(), replies);
     let (stop_domain, domain_stopped) = watch::channel(false);
@@ -123,6 +135,7 @@
         clock,
         counters: Arc::default(),
         claims,
+        domain: link,
         boot,
     };
     let serving = serve::start(setup, stopped)?;
--- a/entry/src/serve/counters.rs
+++ b/entry/src/serve/counters.rs
@@ -19,6 +19,7 @@
     claim_refusals: [AtomicU64; ClaimRefusal::NAMES.len()],
     requests: AtomicU64,
     attempts_running: AtomicU64,
+    requests_waiting: AtomicU64,
     resumes: AtomicU64,
     cancels: AtomicU64,
     hedges: AtomicU64,
@@ -69,6 +70,11 @@
         self.attempts_running.fetch_sub(1, Ordering::Relaxed);
     }
 
+    /// Sets how many requests wait for their turn.
+    pub fn set_requests_waiting(&self, count: u64) {
+        self.requests_waiting.store(count, Ordering::Relaxed);
+    }
+
     /// Notes a broken stream whose rest was asked for.
     pub fn note_resume(&self) {
         add(&self.resumes);
@@ -93,6 +99,7 @@
         let totals = [
             ("requests", &self.requests),
             ("attempts_running", &self.attempts_running),
+            ("requests_waiting", &self.requests_waiting),
             ("resumes", &self.resumes),
             ("cancels", &self.cancels),
             ("hedges", &self.hedges),
--- a/entry/src/serve/drive.rs
+++ b/entry/src/serve/drive.rs
@@ -26,6 +26,7 @@
 };
 
 use super::{
+    admission_desk,
     answer::Refusal,
     body::AnswerBody,
     completions::body_refusal,
@@ -33,10 +34,10 @@
     event_body::EventBody,
     exchange::{
         Answered,
-        Failure,
-        exchange, //
+        Failure, //
     },
     headers,
+    hedge::exchange_hedged,
     passed_body::PassedBody,
     run::{
         Next,
@@ -65,7 +66,7 @@
     spec: Spec,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let mut run = RequestRun::new(server, spec)?;
-    let mut next = admit(&mut run);
+    let mut next = admit(&mut run).await;
     loop {
         next = match next {
             Next::Connect { delay } => match attempt(&mut run, delay).await {
@@ -83,13 +84,36 @@
     }
 }
 
-fn admit(run: &mut RequestRun) -> Next {
+/// Waits until the request may be sent and has a replica.
+async fn admit(run: &mut RequestRun) -> Next {
+    if !has_replica(run) {
+        return refuse_no_replica(run);
+    }
+    let turn = match admission_desk::offer(&run.server, &run.spec) {
+        Ok(turn) => turn,
+        Err(refusal) => return run.refuse(refusal),
+    };
+    run.apply(RequestEvent::Enqueued);
+    match turn.wait().await {
+        Ok(admission) => run.admission = Some(admission),
+        Err(refusal) => return run.refuse(refusal),
+    }
     match run.choose() {
         true => run.apply(RequestEvent::Admitted),
         false => refuse_no_replica(run),
     }
 }
 
+/// Returns whether any replica could take the request if it had room.
+///
+/// A request for a service without one is refused at once: it would only wait for
+/// its deadline, and the caller can still go elsewhere.
+fn has_replica(run: &RequestRun) -> bool {
+    let snapshot = run.server.snapshot.load();
+    let mut replicas = snapshot.replicas.iter();
+    replicas.any(|replica| replica.service == run.spec.service)
+}
+
 fn refuse_no_replica(run: &mut RequestRun) -> Next {
     const RETRY_MS: u64 = 1_000;
     let service = &run.spec.service;
@@ -126,15 +150,11 @@
     if !delay.is_zero() {
         sleep(delay).await;
     }
-    let Some(attempt) = &run.attempt else {
-        return Err(Failure::DeadlinePassed { is_written: false });
-    };
-    let sent = Rc::clone(&attempt.sent);
-    let work = exchange(&run.server, &run.spec, attempt.replica(), &sent);
+    let work = exchange_hedged(run);
     match timeout_at(deadline, work).await {
         Ok(outcome) => outcome,
         Err(_) => Err(Failure::DeadlinePassed {
-            is_written: sent.seal() > 0,
+            is_written: run.seal(),
         }),
     }
 }
--- a/entry/src/serve/event_body.rs
+++ b/entry/src/serve/event_body.rs
@@ -88,8 +88,12 @@
         }
     }
 
-    fn end(&mut self) {
-        self.last = Instant::now();
+    /// Notes that something came; returns how long nothing had.
+    fn end(&mut self) -> Duration {
+        let now = Instant::now();
+        let since_last = now.duration_since(self.last);
+        self.last = now;
+        since_last
     }
 
     /// Returns whether nothing came for the limit.
@@ -151,8 +155,8 @@
     ) -> Option<PolledFrame> {
         match source.poll_events(&mut self.tracker, context) {
             Poll::Ready(Ok(Batch::Events(events))) => {
-                self.silence.end();
-                self.run.progressed();
+                let since_last = self.silence.end();
+                self.run.progressed(since_last);
                 self.run.claim.record(&events);
                 self.stage = Stage::Live(source);
                 Some(Poll::Ready(Some(Ok(Frame::data(events)))))
--- a/entry/src/serve/exchange.rs
+++ b/entry/src/serve/exchange.rs
@@ -112,6 +112,35 @@
     },
 }
 
+impl Failure {
+    /// Returns whether the upstream can have run the request.
+    pub(super) fn may_have_run(&self) -> bool {
+        match self {
+            Failure::NothingWritten(_)
+            | Failure::NotStarted { .. }
+            | Failure::ClaimLapsed
+            | Failure::DeadlinePassed { is_written: false } => false,
+            Failure::Broken(_)
+            | Failure::FailedByUpstream { .. }
+            | Failure::Invalid(_)
+            | Failure::GroupGone
+            | Failure::DeadlinePassed { is_written: true } => true,
+        }
+    }
+
+    /// Returns whether the replica is to blame, rather than its load, the daemon or the caller.
+    pub(super) fn is_by_replica(&self) -> bool {
+        match self {
+            Failure::NothingWritten(error) => matches!(error, AttemptError::NotConnected { .. }),
+            Failure::Broken(_) | Failure::FailedByUpstream { .. } | Failure::Invalid(_) => true,
+            Failure::NotStarted { .. }
+            | Failure::ClaimLapsed
+            | Failure::GroupGone
+            | Failure::DeadlinePassed { .. } => false,
+        }
+    }
+}
+
 impl From<AttemptError> for Failure {
     fn from(error: AttemptError) -> Self {
         match error {
--- /dev/null
+++ b/entry/src/serve/hedge.rs
@@ -0,0 +1,67 @@
+//! A second copy of a slow repeatable request.
+
+use std::rc::Rc;
+
+use tokio::time::sleep;
+
+use super::{
+    exchange::{
+        Answered,
+        Failure,
+        exchange, //
+    },
+    run::RequestRun,
+};
+
+/// Which copy of a request answered.
+enum Winner {
+    First,
+    Second,
+}
+
+/// Sends the request, and a second copy elsewhere if the first is unusually slow.
+///
+/// The copy that answers first is the request's attempt afterwards; the other one
+/// is cancelled, and nothing of its answer is read.
+pub(super) async fn exchange_hedged(run: &mut RequestRun) -> Result<Answered, Failure> {
+    let server = Rc::clone(&run.server);
+    let spec = Rc::clone(&run.spec);
+    let Some(attempt) = &run.attempt else {
+        return Err(Failure::DeadlinePassed { is_written: false });
+    };
+    let replica = attempt.replica().clone();
+    let sent = Rc::clone(&attempt.sent);
+    let first = exchange(&server, &spec, &replica, &sent);
+    let Some(after) = run.hedge_after() else {
+        return first.await;
+    };
+    let mut first = std::pin::pin!(first);
+    tokio::select! {
+        outcome = &mut first => return outcome,
+        () = sleep(after) => {}
+    }
+    let Some((second_replica, second_sent)) = run.start_hedge() else {
+        return first.await;
+    };
+    let second = exchange(&server, &spec, &second_replica, &second_sent);
+    let mut second = std::pin::pin!(second);
+    let (outcome, winner) = tokio::select! {
+        outcome = &mut first => (outcome, Winner::First),
+        outcome = &mut second => (outcome, Winner::Second),
+    };
+    let (outcome, winner) = match (outcome, winner) {
+        (Ok(answered), winner) => (Ok(answered), winner),
+        (Err(failure), Winner::First) => (or_else(failure, second.await), Winner::Second),
+        (Err(failure), Winner::Second) => (or_else(failure, first.await), Winner::First),
+    };
+    run.end_hedge(matches!(winner, Winner::Second));
+    outcome
+}
+
+/// Returns the later outcome, but never hides that the earlier copy may have run.
+fn or_else(earlier: Failure, later: Result<Answered, Failure>) -> Result<Answered, Failure> {
+    match later {
+        Err(failure) if earlier.may_have_run() && !failure.may_have_run() => Err(earlier),
+        later => later,
+    }
+}
--- a/entry/src/serve/mod.rs
+++ b/entry/src/serve/mod.rs
@@ -6,6 +6,7 @@
 //! - `upstream`: connections to upstreams, whose written bytes are counted.
 //! - `answer`: bodies of answers, and errors in their one form.
 
+mod admission_desk;
 mod answer;
 mod attempt;
 mod body;
@@ -18,9 +19,12 @@
 mod event_body;
 mod event_source;
 mod exchange;
+mod figures;
 mod handler;
 mod headers;
+mod hedge;
 mod held_claim;
+mod housekeeping;
 mod listener;
 mod passed_body;
 mod plain;
@@ -29,12 +33,12 @@
 mod run;
 mod server;
 mod spec;
+mod times;
 mod upstream;
 
 use std::{
     io,
     net::TcpListener,
-    rc::Rc,
     sync::Arc,
     thread::JoinHandle, //
 };
@@ -59,6 +63,7 @@
     SendClaim, //
 };
 pub use counters::ServeCounters;
+pub use housekeeping::DomainLink;
 
 /// What the serving thread is given.
 pub struct ServeSetup {
@@ -74,6 +79,8 @@
     pub counters: Arc<ServeCounters>,
     /// The way to the control daemons.
     pub claims: ClaimLink,
+    /// The rings to and from the domain thread.
+    pub domain: DomainLink,
     /// This run of the process.
     pub boot: BootId,
 }
@@ -106,7 +113,7 @@
     match listener {
         Ok(listener) => {
             log::info!("CB1101 serving callers address={address}");
-            listener::run(listener, Rc::new(Server::new(setup)), stopped).await;
+            listener::run(listener, Server::start(setup), stopped).await;
         }
         Err(error) => log::error!("CB1100 cannot serve callers: {error}"),
     }
--- a/entry/src/serve/run.rs
+++ b/entry/src/serve/run.rs
@@ -18,6 +18,7 @@
         RequestState, //
     },
     claims::ClaimRefusal,
+    fleet::RoutingPolicy,
     prelude::*,
     request::{
         Permit,
@@ -27,6 +28,7 @@
         AnswerTiming,
         Choice,
         Prefix,
+        Replica,
         ReplicaId,
         RouteQuery,
         RoutingSnapshot, //
@@ -37,12 +39,15 @@
 use tokio::time::Instant;
 
 use super::{
+    admission_desk::Admission,
     answer::Refusal,
     attempt::Attempt,
     exchange::Failure,
+    figures::Outcome,
     held_claim::HeldClaim,
     server::Server,
-    spec::Spec, //
+    spec::Spec,
+    upstream::SentBytes, //
 };
 
 /// When to come back if no replica can take a request.
@@ -85,6 +90,10 @@
     pub(super) server: Rc<Server>,
     pub(super) spec: Rc<Spec>,
     pub(super) attempt: Option<Attempt>,
+    pub(super) admission: Option<Admission>,
+    hedge: Option<Attempt>,
+    policy: Option<RoutingPolicy>,
+    outcome: Outcome,
     life: RequestLife,
     choice: Option<Choice>,
     tried: Vec<ReplicaId>,
@@ -93,7 +102,6 @@
     refusal: Option<Refusal>,
     pub(super) claim: HeldClaim,
     sent_at: Instant,
-    first_token: Duration,
     resumes_without_progress: u32,
     can_resume: bool,
 }
@@ -109,6 +117,10 @@
             server: Rc::clone(server),
             spec: Rc::new(spec),
             attempt: None,
+            admission: None,
+            hedge: None,
+            policy: None,
+            outcome: Outcome::default(),
             life,
             choice: None,
             tried: Vec::new(),
@@ -117,7 +129,6 @@
             refusal: None,
             claim: HeldClaim::default(),
             sent_at: Instant::now(),
-            first_token: Duration::ZERO,
             resumes_without_progress: 0,
             can_resume: false,
         })
@@ -145,6 +156,9 @@
         for action in actions {
             next = self.act(*action, delay).unwrap_or(next);
         }
+        if self.life.is_over() {
+            self.finish();
+        }
         if next == Next::Wait && self.life.is_over() {
             next = Next::Over;
         }
@@ -159,11 +173,13 @@
                 self.choose();
             }
             RequestAction::TakeSlot => self.take_slot(),
-            RequestAction::FreeSlot => self.attempt = None,
+            RequestAction::FreeSlot => {
+                self.attempt = None;
+                self.hedge = None;
+            }
             RequestAction::CancelUpstream => {
-                if let Some(attempt) = &mut self.attempt {
-                    attempt.cancel();
-                }
+                let attempts = self.attempt.iter_mut().chain(&mut self.hedge);
+                attempts.for_each(Attempt::cancel);
             }
             RequestAction::Connect => {
                 return Some(match &self.attempt {
@@ -189,6 +205,24 @@
         None
     }
 
+    /// Gives the request's place back, and adds it to the figures of its policy.
+    fn finish(&mut self) {
+        self.admission = None;
+        let Some(policy) = self.policy.take() else {
+            return;
+        };
+        let mut figures = self.server.figures.borrow_mut();
+        match self.life.state() {
+            RequestState::Done => figures.add(&self.spec.service, policy, &self.outcome),
+            // That the caller left says nothing of the policy.
+            RequestState::Cancelled => {}
+            _ => {
+                self.outcome.has_failed = true;
+                figures.add(&self.spec.service, policy, &self.outcome);
+            }
+        }
+    }
+
     /// Chooses a replica; those that failed come last.
     pub(super) fn choose(&mut self) -> bool {
         let snapshot = self.server.snapshot.load_full();
@@ -239,8 +273,55 @@
         self.attempts += 1;
         self.tried.push(choice.replica.id.clone());
         self.sent_at = Instant::now();
+        self.policy = Some(choice.policy);
+        self.outcome.was_cached = choice.expected_cached_tokens.0 > 0;
         let id = &self.spec.caller.request_id;
         self.attempt = Some(Attempt::start(&self.server, choice, id));
+        if let Some(admission) = &self.admission {
+            admission.placed();
+        }
+    }
+
+    /// Returns after which time a second copy is sent; `None` for never.
+    pub(super) fn hedge_after(&self) -> Option<Duration> {
+        let is_repeatable = self.spec.traits.is_repeatable && self.spec.can_replay();
+        let times = self.server.times.borrow();
+        times.hedge_after(&self.spec.service, is_repeatable, self.attempts == 1)
+    }
+
+    /// Starts a second copy at another replica, if there is one and the budget allows it.
+    pub(super) fn start_hedge(&mut self) -> Option<(Replica, Rc<SentBytes>)> {
+        let snapshot = self.server.snapshot.load_full();
+        let choice = self.choose_excluding(&snapshot, &self.tried)?;
+        if !self.server.retry_budget.borrow_mut().withdraw() {
+            return None;
+        }
+        self.server.counters.note_hedge();
+        self.tried.push(choice.replica.id.clone());
+        let id = &self.spec.caller.request_id;
+        let attempt = Attempt::start(&self.server, choice, id);
+        let started = (attempt.replica().clone(), Rc::clone(&attempt.sent));
+        self.hedge = Some(attempt);
+        Some(started)
+    }
+
+    /// Keeps the copy that answered, and stops the other one.
+    pub(super) fn end_hedge(&mut self, is_second_kept: bool) {
+        if is_second_kept {
+            std::mem::swap(&mut self.attempt, &mut self.hedge);
+        }
+        if let Some(mut other) = self.hedge.take()
+            && other.sent.seal() > 0
+        {
+            other.cancel();
+        }
+    }
+
+    /// Ends all writing of the present attempts; returns whether any byte was written.
+    pub(super) fn seal(&self) -> bool {
+        let attempts = self.attempt.iter().chain(&self.hedge);
+        let written = attempts.map(|attempt| attempt.sent.seal()).sum::<u64>();
+        written > 0
     }
 
     /// Notes why the attempt failed and what that means for the request.
@@ -260,12 +341,12 @@
             | Failure::FailedByUpstream { .. }
             | Failure::Invalid(_) => RequestEvent::UpstreamFailed,
         };
-        let is_written = !matches!(
-            failure,
-            Failure::NothingWritten(_)
-                | Failure::ClaimLapsed
-                | Failure::DeadlinePassed { is_written: false }
-        );
+        let is_written = failure.may_have_run() || matches!(failure, Failure::NotStarted { .. });
+        if let Some(attempt) = self.attempt.as_ref().filter(|_| failure.is_by_replica()) {
+            let now = self.server.clock.now();
+            let mut router = self.server.router.borrow_mut();
+            router.record_failure(&attempt.replica().id, now);
+        }
         self.failure = Some(failure);
         if is_written {
             self.apply(RequestEvent::Connected);
@@ -275,7 +356,11 @@
 
     /// Notes that the first part of an answer is here.
     pub(super) fn answered(&mut self) -> Next {
-        self.first_token = self.sent_at.elapsed();
+        self.outcome.first_token = self.sent_at.elapsed();
+        let first_token = self.outcome.first_token;
+        let mut times = self.server.times.borrow_mut();
+        times.record(&self.spec.service, first_token);
+        drop(times);
         self.apply(RequestEvent::Connected);
         self.apply(RequestEvent::RequestSent);
         self.apply(RequestEvent::FirstByte)
@@ -297,8 +382,9 @@
         next
     }
 
-    /// Notes that part of the answer came.
-    pub(super) fn progressed(&mut self) {
+    /// Notes that part of the answer came, so long after the part before.
+    pub(super) fn progressed(&mut self, since_last: Duration) {
+        self.outcome.between_tokens.count(since_last);
         self.resumes_without_progress = 0;
     }
 
@@ -320,7 +406,7 @@
         let expected_cached = attempt.choice.expected_cached_tokens.0;
         let uncached = self.spec.prompt_tokens.0.saturating_sub(expected_cached);
         let timing = AnswerTiming {
-            first_token: self.first_token,
+            first_token: self.outcome.first_token,
             total: self.sent_at.elapsed(),
             output_tokens: TokenCount(output_tokens),
             uncached_tokens: TokenCount(uncached),
@@ -427,9 +513,7 @@
         if self.life.is_over() {
             return;
         }
-        let is_connecting = self.life.state() == RequestState::Connecting;
-        let sent = self.attempt.as_ref().map(|attempt| attempt.sent.seal());
-        if is_connecting && sent.is_some_and(|bytes| bytes > 0) {
+        if self.life.state() == RequestState::Connecting && self.seal() {
             self.apply(RequestEvent::Connected);
         }
         self.apply(RequestEvent::CallerGone);
--- a/entry/src/serve/server.rs
+++ b/entry/src/serve/server.rs
@@ -42,10 +42,14 @@
 };
 
 use super::{
+    admission_desk::AdmissionDesk,
     claim_desk::ClaimDesk,
     counters::ServeCounters,
     detached::Detached,
+    figures::Figures,
     headers,
+    housekeeping,
+    times::ServiceTimes,
     upstream::Pool, //
 };
 
@@ -56,6 +60,7 @@
     pub(super) clock: Clock,
     pub(super) counters: Arc<ServeCounters>,
     pub(super) pool: Pool,
+    pub(super) admission: AdmissionDesk,
     pub(super) claims: Rc<ClaimDesk>,
     pub(super) detached: Rc<Detached>,
     pub(super) draining: Cell<bool>,
@@ -63,6 +68,8 @@
     pub(super) own_load: RefCell<OwnLoad>,
     pub(super) retry_budget: RefCell<RetryBudget>,
     pub(super) backoff: Backoff,
+    pub(super) times: RefCell<ServiceTimes>,
+    pub(super) figures: RefCell<Figures>,
     random: RefCell<SmallRng>,
     request_count: Cell<u64>,
     boot: BootId,
@@ -89,16 +96,19 @@
 }
 
 impl Server {
-    pub(super) fn new(setup: super::ServeSetup) -> Self {
+    /// Makes the state and starts the tasks beside the requests.
+    pub(super) fn start(setup: super::ServeSetup) -> Rc<Self> {
         let pool = Pool::new(setup.settings.upstreams.connect_timeout_ms);
+        let admission = AdmissionDesk::new(&setup.settings);
         let daemon = setup.settings.daemon.clone();
         let claims = ClaimDesk::start(setup.claims, daemon, setup.boot, setup.clock);
-        Self {
+        let server = Rc::new(Self {
             settings: setup.settings,
             snapshot: setup.snapshot,
             clock: setup.clock,
             counters: setup.counters,
             pool,
+            admission,
             claims,
             detached: Rc::default(),
             draining: Cell::new(false),
@@ -106,11 +116,15 @@
             own_load: RefCell::default(),
             retry_budget: RefCell::default(),
             backoff: Backoff::default(),
+            times: RefCell::default(),
+            figures: RefCell::default(),
             random: RefCell::new(SmallRng::seed_from_u64(setup.boot.0)),
             request_count: Cell::new(0),
             boot: setup.boot,
             teams: RefCell::default(),
-        }
+        });
+        housekeeping::start(&server, setup.domain);
+        server
     }
 
     /// Returns whether the balancer should send callers here.
--- a/entry/src/serve/spec.rs
+++ b/entry/src/serve/spec.rs
@@ -13,6 +13,7 @@
         HEADER_DEADLINE_MS,
         HEADER_IDEMPOTENCY_KEY,
         HEADER_NOT_REPEATABLE,
+        HEADER_PRIORITY,
         HEADER_REQUEST_ID,
         HEADER_SESSION, //
     },
@@ -55,6 +56,11 @@
     server::Server, //
 };
 
+/// The priority of a request that names none (RFC 9218).
+const DEFAULT_PRIORITY: u8 = 3;
+/// The lowest priority (RFC 9218).
+const LOWEST_PRIORITY: u8 = 7;
+
 /// Which kind of service the request is for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Kind {
@@ -79,6 +85,7 @@
 pub(super) struct Wishes {
     pub(super) idempotency_key: Option<IdempotencyKey>,
     pub(super) is_not_repeatable: bool,
+    pub(super) priority: u8,
     pub(super) session: Option<String>,
     pub(super) deadline: Instant,
 }
@@ -113,6 +120,7 @@
         Ok(Self {
             idempotency_key,
             is_not_repeatable,
+            priority: priority(headers::text(map, HEADER_PRIORITY)),
             session: headers::text(map, HEADER_SESSION).map(str::to_owned),
             deadline: Instant::now() + first_byte_limit(server, map)?,
         })
@@ -259,6 +267,16 @@
     hash.parse().expect("a hash is a name")
 }
 
+/// Returns the urgency of an RFC 9218 priority; unknown parameters are skipped.
+fn priority(header: Option<&str>) -> u8 {
+    let mut parameters = header.unwrap_or_default().split(',');
+    parameters
+        .find_map(|parameter| parameter.trim().strip_prefix("u="))
+        .and_then(|urgency| urgency.parse().ok())
+        .filter(|urgency| *urgency <= LOWEST_PRIORITY)
+        .unwrap_or(DEFAULT_PRIORITY)
+}
+
 fn first_byte_limit(server: &Server, map: &HeaderMap) -> Result<Duration, Refusal> {
     let Some(text) = headers::text(map, HEADER_DEADLINE_MS) else {
         let limit_ms = server.settings.callers.first_byte_timeout_ms;
--- a/entry/tests/test_serve/main.rs
+++ b/entry/tests/test_serve/main.rs
@@ -16,4 +16,6 @@
 #[cfg(test)]
 mod test_plain;
 #[cfg(test)]
+mod test_queue;
+#[cfg(test)]
 mod test_streams;
--- a/entry/tests/test_serve/support/serving.rs
+++ b/entry/tests/test_serve/support/serving.rs
@@ -38,6 +38,7 @@
 };
 use cicadabend_entry::serve::{
     self,
+    DomainLink,
     ServeCounters,
     ServeSetup,
     Serving, //
@@ -106,6 +107,7 @@
             clock: Clock::start(),
             counters: Arc::clone(&counters),
             claims: voters.link(),
+            domain: DomainLink::default(),
             boot: BootId(7),
         };
         let serving = serve::start(setup, stopped).unwrap();
