claims: answer from the control daemon's disk with one sync for many claims

The claims thread takes what waits in its ring, appends the records, syncs once and then answers; a full disk takes the batch back and refuses it, any other error of the disk ends the thread.

--- /dev/null
+++ b/control/src/claims/thread.rs
@@ -0,0 +1,166 @@
+//! Takes messages, syncs their records together, and answers.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use arc_swap::ArcSwap;
+use cicadabend::{
+    claims::ClaimReplica,
+    peer_api::{
+        ClaimReply,
+        ClaimVerdict,
+        PeerMessage,
+        VoterSet, //
+    },
+    prelude::*,
+};
+use cicadabend_daemon::{
+    clock::Clock,
+    peers::Incoming,
+    ring::Receiver,
+    storage::StorageError, //
+};
+
+use super::{
+    ClaimLog,
+    ClaimsError,
+    events::LogEvent, //
+};
+
+/// The most messages whose records share one sync.
+const BATCH_LIMIT: usize = 4_096;
+/// How often expired claims are forgotten while no message comes.
+const IDLE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// An answer and who gets it.
+pub(crate) struct Answer {
+    /// The entry daemon.
+    pub(crate) to: DaemonId,
+    /// The reply.
+    pub(crate) message: PeerMessage,
+}
+
+/// The claims of one control daemon.
+pub(crate) struct ClaimThread {
+    replica: ClaimReplica,
+    log: ClaimLog,
+    voters: Arc<ArcSwap<VoterSet>>,
+    clock: Clock,
+    unanswered: Vec<(DaemonId, ClaimReply)>,
+}
+
+impl ClaimThread {
+    pub(super) fn new(
+        replica: ClaimReplica,
+        log: ClaimLog,
+        voters: Arc<ArcSwap<VoterSet>>,
+        clock: Clock,
+    ) -> Self {
+        Self {
+            replica,
+            log,
+            voters,
+            clock,
+            unanswered: Vec::new(),
+        }
+    }
+
+    /// Answers until the ring is closed or the disk can no longer be trusted.
+    pub(crate) async fn run(
+        mut self,
+        mut messages: Receiver<Incoming>,
+        mut send: impl FnMut(Answer),
+    ) {
+        loop {
+            let outcome = match tokio::time::timeout(IDLE_INTERVAL, messages.next()).await {
+                Err(_idle) => self.clean_up(),
+                Ok(None) => return,
+                Ok(Some(first)) => self.answer_batch(first, &mut messages, &mut send),
+            };
+            if let Err(error) = outcome {
+                // The state in memory is ahead of a disk of unknown content. Answering
+                // from it could grant a claim that a restart would not remember.
+                LogEvent::Stopped {
+                    reason: error.to_string(),
+                }
+                .emit();
+                return;
+            }
+        }
+    }
+
+    fn answer_batch(
+        &mut self,
+        first: Incoming,
+        messages: &mut Receiver<Incoming>,
+        send: &mut impl FnMut(Answer),
+    ) -> Result<(), ClaimsError> {
+        let mut next = Some(first);
+        let mut taken = 0;
+        while let Some(incoming) = next {
+            self.handle(incoming)?;
+            taken += 1;
+            next = match taken < BATCH_LIMIT {
+                true => messages.try_next(),
+                false => None,
+            };
+        }
+        self.sync()?;
+        for (to, reply) in self.unanswered.drain(..) {
+            let message = PeerMessage::ClaimReply(reply);
+            send(Answer { to, message });
+        }
+        self.clean_up()
+    }
+
+    fn handle(&mut self, incoming: Incoming) -> Result<(), ClaimsError> {
+        let PeerMessage::Claim(request) = incoming.message else {
+            return Ok(());
+        };
+        let voters = self.voters.load();
+        let handled = self.replica.handle(&request, &voters, self.clock.now());
+        if let Some(record) = &handled.record {
+            self.log.append(record)?;
+        }
+        let reply = ClaimReply {
+            question: request.question,
+            voter: self.replica.identity().clone(),
+            verdict: handled.verdict,
+        };
+        self.unanswered.push((incoming.from, reply));
+        Ok(())
+    }
+
+    /// Makes the batch durable; on a full disk takes it back and refuses all of it.
+    fn sync(&mut self) -> Result<(), ClaimsError> {
+        match self.log.sync() {
+            Ok(()) => {
+                self.replica.commit();
+                Ok(())
+            }
+            Err(StorageError::DiskFull { .. }) => {
+                LogEvent::DiskFull {}.emit();
+                self.replica.roll_back();
+                for (_, reply) in &mut self.unanswered {
+                    reply.verdict = ClaimVerdict::Unavailable;
+                }
+                Ok(())
+            }
+            Err(error) => Err(ClaimsError::Storage(error)),
+        }
+    }
+
+    fn clean_up(&mut self) -> Result<(), ClaimsError> {
+        let now = self.clock.now();
+        self.replica.expire(now);
+        match self.log.rotate(now) {
+            Ok(Some(journal)) => LogEvent::JournalEmptied { journal }.emit(),
+            Ok(None) => {}
+            Err(StorageError::DiskFull { .. }) => LogEvent::DiskFull {}.emit(),
+            Err(error) => return Err(ClaimsError::Storage(error)),
+        }
+        Ok(())
+    }
+}
