--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -14,8 +14,8 @@
 //! - [`upstream_api`], [`peer_api`], [`operator_api`], [`caller_api`]: the messages
 //!   between processes.
 
-pub mod agreement;
 pub mod admission;
+pub mod agreement;
 pub mod caller_api;
 pub mod chart;
 pub mod claims;
