--- a/daemon/src/settings/mod.rs
+++ b/daemon/src/settings/mod.rs
@@ -5,6 +5,7 @@
 mod entry;
 mod intent;
 mod load;
+mod read;
 mod repair;
 mod shared;
 
@@ -30,6 +31,7 @@
 };
 pub use shared::{
     LogFormat,
+    LogLevel,
     LogSettings,
     MetricSettings,
     PeerAddress,
--- a/lib/src/domain/mod.rs
+++ b/lib/src/domain/mod.rs
@@ -5,6 +5,7 @@
 //! - [`leader`]: what the leader does with them.
 //! - [`admission_gate`]: which groups may be routed to.
 //! - [`placement`]: which groups there should be.
+//! - [`recovery`]: what becomes of groups that lost a member.
 //! - [`spread_tree`]: how a configuration comes to all of them.
 //! - [`config_spread`]: which configuration is in force here and below.
 //! - [`report`]: what other domains learn.
@@ -18,5 +19,6 @@
 pub mod membership;
 pub mod parameters;
 pub mod placement;
+pub mod recovery;
 pub mod report;
 pub mod spread_tree;
