cli: watch a plan until its groups serve

The control daemons tell how far a plan has come, remaining group changes among it; watch used the status, in which a group that is still missing does not appear, and could end too early.

--- a/cli/src/client.rs
+++ b/cli/src/client.rs
@@ -25,8 +25,10 @@
         PATH_HISTORY,
         PATH_PLANS,
         PATH_POLICIES,
+        PATH_PROGRESS,
         PATH_STATUS,
         Plan,
+        PlanProgress,
         PlanRequest,
         PolicyFigures, //
     },
@@ -165,6 +167,15 @@
         self.send(&Prepared::get(PATH_CONFIG)).await
     }
 
+    /// Asks how far the last accepted plan has come; `None` before the first one.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::status`].
+    pub async fn progress(&self) -> Result<Option<PlanProgress>, CommandError> {
+        self.send(&Prepared::get(PATH_PROGRESS)).await
+    }
+
     /// Asks for the figures of all routing policies.
     ///
     /// # Errors
--- a/cli/src/command_line.rs
+++ b/cli/src/command_line.rs
@@ -30,7 +30,7 @@
   5  the operator token is missing or wrong
   6  no control daemon reached, or no majority; nothing was changed
   7  the outcome is not known; repeat with the same idempotency key
-  8  `watch` ended before the revision was in force everywhere";
+  8  `watch` ended before the revision was in force and its groups served";
 
 /// Returns the whole command line.
 pub fn command() -> Command {
--- a/cli/src/commands/watch.rs
+++ b/cli/src/commands/watch.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use cicadabend::prelude::*;
+use cicadabend::{
+    operator_api::PlanProgress,
+    prelude::*, //
+};
 use clap::{
     Arg,
     ArgMatches,
@@ -28,7 +31,7 @@
 pub(super) fn command() -> Command {
     let number = clap::value_parser!(u64);
     Command::new(NAME)
-        .about("Show progress until a revision is in force everywhere and its groups are admitted")
+        .about("Show progress until a revision is in force everywhere and its groups serve")
         .arg(
             Arg::new(REVISION)
                 .long(REVISION)
@@ -53,27 +56,60 @@
 ) -> Result<(), CommandError> {
     let for_ms = arguments.get_one(FOR_MS).copied().unwrap_or_default();
     let deadline = Instant::now() + Duration::from_millis(for_ms);
-    let mut wanted = arguments.get_one(REVISION).copied().map(Revision);
-    let mut last_line = String::new();
+    let wanted = arguments.get_one(REVISION).copied().map(Revision);
+    let mut last_shown = None;
     loop {
-        let status = context.client.status().await?;
-        let revision = *wanted.get_or_insert(status.revision);
-        let line = render::progress_line(&status);
-        if line != last_line {
-            context.output.result(&status, |_| format!("{line}\n"));
-            last_line = line;
+        let progress = context.client.progress().await?;
+        if last_shown.as_ref() != Some(&progress) {
+            context.output.result(&progress, |progress| {
+                let line = render::progress_line(progress.as_ref());
+                format!("{line}\n")
+            });
         }
-        let mut groups = status.domains.iter().flat_map(|d| &d.report.groups);
-        let admitted = groups.all(|group| group.assignment.admits_requests);
-        if status.in_force && status.revision >= revision && admitted {
+        if is_done(wanted, progress.as_ref()) {
             return Ok(());
         }
         if Instant::now() >= deadline {
-            return Err(CommandError::NotInForce {
-                revision,
-                waited_ms: for_ms,
-            });
+            return Err(unfinished(context, wanted, progress, for_ms));
         }
+        last_shown = Some(progress);
         sleep(POLL_INTERVAL).await;
     }
 }
+
+fn is_done(wanted: Option<Revision>, progress: Option<&PlanProgress>) -> bool {
+    progress.is_some_and(|progress| {
+        wanted.is_none_or(|wanted| progress.revision >= wanted)
+            && progress.in_force
+            && progress.remaining.is_empty()
+            && progress.not_serving.is_empty()
+    })
+}
+
+fn unfinished(
+    context: &mut Context<'_, '_>,
+    wanted: Option<Revision>,
+    progress: Option<PlanProgress>,
+    waited_ms: u64,
+) -> CommandError {
+    let Some(progress) = progress else {
+        return CommandError::NoRevision { waited_ms };
+    };
+    let revision = wanted.unwrap_or(progress.revision);
+    if revision > progress.revision || !progress.in_force {
+        return CommandError::NotInForce {
+            revision,
+            waited_ms,
+        };
+    }
+    if !progress.remaining.is_empty() {
+        let remaining = render::changes(&progress.remaining);
+        context
+            .output
+            .progress(&format!("Remaining:\n{}", remaining.trim_end()));
+    }
+    CommandError::GroupsUnfinished {
+        revision,
+        waited_ms,
+    }
+}
--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -29,7 +29,7 @@
 pub const EXIT_UNREACHABLE: u8 = 6;
 /// Whether the change happened is not known.
 pub const EXIT_OUTCOME_UNKNOWN: u8 = 7;
-/// `watch` ended before the revision was in force everywhere.
+/// `watch` ended before the revision was in force everywhere and its groups served.
 pub const EXIT_NOT_IN_FORCE: u8 = 8;
 
 /// Why a command did not do what it was asked.
@@ -147,6 +147,18 @@
         /// How long.
         waited_ms: u64,
     },
+    /// no plan was accepted within {waited_ms} ms
+    NoRevision {
+        /// How long.
+        waited_ms: u64,
+    },
+    /// revision {revision} is in force, but its groups did not all serve after {waited_ms} ms
+    GroupsUnfinished {
+        /// The revision.
+        revision: Revision,
+        /// How long.
+        waited_ms: u64,
+    },
     /// the data folder is damaged or cannot be read: {0}
     Storage(StorageError),
     /// cannot start: {0}
@@ -171,7 +183,9 @@
                 EXIT_OUTCOME_UNKNOWN
             }
             Self::Conflict { .. } | Self::FleetChanged { .. } => EXIT_CONFLICT,
-            Self::NotInForce { .. } => EXIT_NOT_IN_FORCE,
+            Self::NotInForce { .. } | Self::NoRevision { .. } | Self::GroupsUnfinished { .. } => {
+                EXIT_NOT_IN_FORCE
+            }
             Self::Refused(_)
             | Self::Garbage { .. }
             | Self::UnknownPlan { .. }
@@ -235,6 +249,12 @@
             Self::NotInForce { .. } => {
                 "`cicadabend status` names who has not applied it".to_owned()
             }
+            Self::NoRevision { .. } => {
+                "`cicadabend apply` makes a plan, `cicadabend confirm` puts it in force".to_owned()
+            }
+            Self::GroupsUnfinished { .. } => {
+                "`cicadabend status` shows each group and VM with its state".to_owned()
+            }
             Self::Storage(StorageError::FolderInUse { .. }) => {
                 "stop the control daemon first, or verify a copy of the folder".to_owned()
             }
--- a/cli/src/render/mod.rs
+++ b/cli/src/render/mod.rs
@@ -3,6 +3,7 @@
 mod history;
 mod plan;
 mod policies;
+mod progress;
 mod status;
 
 pub use history::history;
@@ -11,12 +12,33 @@
     plan, //
 };
 pub use policies::policies;
-pub use status::{
-    progress_line,
-    status, //
+pub use progress::progress_line;
+pub use status::status;
+
+use std::{
+    collections::BTreeMap,
+    fmt::Display, //
 };
 
-use std::fmt::Display;
+use cicadabend::prelude::*;
+
+/// Returns how far a revision has spread.
+fn force(in_force: bool, unreachable: &[DaemonId]) -> &'static str {
+    match (in_force, unreachable.is_empty()) {
+        (true, true) => "in force everywhere",
+        (true, false) => "in force on every daemon that can be reached",
+        (false, _) => "spreading",
+    }
+}
+
+/// Returns the daemons that are behind, with the revision each acknowledged last.
+fn behind(lagging: &BTreeMap<DaemonId, Revision>) -> String {
+    list(
+        lagging
+            .iter()
+            .map(|(daemon, at)| format!("{daemon} (at {at})")),
+    )
+}
 
 /// Returns "1 group", "2 groups".
 fn counted(number: u64, singular: &str) -> String {
--- a/cli/src/render/status.rs
+++ b/cli/src/render/status.rs
@@ -1,6 +1,4 @@
-//! The fleet's status, whole or as one line of progress.
-
-use std::collections::BTreeMap;
+//! The fleet's status.
 
 use cicadabend::{
     operator_api::{
@@ -11,12 +9,12 @@
         GroupReport,
         VmReport, //
     },
-    prelude::*,
 };
 
 use super::{
-    counted,
+    behind,
     duration,
+    force,
     list,
     table, //
 };
@@ -26,11 +24,13 @@
     let mut text = format!(
         "Revision {} is {}.\nControl leader {}, term {}.\n",
         status.revision,
-        force(status),
+        force(status.in_force, &status.unreachable),
         status.leader,
         status.term
     );
-    text.push_str(&behind(&status.lagging));
+    if !status.lagging.is_empty() {
+        text.push_str(&format!("Behind: {}.\n", behind(&status.lagging)));
+    }
     if !status.unreachable.is_empty() {
         let daemons = list(&status.unreachable);
         text.push_str(&format!("Not heard from: {daemons}.\n"));
@@ -41,24 +41,6 @@
     text
 }
 
-fn force(status: &FleetStatus) -> &'static str {
-    match (status.in_force, status.unreachable.is_empty()) {
-        (true, true) => "in force everywhere",
-        (true, false) => "in force on every daemon that can be reached",
-        (false, _) => "spreading",
-    }
-}
-
-fn behind(lagging: &BTreeMap<DaemonId, Revision>) -> String {
-    if lagging.is_empty() {
-        return String::new();
-    }
-    let daemons = lagging
-        .iter()
-        .map(|(daemon, revision)| format!("{daemon} (at {revision})"));
-    format!("Behind: {}.\n", list(daemons))
-}
-
 fn domain_text(domain: &DomainStatus) -> String {
     let report = &domain.report;
     let mut text = format!(
@@ -127,24 +109,3 @@
 fn indented(text: &str) -> String {
     text.lines().map(|line| format!("  {line}\n")).collect()
 }
-
-/// Returns one line on how far the revision has spread and how many groups serve.
-pub fn progress_line(status: &FleetStatus) -> String {
-    let groups = status.domains.iter().flat_map(|d| &d.report.groups);
-    let (mut all, mut admitted) = (0, 0);
-    for group in groups {
-        all += 1;
-        admitted += u64::from(group.assignment.admits_requests);
-    }
-    let behind = match status.lagging.len() {
-        0 => String::new(),
-        _ => format!("; behind: {}", list(status.lagging.keys())),
-    };
-    format!(
-        "revision {}: {}; {} of {} admitted{behind}",
-        status.revision,
-        force(status),
-        admitted,
-        counted(all, "group"),
-    )
-}
--- a/cli/tests/runner/test_viewing.rs
+++ b/cli/tests/runner/test_viewing.rs
@@ -12,6 +12,8 @@
         DomainStatus,
         FleetStatus,
         HistoryEntry,
+        PlanChange,
+        PlanProgress,
         PolicyFigures, //
     },
     prelude::*,
@@ -105,22 +107,55 @@
     assert_eq!(seen.code, 0);
 }
 
+fn progress(in_force: bool, remaining: &[PlanChange], not_serving: &[&str]) -> PlanProgress {
+    let mut lagging = BTreeMap::new();
+    if !in_force {
+        lagging.insert("entry-2".parse().unwrap(), Revision(3));
+    }
+    PlanProgress {
+        plan: PlanId(7),
+        revision: Revision(4),
+        state: "running".to_owned(),
+        in_force,
+        lagging,
+        unreachable: vec!["entry-3".parse().unwrap()],
+        remaining: remaining.to_vec(),
+        not_serving: not_serving.iter().map(|g| g.parse().unwrap()).collect(),
+    }
+}
+
+fn missing_capacity() -> PlanChange {
+    PlanChange::MissingCapacity {
+        service: "llm".parse().unwrap(),
+        failure_domain: "domain-b".parse().unwrap(),
+        groups: 1,
+        reason: "2 of 3 VMs are free".to_owned(),
+    }
+}
+
 #[test]
-fn watch_shows_each_step_until_the_revision_is_in_force() {
+fn watch_shows_each_step_until_all_groups_serve() {
+    let done = PlanProgress {
+        state: "done".to_owned(),
+        unreachable: Vec::new(),
+        ..progress(true, &[], &[])
+    };
     let control = StandIn::start(vec![
-        Step::ok(status(false, false)),
-        Step::ok(status(false, false)),
-        Step::ok(status(true, false)),
-        Step::ok(status(true, true)),
+        Step::ok(None::<PlanProgress>),
+        Step::ok(progress(false, &[missing_capacity()], &[])),
+        Step::ok(progress(false, &[missing_capacity()], &[])),
+        Step::ok(progress(true, &[], &["a/llm/1"])),
+        Step::ok(done),
     ]);
     let operator = Operator::of(&[control.address]);
 
     let seen = operator.run(&["watch"]);
 
     let expected = "\
-revision 4: spreading; 0 of 1 group admitted; behind: entry-2
-revision 4: in force on every daemon that can be reached; 0 of 1 group admitted
-revision 4: in force on every daemon that can be reached; 1 of 1 group admitted
+no plan has been accepted yet
+revision 4 (plan 7) running: spreading; behind: entry-2 (at 3); 1 change to groups remaining
+revision 4 (plan 7) running: in force on every daemon that can be reached; not serving: a/llm/1
+revision 4 (plan 7) done: in force everywhere
 ";
     assert_eq!(seen.stdout, expected);
     assert_eq!(seen.code, 0);
@@ -128,7 +163,7 @@
 
 #[test]
 fn watch_that_ends_early_has_its_own_exit_code() {
-    let control = StandIn::start(vec![Step::ok(status(false, true))]);
+    let control = StandIn::start(vec![Step::ok(progress(false, &[], &[]))]);
     let operator = Operator::of(&[control.address]);
 
     let seen = operator.run(&["watch", "--for-ms", "1"]);
@@ -141,6 +176,23 @@
     assert_eq!(seen.code, 8);
 }
 
+#[test]
+fn watch_says_which_groups_are_not_built() {
+    let control = StandIn::start(vec![Step::ok(progress(true, &[missing_capacity()], &[]))]);
+    let operator = Operator::of(&[control.address]);
+
+    let seen = operator.run(&["watch", "--for-ms", "1"]);
+
+    assert_eq!(
+        seen.stderr,
+        "Remaining:\n  \
+         ! 1 group of llm cannot be built in domain-b: 2 of 3 VMs are free\n\
+         Error: revision 4 is in force, but its groups did not all serve after 1 ms\n\
+         Hint: `cicadabend status` shows each group and VM with its state\n"
+    );
+    assert_eq!(seen.code, 8);
+}
+
 #[test]
 fn history_is_a_table() {
     let entry = HistoryEntry {
