metrics: flush buffered packets; count what could not be queued

cadence keeps metrics until a packet is full, so a quiet daemon's counters never reached the server. The thread observe flushes each second; a test waits for a packet.

--- a/daemon/src/daemon_events.rs
+++ b/daemon/src/daemon_events.rs
@@ -13,6 +13,4 @@
     1005 Error Failed { reason: String } "failed";
     /// `GET /metrics` is answered at this address.
     1006 Info MetricsListening { address: std::net::SocketAddr } "metrics are served";
-    /// A metric could not be sent; counters go on in the process.
-    1007 Warn MetricNotSent { reason: String } "a metric was not sent";
 }
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -49,13 +49,24 @@
 };
 
 use crate::{
-    daemon_events::LogEvent,
+    counters,
     settings::MetricSettings, //
 };
 
 mod listener;
 
-pub use listener::serve;
+pub use listener::{
+    FLUSH_INTERVAL,
+    observe, //
+};
+
+counters! {
+    /// Metrics that were counted in the process but not sent.
+    pub enum MetricLoss = "metric_losses" {
+        /// The queue to the sending thread is full; the server or the network is too slow.
+        QueueFull,
+    }
+}
 
 /// How many metrics wait for the sending thread before further ones are dropped.
 const QUEUE_CAPACITY: usize = 8_192;
@@ -176,17 +187,13 @@
 
     fn add(&self, name: &str, events: u64) {
         self.lock().add(name, events);
-        if let Some(client) = &self.shared.client {
-            let _ = client.count(name, events);
-        }
+        self.send(|client| client.count(name, events).map(drop));
     }
 
     /// Sets a value that goes up and down.
     pub fn gauge(&self, name: &'static str, value: u64) {
         self.lock().gauges.insert(name.to_owned(), value);
-        if let Some(client) = &self.shared.client {
-            let _ = client.gauge(name, value);
-        }
+        self.send(|client| client.gauge(name, value).map(drop));
     }
 
     /// Records how long something took.
@@ -199,8 +206,21 @@
             timer.sum_ms += length_ms;
             timer.max_ms = timer.max_ms.max(length_ms);
         }
-        if let Some(client) = &self.shared.client {
-            let _ = client.time(name, length);
+        self.send(|client| client.time(name, length).map(drop));
+    }
+
+    /// Sends what the buffer holds; the thread `observe` calls this at an interval.
+    pub fn flush(&self) {
+        self.send(StatsdClient::flush);
+    }
+
+    fn send(&self, metric: impl FnOnce(&StatsdClient) -> cadence::MetricResult<()>) {
+        let Some(client) = &self.shared.client else {
+            return;
+        };
+        if metric(client).is_err() {
+            let name = counter_name(MetricLoss::GROUP, "QueueFull");
+            self.lock().add(&name, 1);
         }
     }
 
@@ -232,15 +252,7 @@
     socket.set_nonblocking(true)?;
     let buffered = BufferedUdpMetricSink::from(server, socket).map_err(io::Error::other)?;
     let queued = QueuingMetricSink::with_capacity(buffered, QUEUE_CAPACITY);
-    let report_error = |error: cadence::MetricError| {
-        LogEvent::MetricNotSent {
-            reason: error.to_string(),
-        }
-        .emit();
-    };
-    Ok(StatsdClient::builder(&prefix.replace('-', "_"), queued)
-        .with_error_handler(report_error)
-        .build())
+    Ok(StatsdClient::from_sink(&prefix.replace('-', "_"), queued))
 }
 
 /// Returns the name of a counter: its group and its variant in snake case.
--- a/daemon/src/metrics/listener.rs
+++ b/daemon/src/metrics/listener.rs
@@ -1,4 +1,4 @@
-//! `GET /metrics`: all figures of the process as JSON.
+//! The thread `observe`: sends buffered metrics, answers `GET /metrics` as JSON.
 
 use std::{
     convert::Infallible,
@@ -7,6 +7,7 @@
         SocketAddr,
         TcpListener as StdListener, //
     },
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -35,30 +36,48 @@
 /// Where the figures are.
 const PATH_METRICS: &str = "/metrics";
 
-/// Starts the thread `observe`, which answers `GET /metrics` until the process ends.
+/// The pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// A packet that is not full waits this long at most.
+pub const FLUSH_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Starts the thread `observe`, which sends metrics and, on `listen`, answers `GET /metrics`.
 ///
-/// It goes on while the process drains, because that is when people look.
+/// Returns where it listens. It goes on while the process drains, because that is
+/// when people look.
 ///
 /// # Errors
 ///
 /// Returns the operating system's error if the address cannot be listened on.
-pub fn serve(listen: SocketAddr, metrics: Metrics) -> io::Result<SocketAddr> {
-    let listener = StdListener::bind(listen)?;
-    listener.set_nonblocking(true)?;
-    let address = listener.local_addr()?;
+pub fn observe(listen: Option<SocketAddr>, metrics: Metrics) -> io::Result<Option<SocketAddr>> {
+    let listener = listen.map(bound).transpose()?;
+    let address = listener.as_ref().map(StdListener::local_addr).transpose()?;
     duty::spawn("observe", move || async move {
-        if let Ok(listener) = TcpListener::from_std(listener) {
-            accept(listener, metrics).await;
+        if let Some(Ok(listener)) = listener.map(TcpListener::from_std) {
+            tokio::task::spawn_local(accept(listener, metrics.clone()));
+        }
+        loop {
+            tokio::time::sleep(FLUSH_INTERVAL).await;
+            metrics.flush();
         }
     })?;
     Ok(address)
 }
 
+fn bound(listen: SocketAddr) -> io::Result<StdListener> {
+    let listener = StdListener::bind(listen)?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
 async fn accept(listener: TcpListener, metrics: Metrics) {
     loop {
-        // A failed accept concerns one connection only.
-        if let Ok((stream, _)) = listener.accept().await {
-            tokio::task::spawn_local(answer(stream, metrics.clone()));
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(answer(stream, metrics.clone()));
+            }
+            // Without a pause, a lack of descriptors would make this thread spin.
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
     }
 }
--- a/daemon/src/program.rs
+++ b/daemon/src/program.rs
@@ -39,6 +39,7 @@
     logs,
     metrics::{
         self,
+        MetricLoss,
         Metrics, //
     },
     settings::{
@@ -182,7 +183,12 @@
         eprintln!("{}: {error}", program.name);
         return EXIT_FAILED;
     }
-    let outcome = start(program, &metrics).and_then(|process| body(prepared, process));
+    let outcome = start(program, &metrics).and_then(|process| {
+        let metrics = process.metrics.clone();
+        let outcome = body(prepared, process);
+        metrics.flush();
+        outcome
+    });
     match outcome {
         Ok(()) => {
             LogEvent::Stopped {}.emit();
@@ -207,8 +213,8 @@
 fn start(program: &Program, settings: &MetricSettings) -> Result<Process, Box<dyn Error>> {
     let (stop_requester, stop) = stop::on_signals()?;
     let metrics = Metrics::start(program.name, settings)?;
-    if let Some(listen) = settings.listen {
-        let address = metrics::serve(listen, metrics.clone())?;
+    metrics.declare::<MetricLoss>();
+    if let Some(address) = metrics::observe(settings.listen, metrics.clone())? {
         LogEvent::MetricsListening { address }.emit();
     }
     LogEvent::Started {
--- a/daemon/tests/test_observing.rs
+++ b/daemon/tests/test_observing.rs
@@ -2,7 +2,10 @@
 
 #![expect(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
-use std::time::Duration;
+use std::{
+    net::UdpSocket,
+    time::Duration, //
+};
 
 use cicadabend_daemon::{
     logs::{
@@ -10,11 +13,16 @@
         utc_text, //
     },
     metrics::{
+        FLUSH_INTERVAL,
         Metrics,
         TimerReport,
-        counter_name, //
+        counter_name,
+        observe, //
+    },
+    settings::{
+        LogFormat,
+        MetricSettings, //
     },
-    settings::LogFormat,
     stop,
 };
 use log::{
@@ -172,3 +180,22 @@
         .unwrap()
         .block_on(waiting.requested());
 }
+
+#[test]
+fn counters_reach_the_statsd_server_within_the_flush_interval() {
+    let server = UdpSocket::bind("127.0.0.1:0").unwrap();
+    server.set_read_timeout(Some(FLUSH_INTERVAL * 20)).unwrap();
+    let settings = MetricSettings {
+        statsd: Some(server.local_addr().unwrap()),
+        listen: None,
+    };
+    let metrics = Metrics::start("tested-program", &settings).unwrap();
+    observe(None, metrics.clone()).unwrap();
+
+    metrics.count(Refusal::OverLimit);
+
+    let mut packet = [0; 512];
+    let length = server.recv(&mut packet).unwrap();
+    let sent = std::str::from_utf8(&packet[..length]).unwrap();
+    assert_eq!(sent.trim_end(), "tested_program.refusals.over_limit:1|c");
+}
