--- a/entry/src/serve/event_body.rs
+++ b/entry/src/serve/event_body.rs
@@ -31,6 +31,7 @@
         Batch,
         EventSource, //
     },
+    events::LogEvent,
     exchange::Failure,
     resume::{
         self,
@@ -88,8 +89,12 @@
         }
     }
 
-    fn end(&mut self) {
-        self.last = Instant::now();
+    /// Notes that something came; returns how long nothing had.
+    fn end(&mut self) -> Duration {
+        let now = Instant::now();
+        let since_last = now.duration_since(self.last);
+        self.last = now;
+        since_last
     }
 
     /// Returns whether nothing came for the limit.
@@ -151,8 +156,8 @@
     ) -> Option<PolledFrame> {
         match source.poll_events(&mut self.tracker, context) {
             Poll::Ready(Ok(Batch::Events(events))) => {
-                self.silence.end();
-                self.run.progressed();
+                let since_last = self.silence.end();
+                self.run.progressed(since_last);
                 self.run.claim.record(&events);
                 self.stage = Stage::Live(source);
                 Some(Poll::Ready(Some(Ok(Frame::data(events)))))
@@ -214,6 +219,12 @@
         match self.run.broke(can_resume, failure) {
             Next::Resume => {
                 let position = self.tracker.passed();
+                LogEvent::Resuming {
+                    request: self.run.spec.caller.request_id.clone(),
+                    position,
+                    reason: message,
+                }
+                .emit();
                 self.stage = Stage::Resuming(resume::start(&self.run, position)?);
                 None
             }
@@ -227,7 +238,13 @@
         let mut refusal = Refusal::new(ErrorCode::AnswerBroken, message);
         refusal.retry_is_safe = traits.is_repeatable || traits.needs_claim;
         refusal.delivered_positions = Some(self.tracker.passed());
-        self.run.server.counters.note_refusal(refusal.code);
+        LogEvent::AnswerBroken {
+            request: self.run.spec.caller.request_id.clone(),
+            delivered: self.tracker.passed(),
+            reason: refusal.message.clone(),
+        }
+        .emit();
+        self.run.server.counts.refusal(refusal.code);
         let id = self.run.spec.caller.request_id.as_str();
         let body = serde_json::to_string(&refusal.body(id)).unwrap_or_default();
         let event = Bytes::from(format!("event: error\ndata: {body}\n\n"));
