cli: test the command against real processes

All tests so far spoke to a stand-in. Two new ones put an intent in force with real control and entry daemons and fake engines, drain a VM, and confirm two plans on one revision.

--- a/cli/tests/runner/main.rs
+++ b/cli/tests/runner/main.rs
@@ -4,5 +4,6 @@
 
 mod support;
 mod test_plans;
+mod test_real_processes;
 mod test_verify_data;
 mod test_viewing;
