spread: send a lost delta again as a delta; bound kept answers

Cause: a request from the base of the delta that was sent counted as proof that the delta could not be used, so each lost message cost a whole configuration. A digest now ends that proof, because what is asked for after it may just have been lost; a request at once after a delta still gets everything, and is not held back by the pause between answers, which would have let an unusable delta be tried for ever.

Conflicts and objections keep 64 paths and changes each: 4,096 kept answers could have named thousands of paths each.

--- a/lib/src/fleet/spread.rs
+++ b/lib/src/fleet/spread.rs
@@ -40,7 +40,8 @@
 pub const DIGEST_INTERVAL: Duration = Duration::from_secs(2);
 /// Between two digests to a daemon that has not acknowledged the newest revision.
 pub const REMIND_INTERVAL: Duration = Duration::from_millis(400);
-/// Between two answers to one daemon's requests; a storm of requests costs no more.
+/// Between two answers to one daemon's requests, so that a storm of them costs little; a
+/// delta that cannot be used is followed by everything at once.
 pub const ANSWER_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The processes of the cluster, as the settings name them.
@@ -87,7 +88,7 @@
     acknowledged: Revision,
     digest_at: Option<Timestamp>,
     answered_at: Option<Timestamp>,
-    /// The base of the last delta that it was sent.
+    /// The base of the delta that was the last thing it was sent.
     delta_from: Option<Revision>,
 }
 
@@ -196,14 +197,14 @@
             return None;
         }
         let target = self.targets.entry(from.clone()).or_default();
-        if !is_due(target.answered_at, ANSWER_INTERVAL, now) {
+        // A daemon that asks from the base of the delta that was the last thing it was
+        // sent holds something else under that revision, or cannot read deltas.
+        let could_not_use = target.delta_from == Some(have);
+        if !could_not_use && !is_due(target.answered_at, ANSWER_INTERVAL, now) {
             return None;
         }
         target.answered_at = Some(now);
         target.sent = self.configs.revision();
-        // A daemon that asks from the base of a delta that it was sent could not use
-        // it: it was lost, or the daemon holds something else under that revision.
-        let could_not_use = target.delta_from == Some(have);
         let delta = self.configs.delta_from(have).filter(|_| !could_not_use);
         target.delta_from = delta.is_some().then_some(have);
         Some(Sending {
@@ -309,6 +310,8 @@
             return None;
         }
         target.digest_at = Some(now);
+        // What it asks for now may be a delta that was lost; that costs no whole one.
+        target.delta_from = None;
         Some(self.configs.digest())
     }
 }
--- a/lib/src/fleet/state.rs
+++ b/lib/src/fleet/state.rs
@@ -44,7 +44,9 @@
 pub const ANSWERS_KEPT: usize = 4_096;
 /// How many revisions the history keeps; the oldest goes first.
 pub const HISTORY_KEPT: usize = 1_024;
-/// How many changed paths one entry of the history keeps.
+/// How many changed paths one entry of the history or one kept answer has.
+///
+/// Without it thousands of kept answers could each name thousands of paths.
 pub const PATHS_KEPT: usize = 64;
 
 /// One entry of the replicated log, as the fleet understands it.
@@ -229,8 +231,9 @@
             return ConfirmReply::UnknownPlan;
         };
         if let (PlanState::Proposed, Some(changes_now)) = (kept.state, &confirmation.objection) {
+            let shown = changes_now.iter().take(PATHS_KEPT);
             return ConfirmReply::FleetChanged {
-                changes_now: changes_now.clone(),
+                changes_now: shown.cloned().collect(),
             };
         }
         let base = kept.plan.base_revision;
@@ -290,7 +293,7 @@
             winner: winner.plan,
             winner_operator: winner.operator.clone(),
             revision: self.revision,
-            changed_paths: paths.into_iter().cloned().collect(),
+            changed_paths: paths.into_iter().take(PATHS_KEPT).cloned().collect(),
         }
     }
 
--- a/lib/tests/test_fleet_state.rs
+++ b/lib/tests/test_fleet_state.rs
@@ -17,12 +17,15 @@
         FleetCommand,
         FleetConfig,
         FleetState,
+        PlainService,
+        Service,
         Voter,
         plan::PlanDraft,
         state::{
             ANSWERS_KEPT,
             Confirmation,
             HISTORY_KEPT,
+            PATHS_KEPT,
             PLANS_KEPT, //
         }, //
     },
@@ -251,6 +254,50 @@
     assert_eq!(forgotten, ConfirmReply::UnknownPlan);
 }
 
+/// An intent replaces thousands of values while another plan is open, and the fleet
+/// differs in thousands of groups. What is kept of either answer stays small.
+#[test]
+fn kept_answers_are_bounded() {
+    let mut state = FleetState::default();
+    let open = store(&mut state, 1, "bojan");
+    let services = (0..1_000).map(|number| {
+        let plain = PlainService {
+            routing: Vec::new(),
+            unsafe_methods_are_repeatable: false,
+        };
+        (format!("s{number}").parse().unwrap(), Service::Plain(plain))
+    });
+    let request = PlanRequest {
+        config: FleetConfig {
+            services: services.collect(),
+            ..FleetConfig::default()
+        },
+        operator: "ana".to_owned(),
+        reason: String::new(),
+    };
+    let draft = PlanDraft::new(Revision(0), &FleetConfig::default(), &[], request);
+    let FleetAnswer::PlanStored(large) = state.apply(FleetCommand::StorePlan(Box::new(draft)))
+    else {
+        panic!("the plan is not stored");
+    };
+    let objecting = Confirmation {
+        objection: Some(large.changes.clone()),
+        ..confirmation(large.id, "ana", "k1")
+    };
+
+    let changed = reply(state.apply(FleetCommand::Confirm(objecting)));
+    confirm(&mut state, large.id, "ana", "k2");
+    let conflict = confirm(&mut state, open, "bojan", "k");
+
+    assert_eq!(large.changes.len(), 1_000);
+    assert!(
+        matches!(&changed, ConfirmReply::FleetChanged { changes_now } if changes_now.len() == PATHS_KEPT)
+    );
+    assert!(
+        matches!(&conflict, ConfirmReply::Conflict { changed_paths, .. } if changed_paths.len() == PATHS_KEPT)
+    );
+}
+
 #[test]
 fn voters_change_by_one_daemon_at_a_time() {
     let voter = |disk| Voter {
