--- a/entry/src/serve/mod.rs
+++ b/entry/src/serve/mod.rs
@@ -6,21 +6,26 @@
 //! - `upstream`: connections to upstreams, whose written bytes are counted.
 //! - `answer`: bodies of answers, and errors in their one form.
 
+mod admission_desk;
 mod answer;
 mod attempt;
 mod body;
 mod caller;
 mod claim_desk;
 mod completions;
-mod counters;
+mod counts;
 mod detached;
 mod drive;
 mod event_body;
 mod event_source;
+mod events;
 mod exchange;
+mod figures;
 mod handler;
 mod headers;
+mod hedge;
 mod held_claim;
+mod housekeeping;
 mod listener;
 mod passed_body;
 mod plain;
@@ -29,12 +34,12 @@
 mod run;
 mod server;
 mod spec;
+mod times;
 mod upstream;
 
 use std::{
     io,
     net::TcpListener,
-    rc::Rc,
     sync::Arc,
     thread::JoinHandle, //
 };
@@ -48,6 +53,7 @@
 use cicadabend_daemon::{
     clock::Clock,
     duty,
+    metrics::Metrics,
     settings::EntrySettings, //
 };
 use tokio::sync::watch;
@@ -58,7 +64,9 @@
     ClaimLink,
     SendClaim, //
 };
-pub use counters::ServeCounters;
+pub use counts::Serving as ServingCounter;
+pub use events::LogEvent;
+pub use housekeeping::DomainLink;
 
 /// What the serving thread is given.
 pub struct ServeSetup {
@@ -70,10 +78,12 @@
     pub snapshot: Arc<ArcSwap<RoutingSnapshot>>,
     /// The process's clock.
     pub clock: Clock,
-    /// What the metrics thread reads.
-    pub counters: Arc<ServeCounters>,
+    /// Counters and timers.
+    pub metrics: Metrics,
     /// The way to the control daemons.
     pub claims: ClaimLink,
+    /// The rings to and from the domain thread.
+    pub domain: DomainLink,
     /// This run of the process.
     pub boot: BootId,
 }
@@ -105,9 +115,12 @@
     };
     match listener {
         Ok(listener) => {
-            log::info!("CB1101 serving callers address={address}");
-            listener::run(listener, Rc::new(Server::new(setup)), stopped).await;
+            LogEvent::Serving { address }.emit();
+            listener::run(listener, Server::start(setup), stopped).await;
+        }
+        Err(error) => {
+            let reason = error.to_string();
+            LogEvent::ServingUnavailable { reason }.emit();
         }
-        Err(error) => log::error!("CB1100 cannot serve callers: {error}"),
     }
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -15,6 +15,7 @@
 //!   between processes.
 
 pub mod admission;
+pub mod agreement;
 pub mod caller_api;
 pub mod chart;
 pub mod claims;
