--- a/control/src/operators/plans.rs
+++ b/control/src/operators/plans.rs
@@ -48,7 +48,7 @@
         };
         for _ in 0..PLAN_ATTEMPTS {
             let state = self.read().await?;
-            let reports = self.view.load().domain_reports();
+            let reports = self.view.load().last_reports();
             let draft = PlanDraft::new(state.revision(), state.config(), &reports, request.clone());
             let command = FleetCommand::StorePlan(Box::new(draft));
             if let FleetAnswer::PlanStored(plan) = self.propose(command).await? {
@@ -75,7 +75,7 @@
         request: ConfirmRequest,
     ) -> Result<ConfirmReply, Refusal> {
         let state = self.read().await?;
-        let reports = self.view.load().domain_reports();
+        let reports = self.view.load().fresh_reports(self.clock.now());
         let plan = state.plan(request.plan);
         let command = FleetCommand::Confirm(Confirmation {
             plan: request.plan,
--- a/control/src/operators/requests.rs
+++ b/control/src/operators/requests.rs
@@ -156,7 +156,7 @@
         let entries = &self.topology.entries;
         let now = self.clock.now();
         let standing = standing(entries, &view.reports, state.revision(), now);
-        Ok(progress(&state, &standing, &view.domain_reports()))
+        Ok(progress(&state, &standing, &view.fresh_reports(now)))
     }
 
     async fn history(&self) -> Result<Vec<HistoryEntry>, Refusal> {
--- a/control/src/spread/mod.rs
+++ b/control/src/spread/mod.rs
@@ -51,7 +51,7 @@
 /// How often the log's state is looked at; changes in between go out as one.
 const TICK_MS: u64 = 50;
 /// How often the other control daemons are told that this one lives.
-const HELLO_INTERVAL_MS: u64 = 500;
+const HELLO_INTERVAL_MS: u64 = 1_000;
 
 /// The duty of the `spread` thread.
 pub(crate) struct Spread {
--- a/control/src/view.rs
+++ b/control/src/view.rs
@@ -11,7 +11,8 @@
         policy_figures::PolicyTotals,
         spread::{
             ControlSpread,
-            HeardReport, //
+            HeardReport,
+            is_fresh, //
         }, //
     },
     ids::Address,
@@ -35,12 +36,23 @@
 }
 
 impl FleetView {
-    /// Returns the reports as plans are made from them.
-    pub(crate) fn domain_reports(&self) -> Vec<DomainReport> {
+    /// Returns the last report of each failure domain, however old.
+    ///
+    /// A plan is made from the best that is known, also of a domain that is cut off.
+    pub(crate) fn last_reports(&self) -> Vec<DomainReport> {
         let reports = self.reports.values();
         reports.map(|heard| (*heard.report).clone()).collect()
     }
 
+    /// Returns the reports of failure domains that are heard now.
+    ///
+    /// What is no longer heard must neither hold up a confirmation nor make a plan done.
+    pub(crate) fn fresh_reports(&self, now: Timestamp) -> Vec<DomainReport> {
+        let reports = self.reports.values();
+        let fresh = reports.filter(|heard| is_fresh(heard.at, now));
+        fresh.map(|heard| (*heard.report).clone()).collect()
+    }
+
     /// Returns the reports with their ages.
     pub(crate) fn domains(&self, now: Timestamp) -> Vec<DomainStatus> {
         let status = |heard: &HeardReport| DomainStatus {
--- a/control/tests/daemon/fixtures.rs
+++ b/control/tests/daemon/fixtures.rs
@@ -121,12 +121,23 @@
 
     /// Sends SIGTERM and returns the exit code.
     pub fn terminate(&mut self) -> Option<i32> {
-        let mut child = self.child.take()?;
+        self.signal_stop();
+        self.wait_for_exit()
+    }
+
+    /// Sends SIGTERM.
+    pub fn signal_stop(&self) {
+        let child = self.child.as_ref().expect("the daemon runs");
         let signalled = Command::new("kill")
             .args(["-TERM", &child.id().to_string()])
             .status()
             .expect("kill runs");
         assert!(signalled.success());
+    }
+
+    /// Waits for the daemon's end and returns the exit code.
+    pub fn wait_for_exit(&mut self) -> Option<i32> {
+        let mut child = self.child.take()?;
         child.wait().expect("a terminated child ends").code()
     }
 
--- a/control/tests/daemon/main.rs
+++ b/control/tests/daemon/main.rs
@@ -7,6 +7,7 @@
 
 mod fixtures;
 mod test_confirmations;
+mod test_graceful_stop;
 mod test_refusals;
 mod test_spread;
 mod test_thin_path;
--- a/lib/src/fleet/spread.rs
+++ b/lib/src/fleet/spread.rs
@@ -316,7 +316,8 @@
     }
 }
 
-pub(super) fn is_fresh(at: Timestamp, now: Timestamp) -> bool {
+/// Returns whether a sign of life of `at` still counts.
+pub fn is_fresh(at: Timestamp, now: Timestamp) -> bool {
     now.since(at) <= HEARD_FRESH
 }
 
--- a/lib/tests/test_fleet_spread_size.rs
+++ b/lib/tests/test_fleet_spread_size.rs
@@ -43,6 +43,7 @@
 const SECONDS: u64 = 600;
 const TICK_MS: u64 = 50;
 const REPORT_EVERY_MS: u64 = 500;
+const HELLO_EVERY_MS: u64 = 1_000;
 /// One message in ten is lost on its way to a domain leader.
 const LOSS: f64 = 0.1;
 /// The users' limit for the way of a change.
@@ -144,6 +145,9 @@
                 control.hear_report(&entry(number, 0), report.clone(), now);
             }
         }
+    }
+
+    fn say_hello(&mut self, now: Timestamp) {
         for from in 0..CONTROLS {
             let hello = ControlHello {
                 operators: None,
@@ -227,6 +231,9 @@
         if now_ms % REPORT_EVERY_MS == 0 {
             fleet.report(now);
         }
+        if now_ms % HELLO_EVERY_MS == 0 {
+            fleet.say_hello(now);
+        }
         fleet.tick(now);
     }
 
