domain: relay announcements by order of the leader; spread tables and reports by the tree

An upstream that announces itself to some daemons only was unknown to the others. Daemons now list to the leader whose announcements they receive, and the leader orders one of them to relay each to those that lack it, so that none travels twice and nothing is relayed where all hear all.

The control daemon's inbox names the two new messages as not meant for it.

--- a/control/src/inbox.rs
+++ b/control/src/inbox.rs
@@ -51,6 +51,8 @@
             | PeerMessage::Table(_)
             | PeerMessage::TableAck { .. }
             | PeerMessage::Relay(_)
+            | PeerMessage::Heard(_)
+            | PeerMessage::RelayOrder(_)
             | PeerMessage::Claim(_)
             | PeerMessage::ClaimReply(_)
             | PeerMessage::Figures(_)
--- a/lib/src/domain/config_spread.rs
+++ b/lib/src/domain/config_spread.rs
@@ -169,15 +169,8 @@
     /// Notes that `from` has nothing newer than what is in force here.
     fn note(&mut self, parameters: &DomainParameters, from: &DaemonId) {
         self.level_with.insert(from.clone());
-        let own_domain = &parameters.failure_domain;
-        let has_own_control = parameters
-            .control
-            .values()
-            .any(|domain| domain == own_domain);
-        let told_by_control = parameters.control.iter().any(|(daemon, domain)| {
-            let counts = !has_own_control || domain == own_domain;
-            counts && self.level_with.contains(daemon)
-        });
+        let mut own_control = parameters.own_control().into_iter();
+        let told_by_control = own_control.any(|daemon| self.level_with.contains(&daemon));
         let fellows = parameters.daemons.intersection(&self.level_with).count();
         let told_by_majority = fellows > parameters.daemons.len() / 2;
         self.reached = self.reached || told_by_control || told_by_majority;
--- a/lib/src/domain/membership.rs
+++ b/lib/src/domain/membership.rs
@@ -5,7 +5,13 @@
 //! stopped, the time it lost counts against nobody's lease, or it would declare
 //! every upstream dead on waking.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    time::Duration,
+};
 
 use displaydoc::Display;
 use thiserror::Error;
@@ -239,6 +245,16 @@
         is_current.then_some(upstream)
     }
 
+    /// Returns those that announce themselves to this daemon.
+    pub fn heard_directly(&self, now: Timestamp) -> BTreeSet<VmId> {
+        let lease = self.timing.upstream_lease;
+        let heard = self.known.iter().filter(|(_, upstream)| {
+            let silent = |at| now.since(at).saturating_sub(upstream.paused);
+            upstream.direct_at.is_some_and(|at| silent(at) < lease)
+        });
+        heard.map(|(vm, _)| vm.clone()).collect()
+    }
+
     /// Credits every upstream with time in which this process itself was stopped.
     pub fn credit_pause(&mut self, length: Duration) {
         for upstream in self.known.values_mut() {
--- a/lib/src/domain/mod.rs
+++ b/lib/src/domain/mod.rs
@@ -7,6 +7,7 @@
 //! - [`placement`]: which groups there should be.
 //! - [`spread_tree`]: how a configuration comes to all of them.
 //! - [`config_spread`]: which configuration is in force here and below.
+//! - [`relays`]: who passes announcements on to whom.
 //! - [`report`]: what other domains learn.
 //! - [`coordinator`]: one daemon's part in all of this.
 
@@ -18,5 +19,6 @@
 pub mod membership;
 pub mod parameters;
 pub mod placement;
+pub mod relays;
 pub mod report;
 pub mod spread_tree;
--- a/lib/src/domain/parameters.rs
+++ b/lib/src/domain/parameters.rs
@@ -29,6 +29,19 @@
     pub seed: u64,
 }
 
+impl DomainParameters {
+    /// Returns the control daemons that this domain turns to: its own, or all if it has none.
+    pub fn own_control(&self) -> Vec<DaemonId> {
+        let is_own = |domain: &FailureDomain| *domain == self.failure_domain;
+        let has_own = self.control.values().any(is_own);
+        let turned_to = self
+            .control
+            .iter()
+            .filter(|(_, domain)| !has_own || is_own(domain));
+        turned_to.map(|(daemon, _)| daemon.clone()).collect()
+    }
+}
+
 /// Lengths of leases and pauses inside a failure domain.
 #[derive(Clone, Copy, Debug)]
 pub struct DomainTiming {
--- a/lib/src/domain/report.rs
+++ b/lib/src/domain/report.rs
@@ -38,7 +38,7 @@
 pub const STATE_INCOMPLETE: &str = "incomplete";
 
 /// How long a report of another domain is used without a newer one.
-pub const REPORT_KEPT: Duration = Duration::from_secs(3);
+pub const REPORT_KEPT: Duration = Duration::from_secs(7);
 
 /// Sums over the epoch that the users measure repairs by.
 #[derive(Clone, Copy, Debug, Default)]
@@ -125,6 +125,40 @@
     }
 }
 
+/// Returns whether a report tells more than new loads and sums.
+pub fn differ(before: &DomainReport, after: &DomainReport) -> bool {
+    let groups = |report: &DomainReport| -> Vec<_> {
+        let groups = report.groups.iter();
+        let keys = groups.map(|g| (g.assignment.clone(), g.state.clone(), g.address));
+        keys.collect()
+    };
+    let vms = |report: &DomainReport| -> Vec<_> {
+        let vms = report.vms.iter();
+        vms.map(|vm| {
+            (
+                vm.vm.clone(),
+                vm.state.clone(),
+                vm.address,
+                vm.group.clone(),
+            )
+        })
+        .collect()
+    };
+    groups(before) != groups(after)
+        || vms(before) != vms(after)
+        || before.applied != after.applied
+        || before.lagging != after.lagging
+        || before.unreachable != after.unreachable
+}
+
+/// Returns what the other domains need of a report: what they can route to.
+pub fn digest(report: &DomainReport) -> DomainReport {
+    let mut digest = report.clone();
+    digest.vms.retain(|vm| vm.plain_service.is_some());
+    digest.groups.retain(|group| group.state == STATE_SERVING);
+    digest
+}
+
 fn group_report(assignment: &Assignment, view: LeaderView<'_>, now: Timestamp) -> GroupReport {
     let first = assignment.members.first();
     let first = first.and_then(|vm| view.upstreams.get(vm));
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -86,6 +86,10 @@
     TeamDemand(BTreeMap<TeamName, TeamShare>),
     /// Control to control: a sign of life, and what the others need of the sender.
     ControlHello(ControlHello),
+    /// Daemon to domain leader: the upstreams whose own announcements it receives.
+    Heard(BTreeSet<VmId>),
+    /// Domain leader to daemon: relay these upstreams' announcements to these daemons.
+    RelayOrder(BTreeMap<VmId, BTreeSet<DaemonId>>),
 }
 
 /// A control daemon's sign of life to the other control daemons.
--- a/lib/tests/test_domain_schedules/schedule.rs
+++ b/lib/tests/test_domain_schedules/schedule.rs
@@ -58,6 +58,8 @@
     pub daemons: usize,
     /// Bit set: that engine ignores fencing tokens.
     pub ignores_tokens: u8,
+    /// Which engines do not announce themselves to which daemons.
+    pub unheard: u8,
     pub faults: Vec<(u64, Fault)>,
 }
 
@@ -91,11 +93,13 @@
 /// Draws schedules.
 pub fn schedule() -> impl Strategy<Value = Schedule> {
     let faults = proptest::collection::vec((0..LENGTH_MS, fault()), 0..24);
-    (any::<u64>(), 1..6_usize, any::<u8>(), faults).prop_map(
-        |(seed, daemons, ignores_tokens, faults)| Schedule {
+    let numbers = (any::<u64>(), 1..6_usize, any::<u8>(), any::<u8>());
+    (numbers, faults).prop_map(
+        |((seed, daemons, ignores_tokens, unheard), faults)| Schedule {
             seed,
             daemons,
             ignores_tokens,
+            unheard,
             faults,
         },
     )
--- a/lib/tests/test_domain_schedules/test_schedules.rs
+++ b/lib/tests/test_domain_schedules/test_schedules.rs
@@ -41,6 +41,7 @@
         seed: 1,
         daemons,
         ignores_tokens: 0,
+        unheard: 0,
         faults: Vec::new(),
     }
 }
@@ -68,6 +69,23 @@
     assert!(served > 0);
 }
 
+/// Engines announce themselves to one daemon each; the caller is served by all of them,
+/// because daemons relay what others do not hear.
+#[test]
+fn relayed_announcements_serve_at_every_daemon() {
+    let schedule = Schedule {
+        unheard: 0xff,
+        ..calm(3)
+    };
+    let mut world = World::new(&schedule, PlantedFault::None);
+
+    while world.step() {}
+
+    for daemon in &world.daemons {
+        assert_eq!(daemon.serving.len(), 3, "{}", daemon.id);
+    }
+}
+
 /// The leader is cut off; the others can hear each other, and may have just restarted.
 fn cut_off_leader(seed: u64, leader: usize, others_restart: bool) -> Schedule {
     let daemons = 3;
@@ -85,6 +103,7 @@
         seed,
         daemons,
         ignores_tokens: 0xff,
+        unheard: 0,
         faults: std::iter::once((10_000, cut)).chain(restarts).collect(),
     }
 }
--- a/lib/tests/test_domain_schedules/world.rs
+++ b/lib/tests/test_domain_schedules/world.rs
@@ -94,6 +94,7 @@
     runs: u64,
     partitions: Vec<(u64, u8, u8)>,
     slow_until_ms: u64,
+    unheard: u8,
     revision: u64,
     config: FleetConfig,
 }
@@ -163,6 +164,7 @@
             runs: 0,
             partitions: Vec::new(),
             slow_until_ms: 0,
+            unheard: schedule.unheard,
             revision: 1,
             config: config(2, 3),
         }
@@ -453,6 +455,12 @@
         self.act(to, actions.unwrap_or_default());
     }
 
+    /// Returns whether an engine announces itself to a daemon; to one at least.
+    fn is_announced_to(&self, engine: usize, daemon: usize) -> bool {
+        let is_heard = (self.unheard >> ((engine + 3 * daemon) % 8)) & 1 == 0;
+        is_heard || engine % self.daemons.len() == daemon
+    }
+
     fn announce(&mut self, engine: usize) {
         if !self.engines[engine].alive {
             return;
@@ -464,7 +472,7 @@
         let body = self.engines[engine].announcement();
         for daemon in 0..self.daemons.len() {
             let (connection, is_waiting) = self.engines[engine].connections[daemon];
-            if is_waiting {
+            if is_waiting || !self.is_announced_to(engine, daemon) {
                 continue;
             }
             self.engines[engine].connections[daemon].1 = true;
