--- a/lib/src/domain/mod.rs
+++ b/lib/src/domain/mod.rs
@@ -5,6 +5,7 @@
 //! - [`leader`]: what the leader does with them.
 //! - [`admission_gate`]: which groups may be routed to.
 //! - [`placement`]: which groups there should be.
+//! - [`recovery`]: what becomes of groups that lost a member.
 //! - [`spread_tree`]: how a configuration comes to all of them.
 //! - [`config_spread`]: which configuration is in force here and below.
 //! - [`relays`]: who passes announcements on to whom.
@@ -20,5 +21,6 @@
 pub mod parameters;
 pub mod placement;
 pub mod relays;
+pub mod recovery;
 pub mod report;
 pub mod spread_tree;
