--- a/testing/load/src/bench/cluster.rs
+++ b/testing/load/src/bench/cluster.rs
@@ -48,6 +48,7 @@
 use tempfile::TempDir;
 use thiserror::Error;
 
+use super::process_stats::Listeners;
 use crate::workload::{
     Deployment,
     Workload, //
@@ -57,6 +58,8 @@
 const STEP_LIMIT: Duration = Duration::from_secs(60);
 /// The token of the operator.
 const OPERATOR_TOKEN: &str = "bench-operator";
+/// Control daemons unless a part says otherwise; the first thin log allows only one.
+const DEFAULT_CONTROLS: usize = 1;
 /// How many VMs one process of fake upstreams plays.
 const VMS_PER_PROCESS: usize = 16;
 
@@ -107,7 +110,7 @@
         Self {
             deployment: Deployment::Auditorias,
             domains: 3,
-            controls: 3,
+            controls: DEFAULT_CONTROLS,
             entries_per_domain: 1,
             engines_per_domain: 6,
             vms_per_group: 1,
@@ -192,9 +195,19 @@
         self.processes.get(daemon).map(ManagedProcess::id)
     }
 
-    /// Returns where a daemon answers its metrics.
-    pub fn metrics_address(&self, daemon: &str) -> Option<SocketAddr> {
-        self.daemons.get(daemon).map(|addresses| addresses.metrics)
+    /// Returns which connections of a daemon are to peers and which to upstreams.
+    pub fn listeners(&self, daemon: &str) -> Listeners {
+        Listeners {
+            peers: self
+                .daemons
+                .values()
+                .map(|addresses| addresses.peers)
+                .collect(),
+            announcements: self
+                .daemons
+                .get(daemon)
+                .map(|addresses| addresses.upstreams),
+        }
     }
 
     /// Returns an operator that asks all control daemons.
