--- a/entry/src/serve/exchange.rs
+++ b/entry/src/serve/exchange.rs
@@ -183,7 +183,7 @@
     {
         return Err(Failure::ClaimLapsed);
     }
-    let (response, lease) = lease.send(spec.request_to(replica, None), sent).await?;
+    let (response, lease) = send(server, spec, replica, lease, sent).await?;
     let status = response.status();
     if did_not_start(&response) {
         return Err(Failure::NotStarted { status });
@@ -203,6 +203,27 @@
     }
 }
 
+/// Sends the request; over a new connection if a kept one turns out to be closed.
+///
+/// An upstream that restarts closes many connections at once. Nothing was written,
+/// so this is no retry, and the budget for retries is not spent on it.
+async fn send(
+    server: &Server,
+    spec: &Spec,
+    replica: &Replica,
+    lease: Lease,
+    sent: &SentBytes,
+) -> Result<(Response<Incoming>, Lease), AttemptError> {
+    let was_kept = lease.was_kept();
+    match lease.send(spec.request_to(replica, None), sent).await {
+        Err(AttemptError::NothingWritten { .. }) if was_kept && spec.can_replay() => {
+            let lease = server.pool.lease_new(replica.address).await?;
+            lease.send(spec.request_to(replica, None), sent).await
+        }
+        outcome => outcome,
+    }
+}
+
 /// Asks a replica for the rest of an answer.
 pub(super) async fn resume(
     server: &Server,
--- a/entry/src/serve/run.rs
+++ b/entry/src/serve/run/mod.rs
@@ -1,16 +1,15 @@
 //! One request on its way: its life, its attempt, and the actions that the chart asks for.
 
+mod choose;
+mod refuse;
+mod retry;
+
 use std::{
     rc::Rc,
     time::Duration, //
 };
 
 use cicadabend::{
-    admission::{
-        RetryDecision,
-        RetryReason,
-        RetrySituation, //
-    },
     caller_api::ErrorCode,
     chart::{
         RequestAction,
@@ -27,15 +26,9 @@
     routing::{
         AnswerTiming,
         Choice,
-        Prefix,
-        Replica,
-        ReplicaId,
-        RouteQuery,
-        RoutingSnapshot, //
+        ReplicaId, //
     },
-    upstream_api::session_prefix_hash,
 };
-use http::StatusCode;
 use tokio::time::Instant;
 
 use super::{
@@ -48,12 +41,9 @@
     figures::Outcome,
     held_claim::HeldClaim,
     server::Server,
-    spec::Spec,
-    upstream::SentBytes, //
+    spec::Spec, //
 };
 
-/// When to come back if no replica can take a request.
-const NO_REPLICA_RETRY_MS: u64 = 1_000;
 /// How often the rest of an answer is asked for without getting any of it.
 const RESUME_LIMIT: u32 = 4;
 
@@ -139,20 +129,13 @@
     /// Takes an event, does what can be done at once, and returns the rest.
     pub(super) fn apply(&mut self, event: RequestEvent) -> Next {
         let mut delay = Duration::ZERO;
-        let reason = self.retry_reason();
-        let situation = RetrySituation {
-            reason,
-            attempts: self.attempts,
-            is_repeatable: self.spec.traits.is_repeatable,
-            deadline: Some(self.deadline()),
-        };
-        let Self { server, spec, .. } = &*self;
+        let situation = self.retry_situation();
         let resume = self.can_resume && self.resumes_without_progress < RESUME_LIMIT;
-        let server = Rc::clone(server);
-        let spec = Rc::clone(spec);
+        let server = Rc::clone(&self.server);
+        let spec = Rc::clone(&self.spec);
         let actions = self.life.apply(event, |permit| match permit {
             Permit::Resume => resume,
-            Permit::Retry => spec.can_replay() && may_retry(&server, situation, &mut delay),
+            Permit::Retry => spec.can_replay() && retry::may_retry(&server, situation, &mut delay),
         });
         let mut next = Next::Wait;
         for action in actions {
@@ -225,101 +208,6 @@
         }
     }
 
-    /// Chooses a replica; those that failed come last.
-    pub(super) fn choose(&mut self) -> bool {
-        let snapshot = self.server.snapshot.load_full();
-        let choice = self.choose_excluding(&snapshot, &self.tried);
-        self.choice = choice.or_else(|| self.choose_excluding(&snapshot, &[]));
-        self.choice.is_some()
-    }
-
-    fn choose_excluding(
-        &self,
-        snapshot: &RoutingSnapshot,
-        excluded: &[ReplicaId],
-    ) -> Option<Choice> {
-        let prefixes = self.prefixes();
-        let query = RouteQuery {
-            service: &self.spec.service,
-            request: &self.spec.caller.request_id,
-            session: prefixes.first().map(|prefix| prefix.hash),
-            prefixes: &prefixes,
-            excluded,
-            home: &self.server.settings.failure_domain,
-            prompt_tokens: self.spec.prompt_tokens,
-            may_probe: self.spec.traits.is_repeatable,
-        };
-        let own = self.server.own_load.borrow();
-        let now = self.server.clock.now();
-        let mut router = self.server.router.borrow_mut();
-        router.choose(&query, snapshot, &own, now, self.server.random())
-    }
-
-    /// Returns the prefix that the requests of the session share.
-    fn prefixes(&self) -> Vec<Prefix> {
-        let session = self.spec.wishes.session.as_deref();
-        let prefix = |session| Prefix {
-            hash: session_prefix_hash(session),
-            tokens: self.spec.prompt_tokens,
-        };
-        session.map(prefix).into_iter().collect()
-    }
-
-    fn take_slot(&mut self) {
-        let Some(choice) = self.choice.take() else {
-            return;
-        };
-        if self.attempts == 0 {
-            self.server.retry_budget.borrow_mut().note_request();
-        }
-        self.attempts += 1;
-        self.tried.push(choice.replica.id.clone());
-        self.sent_at = Instant::now();
-        self.policy = Some(choice.policy);
-        self.server.counts.choice(choice.reason);
-        self.outcome.was_cached = choice.expected_cached_tokens.0 > 0;
-        let id = &self.spec.caller.request_id;
-        self.attempt = Some(Attempt::start(&self.server, choice, id));
-        if let Some(admission) = &self.admission {
-            admission.placed();
-        }
-    }
-
-    /// Returns after which time a second copy is sent; `None` for never.
-    pub(super) fn hedge_after(&self) -> Option<Duration> {
-        let is_repeatable = self.spec.traits.is_repeatable && self.spec.can_replay();
-        let times = self.server.times.borrow();
-        times.hedge_after(&self.spec.service, is_repeatable, self.attempts == 1)
-    }
-
-    /// Starts a second copy at another replica, if there is one and the budget allows it.
-    pub(super) fn start_hedge(&mut self) -> Option<(Replica, Rc<SentBytes>)> {
-        let snapshot = self.server.snapshot.load_full();
-        let choice = self.choose_excluding(&snapshot, &self.tried)?;
-        if !self.server.retry_budget.borrow_mut().withdraw() {
-            return None;
-        }
-        self.server.counts.count(Serving::Hedges);
-        self.tried.push(choice.replica.id.clone());
-        let id = &self.spec.caller.request_id;
-        let attempt = Attempt::start(&self.server, choice, id);
-        let started = (attempt.replica().clone(), Rc::clone(&attempt.sent));
-        self.hedge = Some(attempt);
-        Some(started)
-    }
-
-    /// Keeps the copy that answered, and stops the other one.
-    pub(super) fn end_hedge(&mut self, is_second_kept: bool) {
-        if is_second_kept {
-            std::mem::swap(&mut self.attempt, &mut self.hedge);
-        }
-        if let Some(mut other) = self.hedge.take()
-            && other.sent.seal() > 0
-        {
-            other.cancel();
-        }
-    }
-
     /// Ends all writing of the present attempts; returns whether any byte was written.
     pub(super) fn seal(&self) -> bool {
         let attempts = self.attempt.iter().chain(&self.hedge);
@@ -452,70 +340,6 @@
         self.refusal = Some(refusal);
         self.apply(RequestEvent::Refused)
     }
-
-    /// Returns the error that fits where the request stands.
-    pub(super) fn refusal(&mut self) -> Refusal {
-        let mut refusal = match self.life.state() {
-            RequestState::RefusedNotRun => self.not_run(),
-            _ => self.outcome_unknown(),
-        };
-        let traits = self.spec.traits;
-        refusal.retry_is_safe |= traits.is_repeatable || traits.needs_claim;
-        refusal
-    }
-
-    fn not_run(&mut self) -> Refusal {
-        if let Some(refusal) = self.refusal.take() {
-            return refusal;
-        }
-        let why = self.failure_text();
-        let code = match self.failure {
-            Some(Failure::DeadlinePassed { .. }) => ErrorCode::DeadlineCannotBeMet,
-            _ => ErrorCode::NotRun,
-        };
-        Refusal::new(code, format!("The request did not run: {why}."))
-            .retry_after_ms(NO_REPLICA_RETRY_MS)
-    }
-
-    fn outcome_unknown(&self) -> Refusal {
-        let why = self.failure_text();
-        let code = match self.failure {
-            Some(Failure::Invalid(_) | Failure::FailedByUpstream { .. }) => {
-                ErrorCode::UpstreamInvalid
-            }
-            _ => ErrorCode::OutcomeUnknown,
-        };
-        Refusal::new(code, format!("The request may have run: {why}."))
-    }
-
-    fn failure_text(&self) -> String {
-        match &self.failure {
-            Some(failure) => failure.to_string(),
-            None => "no whole replica can take it now".to_owned(),
-        }
-    }
-
-    fn retry_reason(&self) -> RetryReason {
-        match &self.failure {
-            None | Some(Failure::NothingWritten(_) | Failure::ClaimLapsed) => {
-                RetryReason::ConnectFailed
-            }
-            Some(Failure::NotStarted { status }) if *status == StatusCode::CONFLICT => {
-                RetryReason::StaleToken
-            }
-            Some(Failure::NotStarted { .. }) => RetryReason::RefusedByUpstream,
-            Some(Failure::Broken(_) | Failure::GroupGone) => RetryReason::BrokenBeforeAnswer,
-            Some(Failure::DeadlinePassed { .. }) => RetryReason::TimedOutBeforeAnswer,
-            Some(Failure::FailedByUpstream { .. } | Failure::Invalid(_)) => {
-                RetryReason::FailedByUpstream
-            }
-        }
-    }
-
-    fn deadline(&self) -> Timestamp {
-        let left = self.spec.wishes.deadline;
-        self.server.clock.now() + left.saturating_duration_since(Instant::now())
-    }
 }
 
 impl Drop for RequestRun {
@@ -530,20 +354,3 @@
         self.apply(RequestEvent::CallerGone);
     }
 }
-
-fn may_retry(server: &Server, situation: RetrySituation, delay: &mut Duration) -> bool {
-    let now = server.clock.now();
-    let random = server.random();
-    let mut budget = server.retry_budget.borrow_mut();
-    match budget.decide(situation, &server.backoff, now, random) {
-        RetryDecision::After(after) => {
-            *delay = after;
-            true
-        }
-        RetryDecision::GiveUp(reason) => {
-            let reason = reason.name();
-            LogEvent::debug(|| LogEvent::NotRetried { reason });
-            false
-        }
-    }
-}
--- a/entry/src/serve/upstream.rs
+++ b/entry/src/serve/upstream.rs
@@ -211,15 +211,25 @@
 
     /// Takes an idle connection, or opens one.
     pub(super) async fn lease(&self, address: Address) -> Result<Lease, AttemptError> {
-        let connection = match self.take_idle(address) {
-            Some(connection) => connection,
-            None => self.connect(address).await?,
-        };
-        Ok(Lease {
+        match self.take_idle(address) {
+            Some(connection) => Ok(self.lease_of(address, connection, true)),
+            None => self.lease_new(address).await,
+        }
+    }
+
+    /// Opens a connection.
+    pub(super) async fn lease_new(&self, address: Address) -> Result<Lease, AttemptError> {
+        let connection = self.connect(address).await?;
+        Ok(self.lease_of(address, connection, false))
+    }
+
+    fn lease_of(&self, address: Address, connection: Connection, was_kept: bool) -> Lease {
+        Lease {
             address,
             connection,
+            was_kept,
             idle: Rc::clone(&self.idle),
-        })
+        }
     }
 
     fn take_idle(&self, address: Address) -> Option<Connection> {
@@ -277,10 +287,16 @@
 pub(super) struct Lease {
     address: Address,
     connection: Connection,
+    was_kept: bool,
     idle: Idle,
 }
 
 impl Lease {
+    /// Returns whether the connection has served a request before.
+    pub(super) fn was_kept(&self) -> bool {
+        self.was_kept
+    }
+
     /// Sends the request and waits for the head of the answer.
     pub(super) async fn send(
         mut self,
@@ -315,6 +331,7 @@
                 address,
                 mut connection,
                 idle,
+                ..
             } = self;
             if connection.sender.ready().await.is_err() {
                 return;
--- a/entry/tests/test_serve/main.rs
+++ b/entry/tests/test_serve/main.rs
@@ -8,6 +8,8 @@
 #[cfg(test)]
 mod test_drain;
 #[cfg(test)]
+mod test_http2;
+#[cfg(test)]
 mod test_limits;
 #[cfg(test)]
 mod test_not_run;
--- /dev/null
+++ b/entry/tests/test_serve/test_http2.rs
@@ -0,0 +1,140 @@
+//! HTTP/2 callers: many requests on one connection, and broken answers that look broken.
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{
+    BodyExt,
+    Full, //
+};
+use hyper::{
+    body::Incoming,
+    client::conn::http2::SendRequest, //
+};
+use hyper_util::rt::{
+    TokioExecutor,
+    TokioIo, //
+};
+
+use crate::support::{
+    API_KEY,
+    Fixture,
+    MODEL,
+    ScriptedUpstream,
+    Step, //
+};
+
+async fn connect(fixture: &Fixture) -> SendRequest<Full<Bytes>> {
+    let stream = tokio::net::TcpStream::connect(fixture.address)
+        .await
+        .unwrap();
+    let executor = TokioExecutor::new();
+    let handshake = hyper::client::conn::http2::handshake(executor, TokioIo::new(stream));
+    let (sender, connection) = handshake.await.unwrap();
+    tokio::spawn(connection);
+    sender
+}
+
+fn completion() -> Request<Full<Bytes>> {
+    Request::post("http://entry/v1/chat/completions")
+        .header("authorization", format!("Bearer {API_KEY}"))
+        .body(Full::from(format!(
+            "{{\"model\":\"{MODEL}\",\"stream\":true}}"
+        )))
+        .unwrap()
+}
+
+/// Returns the body as far as it came, and whether it came to its end.
+async fn read(mut body: Incoming) -> (String, bool) {
+    let mut text = String::new();
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => {
+                let data = frame.into_data().unwrap();
+                text.push_str(std::str::from_utf8(&data).unwrap());
+            }
+            Err(_) => return (text, false),
+        }
+    }
+    (text, true)
+}
+
+fn run<F>(test: F)
+where
+    F: Future<Output = ()>,
+{
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    runtime.unwrap().block_on(test);
+}
+
+#[test]
+fn streams_share_a_connection() {
+    let engine = ScriptedUpstream::start(|number, _| {
+        let mut steps = vec![Step::stream_head()];
+        steps.push(Step::event(0, &format!("token-{number}")));
+        steps.extend(Step::done());
+        steps
+    });
+    let fixture = Fixture::with_engines(&[engine.address]);
+
+    run(async {
+        let mut sender = connect(&fixture).await;
+        let (first, second) = (
+            sender.send_request(completion()),
+            sender.clone().send_request(completion()),
+        );
+        let answers = [first.await.unwrap(), second.await.unwrap()];
+        for answer in answers {
+            let (text, is_whole) = read(answer.into_body()).await;
+            assert!(is_whole);
+            assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
+        }
+    });
+    assert_eq!(engine.requests().len(), 2);
+}
+
+/// The engine breaks off and cannot resume. The caller gets the error event, and
+/// its stream is reset rather than ended; the connection stays for other streams.
+#[test]
+fn a_broken_stream_is_reset_and_the_connection_stays() {
+    let engine = ScriptedUpstream::start(|_, request| {
+        if request.header("x-cicadabend-resume-from").is_some() {
+            return vec![Step::not_started("404 Not Found")];
+        }
+        vec![Step::stream_head(), Step::event(0, "a"), Step::Close]
+    });
+    let fixture = Fixture::with_engines(&[engine.address]);
+
+    run(async {
+        let mut sender = connect(&fixture).await;
+        for _ in 0..2 {
+            let answer = sender.send_request(completion()).await.unwrap();
+            let (text, is_whole) = read(answer.into_body()).await;
+            assert!(!is_whole);
+            assert!(text.contains("\"code\":\"answer_broken\""), "{text}");
+            assert!(text.contains("\"delivered_positions\":1"), "{text}");
+        }
+    });
+}
+
+/// A caller drops one stream of its connection. Only that request is stopped.
+#[test]
+fn a_dropped_stream_stops_only_its_own_request() {
+    let engine = ScriptedUpstream::start(|_, _| {
+        vec![Step::stream_head(), Step::event(0, "a"), Step::AwaitClose]
+    });
+    let fixture = Fixture::with_engines(&[engine.address]);
+
+    run(async {
+        let mut sender = connect(&fixture).await;
+        let first = sender.send_request(completion()).await.unwrap();
+        let second = sender.send_request(completion()).await.unwrap();
+        fixture.wait_for_counter("attempts_running", 2);
+        drop(first);
+        tokio::task::yield_now().await;
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+        fixture.wait_for_counter("attempts_running", 1);
+        drop(second);
+    });
+}
