serve: give up a caller's connection that stopped reading

Cause: a stopped reader kept its slot at the upstream while its connection stood. Change: a write without progress for the read timeout ends the connection, and with it the request. Ruled out: TCP's own timeout, which a peer with a closed window never reaches. Measured: 80 entry tests pass; untimed.

--- a/entry/src/serve/listener.rs
+++ b/entry/src/serve/listener.rs
@@ -36,6 +36,7 @@
 };
 
 use super::{
+    caller_stream::CallerStream,
     counts::Serving,
     events::LogEvent,
     handler,
@@ -174,7 +175,8 @@
         let server = Rc::clone(&server);
         async move { Ok::<_, Infallible>(handler::answer(server, request).await) }
     });
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let stream = TokioIo::new(CallerStream::new(stream, read_timeout));
+    let mut connection = pin!(builder.serve_connection(stream, service));
     let mut silence = pin!(sleep(read_timeout));
     let mut shutting_down = false;
     let mut silence_checked = false;
--- a/entry/src/serve/mod.rs
+++ b/entry/src/serve/mod.rs
@@ -11,6 +11,7 @@
 mod attempt;
 mod body;
 mod caller;
+mod caller_stream;
 mod claim_desk;
 mod completions;
 mod counts;
--- a/entry/tests/test_serve/test_limits.rs
+++ b/entry/tests/test_serve/test_limits.rs
@@ -124,6 +124,23 @@
     fixture.wait_for_counter("attempts_running", 0);
 }
 
+/// A caller stops reading for good. Its request is given up, so that its slot at
+/// the upstream is free again, although its connection still stands.
+#[test]
+fn a_stopped_reader_is_given_up() {
+    let large = "x".repeat(64 * 1024 * 1024);
+    let upstream = ScriptedUpstream::start(move |_, _| vec![Step::whole("200 OK", &large)]);
+    let fixture = Fixture::start(&[], &[upstream.address], |settings| {
+        settings.callers.read_timeout_ms = 300;
+    });
+    let mut stopped = fixture.caller();
+
+    stopped.send("GET", "/services/field-api/large", "", "");
+    stopped.head();
+
+    fixture.wait_for_counter("attempts_running", 0);
+}
+
 #[rstest]
 #[case::deadline("x-cicadabend-deadline-ms: soon\r\n")]
 #[case::repeatable("x-cicadabend-not-repeatable: maybe\r\n")]
