control: answer for at-most-once claims; start three control daemons in tests

Cause: nobody started the claims thread, so each not-repeatable request was refused with not_run (test_graceful_shutdown's plain service test failed). Change: the claims thread takes its messages from a ring of its own and counts the voters that the replicated log names.

--- a/control/src/counters.rs
+++ b/control/src/counters.rs
@@ -53,6 +53,8 @@
         AgreementRingFull,
         /// The ring to the thread `spread` is full.
         SpreadRingFull,
+        /// The ring to the thread `claims` is full.
+        ClaimsRingFull,
         /// No thread of a control daemon handles messages of this kind.
         NotForControl,
     }
--- a/control/src/inbox.rs
+++ b/control/src/inbox.rs
@@ -18,6 +18,8 @@
     pub(crate) agreement: Sender<Incoming>,
     /// Reports, acknowledgements, figures and requests for the configuration.
     pub(crate) spread: Sender<Incoming>,
+    /// Questions about requests that must run at most once.
+    pub(crate) claims: Sender<Incoming>,
     /// Counters.
     pub(crate) metrics: Metrics,
 }
@@ -39,6 +41,10 @@
                 let pushed = self.agreement.push(incoming);
                 pushed.map_err(|_| InboxDrop::AgreementRingFull)
             }
+            PeerMessage::Claim(_) => {
+                let pushed = self.claims.push(incoming);
+                pushed.map_err(|_| InboxDrop::ClaimsRingFull)
+            }
             PeerMessage::ConfigAck(_)
             | PeerMessage::ConfigRequest { .. }
             | PeerMessage::Report(_)
@@ -54,7 +60,6 @@
             | PeerMessage::Relay(_)
             | PeerMessage::Heard(_)
             | PeerMessage::RelayOrder(_)
-            | PeerMessage::Claim(_)
             | PeerMessage::ClaimReply(_)
             | PeerMessage::TeamShares(_)
             | PeerMessage::TeamDemand(_) => Err(InboxDrop::NotForControl),
--- a/control/src/main.rs
+++ b/control/src/main.rs
@@ -8,6 +8,7 @@
 //! - `spread`: sends the configuration and takes in what domains report ([`spread`]).
 //! - `peers`: hears other processes.
 
+mod claims;
 mod counters;
 mod events;
 mod inbox;
--- a/control/src/replication/handle.rs
+++ b/control/src/replication/handle.rs
@@ -148,7 +148,6 @@
     }
 
     /// Returns the voters that claims are counted by; it changes as the log does.
-    #[expect(dead_code, reason = "for the claims thread, which is started next")]
     pub(crate) fn voters(&self) -> Arc<ArcSwap<VoterSet>> {
         Arc::clone(&self.shared.voters)
     }
--- a/control/src/run.rs
+++ b/control/src/run.rs
@@ -11,6 +11,7 @@
     path::Path,
     sync::Arc,
     thread::JoinHandle,
+    time::Duration,
 };
 
 use cicadabend::prelude::*;
@@ -34,6 +35,10 @@
 use thiserror::Error;
 
 use crate::{
+    claims::{
+        self,
+        ClaimsError, //
+    },
     counters::{
         ConfigSent,
         ConfirmAnswer,
@@ -67,6 +72,8 @@
 const PEER_INBOX_CAPACITY: usize = 4_096;
 const AGREEMENT_CAPACITY: usize = 1_024;
 const SPREAD_CAPACITY: usize = 1_024;
+/// Claims that gather while one sync runs; an entry daemon asks again for what is dropped.
+const CLAIMS_CAPACITY: usize = 8_192;
 
 /// Why the daemon cannot start.
 #[derive(Debug, Display, Error)]
@@ -86,6 +93,8 @@
     Storage(StorageError),
     /// {0}
     Replication(ReplicationError),
+    /// cannot answer for claims: {0}
+    Claims(ClaimsError),
     /// cannot start a thread: {0}
     Thread(io::Error),
 }
@@ -116,10 +125,21 @@
     let (replication, agreement) =
         replication::start(&settings, &folder, &process, peers.sender(), agreement_out)
             .map_err(RunError::Replication)?;
+    let (claims_in, claims_out) = ring::bounded("claims", CLAIMS_CAPACITY);
+    let claims = claims::start(
+        &folder,
+        Duration::from_millis(settings.claim_retention_ms),
+        peers.sender(),
+        claims_out,
+        replication.voters(),
+        process.clock,
+    )
+    .map_err(RunError::Claims)?;
     let log = replication.clone();
     let destinations = Destinations {
         agreement: agreement_in,
         spread: spread_in,
+        claims: claims_in,
         metrics: process.metrics.clone(),
     };
     let inbox = spawn("inbox", move || inbox::sort(inbox_out, destinations))?;
@@ -151,7 +171,7 @@
     join(serving);
     log.hand_over();
     drop(peers);
-    for thread in [inbox, spread, agreement] {
+    for thread in [inbox, spread, claims, agreement] {
         join(thread);
     }
     match log.failure() {
--- a/testing/testutils/src/deployment/shape.rs
+++ b/testing/testutils/src/deployment/shape.rs
@@ -61,7 +61,7 @@
             domains: ["cumbaya", "carcelen", "sangolqui"]
                 .map(str::to_owned)
                 .into(),
-            controls: 1,
+            controls: 3,
             entries_per_domain: 3,
             engines_per_domain: 3,
             vms_per_group: 2,
