--- a/control/src/inbox.rs
+++ b/control/src/inbox.rs
@@ -16,8 +16,10 @@
 pub(crate) struct Destinations {
     /// Messages of the agreement.
     pub(crate) agreement: Sender<Incoming>,
-    /// Reports, acknowledgements and requests for the configuration.
+    /// Reports, acknowledgements, figures and requests for the configuration.
     pub(crate) spread: Sender<Incoming>,
+    /// Questions about requests that must run at most once.
+    pub(crate) claims: Sender<Incoming>,
     /// Counters.
     pub(crate) metrics: Metrics,
 }
@@ -39,9 +41,14 @@
                 let pushed = self.agreement.push(incoming);
                 pushed.map_err(|_| InboxDrop::AgreementRingFull)
             }
+            PeerMessage::Claim(_) => {
+                let pushed = self.claims.push(incoming);
+                pushed.map_err(|_| InboxDrop::ClaimsRingFull)
+            }
             PeerMessage::ConfigAck(_)
             | PeerMessage::ConfigRequest { .. }
             | PeerMessage::Report(_)
+            | PeerMessage::Figures(_)
             | PeerMessage::ControlHello(_) => {
                 let pushed = self.spread.push(incoming);
                 pushed.map_err(|_| InboxDrop::SpreadRingFull)
@@ -51,9 +58,9 @@
             | PeerMessage::Table(_)
             | PeerMessage::TableAck { .. }
             | PeerMessage::Relay(_)
-            | PeerMessage::Claim(_)
+            | PeerMessage::Heard(_)
+            | PeerMessage::RelayOrder(_)
             | PeerMessage::ClaimReply(_)
-            | PeerMessage::Figures(_)
             | PeerMessage::TeamShares(_)
             | PeerMessage::TeamDemand(_) => Err(InboxDrop::NotForControl),
         }
--- a/control/src/operators/requests.rs
+++ b/control/src/operators/requests.rs
@@ -21,8 +21,7 @@
         PATH_POLICIES,
         PATH_PROGRESS,
         PATH_STATUS,
-        PlanProgress,
-        PolicyFigures, //
+        PlanProgress, //
     },
 };
 use http::{
@@ -97,7 +96,7 @@
             (&Method::GET, PATH_HISTORY) => Ok(json(StatusCode::OK, &self.history().await?)),
             (&Method::GET, PATH_CONFIG) => Ok(json(StatusCode::OK, &self.config().await?)),
             (&Method::GET, PATH_PROGRESS) => Ok(json(StatusCode::OK, &self.progress().await?)),
-            (&Method::GET, PATH_POLICIES) => Ok(json(StatusCode::OK, &Vec::<PolicyFigures>::new())),
+            (&Method::GET, PATH_POLICIES) => Ok(json(StatusCode::OK, &self.view.load().policies)),
             (method, path) => Err(Refusal::not_found(method, path)),
         }
     }
@@ -157,7 +156,7 @@
         let entries = &self.topology.entries;
         let now = self.clock.now();
         let standing = standing(entries, &view.reports, state.revision(), now);
-        Ok(progress(&state, &standing, &view.domain_reports()))
+        Ok(progress(&state, &standing, &view.fresh_reports(now)))
     }
 
     async fn history(&self) -> Result<Vec<HistoryEntry>, Refusal> {
--- a/control/src/view.rs
+++ b/control/src/view.rs
@@ -7,32 +7,52 @@
 
 use arc_swap::ArcSwap;
 use cicadabend::{
-    fleet::spread::{
-        ControlSpread,
-        HeardReport, //
+    fleet::{
+        policy_figures::PolicyTotals,
+        spread::{
+            ControlSpread,
+            HeardReport,
+            is_fresh, //
+        }, //
     },
     ids::Address,
-    operator_api::DomainStatus,
+    operator_api::{
+        DomainStatus,
+        PolicyFigures, //
+    },
     peer_api::DomainReport,
     prelude::*,
 };
 
-/// Reports and operators' addresses at one moment; replaced as a whole.
+/// Reports, figures and operators' addresses at one moment; replaced as a whole.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct FleetView {
     /// The last report of each failure domain.
     pub(crate) reports: BTreeMap<FailureDomain, HeardReport>,
     /// Where other control daemons take operators' requests.
     pub(crate) operator_addresses: BTreeMap<DaemonId, Address>,
+    /// What routing policies did.
+    pub(crate) policies: Vec<PolicyFigures>,
 }
 
 impl FleetView {
-    /// Returns the reports as plans are made from them.
-    pub(crate) fn domain_reports(&self) -> Vec<DomainReport> {
+    /// Returns the last report of each failure domain, however old.
+    ///
+    /// A plan is made from the best that is known, also of a domain that is cut off.
+    pub(crate) fn last_reports(&self) -> Vec<DomainReport> {
         let reports = self.reports.values();
         reports.map(|heard| (*heard.report).clone()).collect()
     }
 
+    /// Returns the reports of failure domains that are heard now.
+    ///
+    /// What is no longer heard must neither hold up a confirmation nor make a plan done.
+    pub(crate) fn fresh_reports(&self, now: Timestamp) -> Vec<DomainReport> {
+        let reports = self.reports.values();
+        let fresh = reports.filter(|heard| is_fresh(heard.at, now));
+        fresh.map(|heard| (*heard.report).clone()).collect()
+    }
+
     /// Returns the reports with their ages.
     pub(crate) fn domains(&self, now: Timestamp) -> Vec<DomainStatus> {
         let status = |heard: &HeardReport| DomainStatus {
@@ -56,10 +76,11 @@
     }
 
     /// Replaces the view by what `spread` has heard.
-    pub(crate) fn publish(&self, spread: &ControlSpread) {
+    pub(crate) fn publish(&self, spread: &ControlSpread, policies: &PolicyTotals) {
         self.view.store(Arc::new(FleetView {
             reports: spread.reports().clone(),
             operator_addresses: spread.operator_addresses(),
+            policies: policies.figures(),
         }));
     }
 }
--- a/entry/src/serve/exchange.rs
+++ b/entry/src/serve/exchange.rs
@@ -112,6 +112,35 @@
     },
 }
 
+impl Failure {
+    /// Returns whether the upstream can have run the request.
+    pub(super) fn may_have_run(&self) -> bool {
+        match self {
+            Failure::NothingWritten(_)
+            | Failure::NotStarted { .. }
+            | Failure::ClaimLapsed
+            | Failure::DeadlinePassed { is_written: false } => false,
+            Failure::Broken(_)
+            | Failure::FailedByUpstream { .. }
+            | Failure::Invalid(_)
+            | Failure::GroupGone
+            | Failure::DeadlinePassed { is_written: true } => true,
+        }
+    }
+
+    /// Returns whether the replica is to blame, rather than its load, the daemon or the caller.
+    pub(super) fn is_by_replica(&self) -> bool {
+        match self {
+            Failure::NothingWritten(error) => matches!(error, AttemptError::NotConnected { .. }),
+            Failure::Broken(_) | Failure::FailedByUpstream { .. } | Failure::Invalid(_) => true,
+            Failure::NotStarted { .. }
+            | Failure::ClaimLapsed
+            | Failure::GroupGone
+            | Failure::DeadlinePassed { .. } => false,
+        }
+    }
+}
+
 impl From<AttemptError> for Failure {
     fn from(error: AttemptError) -> Self {
         match error {
@@ -154,7 +183,7 @@
     {
         return Err(Failure::ClaimLapsed);
     }
-    let (response, lease) = lease.send(spec.request_to(replica, None), sent).await?;
+    let (response, lease) = send(server, spec, replica, lease, sent).await?;
     let status = response.status();
     if did_not_start(&response) {
         return Err(Failure::NotStarted { status });
@@ -174,6 +203,27 @@
     }
 }
 
+/// Sends the request; over a new connection if a kept one turns out to be closed.
+///
+/// An upstream that restarts closes many connections at once. Nothing was written,
+/// so this is no retry, and the budget for retries is not spent on it.
+async fn send(
+    server: &Server,
+    spec: &Spec,
+    replica: &Replica,
+    lease: Lease,
+    sent: &SentBytes,
+) -> Result<(Response<Incoming>, Lease), AttemptError> {
+    let was_kept = lease.was_kept();
+    match lease.send(spec.request_to(replica, None), sent).await {
+        Err(AttemptError::NothingWritten { .. }) if was_kept && spec.can_replay() => {
+            let lease = server.pool.lease_new(replica.address).await?;
+            lease.send(spec.request_to(replica, None), sent).await
+        }
+        outcome => outcome,
+    }
+}
+
 /// Asks a replica for the rest of an answer.
 pub(super) async fn resume(
     server: &Server,
--- a/entry/src/serve/listener.rs
+++ b/entry/src/serve/listener.rs
@@ -36,6 +36,9 @@
 };
 
 use super::{
+    caller_stream::CallerStream,
+    counts::Serving,
+    events::LogEvent,
     handler,
     server::Server, //
 };
@@ -109,6 +112,7 @@
         // An error means that the process has dropped the sender: stop as well.
         let _ = stopped.wait_for(|stop| *stop).await;
         server.draining.set(true);
+        LogEvent::Draining {}.emit();
         sleep(Duration::from_millis(callers.drain_notice_ms)).await;
     };
     tokio::select! {
@@ -124,9 +128,10 @@
         server.claims.all_recorded().await;
     };
     if timeout(limit, all_done).await.is_err() {
-        let count = open.count.get();
-        log::warn!("CB1104 connections cut off at the drain timeout count={count}");
+        let connections = open.count.get();
+        LogEvent::CutOff { connections }.emit();
     }
+    LogEvent::Drained {}.emit();
 }
 
 async fn accept_all(
@@ -141,6 +146,7 @@
             continue;
         };
         if open.count.get() >= server.settings.callers.max_connections {
+            server.counts.count(Serving::ConnectionsRefused);
             // Dropping it costs the caller a reconnect; keeping it would cost every other caller.
             continue;
         }
@@ -169,7 +175,8 @@
         let server = Rc::clone(&server);
         async move { Ok::<_, Infallible>(handler::answer(server, request).await) }
     });
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let stream = TokioIo::new(CallerStream::new(stream, read_timeout));
+    let mut connection = pin!(builder.serve_connection(stream, service));
     let mut silence = pin!(sleep(read_timeout));
     let mut shutting_down = false;
     let mut silence_checked = false;
--- a/entry/src/serve/run.rs
+++ b/entry/src/serve/run/mod.rs
@@ -1,16 +1,15 @@
 //! One request on its way: its life, its attempt, and the actions that the chart asks for.
 
+mod choose;
+mod refuse;
+mod retry;
+
 use std::{
     rc::Rc,
     time::Duration, //
 };
 
 use cicadabend::{
-    admission::{
-        RetryDecision,
-        RetryReason,
-        RetrySituation, //
-    },
     caller_api::ErrorCode,
     chart::{
         RequestAction,
@@ -18,6 +17,7 @@
         RequestState, //
     },
     claims::ClaimRefusal,
+    fleet::RoutingPolicy,
     prelude::*,
     request::{
         Permit,
@@ -26,27 +26,24 @@
     routing::{
         AnswerTiming,
         Choice,
-        Prefix,
-        ReplicaId,
-        RouteQuery,
-        RoutingSnapshot, //
+        ReplicaId, //
     },
-    upstream_api::session_prefix_hash,
 };
-use http::StatusCode;
 use tokio::time::Instant;
 
 use super::{
+    admission_desk::Admission,
     answer::Refusal,
     attempt::Attempt,
+    counts::Serving,
+    events::LogEvent,
     exchange::Failure,
+    figures::Outcome,
     held_claim::HeldClaim,
     server::Server,
     spec::Spec, //
 };
 
-/// When to come back if no replica can take a request.
-const NO_REPLICA_RETRY_MS: u64 = 1_000;
 /// How often the rest of an answer is asked for without getting any of it.
 const RESUME_LIMIT: u32 = 4;
 
@@ -85,6 +82,10 @@
     pub(super) server: Rc<Server>,
     pub(super) spec: Rc<Spec>,
     pub(super) attempt: Option<Attempt>,
+    pub(super) admission: Option<Admission>,
+    hedge: Option<Attempt>,
+    policy: Option<RoutingPolicy>,
+    outcome: Outcome,
     life: RequestLife,
     choice: Option<Choice>,
     tried: Vec<ReplicaId>,
@@ -93,7 +94,6 @@
     refusal: Option<Refusal>,
     pub(super) claim: HeldClaim,
     sent_at: Instant,
-    first_token: Duration,
     resumes_without_progress: u32,
     can_resume: bool,
 }
@@ -109,6 +109,10 @@
             server: Rc::clone(server),
             spec: Rc::new(spec),
             attempt: None,
+            admission: None,
+            hedge: None,
+            policy: None,
+            outcome: Outcome::default(),
             life,
             choice: None,
             tried: Vec::new(),
@@ -117,7 +121,6 @@
             refusal: None,
             claim: HeldClaim::default(),
             sent_at: Instant::now(),
-            first_token: Duration::ZERO,
             resumes_without_progress: 0,
             can_resume: false,
         })
@@ -126,25 +129,21 @@
     /// Takes an event, does what can be done at once, and returns the rest.
     pub(super) fn apply(&mut self, event: RequestEvent) -> Next {
         let mut delay = Duration::ZERO;
-        let reason = self.retry_reason();
-        let situation = RetrySituation {
-            reason,
-            attempts: self.attempts,
-            is_repeatable: self.spec.traits.is_repeatable,
-            deadline: Some(self.deadline()),
-        };
-        let Self { server, spec, .. } = &*self;
+        let situation = self.retry_situation();
         let resume = self.can_resume && self.resumes_without_progress < RESUME_LIMIT;
-        let server = Rc::clone(server);
-        let spec = Rc::clone(spec);
+        let server = Rc::clone(&self.server);
+        let spec = Rc::clone(&self.spec);
         let actions = self.life.apply(event, |permit| match permit {
             Permit::Resume => resume,
-            Permit::Retry => spec.can_replay() && may_retry(&server, situation, &mut delay),
+            Permit::Retry => spec.can_replay() && retry::may_retry(&server, situation, &mut delay),
         });
         let mut next = Next::Wait;
         for action in actions {
             next = self.act(*action, delay).unwrap_or(next);
         }
+        if self.life.is_over() {
+            self.finish();
+        }
         if next == Next::Wait && self.life.is_over() {
             next = Next::Over;
         }
@@ -155,15 +154,17 @@
     fn act(&mut self, action: RequestAction, delay: Duration) -> Option<Next> {
         match action {
             RequestAction::ChooseAnother => {
-                self.server.counters.note_retry(self.retry_reason());
+                self.server.counts.retry(self.retry_reason());
                 self.choose();
             }
             RequestAction::TakeSlot => self.take_slot(),
-            RequestAction::FreeSlot => self.attempt = None,
+            RequestAction::FreeSlot => {
+                self.attempt = None;
+                self.hedge = None;
+            }
             RequestAction::CancelUpstream => {
-                if let Some(attempt) = &mut self.attempt {
-                    attempt.cancel();
-                }
+                let attempts = self.attempt.iter_mut().chain(&mut self.hedge);
+                attempts.for_each(Attempt::cancel);
             }
             RequestAction::Connect => {
                 return Some(match &self.attempt {
@@ -189,67 +190,38 @@
         None
     }
 
-    /// Chooses a replica; those that failed come last.
-    pub(super) fn choose(&mut self) -> bool {
-        let snapshot = self.server.snapshot.load_full();
-        let choice = self.choose_excluding(&snapshot, &self.tried);
-        self.choice = choice.or_else(|| self.choose_excluding(&snapshot, &[]));
-        self.choice.is_some()
-    }
-
-    fn choose_excluding(
-        &self,
-        snapshot: &RoutingSnapshot,
-        excluded: &[ReplicaId],
-    ) -> Option<Choice> {
-        let prefixes = self.prefixes();
-        let query = RouteQuery {
-            service: &self.spec.service,
-            request: &self.spec.caller.request_id,
-            session: prefixes.first().map(|prefix| prefix.hash),
-            prefixes: &prefixes,
-            excluded,
-            home: &self.server.settings.failure_domain,
-            prompt_tokens: self.spec.prompt_tokens,
-            may_probe: self.spec.traits.is_repeatable,
-        };
-        let own = self.server.own_load.borrow();
-        let now = self.server.clock.now();
-        let mut router = self.server.router.borrow_mut();
-        router.choose(&query, snapshot, &own, now, self.server.random())
-    }
-
-    /// Returns the prefix that the requests of the session share.
-    fn prefixes(&self) -> Vec<Prefix> {
-        let session = self.spec.wishes.session.as_deref();
-        let prefix = |session| Prefix {
-            hash: session_prefix_hash(session),
-            tokens: self.spec.prompt_tokens,
-        };
-        session.map(prefix).into_iter().collect()
-    }
-
-    fn take_slot(&mut self) {
-        let Some(choice) = self.choice.take() else {
+    /// Gives the request's place back, and adds it to the figures of its policy.
+    fn finish(&mut self) {
+        self.admission = None;
+        let Some(policy) = self.policy.take() else {
             return;
         };
-        if self.attempts == 0 {
-            self.server.retry_budget.borrow_mut().note_request();
+        let mut figures = self.server.figures.borrow_mut();
+        match self.life.state() {
+            RequestState::Done => figures.add(&self.spec.service, policy, &self.outcome),
+            // That the caller left says nothing of the policy.
+            RequestState::Cancelled => {}
+            _ => {
+                self.outcome.has_failed = true;
+                figures.add(&self.spec.service, policy, &self.outcome);
+            }
         }
-        self.attempts += 1;
-        self.tried.push(choice.replica.id.clone());
-        self.sent_at = Instant::now();
-        let id = &self.spec.caller.request_id;
-        self.attempt = Some(Attempt::start(&self.server, choice, id));
+    }
+
+    /// Ends all writing of the present attempts; returns whether any byte was written.
+    pub(super) fn seal(&self) -> bool {
+        let attempts = self.attempt.iter().chain(&self.hedge);
+        let written = attempts.map(|attempt| attempt.sent.seal()).sum::<u64>();
+        written > 0
     }
 
     /// Notes why the attempt failed and what that means for the request.
     pub(super) fn fail(&mut self, failure: Failure) -> Next {
-        log::debug!(
-            "CB1122 attempt failed request={} attempt={} reason={failure}",
-            self.spec.caller.request_id,
-            self.attempts
-        );
+        LogEvent::debug(|| LogEvent::AttemptFailed {
+            request: self.spec.caller.request_id.clone(),
+            attempt: self.attempts,
+            reason: failure.to_string(),
+        });
         let event = match &failure {
             Failure::NothingWritten(_) => RequestEvent::ConnectFailed,
             Failure::ClaimLapsed => RequestEvent::Refused,
@@ -260,12 +232,12 @@
             | Failure::FailedByUpstream { .. }
             | Failure::Invalid(_) => RequestEvent::UpstreamFailed,
         };
-        let is_written = !matches!(
-            failure,
-            Failure::NothingWritten(_)
-                | Failure::ClaimLapsed
-                | Failure::DeadlinePassed { is_written: false }
-        );
+        let is_written = failure.may_have_run() || matches!(failure, Failure::NotStarted { .. });
+        if let Some(attempt) = self.attempt.as_ref().filter(|_| failure.is_by_replica()) {
+            let now = self.server.clock.now();
+            let mut router = self.server.router.borrow_mut();
+            router.record_failure(&attempt.replica().id, now);
+        }
         self.failure = Some(failure);
         if is_written {
             self.apply(RequestEvent::Connected);
@@ -275,7 +247,12 @@
 
     /// Notes that the first part of an answer is here.
     pub(super) fn answered(&mut self) -> Next {
-        self.first_token = self.sent_at.elapsed();
+        self.outcome.first_token = self.sent_at.elapsed();
+        let first_token = self.outcome.first_token;
+        let mut times = self.server.times.borrow_mut();
+        times.record(&self.spec.service, first_token);
+        drop(times);
+        self.server.counts.first_token(first_token);
         self.apply(RequestEvent::Connected);
         self.apply(RequestEvent::RequestSent);
         self.apply(RequestEvent::FirstByte)
@@ -292,13 +269,14 @@
         let next = self.apply(event);
         if next == Next::Resume {
             self.resumes_without_progress += 1;
-            self.server.counters.note_resume();
+            self.server.counts.count(Serving::Resumes);
         }
         next
     }
 
-    /// Notes that part of the answer came.
-    pub(super) fn progressed(&mut self) {
+    /// Notes that part of the answer came, so long after the part before.
+    pub(super) fn progressed(&mut self, since_last: Duration) {
+        self.outcome.between_tokens.count(since_last);
         self.resumes_without_progress = 0;
     }
 
@@ -310,6 +288,13 @@
     /// Notes that the whole answer was delivered.
     pub(super) fn ended(&mut self, output_tokens: u64) {
         self.record_timing(output_tokens);
+        if let Some(gaps) = u32::try_from(output_tokens).ok().filter(|n| *n > 1) {
+            let streaming = self
+                .sent_at
+                .elapsed()
+                .saturating_sub(self.outcome.first_token);
+            self.server.counts.between_tokens(streaming / (gaps - 1));
+        }
         self.apply(RequestEvent::AnswerEnded);
     }
 
@@ -320,7 +305,7 @@
         let expected_cached = attempt.choice.expected_cached_tokens.0;
         let uncached = self.spec.prompt_tokens.0.saturating_sub(expected_cached);
         let timing = AnswerTiming {
-            first_token: self.first_token,
+            first_token: self.outcome.first_token,
             total: self.sent_at.elapsed(),
             output_tokens: TokenCount(output_tokens),
             uncached_tokens: TokenCount(uncached),
@@ -344,7 +329,7 @@
                 RequestEvent::ClaimUnavailable
             }
         };
-        self.server.counters.note_claim_refusal(&refusal);
+        self.server.counts.claim_refusal(&refusal);
         self.refusal = HeldClaim::refusal(&refusal);
         self.claim.refused(refusal);
         self.apply(event)
@@ -355,70 +340,6 @@
         self.refusal = Some(refusal);
         self.apply(RequestEvent::Refused)
     }
-
-    /// Returns the error that fits where the request stands.
-    pub(super) fn refusal(&mut self) -> Refusal {
-        let mut refusal = match self.life.state() {
-            RequestState::RefusedNotRun => self.not_run(),
-            _ => self.outcome_unknown(),
-        };
-        let traits = self.spec.traits;
-        refusal.retry_is_safe |= traits.is_repeatable || traits.needs_claim;
-        refusal
-    }
-
-    fn not_run(&mut self) -> Refusal {
-        if let Some(refusal) = self.refusal.take() {
-            return refusal;
-        }
-        let why = self.failure_text();
-        let code = match self.failure {
-            Some(Failure::DeadlinePassed { .. }) => ErrorCode::DeadlineCannotBeMet,
-            _ => ErrorCode::NotRun,
-        };
-        Refusal::new(code, format!("The request did not run: {why}."))
-            .retry_after_ms(NO_REPLICA_RETRY_MS)
-    }
-
-    fn outcome_unknown(&self) -> Refusal {
-        let why = self.failure_text();
-        let code = match self.failure {
-            Some(Failure::Invalid(_) | Failure::FailedByUpstream { .. }) => {
-                ErrorCode::UpstreamInvalid
-            }
-            _ => ErrorCode::OutcomeUnknown,
-        };
-        Refusal::new(code, format!("The request may have run: {why}."))
-    }
-
-    fn failure_text(&self) -> String {
-        match &self.failure {
-            Some(failure) => failure.to_string(),
-            None => "no whole replica can take it now".to_owned(),
-        }
-    }
-
-    fn retry_reason(&self) -> RetryReason {
-        match &self.failure {
-            None | Some(Failure::NothingWritten(_) | Failure::ClaimLapsed) => {
-                RetryReason::ConnectFailed
-            }
-            Some(Failure::NotStarted { status }) if *status == StatusCode::CONFLICT => {
-                RetryReason::StaleToken
-            }
-            Some(Failure::NotStarted { .. }) => RetryReason::RefusedByUpstream,
-            Some(Failure::Broken(_) | Failure::GroupGone) => RetryReason::BrokenBeforeAnswer,
-            Some(Failure::DeadlinePassed { .. }) => RetryReason::TimedOutBeforeAnswer,
-            Some(Failure::FailedByUpstream { .. } | Failure::Invalid(_)) => {
-                RetryReason::FailedByUpstream
-            }
-        }
-    }
-
-    fn deadline(&self) -> Timestamp {
-        let left = self.spec.wishes.deadline;
-        self.server.clock.now() + left.saturating_duration_since(Instant::now())
-    }
 }
 
 impl Drop for RequestRun {
@@ -427,27 +348,9 @@
         if self.life.is_over() {
             return;
         }
-        let is_connecting = self.life.state() == RequestState::Connecting;
-        let sent = self.attempt.as_ref().map(|attempt| attempt.sent.seal());
-        if is_connecting && sent.is_some_and(|bytes| bytes > 0) {
+        if self.life.state() == RequestState::Connecting && self.seal() {
             self.apply(RequestEvent::Connected);
         }
         self.apply(RequestEvent::CallerGone);
     }
 }
-
-fn may_retry(server: &Server, situation: RetrySituation, delay: &mut Duration) -> bool {
-    let now = server.clock.now();
-    let random = server.random();
-    let mut budget = server.retry_budget.borrow_mut();
-    match budget.decide(situation, &server.backoff, now, random) {
-        RetryDecision::After(after) => {
-            *delay = after;
-            true
-        }
-        RetryDecision::GiveUp(reason) => {
-            log::debug!("CB1123 not tried again reason={}", reason.name());
-            false
-        }
-    }
-}
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -86,6 +86,10 @@
     TeamDemand(BTreeMap<TeamName, TeamShare>),
     /// Control to control: a sign of life, and what the others need of the sender.
     ControlHello(ControlHello),
+    /// Daemon to domain leader: the upstreams whose own announcements it receives.
+    Heard(BTreeSet<VmId>),
+    /// Domain leader to daemon: relay these upstreams' announcements to these daemons.
+    RelayOrder(BTreeMap<VmId, BTreeSet<DaemonId>>),
 }
 
 /// A control daemon's sign of life to the other control daemons.
@@ -406,9 +410,9 @@
     pub first_token_sum_us: u64,
     /// Sum of their squares.
     pub first_token_sum_squares: f64,
-    /// Times to the first token, by power-of-two bucket of microseconds.
+    /// Times to the first token, by [`bucket_of`](crate::fleet::policy_figures::bucket_of).
     pub first_token_buckets: Vec<u32>,
-    /// Times between tokens, by power-of-two bucket of microseconds.
+    /// Times between tokens, by [`bucket_of`](crate::fleet::policy_figures::bucket_of).
     pub between_tokens_buckets: Vec<u32>,
 }
 
