--- a/lib/src/domain/recovery/mod.rs
+++ b/lib/src/domain/recovery/mod.rs
@@ -6,6 +6,7 @@
 //! table that results. What it proposes again and again without effect is harmless.
 
 mod cost;
+mod doubtful;
 mod loads;
 mod options;
 mod planner;
@@ -71,7 +72,7 @@
     pub repairs: Vec<Repair>,
     /// Groups that are wanted beyond those of the table.
     pub start: Vec<NewGroup>,
-    /// Groups that could start and wait for the weight store.
+    /// Groups that could start and wait, for the VMs of ending groups or for the weight store.
     pub postponed: Vec<NewGroup>,
     /// Incomplete groups that stay as they are.
     pub waits: Vec<Wait>,
--- a/lib/src/domain/recovery/planner.rs
+++ b/lib/src/domain/recovery/planner.rs
@@ -45,15 +45,12 @@
     prelude::*,
 };
 
-/// At most this share of a domain's VMs is kept out of new groups for flapping.
-const MOST_SIDELINED: Percent = Percent(10);
-
 /// Decides which groups change; it remembers outages and running loads between decisions.
 #[derive(Clone, Debug, Default)]
 pub struct RepairPlanner {
-    history: OutageHistory,
+    pub(super) history: OutageHistory,
     loads: RunningLoads,
-    stragglers: StragglerDetector,
+    pub(super) stragglers: StragglerDetector,
 }
 
 impl RepairPlanner {
@@ -110,82 +107,6 @@
         }
     }
 
-    /// Returns the VMs with those that flap or are slow kept out of new groups.
-    ///
-    /// They are kept out only while no wanted group is missing for it: a group with a
-    /// doubtful VM is better than none.
-    fn usable_vms(&self, input: &RecoveryInput<'_>) -> Vec<PlacementVm> {
-        let mut best = input.vms.to_vec();
-        let mut doubtful = self.flapping(input.vms);
-        doubtful.extend(self.slow_and_free(input));
-        if !doubtful.is_empty() {
-            let mut without = best.clone();
-            keep_out(&mut without, &doubtful);
-            let missing_with = missing(&self.placement(input, &best));
-            if missing(&self.placement(input, &without)) <= missing_with {
-                best = without;
-            }
-        }
-        for vm in self.stragglers.ejected() {
-            if let Some(without) = self.without_member(input, &best, vm) {
-                best = without;
-            }
-        }
-        best
-    }
-
-    fn placement(&self, input: &RecoveryInput<'_>, vms: &[PlacementVm]) -> Placement {
-        place(input.config, input.failure_domain, vms, input.groups)
-    }
-
-    fn flapping(&self, vms: &[PlacementVm]) -> BTreeSet<VmId> {
-        let most = (vms.len() * usize::from(MOST_SIDELINED.0)).div_ceil(100);
-        let alive = vms.iter().filter(|vm| vm.state == UpstreamState::Alive);
-        let mut flapping: Vec<VmId> = alive
-            .map(|vm| vm.vm.clone())
-            .filter(|vm| self.history.flaps(vm))
-            .collect();
-        let losses = |vm: &VmId| self.history.recent_losses(vm);
-        flapping.sort_by_key(|vm| (std::cmp::Reverse(losses(vm)), vm.clone()));
-        flapping.truncate(most);
-        flapping.into_iter().collect()
-    }
-
-    fn slow_and_free(&self, input: &RecoveryInput<'_>) -> BTreeSet<VmId> {
-        let members: BTreeSet<&VmId> = input.groups.iter().flat_map(|g| &g.members).collect();
-        let slow = self.stragglers.ejected().into_iter();
-        slow.filter(|vm| !members.contains(vm)).cloned().collect()
-    }
-
-    /// Returns the VMs with a slow member drained, if its group can form again at once.
-    ///
-    /// Draining lets the group finish its requests first. Unless VMs that hold the weights
-    /// stand ready, the group stays: a slow replica is better than none.
-    fn without_member(
-        &self,
-        input: &RecoveryInput<'_>,
-        vms: &[PlacementVm],
-        slow: &VmId,
-    ) -> Option<Vec<PlacementVm>> {
-        let group = input.groups.iter().find(|g| g.members.contains(slow))?;
-        let mut without = vms.to_vec();
-        let member = without.iter_mut().find(|vm| vm.vm == *slow)?;
-        if member.state != UpstreamState::Alive {
-            return None;
-        }
-        member.state = UpstreamState::Drained;
-        let before = self.placement(input, vms);
-        let after = self.placement(input, &without);
-        let weights = weights_name(&group.model, &group.version);
-        let index = Situation::index(&without);
-        let mut started = after
-            .start
-            .iter()
-            .filter(|new| new.service == group.service);
-        let ready = started.all(|new| new.members.iter().all(|vm| !lacks(&index, vm, &weights)));
-        (ready && missing(&after) <= missing(&before)).then_some(without)
-    }
-
     fn forget_loads(&mut self, input: &RecoveryInput<'_>, kept: &[&Assignment]) {
         let vms = Situation::index(input.vms);
         self.loads.retain(|vm, weights| {
@@ -288,7 +209,10 @@
         lacks(vms, vm, weights) && self.loads.elapsed(vm, weights, input.now).is_none()
     }
 
-    /// Starts the groups for which the weight store has room.
+    /// Starts the groups whose VMs are free and for which the weight store has room.
+    ///
+    /// A group that waits for the VMs of an ending one takes no share of the store's rate
+    /// meanwhile, or it would hold back repairs for as long as the last request runs.
     fn start(
         &self,
         input: &RecoveryInput<'_>,
@@ -301,7 +225,8 @@
             let weights = weights_of(input.config, &new.service).unwrap_or_default();
             let members = new.members.iter();
             let to_begin = members.filter(|vm| self.is_to_begin(input, &vms, vm, &weights));
-            if budget.grant(u32::try_from(to_begin.count()).unwrap_or(u32::MAX)) {
+            let loads = u32::try_from(to_begin.count()).unwrap_or(u32::MAX);
+            if new.waits_for.is_empty() && budget.grant(loads) {
                 plan.start.push(new);
             } else {
                 plan.postponed.push(new);
@@ -355,7 +280,7 @@
 }
 
 /// Returns whether a VM is alive and would have to load these weights.
-fn lacks(vms: &BTreeMap<&VmId, &PlacementVm>, vm: &VmId, weights: &str) -> bool {
+pub(super) fn lacks(vms: &BTreeMap<&VmId, &PlacementVm>, vm: &VmId, weights: &str) -> bool {
     let known = vms.get(vm);
     known.is_some_and(|known| {
         known.state == UpstreamState::Alive && !known.weights.contains(weights)
@@ -369,12 +294,8 @@
     }
 }
 
-fn missing(placement: &Placement) -> u32 {
-    placement.missing.iter().map(|missing| missing.groups).sum()
-}
-
 /// Marks VMs as suspect: they keep their groups, and nothing new is built on them.
-fn keep_out(vms: &mut [PlacementVm], out: &BTreeSet<VmId>) {
+pub(super) fn keep_out(vms: &mut [PlacementVm], out: &BTreeSet<VmId>) {
     for vm in vms {
         if vm.state == UpstreamState::Alive && out.contains(&vm.vm) {
             vm.state = UpstreamState::Suspect;
