--- a/lib/tests/test_recovery/test_repairs.rs
+++ b/lib/tests/test_recovery/test_repairs.rs
@@ -322,7 +322,7 @@
 #[rstest]
 #[case(auditorias)]
 #[case(lanterna)]
-fn lowest_cost_is_never_far_above_both_baselines(
+fn lowest_cost_is_on_no_script_above_the_better_baseline(
     #[case] settings: fn(RecoveryPolicy) -> RecoverySettings,
 ) {
     for script in scripts() {
@@ -335,6 +335,6 @@
         let wait = cost(RecoveryPolicy::AlwaysWait);
         let rebuild = cost(RecoveryPolicy::AlwaysRebuild);
         let lowest = cost(RecoveryPolicy::LowestCost);
-        assert!(lowest <= wait.max(rebuild), "{}: {lowest}", script.name);
+        assert!(lowest <= wait.min(rebuild), "{}: {lowest}", script.name);
     }
 }
