--- a/testing/integration/tests/test_operators.rs
+++ b/testing/integration/tests/test_operators.rs
@@ -8,6 +8,7 @@
     PATH_STATUS, //
 };
 use cicadabend_testutils::{
+    client,
     deployment::{
         Deployment,
         Shape,
@@ -109,16 +110,13 @@
 fn a_wrong_operator_token_is_refused() {
     let deployment = deployment();
     deployment.operator().plan(intent(deployment.shape()));
-    let control = deployment.operator_addresses().parse().unwrap();
+    let addresses = deployment.operator_addresses();
 
-    let answer = cicadabend_testutils::client::send(
-        control,
-        Method::GET,
-        PATH_STATUS,
-        &[("authorization", "Bearer wrong")],
-        "",
-    );
+    for control in addresses.split(',').map(|address| address.parse().unwrap()) {
+        let headers = [("authorization", "Bearer wrong")];
+        let answer = client::send(control, Method::GET, PATH_STATUS, &headers, "");
 
-    assert_eq!(answer.unwrap().status, 401);
-    assert!(Operator::new(vec![control], "wrong").status().is_none());
+        assert_eq!(answer.unwrap().status, 401);
+        assert!(Operator::new(vec![control], "wrong").status().is_none());
+    }
 }
