metrics: name counters by the variant alone; explain every metric

Counting a reason of the library formatted the variant with its fields, a stored answer's body among them, only to cut them off. The metrics page also lists the sockets' gauges and says what each name means.

--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -23,7 +23,10 @@
 
 use std::{
     collections::BTreeMap,
-    fmt::Debug,
+    fmt::{
+        self,
+        Debug, //
+    },
     io,
     net::UdpSocket,
     sync::{
@@ -177,12 +180,12 @@
 
     /// Counts several events of a closed set.
     pub fn count_many<T: CounterSet>(&self, counter: T, events: u64) {
-        self.add(&counter_name(T::GROUP, &format!("{counter:?}")), events);
+        self.add(&counter_name(T::GROUP, &variant_of(&counter)), events);
     }
 
     /// Counts one event by a closed enum of the library, as `GROUP.VARIANT`.
     pub fn count_reason(&self, group: &'static str, reason: impl Debug) {
-        self.add(&counter_name(group, &format!("{reason:?}")), 1);
+        self.add(&counter_name(group, &variant_of(&reason)), 1);
     }
 
     fn add(&self, name: &str, events: u64) {
@@ -255,15 +258,36 @@
     Ok(StatsdClient::from_sink(&prefix.replace('-', "_"), queued))
 }
 
+/// Takes in the name of a variant and refuses everything after it.
+struct VariantName(String);
+
+impl fmt::Write for VariantName {
+    fn write_str(&mut self, text: &str) -> fmt::Result {
+        let is_name = |c: char| c.is_ascii_alphanumeric() || c == '_';
+        let name = text.split(|c| !is_name(c)).next().unwrap_or_default();
+        self.0.push_str(name);
+        match name.len() == text.len() {
+            true => Ok(()),
+            false => Err(fmt::Error),
+        }
+    }
+}
+
+/// Returns the name of an enum's variant.
+///
+/// Its fields, which may be large, are not formatted: the writer ends the formatting.
+fn variant_of(reason: &impl Debug) -> String {
+    let mut name = VariantName(String::new());
+    let _ = fmt::write(&mut name, format_args!("{reason:?}"));
+    name.0
+}
+
 /// Returns the name of a counter: its group and its variant in snake case.
 pub fn counter_name(group: &str, variant: &str) -> String {
     let mut name = String::with_capacity(group.len() + variant.len() + 4);
     name.push_str(group);
     name.push('.');
-    let letters = variant
-        .chars()
-        .take_while(|c| c.is_ascii_alphanumeric() || *c == '_');
-    for (index, letter) in letters.enumerate() {
+    for (index, letter) in variant.chars().enumerate() {
         if letter.is_ascii_uppercase() && index > 0 {
             name.push('_');
         }
--- a/daemon/tests/catalogue/sources.rs
+++ b/daemon/tests/catalogue/sources.rs
@@ -78,6 +78,12 @@
             self.metrics
                 .extend(named_in_calls(crate_name, &code, call, kind));
         }
+        // The sockets' totals are shown from a table of names, not from calls.
+        let peers = named_in_calls(crate_name, &code, "(\"peers_", "gauge");
+        self.metrics.extend(peers.map(|metric| Metric {
+            name: format!("peers_{}", metric.name),
+            ..metric
+        }));
         let reasons = named_in_calls(crate_name, &code, ".count_reason(\"", "counter");
         self.metrics.extend(reasons.map(|metric| Metric {
             name: format!("{}.*", metric.name),
