--- a/daemon/tests/catalogue/pages.rs
+++ b/daemon/tests/catalogue/pages.rs
@@ -34,7 +34,7 @@
 ";
 
 /// What metrics mean that no declaration explains: gauges, timers, and enums of the library.
-const MEANINGS: [(&str, &str); 4] = [
+const MEANINGS: &[(&str, &str)] = &[
     (
         "agreement_refusals.*",
         "Messages and proposals that the replicated log refused, by reason.",
@@ -45,6 +45,31 @@
         "claim_refusals.*",
         "Not repeatable requests that did not get their claim, by reason.",
     ),
+    (
+        "peers_dropped_full",
+        "Messages dropped because a peer's send buffer was full: it is cut off or too slow.",
+    ),
+    (
+        "peers_dropped_ring_full",
+        "Messages dropped because the ring to the thread that handles them was full.",
+    ),
+    (
+        "peers_dropped_unknown_peer",
+        "Messages to a peer that the settings do not name.",
+    ),
+    ("peers_received_bytes", "Bytes heard from peers."),
+    ("peers_received_messages", "Messages heard from peers."),
+    ("peers_refused_cluster", "Messages of another cluster."),
+    (
+        "peers_refused_malformed",
+        "Messages that could not be decoded.",
+    ),
+    (
+        "peers_refused_version",
+        "Messages of another version of the protocol.",
+    ),
+    ("peers_sent_bytes", "Bytes sent to peers."),
+    ("peers_sent_messages", "Messages sent to peers."),
     (
         "queueing",
         "How long admitted requests waited in this daemon.",
