--- a/lib/tests/test_recovery.rs
+++ b/lib/tests/test_recovery.rs
@@ -49,6 +49,7 @@
         groups,
         vms_per_group: 2,
         spares,
+        concurrent_weight_loads: 4,
         faults: Vec::new(),
         end_ms: 0,
     }
@@ -222,6 +223,24 @@
     assert!(group_of(&run, "f1-0").is_some());
 }
 
+#[test]
+fn a_fabric_domain_that_was_only_paused_takes_its_group_back_before_it_is_rebuilt() {
+    // A whole fabric domain is silent for longer than the lease, and the rebuilt group
+    // still loads when it is back with its weights. The callers' wait ends at once.
+    let mut run = run(&script(vec![("f1", 2), ("f2", 2)], 1, 0));
+
+    run.suffer(&Fault::LoseFabric("f1"));
+    pass(&mut run, 10_000);
+    run.suffer(&Fault::ReturnFabric {
+        fabric: "f1",
+        keeps_weights: true,
+    });
+    pass(&mut run, 4_000);
+
+    assert_eq!(kinds(&run), [RepairKind::Rebuild, RepairKind::Restore]);
+    assert_eq!(run.serving().len(), 1);
+}
+
 #[test]
 fn a_lost_vm_that_returns_after_the_repair_becomes_a_spare() {
     let mut run = run(&script(vec![("f1", 3)], 1, 1));
@@ -388,13 +407,13 @@
             script: Script {
                 fabrics: vec![("f1", a), ("f2", b), ("f3", c)],
                 vms_per_group,
+                concurrent_weight_loads: weights.2,
                 ..script(Vec::new(), groups, spares)
             },
             settings: RecoverySettings {
                 policy,
                 group_downtime_weight: weights.0,
                 stranded_accelerator_weight: weights.1,
-                concurrent_weight_loads: weights.2,
                 ..RecoverySettings::default()
             },
             may_span,
@@ -563,7 +582,7 @@
         live_through(&mut run, &fleet.events);
 
         let one_group = fleet.script.vms_per_group;
-        let bound = fleet.settings.concurrent_weight_loads.max(one_group);
+        let bound = fleet.script.concurrent_weight_loads.max(one_group);
         prop_assert!(run.outcome.most_loads <= bound, "{} loads", run.outcome.most_loads);
     }
 }
