logs: write lines in a thread of their own

A thread wrote its lines itself, so a log collector that stands still would stop the serving of callers. The thread logs takes lines from a bounded queue (8,192); a full one drops the new line, and the log says how many are missing (CB1007). Fields of events below the log level are not made into text any more. Ruled out: blocking with a time limit, which would still hold up each line.

--- a/daemon/src/daemon_events.rs
+++ b/daemon/src/daemon_events.rs
@@ -13,4 +13,6 @@
     1005 Error Failed { reason: String } "failed";
     /// `GET /metrics` is answered at this address.
     1006 Info MetricsListening { address: std::net::SocketAddr } "metrics are served";
+    /// Lines were lost because nobody read the log fast enough; nothing else was held up.
+    1007 Warn LinesDropped { lines: u64 } "log lines were dropped";
 }
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -18,10 +18,8 @@
 //!
 //! Field types need `Display`. The doc comment becomes the catalogue's explanation.
 
-use log::{
-    Level,
-    Record, //
-};
+use log::Level;
+pub use log::Record;
 
 /// What is fixed about one event.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -47,13 +45,24 @@
     }
 }
 
-/// Writes one event; [`events!`](crate::events!) calls this.
-pub fn write(kind: &EventKind, fields: &[(&'static str, String)]) {
-    if kind.level > log::max_level() {
-        return;
-    }
+/// Returns whether events of a level are written.
+pub fn is_enabled(level: Level) -> bool {
+    level <= log::max_level()
+}
+
+/// Gives a record to the program's logger.
+pub fn log(record: &Record<'_>) {
+    log::logger().log(record);
+}
+
+/// Gives the record of one event to `take`; [`events!`](crate::events!) calls this.
+pub fn with_record(
+    kind: &EventKind,
+    fields: &[(&'static str, String)],
+    take: &mut dyn FnMut(&Record<'_>),
+) {
     let code = kind.code();
-    log::logger().log(
+    take(
         &Record::builder()
             .target(&code)
             .level(kind.level)
@@ -99,9 +108,20 @@
 
             /// Writes the event to the log.
             pub fn emit(&self) {
+                // Fields are made into text only if somebody will read it.
+                let level = match self {
+                    $(Self::$name { .. } => $crate::events::level::$level,)+
+                };
+                if $crate::events::is_enabled(level) {
+                    self.with_record(&mut $crate::events::log);
+                }
+            }
+
+            /// Gives the event's record to `take`.
+            pub fn with_record(&self, take: &mut dyn FnMut(&$crate::events::Record<'_>)) {
                 match self {
                     $(
-                        Self::$name { $($field),* } => $crate::events::write(
+                        Self::$name { $($field),* } => $crate::events::with_record(
                             &$crate::events::EventKind {
                                 number: $number,
                                 level: $crate::events::level::$level,
@@ -111,6 +131,7 @@
                                 explanation: &[$($doc),+],
                             },
                             &[$((stringify!($field), $field.to_string())),*],
+                            take,
                         ),
                     )+
                 }
--- a/daemon/src/logs.rs
+++ b/daemon/src/logs.rs
@@ -4,10 +4,13 @@
 //! JSON: the same as one object on each line, if the settings say `"format": "json"`.
 //!
 //! A program calls [`start`] once; everything else uses [`events!`](crate::events!).
+//! The thread `logs` writes; see [`queue`].
 
 use std::{
     fmt::Write,
-    io, thread,
+    io,
+    sync::OnceLock,
+    thread,
     time::{
         Duration,
         SystemTime,
@@ -31,12 +34,22 @@
 };
 use thiserror::Error;
 
-use crate::settings::{
-    LogFormat,
-    LogLevel,
-    LogSettings, //
+use crate::{
+    daemon_events::LogEvent,
+    settings::{
+        LogFormat,
+        LogLevel,
+        LogSettings, //
+    },
 };
 
+pub mod queue;
+
+use queue::LineQueue;
+
+/// How long a program that ends waits for its last lines.
+const FLUSH_LIMIT: Duration = Duration::from_secs(1);
+
 /// Why log lines cannot be written.
 #[derive(Debug, Display, Error)]
 pub enum LogError {
@@ -49,6 +62,8 @@
     },
     /// a logger has been started already
     Twice,
+    /// cannot start the thread that writes log lines: {0}
+    Thread(io::Error),
 }
 
 /// Starts writing log lines as the settings say.
@@ -58,20 +73,47 @@
 /// Returns [`LogError`] if the file cannot be opened or a logger runs already.
 pub fn start(settings: &LogSettings) -> Result<(), LogError> {
     let format = settings.format;
-    let dispatch = fern::Dispatch::new()
-        .level(filter_of(settings.level))
-        .format(move |out, _, record| {
-            let line = line_of(format, record, wall_clock());
-            out.finish(format_args!("{line}"));
-        });
-    let dispatch = match &settings.file {
-        None => dispatch.chain(io::stderr()),
-        Some(path) => dispatch.chain(fern::log_file(path).map_err(|source| LogError::Open {
-            path: path.clone(),
-            source,
-        })?),
+    let losses = move |lines| losses_line(format, lines);
+    let queue = match &settings.file {
+        None => LineQueue::start(io::stderr(), losses),
+        Some(path) => {
+            let file = fern::log_file(path).map_err(|source| LogError::Open {
+                path: path.clone(),
+                source,
+            })?;
+            LineQueue::start(file, losses)
+        }
     };
-    dispatch.apply().map_err(|_| LogError::Twice)
+    let queue = queue.map_err(LogError::Thread)?;
+    let writer = queue.clone();
+    fern::Dispatch::new()
+        .level(filter_of(settings.level))
+        .chain(fern::Output::call(move |record| {
+            writer.push(line_of(format, record, wall_clock()));
+        }))
+        .apply()
+        .map_err(|_| LogError::Twice)?;
+    // The logger can be applied only once, so this is empty.
+    let _ = QUEUE.set(queue);
+    Ok(())
+}
+
+static QUEUE: OnceLock<LineQueue> = OnceLock::new();
+
+/// Waits until every line so far is written; a program calls this before it ends.
+pub fn flush() {
+    if let Some(queue) = QUEUE.get() {
+        queue.flush(FLUSH_LIMIT);
+    }
+}
+
+/// Returns the line that tells of lines that were dropped.
+fn losses_line(format: LogFormat, lines: u64) -> String {
+    let mut line = String::new();
+    LogEvent::LinesDropped { lines }.with_record(&mut |record| {
+        line = line_of(format, record, wall_clock());
+    });
+    line
 }
 
 fn filter_of(level: LogLevel) -> LevelFilter {
--- a/daemon/src/program.rs
+++ b/daemon/src/program.rs
@@ -189,7 +189,7 @@
         metrics.flush();
         outcome
     });
-    match outcome {
+    let code = match outcome {
         Ok(()) => {
             LogEvent::Stopped {}.emit();
             EXIT_OK
@@ -199,7 +199,9 @@
             LogEvent::Failed { reason }.emit();
             EXIT_FAILED
         }
-    }
+    };
+    logs::flush();
+    code
 }
 
 fn read_settings<S: Settings>(matches: &ArgMatches) -> Result<S, Box<dyn Error>> {
--- a/daemon/tests/test_observing.rs
+++ b/daemon/tests/test_observing.rs
@@ -3,14 +3,27 @@
 #![expect(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
 use std::{
+    io::{
+        self,
+        Write, //
+    },
     net::UdpSocket,
-    time::Duration, //
+    sync::{
+        Arc,
+        Mutex,
+        mpsc, //
+    },
+    time::Duration,
 };
 
 use cicadabend_daemon::{
     logs::{
         line_of,
-        utc_text, //
+        queue::{
+            LineQueue,
+            QUEUE_CAPACITY_LINES, //
+        },
+        utc_text,
     },
     metrics::{
         FLUSH_INTERVAL,
@@ -207,3 +220,61 @@
     let sent = std::str::from_utf8(&packet[..length]).unwrap();
     assert_eq!(sent.trim_end(), "tested_program.refusals.over_limit:1|c");
 }
+
+/// A reader that stands still until it is let go.
+struct StalledPipe {
+    go: mpsc::Receiver<()>,
+    is_open: bool,
+    read: Arc<Mutex<Vec<u8>>>,
+}
+
+impl Write for StalledPipe {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        if !self.is_open {
+            self.go.recv().unwrap();
+            self.is_open = true;
+        }
+        self.read.lock().unwrap().write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// The process goes on serving. Its log collector stands still, the queue of lines
+/// fills, further lines are dropped. When the collector reads again, the log says how
+/// many are missing.
+#[test]
+fn a_stalled_reader_of_the_log_holds_nobody_up() {
+    let (go, waiting) = mpsc::channel();
+    let read = Arc::new(Mutex::new(Vec::new()));
+    let pipe = StalledPipe {
+        go: waiting,
+        is_open: false,
+        read: Arc::clone(&read),
+    };
+    let queue = LineQueue::start(pipe, |lines| format!("{lines} lines dropped")).unwrap();
+
+    for number in 0..3 * QUEUE_CAPACITY_LINES {
+        queue.push(format!("line {number}"));
+    }
+    go.send(()).unwrap();
+    let mut is_flushed = false;
+    while !is_flushed {
+        is_flushed = queue.flush(Duration::from_millis(100));
+    }
+
+    let text = String::from_utf8(read.lock().unwrap().clone()).unwrap();
+    let written = text
+        .lines()
+        .filter(|line| line.starts_with("line "))
+        .count();
+    let counts = text
+        .lines()
+        .filter_map(|line| line.strip_suffix(" lines dropped"));
+    let dropped: usize = counts.map(|count| count.parse::<usize>().unwrap()).sum();
+    assert!(written >= QUEUE_CAPACITY_LINES, "{written}");
+    assert!(dropped > 0);
+    assert_eq!(written + dropped, 3 * QUEUE_CAPACITY_LINES);
+}
