control: keep operators' tokens as sums; test unfinished and too many requests

Cause: tokens stood in memory as they are and were compared byte by byte, and two limits of the listener had no test. Tests break a body off and hold 64 requests open: each is counted, the further request is refused at once, nothing changes, and the next request is served.

An API key's sum may be written in either case, as entry daemons read it; what was refused before is now compared without case, so the same key under two teams is found in either writing.

--- a/control/src/operators/tokens.rs
+++ b/control/src/operators/tokens.rs
@@ -8,6 +8,10 @@
 };
 
 use displaydoc::Display;
+use sha2::{
+    Digest,
+    Sha256, //
+};
 use thiserror::Error;
 
 /// Why a token file is refused.
@@ -30,9 +34,18 @@
 }
 
 /// The accepted tokens and whose they are.
+///
+/// Tokens are kept and compared as SHA-256 sums: how long a comparison takes then says
+/// nothing of a token, and a dump of the memory holds none.
 #[derive(Debug)]
 pub(crate) struct OperatorTokens {
-    operators: BTreeMap<String, String>,
+    operators: BTreeMap<TokenSum, String>,
+}
+
+type TokenSum = [u8; 32];
+
+fn sum_of(token: &str) -> TokenSum {
+    Sha256::digest(token.as_bytes()).into()
 }
 
 impl OperatorTokens {
@@ -54,7 +67,7 @@
                 return Err(TokenError::Malformed { line: line_number });
             };
             if operators
-                .insert(token.to_owned(), operator.to_owned())
+                .insert(sum_of(token), operator.to_owned())
                 .is_some()
             {
                 return Err(TokenError::Repeated { line: line_number });
@@ -72,6 +85,7 @@
         if !scheme.eq_ignore_ascii_case("bearer") {
             return None;
         }
-        self.operators.get(token.trim()).map(String::as_str)
+        let operator = self.operators.get(&sum_of(token.trim()));
+        operator.map(String::as_str)
     }
 }
--- a/control/tests/daemon/test_refusals.rs
+++ b/control/tests/daemon/test_refusals.rs
@@ -1,5 +1,11 @@
 //! Bad input of operators: a clear error, a counter, nothing changed.
 
+use std::{
+    io::Write,
+    net::TcpStream,
+    time::Duration, //
+};
+
 use http::{
     Method,
     StatusCode, //
@@ -10,10 +16,14 @@
 use crate::fixtures::{
     ANA,
     ControlDaemon,
+    DEADLINE,
     MAX_REQUEST_BYTES,
     intent, //
 };
 
+/// How many requests of operators the daemon runs at once.
+const CONCURRENT_REQUESTS: usize = 64;
+
 struct Expected {
     status: StatusCode,
     counter: &'static str,
@@ -127,6 +137,46 @@
     assert_eq!(figures["counters"]["confirm_answers.unknown_plan"], 1);
 }
 
+/// The operator's connection breaks in the middle of a confirmation's body.
+#[tokio::test]
+async fn a_body_that_breaks_off_is_counted_and_changes_nothing() {
+    let control = ControlDaemon::start(&[]);
+    let plan = control.plan(ANA, &intent(1)).await;
+    let body = format!(r#"{{"plan": {}, "idempotency_key": "k"}}"#, plan["id"]);
+
+    drop(open_request(&control, "/v1/confirm", body.len() + 1, &body));
+
+    wait_for_count(&control, "body_incomplete", 1).await;
+    let (_, config) = control.request(ANA, Method::GET, "/v1/config", "").await;
+    assert_eq!(config["revision"], 0);
+}
+
+/// Someone's script opens more requests than run at once and never finishes their
+/// bodies. A further request is told so at once; when the others are gone, it is served.
+#[tokio::test]
+async fn more_requests_than_run_at_once_are_refused_at_once() {
+    let control = ControlDaemon::start(&[]);
+    let open: Vec<TcpStream> = (0..CONCURRENT_REQUESTS)
+        .map(|_| open_request(&control, "/v1/plans", 10, ""))
+        .collect();
+
+    let deadline = tokio::time::Instant::now() + DEADLINE;
+    let (status, answer) = loop {
+        let (status, answer) = control.request(ANA, Method::GET, "/v1/config", "").await;
+        // The open requests may not all have been read yet.
+        if status != StatusCode::OK || tokio::time::Instant::now() > deadline {
+            break (status, answer);
+        }
+    };
+
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{answer}");
+    assert!(answer.to_string().contains("try again"), "{answer}");
+    drop(open);
+    wait_for_count(&control, "body_incomplete", CONCURRENT_REQUESTS as u64).await;
+    let (status, _) = control.request(ANA, Method::GET, "/v1/config", "").await;
+    assert_eq!(status, StatusCode::OK);
+}
+
 /// The operator of the history is the one whose token was used, whatever the request says.
 #[tokio::test]
 async fn a_request_cannot_name_another_operator() {
@@ -140,6 +190,32 @@
     assert_eq!(history[0]["operator"], "ana");
 }
 
+/// Sends a request's head and part of its body, and leaves it at that.
+fn open_request(control: &ControlDaemon, path: &str, length: usize, part: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(control.operators).expect("the daemon listens");
+    let request = format!(
+        "POST {path} HTTP/1.1\r\nhost: control\r\nauthorization: Bearer {ANA}\r\n\
+         content-length: {length}\r\n\r\n{part}"
+    );
+    stream
+        .write_all(request.as_bytes())
+        .expect("the request can be sent");
+    stream
+}
+
+async fn wait_for_count(control: &ControlDaemon, refusal: &str, wanted: u64) {
+    let deadline = tokio::time::Instant::now() + DEADLINE;
+    let counter = format!("operator_refusals.{refusal}");
+    loop {
+        let figures = control.figures().await;
+        if figures["counters"][&counter] == wanted {
+            return;
+        }
+        assert!(tokio::time::Instant::now() < deadline, "{figures}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 async fn check(control: &ControlDaemon, status: StatusCode, answer: &Value, expected: &Expected) {
     assert_eq!(status, expected.status, "{answer}");
     assert!(answer.to_string().contains(expected.text), "{answer}");
--- a/lib/src/fleet/spread.rs
+++ b/lib/src/fleet/spread.rs
@@ -96,6 +96,8 @@
 #[derive(Clone, Debug)]
 pub struct ControlSpread {
     topology: Topology,
+    /// The failure domains that have entry daemons.
+    domains: Arc<BTreeSet<FailureDomain>>,
     configs: RecentConfigs,
     reports: BTreeMap<FailureDomain, HeardReport>,
     controls: BTreeMap<DaemonId, HeardControl>,
@@ -106,6 +108,7 @@
     /// Starts without a configuration.
     pub fn new(topology: Topology) -> Self {
         Self {
+            domains: Arc::new(topology.entries.values().cloned().collect()),
             topology,
             configs: RecentConfigs::default(),
             reports: BTreeMap::new(),
@@ -215,9 +218,8 @@
 
     /// Returns what is to be sent now.
     pub fn tick(&mut self, now: Timestamp) -> Vec<Sending> {
-        let domains: BTreeSet<FailureDomain> = self.topology.entries.values().cloned().collect();
         let mut sendings = Vec::new();
-        for domain in &domains {
+        for domain in Arc::clone(&self.domains).iter() {
             if !self.serves(domain, now) {
                 continue;
             }
--- a/lib/src/fleet/validate.rs
+++ b/lib/src/fleet/validate.rs
@@ -176,13 +176,15 @@
         owners: &mut BTreeMap<String, &'t TeamName>,
     ) {
         let hash = &team.api_key_sha256;
-        let is_hash = hash.len() == SHA256_HEX_DIGITS && hash.bytes().all(is_lower_case_hex);
+        let is_hash =
+            hash.len() == SHA256_HEX_DIGITS && hash.bytes().all(|byte| byte.is_ascii_hexdigit());
         if !is_hash {
-            let problem = "is no SHA-256; 64 hexadecimal digits in lower case are needed";
+            let problem = "is no SHA-256; 64 hexadecimal digits are needed";
             self.refuse(path.to_owned(), problem);
             return;
         }
-        if let Some(owner) = owners.insert(hash.clone(), name) {
+        // Entry daemons compare sums without regard to case, and so must this.
+        if let Some(owner) = owners.insert(hash.to_ascii_lowercase(), name) {
             let problem = format!("is also the key of {owner}; a request could not be told apart");
             self.refuse(path.to_owned(), problem);
         }
@@ -199,8 +201,3 @@
         }
     }
 }
-
-/// Entry daemons look a key up by the text of its hash, which they write in lower case.
-fn is_lower_case_hex(byte: u8) -> bool {
-    matches!(byte, b'0'..=b'9' | b'a'..=b'f')
-}
