--- a/lib/src/domain/mod.rs
+++ b/lib/src/domain/mod.rs
@@ -8,6 +8,7 @@
 //! - [`recovery`]: what becomes of groups that lost a member.
 //! - [`spread_tree`]: how a configuration comes to all of them.
 //! - [`config_spread`]: which configuration is in force here and below.
+//! - [`relays`]: who passes announcements on to whom.
 //! - [`report`]: what other domains learn.
 //! - [`coordinator`]: one daemon's part in all of this.
 
@@ -19,6 +20,7 @@
 pub mod membership;
 pub mod parameters;
 pub mod placement;
+pub mod relays;
 pub mod recovery;
 pub mod report;
 pub mod spread_tree;
