--- a/lib/src/domain/config_spread.rs
+++ b/lib/src/domain/config_spread.rs
@@ -6,72 +6,59 @@
         BTreeSet, //
     },
     sync::Arc,
+    time::Duration,
 };
 
 use crate::{
     domain::parameters::DomainParameters,
-    fleet::FleetConfig,
+    fleet::{
+        FleetConfig,
+        RecentConfigs,
+        Update, //
+    },
     peer_api::{
         ConfigAck,
-        ConfigBody,
         ConfigUpdate, //
     },
     prelude::*,
 };
 
-/// What an update was to this daemon.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Received {
-    /// It is newer and now in force here.
-    Applied,
-    /// It is newer, but it does not bring all that is needed; the sender is to be asked.
-    Behind,
-    /// It is what is in force here.
-    Same,
-    /// It is older; the sender may need what is in force here.
-    Older,
-}
+/// How long a restarted daemon waits for others' answers after a control daemon's.
+///
+/// The control daemon of a domain may itself lag behind for a moment; the daemons
+/// beside this one then know better.
+const FLOOR_WAIT: Duration = Duration::from_secs(1);
 
 /// The configuration of one daemon; its revision never goes back.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct ConfigSpread {
-    revision: Revision,
-    config: Arc<FleetConfig>,
+    configs: RecentConfigs,
+    in_force: Arc<FleetConfig>,
     below: BTreeMap<DaemonId, ConfigAck>,
     floor: RevisionFloor,
 }
 
 /// Whether a daemon without a disk may trust that it has not served by a newer revision.
 ///
-/// A restarted daemon knows nothing. It serves only when a control daemon of its
-/// domain, or a majority of the domain's other daemons, has told it the revision
-/// in force: one that it served by earlier had reached at least one of them.
+/// A restarted daemon knows nothing and asks all daemons of its domain and all control
+/// daemons. It serves once it is level with a majority of either, or with the control
+/// daemon of its domain and whoever else has answered within [`FLOOR_WAIT`].
 #[derive(Clone, Debug, Default)]
 struct RevisionFloor {
     reached: bool,
+    asked_at: Option<Timestamp>,
     level_with: BTreeSet<DaemonId>,
 }
 
-impl Default for ConfigSpread {
-    fn default() -> Self {
-        Self {
-            revision: Revision::default(),
-            config: Arc::new(FleetConfig::default()),
-            below: BTreeMap::new(),
-            floor: RevisionFloor::default(),
-        }
-    }
-}
-
 impl ConfigSpread {
     /// Returns the revision in force here.
     pub fn revision(&self) -> Revision {
-        self.revision
+        self.configs.revision()
     }
 
     /// Returns the configuration in force here.
     pub fn config(&self) -> &Arc<FleetConfig> {
-        &self.config
+        &self.in_force
     }
 
     /// Returns whether this daemon knows enough to serve.
@@ -79,30 +66,29 @@
         self.floor.reached
     }
 
+    /// Notes that others were asked, and looks whether enough have answered.
+    pub fn look_at_floor(&mut self, parameters: &DomainParameters, now: Timestamp) {
+        self.floor.asked_at.get_or_insert(now);
+        self.floor.look(parameters, now);
+    }
+
     /// Takes an update; one that is older is never applied.
     pub fn receive(
         &mut self,
         parameters: &DomainParameters,
         from: &DaemonId,
-        update: ConfigUpdate,
-    ) -> Received {
-        if update.revision < self.revision {
-            self.floor.note(parameters, from);
-            return Received::Older;
+        update: &ConfigUpdate,
+        now: Timestamp,
+    ) -> Update {
+        let received = self.configs.receive(update);
+        if received == Update::Applied {
+            self.in_force = self.configs.config();
         }
-        if update.revision == self.revision {
-            self.floor.note(parameters, from);
-            return Received::Same;
-        }
-        match update.body {
-            ConfigBody::Whole(config) => {
-                self.revision = update.revision;
-                self.config = Arc::new(*config);
-                self.floor.note(parameters, from);
-                Received::Applied
-            }
-            ConfigBody::Digest | ConfigBody::Delta(_) => Received::Behind,
+        if received != Update::Behind {
+            self.floor.level_with.insert(from.clone());
+            self.floor.look(parameters, now);
         }
+        received
     }
 
     /// Notes what a daemon below has applied.
@@ -114,7 +100,7 @@
     pub fn behind<'a>(&self, children: &'a [DaemonId]) -> Vec<&'a DaemonId> {
         let is_behind = |child: &&DaemonId| {
             let ack = self.below.get(*child);
-            ack.is_none_or(|ack| ack.applied < self.revision)
+            ack.is_none_or(|ack| ack.applied < self.revision())
         };
         children.iter().filter(is_behind).collect()
     }
@@ -122,7 +108,7 @@
     /// Returns the acknowledgement for this daemon and all below it.
     pub fn acknowledgement(&self, own: &DaemonId, children: &[DaemonId]) -> ConfigAck {
         let mut total = ConfigAck {
-            applied: self.revision,
+            applied: self.revision(),
             daemons: 1,
             lagging: BTreeMap::new(),
         };
@@ -132,7 +118,7 @@
                     total.applied = total.applied.min(ack.applied);
                     total.daemons += ack.daemons;
                     total.lagging.extend(ack.lagging.clone());
-                    if ack.applied < self.revision && ack.lagging.is_empty() {
+                    if ack.applied < self.revision() && ack.lagging.is_empty() {
                         total.lagging.insert(child.clone(), ack.applied);
                     }
                 }
@@ -146,33 +132,43 @@
         total
     }
 
-    /// Returns the configuration as a message.
-    pub fn whole(&self) -> ConfigUpdate {
-        ConfigUpdate {
-            revision: self.revision,
-            base: None,
-            body: ConfigBody::Whole(Box::new((*self.config).clone())),
+    /// Returns the configuration as a message for one who has `have`.
+    pub fn update_from(&self, have: Revision) -> ConfigUpdate {
+        if have >= self.revision() {
+            return self.configs.digest();
         }
+        let delta = self.configs.delta_from(have);
+        delta.unwrap_or_else(|| self.configs.whole())
+    }
+
+    /// Returns the newest change as a message for one who was level before it.
+    pub fn latest(&self) -> ConfigUpdate {
+        self.configs.latest()
     }
 
     /// Returns the revision as a message.
     pub fn digest(&self) -> ConfigUpdate {
-        ConfigUpdate {
-            revision: self.revision,
-            base: None,
-            body: ConfigBody::Digest,
-        }
+        self.configs.digest()
     }
 }
 
 impl RevisionFloor {
-    /// Notes that `from` has nothing newer than what is in force here.
-    fn note(&mut self, parameters: &DomainParameters, from: &DaemonId) {
-        self.level_with.insert(from.clone());
-        let mut own_control = parameters.own_control().into_iter();
-        let told_by_control = own_control.any(|daemon| self.level_with.contains(&daemon));
-        let fellows = parameters.daemons.intersection(&self.level_with).count();
-        let told_by_majority = fellows > parameters.daemons.len() / 2;
-        self.reached = self.reached || told_by_control || told_by_majority;
+    fn look(&mut self, parameters: &DomainParameters, now: Timestamp) {
+        let is_level = |daemon: &DaemonId| self.level_with.contains(daemon);
+        let fellows = parameters
+            .daemons
+            .iter()
+            .filter(|daemon| is_level(daemon))
+            .count();
+        let control = parameters
+            .control
+            .keys()
+            .filter(|daemon| is_level(daemon))
+            .count();
+        let by_majority =
+            fellows > parameters.daemons.len() / 2 || control > parameters.control.len() / 2;
+        let waited = self.asked_at.is_some_and(|at| now.since(at) >= FLOOR_WAIT);
+        let by_own_control = parameters.own_control().iter().any(is_level);
+        self.reached = self.reached || by_majority || (waited && by_own_control);
     }
 }
--- a/lib/src/domain/coordinator/mod.rs
+++ b/lib/src/domain/coordinator/mod.rs
@@ -197,7 +197,7 @@
         self.add_losses(passed, now);
         if now >= self.repeat_at {
             self.repeat_at = now + REPEAT_EVERY;
-            self.repeat();
+            self.repeat(now);
             self.arrange_relays(now);
         }
         self.report(now);
--- a/lib/src/domain/coordinator/spreading.rs
+++ b/lib/src/domain/coordinator/spreading.rs
@@ -5,10 +5,8 @@
     Coordinator, //
 };
 use crate::{
-    domain::{
-        config_spread::Received,
-        spread_tree, //
-    },
+    domain::spread_tree,
+    fleet::Update,
     peer_api::{
         ConfigAck,
         ConfigUpdate,
@@ -20,19 +18,19 @@
 
 impl Coordinator {
     pub(super) fn receive_config(&mut self, from: &DaemonId, update: ConfigUpdate, now: Timestamp) {
-        match self.config.receive(&self.parameters, from, update) {
-            Received::Applied => {
+        match self.config.receive(&self.parameters, from, &update, now) {
+            Update::Applied => {
                 self.actions.push(Action::Publish);
                 self.acknowledge_config(from);
                 self.pass_config_on(now);
                 self.lead(now);
             }
-            Received::Behind => {
+            Update::Behind => {
                 let have = self.config.revision();
                 self.send(from, PeerMessage::ConfigRequest { have });
             }
-            Received::Same => self.acknowledge_config(from),
-            Received::Older => {}
+            Update::Same => self.acknowledge_config(from),
+            Update::Older => {}
         }
     }
 
@@ -52,10 +50,7 @@
         if !self.config.is_ready() {
             return;
         }
-        let update = match self.config.revision() > have {
-            true => self.config.whole(),
-            false => self.config.digest(),
-        };
+        let update = self.config.update_from(have);
         self.send(from, PeerMessage::Config(update));
     }
 
@@ -106,8 +101,9 @@
     }
 
     /// Sends again what was not acknowledged.
-    pub(super) fn repeat(&mut self) {
+    pub(super) fn repeat(&mut self, now: Timestamp) {
         if !self.config.is_ready() {
+            self.config.look_at_floor(&self.parameters, now);
             self.ask_for_config();
         }
         let children = self.children();
@@ -173,9 +169,9 @@
     /// Sends the configuration to those below, and its number to the leader if it came past it.
     fn pass_config_on(&mut self, now: Timestamp) {
         let children = self.children();
-        let whole = self.config.whole();
+        let latest = self.config.latest();
         for child in self.config.behind(&children) {
-            let message = PeerMessage::Config(whole.clone());
+            let message = PeerMessage::Config(latest.clone());
             self.actions.push(Action::Send(child.clone(), message));
         }
         let leader = self.lease.leader(now).map(|(leader, _)| leader.clone());
@@ -188,7 +184,8 @@
     }
 
     fn ask_for_config(&mut self) {
-        let have = self.config.revision();
+        // From the start each time: one that has nothing newer would not answer otherwise.
+        let have = Revision::default();
         let fellows = self.parameters.daemons.iter();
         let asked = fellows.chain(self.parameters.control.keys());
         let asked: Vec<DaemonId> = asked.cloned().collect();
--- a/lib/src/domain/leader/commands.rs
+++ b/lib/src/domain/leader/commands.rs
@@ -21,7 +21,8 @@
     prelude::*,
     upstream_api::{
         Command,
-        CommandAction, //
+        CommandAction,
+        EngineState, //
     },
 };
 
@@ -80,8 +81,9 @@
             return None;
         }
         if let Some(assignment) = self.assignment_of(vm) {
-            let obeyed = is_member(assignment, upstream);
-            return (!obeyed).then(|| (assignment.token, join(assignment)));
+            let is_due =
+                !is_member(assignment, upstream) && !self.is_held_back(assignment, upstream);
+            return is_due.then(|| (assignment.token, join(assignment)));
         }
         let action = match upstream.membership() {
             Some(_) => CommandAction::LeaveGroup,
@@ -90,6 +92,13 @@
         Some((self.loose_token(vm, &action), action))
     }
 
+    /// Returns whether joining would start a load for which the weight store has no room yet.
+    fn is_held_back(&self, assignment: &Assignment, upstream: &Upstream) -> bool {
+        let weights = weights_name(&assignment.model, &assignment.version);
+        let holds = |engine: &EngineState| engine.weights.contains(&weights);
+        self.held_back.contains(&assignment.group) && !upstream.engine().is_some_and(holds)
+    }
+
     fn wanted_weights(
         &self,
         view: LeaderView<'_>,
--- a/lib/src/domain/leader/mod.rs
+++ b/lib/src/domain/leader/mod.rs
@@ -25,6 +25,7 @@
             Upstreams, //
         },
         parameters::DomainParameters,
+        recovery::RepairPlanner,
     },
     fleet::FleetConfig,
     ids::Address,
@@ -126,8 +127,12 @@
     commanded: BTreeMap<VmId, (FencingToken, Timestamp)>,
     /// The tokens of commands to VMs that are in no group.
     loose: BTreeMap<VmId, (CommandAction, FencingToken)>,
-    /// Spares and the weights they shall hold.
+    planner: RepairPlanner,
+    planned_at: Option<Timestamp>,
+    /// Spares that shall load the weights of a service.
     spares: BTreeMap<VmId, ServiceName>,
+    /// Groups whose members shall not begin to load weights yet.
+    held_back: BTreeSet<GroupId>,
 }
 
 impl Leader {
@@ -155,7 +160,10 @@
             acknowledged: BTreeMap::new(),
             commanded: BTreeMap::new(),
             loose: BTreeMap::new(),
+            planner: RepairPlanner::new(),
+            planned_at: None,
             spares: BTreeMap::new(),
+            held_back: BTreeSet::new(),
         }
     }
 
--- a/lib/src/domain/leader/planning.rs
+++ b/lib/src/domain/leader/planning.rs
@@ -9,54 +9,63 @@
     Stopping, //
 };
 use crate::{
-    chart::UpstreamState,
-    domain::placement::{
-        NewGroup,
-        Placement,
-        PlacementVm,
-        place, //
+    domain::{
+        placement::PlacementVm,
+        recovery::{
+            RecoveryInput,
+            Repair, //
+        },
+        report::serves,
     },
     fleet::Service,
     peer_api::Assignment,
     prelude::*,
 };
 
+/// The shortest time between two plans; announcements come far more often.
+const PLAN_EVERY: Duration = Duration::from_millis(100);
 /// How long a group that is to end may go on with its running requests.
 const STOP_LIMIT: Duration = Duration::from_secs(60);
 
 impl Leader {
-    /// Compares what is with what the configuration wants.
+    /// Compares what is with what the configuration wants, and repairs what is broken.
     pub(super) fn plan(&mut self, view: LeaderView<'_>, now: Timestamp) {
-        let vms = placement_vms(view, now);
-        let mut placement = self.place(view, &vms);
-        // A replica that has lost a member has no running requests to wait for.
-        let broken: Vec<GroupId> = self
-            .held
-            .values()
-            .filter(|held| has_lost_member(held, view, now))
-            .map(|held| held.assignment.group.clone())
-            .collect();
-        if !broken.is_empty() {
-            for group in broken {
-                self.retire(&group);
-            }
-            placement = self.place(view, &vms);
+        if self.planned_at.is_some_and(|at| now.since(at) < PLAN_EVERY) {
+            return;
         }
-        for stopped in placement.stop {
+        self.planned_at = Some(now);
+        let vms = placement_vms(view, now);
+        let groups: Vec<Assignment> = self.assignments().cloned().collect();
+        let serving = groups.iter().filter(|group| serves(group, view, now));
+        let serving = serving.map(|group| group.group.clone()).collect();
+        let plan = self.planner.plan(&RecoveryInput {
+            config: view.config,
+            failure_domain: &view.parameters.failure_domain,
+            vms: &vms,
+            groups: &groups,
+            serving: &serving,
+            now,
+        });
+        for stopped in &plan.stop {
             self.stop(&stopped.group, now);
         }
-        for new in placement.start {
-            if new.waits_for.is_empty() {
-                self.form(view, new);
-            }
+        for repair in plan.repairs {
+            self.repair(view, repair);
+        }
+        for new in plan.start {
+            self.form(view, &new.service, new.members);
         }
-        let spares = placement.spares.into_iter();
+        self.held_back = plan.hold_loads;
+        let spares = plan.load_spares.into_iter();
         self.spares = spares.map(|spare| (spare.vm, spare.service)).collect();
     }
 
-    fn place(&self, view: LeaderView<'_>, vms: &[PlacementVm]) -> Placement {
-        let current: Vec<Assignment> = self.assignments().cloned().collect();
-        place(view.config, &view.parameters.failure_domain, vms, &current)
+    /// Replaces an incomplete group, which has no running requests to wait for.
+    fn repair(&mut self, view: LeaderView<'_>, repair: Repair) {
+        for group in std::iter::once(&repair.group).chain(&repair.breaks) {
+            self.retire(group);
+        }
+        self.form(view, &repair.service, repair.members);
     }
 
     /// Keeps new requests from a group that is to end.
@@ -101,12 +110,18 @@
         }
     }
 
-    fn form(&mut self, view: LeaderView<'_>, new: NewGroup) {
-        let Some(Service::Model(model)) = view.config.services.get(&new.service) else {
+    /// Puts a new group into the table, unless one of its VMs is still in another.
+    ///
+    /// A group that is ending keeps its VMs until its last request has ended; the same
+    /// plan comes again then.
+    fn form(&mut self, view: LeaderView<'_>, service: &ServiceName, members: Vec<VmId>) {
+        let Some(Service::Model(model)) = view.config.services.get(service) else {
             return;
         };
+        if members.iter().any(|vm| self.assignment_of(vm).is_some()) {
+            return;
+        }
         let token = self.next_token();
-        let service = &new.service;
         let domain = &view.parameters.failure_domain;
         // The token alone tells the groups of one domain apart, if the names are so
         // long that all of it does not fit.
@@ -114,16 +129,16 @@
         let Some(group) = name.parse().or_else(|_| token.to_string().parse()).ok() else {
             return;
         };
-        for vm in &new.members {
+        for vm in &members {
             self.loose.remove(vm);
         }
         self.hold(Assignment {
             group,
-            service: new.service,
+            service: service.clone(),
             model: model.model.clone(),
             version: model.version.clone(),
             adapters: model.adapters.clone(),
-            members: new.members,
+            members,
             token,
             admits_requests: false,
         });
@@ -144,14 +159,6 @@
     vms.collect()
 }
 
-fn has_lost_member(held: &HeldGroup, view: LeaderView<'_>, now: Timestamp) -> bool {
-    let mut members = held.assignment.members.iter();
-    members.any(|vm| {
-        let state = view.upstreams.state(vm, now);
-        matches!(state, UpstreamState::Dead | UpstreamState::Unknown)
-    })
-}
-
 fn has_ended(held: &HeldGroup, view: LeaderView<'_>, now: Timestamp) -> bool {
     let Some(stopping) = held.stopping else {
         return false;
--- a/lib/src/domain/report.rs
+++ b/lib/src/domain/report.rs
@@ -88,7 +88,8 @@
     engines.map(|engine| u64::from(engine.accelerators.0)).sum()
 }
 
-fn serves(assignment: &Assignment, view: LeaderView<'_>, now: Timestamp) -> bool {
+/// Returns whether the leader's own daemon routes to a group.
+pub fn serves(assignment: &Assignment, view: LeaderView<'_>, now: Timestamp) -> bool {
     assignment.admits_requests
         && admission_gate::admits(assignment, view.upstreams, view.lease.held_since(), now)
 }
--- a/lib/tests/test_domain_schedules/engine.rs
+++ b/lib/tests/test_domain_schedules/engine.rs
@@ -104,6 +104,7 @@
             && membership.token.to_number() == token
         {
             membership.ready = true;
+            self.state.weights = vec!["drafting@1".to_owned()];
         }
     }
 }
--- a/lib/tests/test_domain_schedules/world.rs
+++ b/lib/tests/test_domain_schedules/world.rs
@@ -23,6 +23,8 @@
     fleet::{
         FleetConfig,
         ModelService,
+        RecoveryPolicy,
+        RecoverySettings,
         Service, //
     },
     peer_api::{
@@ -99,7 +101,7 @@
     config: FleetConfig,
 }
 
-fn config(vms_per_group: u32, groups: u32) -> FleetConfig {
+fn config(vms_per_group: u32, groups: u32, policy: RecoveryPolicy) -> FleetConfig {
     let model = ModelService {
         model: "drafting".parse().expect("a valid name"),
         version: "1".to_owned(),
@@ -116,6 +118,12 @@
     let service = "drafting-llm".parse().expect("a valid name");
     FleetConfig {
         services: BTreeMap::from([(service, Service::Model(model))]),
+        recovery: RecoverySettings {
+            policy,
+            expected_return_ms: 3_000,
+            weight_load_ms: 500,
+            ..RecoverySettings::default()
+        },
         ..FleetConfig::default()
     }
 }
@@ -145,6 +153,11 @@
             Engine::new(number, 1_000 + number as u64, ignores_tokens, daemons.len())
         });
         let engines: Vec<Engine> = engines.collect();
+        let policy = match schedule.seed % 3 {
+            0 => RecoveryPolicy::AlwaysWait,
+            1 => RecoveryPolicy::AlwaysRebuild,
+            _ => RecoveryPolicy::LowestCost,
+        };
         for daemon in 0..daemons.len() {
             agenda.add(random.random_range(0..200), Event::Start { daemon });
         }
@@ -166,7 +179,7 @@
             slow_until_ms: 0,
             unheard: schedule.unheard,
             revision: 1,
-            config: config(2, 3),
+            config: config(2, 3, policy),
         }
     }
 
@@ -305,7 +318,7 @@
             Fault::Regroup {
                 vms_per_group,
                 groups,
-            } => self.configure(config(vms_per_group, groups)),
+            } => self.configure(config(vms_per_group, groups, self.config.recovery.policy)),
             Fault::Drain { engine } => {
                 let mut config = self.config.clone();
                 config.drained_vms = BTreeSet::from([self.engines[engine].vm.clone()]);
