--- a/control/src/run.rs
+++ b/control/src/run.rs
@@ -11,6 +11,7 @@
     path::Path,
     sync::Arc,
     thread::JoinHandle,
+    time::Duration,
 };
 
 use cicadabend::prelude::*;
@@ -24,12 +25,20 @@
     },
     program::Process,
     ring,
-    settings::ControlSettings, //
+    settings::ControlSettings,
+    storage::{
+        DataFolder,
+        StorageError, //
+    },
 };
 use displaydoc::Display;
 use thiserror::Error;
 
 use crate::{
+    claims::{
+        self,
+        ClaimsError, //
+    },
     counters::{
         ConfigSent,
         ConfirmAnswer,
@@ -63,6 +72,8 @@
 const PEER_INBOX_CAPACITY: usize = 4_096;
 const AGREEMENT_CAPACITY: usize = 1_024;
 const SPREAD_CAPACITY: usize = 1_024;
+/// Claims that gather while one sync runs; an entry daemon asks again for what is dropped.
+const CLAIMS_CAPACITY: usize = 8_192;
 
 /// Why the daemon cannot start.
 #[derive(Debug, Display, Error)]
@@ -78,8 +89,12 @@
     },
     /// {0}
     Peers(PeerError),
+    /// data_folder: {0}
+    Storage(StorageError),
     /// {0}
     Replication(ReplicationError),
+    /// cannot answer for claims: {0}
+    Claims(ClaimsError),
     /// cannot start a thread: {0}
     Thread(io::Error),
 }
@@ -101,12 +116,30 @@
     .map_err(RunError::Peers)?;
     let (agreement_in, agreement_out) = ring::bounded("agreement", AGREEMENT_CAPACITY);
     let (spread_in, spread_out) = ring::bounded("spread", SPREAD_CAPACITY);
+    let folder = DataFolder::open(
+        Path::new(&settings.data_folder),
+        &settings.daemon,
+        random_number(),
+    )
+    .map_err(RunError::Storage)?;
     let (replication, agreement) =
-        replication::start(&settings, peers.sender(), agreement_out, process.clock)
+        replication::start(&settings, &folder, &process, peers.sender(), agreement_out)
             .map_err(RunError::Replication)?;
+    let (claims_in, claims_out) = ring::bounded("claims", CLAIMS_CAPACITY);
+    let claims = claims::start(
+        &folder,
+        Duration::from_millis(settings.claim_retention_ms),
+        peers.sender(),
+        claims_out,
+        replication.voters(),
+        process.clock,
+    )
+    .map_err(RunError::Claims)?;
+    let log = replication.clone();
     let destinations = Destinations {
         agreement: agreement_in,
         spread: spread_in,
+        claims: claims_in,
         metrics: process.metrics.clone(),
     };
     let inbox = spawn("inbox", move || inbox::sort(inbox_out, destinations))?;
@@ -136,11 +169,15 @@
     // The listener ends when a stop is asked for, so that running requests still reach
     // the log; then the peers, whose closed ring ends the inbox, which ends the others.
     join(serving);
+    log.hand_over();
     drop(peers);
-    for thread in [inbox, spread, agreement] {
+    for thread in [inbox, spread, claims, agreement] {
         join(thread);
     }
-    Ok(())
+    match log.failure() {
+        Some(reason) => Err(RunError::Replication(ReplicationError::Storage(reason))),
+        None => Ok(()),
+    }
 }
 
 fn declare_counters(metrics: &Metrics) {
@@ -159,7 +196,7 @@
 }
 
 /// The standard library seeds its hashers from the operating system's random source.
-fn random_number() -> u64 {
+pub(crate) fn random_number() -> u64 {
     RandomState::new().build_hasher().finish()
 }
 
