--- a/testing/load/src/schedule.rs
+++ b/testing/load/src/schedule.rs
@@ -128,13 +128,14 @@
     let tokens = pareto(random, workload.prompt_tokens);
     let in_session = chance(random, workload.session_percent.0);
     let session = in_session.then(|| random.random_range(0..workload.sessions.max(1)));
-    let session = session.map(|number| format!("session-{number}"));
+    // Sessions of another run would find warm caches, and the later of two runs
+    // that are compared would win by that alone.
+    let run = id.rsplit_once('-').map_or(id, |(run, _)| run);
+    let session = session.map(|number| format!("{run}-session-{number}"));
     // The id makes each prompt differ, so that an answer to another one shows.
     let mut prompt = format!("{id} ");
-    let word = session.as_deref().unwrap_or("word");
     for _ in 1..tokens {
-        prompt.push_str(word);
-        prompt.push(' ');
+        prompt.push_str("word ");
     }
     ModelAsk {
         prompt_check: prompt_check(&prompt),
