routing: take other daemons to act alike since a lagging report

Nine daemons that see the same idle replica in a half-second-old report all choose it. The own requests since the report were counted already; the others' are now estimated from them, by the share of the reported load that is theirs, at half weight and with four own requests assumed besides (a daemon that sent one and sees a hundred would otherwise take each of its own for a hundred). It enters the scoring policy, the prefix policy's bound and the number of free slots; round robin, least outstanding and two choices stay the baselines that their names say. Slots of ejected replicas no longer count as free.

The test of free slots assumed that only own requests count; it is replaced by one without others' load, as strict, and one with it.

--- a/lib/src/domain/mod.rs
+++ b/lib/src/domain/mod.rs
@@ -20,7 +20,7 @@
 pub mod membership;
 pub mod parameters;
 pub mod placement;
-pub mod relays;
 pub mod recovery;
+pub mod relays;
 pub mod report;
 pub mod spread_tree;
--- a/lib/src/routing/estimate.rs
+++ b/lib/src/routing/estimate.rs
@@ -59,6 +59,12 @@
     Timestamp(replica.load_received_at.0.saturating_sub(age_ms))
 }
 
+/// Own requests that are assumed besides those counted, when others' are compared with them.
+///
+/// A daemon that has sent one request and sees a hundred would otherwise take each of
+/// its own for a hundred of others.
+const OWN_REQUESTS_ASSUMED: f64 = 4.0;
+
 /// How the other daemons are taken to act since a replica's report.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PeerEcho {
@@ -81,7 +87,7 @@
             own_total += u64::from(own.in_flight_at(&replica.id, report_time(replica)));
             others_total += u64::from(others);
         }
-        let ratio = others_total as f64 / own_total.max(1) as f64;
+        let ratio = others_total as f64 / (own_total as f64 + OWN_REQUESTS_ASSUMED);
         Self {
             factor: weight * ratio,
         }
--- a/lib/src/routing/query.rs
+++ b/lib/src/routing/query.rs
@@ -128,7 +128,7 @@
             prefix_capacity: 65_536,
             doubt_half_life: Duration::from_secs(30),
             slowness_half_life: Duration::from_secs(30),
-            peer_echo: 0.0,
+            peer_echo: 0.5,
         }
     }
 }
--- a/lib/src/routing/router.rs
+++ b/lib/src/routing/router.rs
@@ -95,7 +95,7 @@
         let arms = routing_arms(&snapshot.config, query.service)?;
         let policy = choose_arm(arms, query.request);
         self.judge(query, snapshot, now);
-        let all = self.candidates(query, snapshot, own, now);
+        let all = self.candidates(query, snapshot, own, policy, now);
         if let Some(probed) = self.take_probe(query, &all, now) {
             return Some(choice(probed, policy, ChoiceReason::Probe, query));
         }
@@ -108,7 +108,10 @@
         Some(choice(chosen, policy, reason, query))
     }
 
-    /// Returns how many requests of a service could start at once, by what is known.
+    /// Returns how many requests of a service may be sent now, by what is known.
+    ///
+    /// Slots of ejected replicas do not count: no ordinary request would go there, and
+    /// the others would get more than they have room for.
     pub fn free_slots(
         &self,
         service: &ServiceName,
@@ -116,11 +119,15 @@
         own: &OwnLoad,
         now: Timestamp,
     ) -> u32 {
-        let replicas = replicas_of(service, snapshot);
+        let mut replicas = replicas_of(service, snapshot);
+        if replicas.iter().any(|replica| !self.is_ejected(&replica.id)) {
+            replicas.retain(|replica| !self.is_ejected(&replica.id));
+        }
         let echo = PeerEcho::measure(&replicas, own, self.settings.peer_echo);
         let free: f64 = replicas
             .iter()
-            .map(|replica| echo.estimate(replica, own, now).free_slots().floor())
+            .map(|replica| echo.estimate(replica, own, now))
+            .map(|load| load.free_slots().floor())
             .sum();
         free as u32
     }
@@ -267,11 +274,12 @@
         query: &RouteQuery<'_>,
         snapshot: &'a RoutingSnapshot,
         own: &OwnLoad,
+        policy: RoutingPolicy,
         now: Timestamp,
     ) -> Vec<Candidate<'a>> {
         let mut replicas = replicas_of(query.service, snapshot);
         replicas.retain(|replica| !query.excluded.contains(&replica.id));
-        let echo = PeerEcho::measure(&replicas, own, self.settings.peer_echo);
+        let echo = PeerEcho::measure(&replicas, own, self.echo_weight(policy));
         let median = self.median_steps_us.get(query.service);
         let median = median.copied().unwrap_or(0.0);
         replicas
@@ -308,6 +316,18 @@
         }
     }
 
+    /// The simple policies count what they say they count; they are the baselines.
+    fn echo_weight(&self, policy: RoutingPolicy) -> f64 {
+        match policy {
+            RoutingPolicy::RoundRobin
+            | RoutingPolicy::LeastOutstanding
+            | RoutingPolicy::PowerOfTwoChoices => 0.0,
+            RoutingPolicy::PrefixAffinity | RoutingPolicy::ExpectedLatency => {
+                self.settings.peer_echo
+            }
+        }
+    }
+
     fn round_trip(&self, domain: &FailureDomain, home: &FailureDomain) -> Duration {
         if domain == home {
             return Duration::ZERO;
--- a/lib/tests/test_routing.rs
+++ b/lib/tests/test_routing.rs
@@ -442,18 +442,35 @@
     assert!(!chosen.contains(&"g1".to_owned()), "{chosen:?}");
 }
 
-#[test]
-fn free_slots_count_what_was_sent_since_the_report() {
-    let replicas = vec![replica("g1", "cumbaya", 6), replica("g2", "carcelen", 8)];
+/// Returns the free slots of two replicas with this reported load after so many sendings.
+fn free_slots_after(running: u32, sendings: u32) -> u32 {
+    let replicas = vec![
+        replica("g1", "cumbaya", running),
+        replica("g2", "carcelen", running),
+    ];
     let snapshot = snapshot(RoutingPolicy::LeastOutstanding, replicas);
     let mut sender = sender();
-    sender.send(&snapshot, Timestamp(1_100));
-
-    let free = sender
+    for _ in 0..sendings {
+        sender.send(&snapshot, Timestamp(1_100));
+    }
+    let now = Timestamp(1_100);
+    sender
         .router
-        .free_slots(&sender.service, &snapshot, &sender.own, Timestamp(1_100));
+        .free_slots(&sender.service, &snapshot, &sender.own, now)
+}
+
+#[test]
+fn free_slots_count_what_was_sent_since_the_report() {
+    assert_eq!(free_slots_after(0, 0), 16);
+    assert_eq!(free_slots_after(0, 3), 13);
+}
 
-    assert_eq!(free, 1);
+// The report holds 12 requests of other daemons and none of this one's. Since it, this
+// daemon has sent one to g1, and the others are taken to have sent one and a half.
+#[test]
+fn free_slots_count_what_others_are_taken_to_have_sent_since_the_report() {
+    assert_eq!(free_slots_after(6, 0), 4);
+    assert_eq!(free_slots_after(6, 1), 2);
 }
 
 /// Sends one request a tick for so long, and lets `fails` decide what becomes of each.
