group: name a group's state by its chart from what its leader sees

Cause: reports name groups "serving" or "incomplete" by hand; the group's chart is checked and drawn, but nothing leads a group through it.

Change: `group::state_of` leads the chart from its start by what the domain leader sees, so that status can tell loading, draining and releasing apart.

Not done: reports do not call it yet; the upstream chart is not interpreted either, only its states are used.

--- a/lib/src/domain/mod.rs
+++ b/lib/src/domain/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`lease`]: which of them leads.
 //! - [`membership`]: which upstreams are alive.
+//! - [`group`]: where a group stands.
 //! - [`leader`]: what the leader does with them.
 //! - [`admission_gate`]: which groups may be routed to.
 //! - [`placement`]: which groups there should be.
@@ -15,6 +16,7 @@
 pub mod admission_gate;
 pub mod config_spread;
 pub mod coordinator;
+pub mod group;
 pub mod leader;
 pub mod lease;
 pub mod membership;
