--- a/testing/load/src/bench/mod.rs
+++ b/testing/load/src/bench/mod.rs
@@ -6,8 +6,10 @@
 //! - [`policies`]: routing policies side by side.
 //! - [`spread`]: how soon a change is in force everywhere.
 //! - [`slopes`]: what one entry daemon uses as a function of the fleet.
+//! - [`capacity`]: the size to design for, worked out from the slopes.
 //! - [`report`] and [`plot`]: JSON, Markdown and SVG.
 
+pub mod capacity;
 pub mod cluster;
 pub mod overhead;
 pub mod plot;
--- a/testing/load/src/bench/report.rs
+++ b/testing/load/src/bench/report.rs
@@ -87,7 +87,8 @@
     Ok(text)
 }
 
-fn markdown(table: &Table) -> String {
+/// Returns a table as Markdown.
+pub fn markdown(table: &Table) -> String {
     let mut text = format!("\n## {}\n\n", table.title);
     let _ = writeln!(text, "| {} |", table.columns.join(" | "));
     let rule: Vec<_> = table.columns.iter().map(|_| "---").collect();
--- a/testing/load/src/bench/slopes.rs
+++ b/testing/load/src/bench/slopes.rs
@@ -53,10 +53,18 @@
     Daemons,
     /// Changes of the configuration a second.
     Changes,
+    /// Failure domains, each with as many daemons and engines.
+    Domains,
 }
 
 impl Axis {
-    const ALL: [Axis; 4] = [Axis::Engines, Axis::Groups, Axis::Daemons, Axis::Changes];
+    const ALL: [Axis; 5] = [
+        Axis::Engines,
+        Axis::Groups,
+        Axis::Daemons,
+        Axis::Changes,
+        Axis::Domains,
+    ];
 
     fn name(self) -> &'static str {
         match self {
@@ -64,6 +72,7 @@
             Axis::Groups => "groups of the failure domain",
             Axis::Daemons => "entry daemons of the failure domain",
             Axis::Changes => "changes a second",
+            Axis::Domains => "failure domains",
         }
     }
 
@@ -74,6 +83,7 @@
             Axis::Groups => [2, 8, 24, 48],
             Axis::Daemons => [3, 6, 12, 24],
             Axis::Changes => [0, 1, 2, 4],
+            Axis::Domains => [1, 2, 3, 4],
         }
     }
 
@@ -103,6 +113,10 @@
                 ..base
             },
             Axis::Changes => base,
+            Axis::Domains => Shape {
+                domains: value as usize,
+                ..base
+            },
         }
     }
 }
@@ -126,6 +140,15 @@
 ///
 /// Returns an error if a cluster cannot be measured.
 pub fn measure() -> Result<Report, BenchError> {
+    Ok(report(&measure_points()?))
+}
+
+/// Measures every point.
+///
+/// # Errors
+///
+/// Returns an error if a cluster cannot be measured.
+pub fn measure_points() -> Result<Vec<Point>, BenchError> {
     let mut points = Vec::new();
     for axis in Axis::ALL {
         for value in axis.values() {
@@ -133,7 +156,7 @@
             points.push(measure_at(axis, value)?);
         }
     }
-    Ok(report(&points))
+    Ok(points)
 }
 
 fn measure_at(axis: Axis, value: u32) -> Result<Point, BenchError> {
@@ -237,7 +260,7 @@
     Report {
         part: "slopes",
         about: format!(
-            "One failure domain, one control daemon, default timing, no callers; each point is a \
+            "One failure domain (but for the last axis), one control daemon, default timing, no callers; each point is a \
              cluster of its own, watched for {} s. Processor time is the sum over threads in \
              schedstat; bytes are sent and received ones together, of TCP connections that \
              `ss` shows: to other daemons, from announcing upstreams, others (commands, the \
@@ -264,15 +287,20 @@
     ]
 }
 
-/// Returns the least-squares line: its value at zero and its slope.
+/// Returns the least-squares line of the busiest daemon: its value at zero and its slope.
 fn fit(points: &[&Point], figure: fn(&Usage) -> f64) -> (f64, f64) {
+    line_through(points, |point| figure(&point.busiest))
+}
+
+/// Returns the least-squares line: its value at zero and its slope.
+pub fn line_through(points: &[&Point], figure: impl Fn(&Point) -> f64) -> (f64, f64) {
     let count = points.len().max(1) as f64;
     let mean_x = points.iter().map(|p| f64::from(p.value)).sum::<f64>() / count;
-    let mean_y = points.iter().map(|p| figure(&p.busiest)).sum::<f64>() / count;
+    let mean_y = points.iter().map(|p| figure(p)).sum::<f64>() / count;
     let (mut covariance, mut variance) = (0.0, 0.0);
     for point in points {
         let x = f64::from(point.value) - mean_x;
-        covariance += x * (figure(&point.busiest) - mean_y);
+        covariance += x * (figure(point) - mean_y);
         variance += x * x;
     }
     let slope = covariance / f64::max(variance, 1e-9);
--- a/testing/load/src/commands/bench.rs
+++ b/testing/load/src/commands/bench.rs
@@ -1,7 +1,10 @@
 //! `bench`: measures parts of the system with real processes on loopback.
 
 use std::{
-    path::PathBuf,
+    path::{
+        Path,
+        PathBuf, //
+    },
     process::Command as Process,
     thread,
     time::Instant, //
@@ -18,6 +21,7 @@
 use crate::bench::{
     self,
     BenchError,
+    capacity,
     overhead,
     policies,
     progress,
@@ -30,7 +34,7 @@
 };
 
 /// The parts in the order in which they run.
-const PARTS: [&str; 4] = ["overhead", "policies", "spread", "slopes"];
+const PARTS: [&str; 5] = ["overhead", "policies", "spread", "slopes", "capacity"];
 
 /// Returns the command line of `bench`.
 pub fn command() -> Command {
@@ -71,7 +75,7 @@
             continue;
         }
         let started = Instant::now();
-        let report = measure(part)?;
+        let report = measure(part, &out)?;
         let took = started.elapsed().as_secs_f64();
         progress(&format!("{part} took {took:.0} s"));
         print!("{}", report::write(&out, &report, &machine(took))?);
@@ -80,12 +84,13 @@
     Ok(clean)
 }
 
-fn measure(part: &str) -> Result<Report, BenchError> {
+fn measure(part: &str, out: &Path) -> Result<Report, BenchError> {
     match part {
         "overhead" => overhead::measure(),
         "policies" => policies::measure(),
         "spread" => spread::measure(),
         "slopes" => slopes::measure(),
+        "capacity" => capacity::measure(out),
         other => Err(bench::BenchError::Unusable(format!("no part {other}"))),
     }
 }
--- a/testing/testutils/src/client.rs
+++ b/testing/testutils/src/client.rs
@@ -73,6 +73,22 @@
     path: &str,
     headers: &[(&str, &str)],
     body: impl Into<Bytes>,
+) -> io::Result<Answer> {
+    send_within(REQUEST_LIMIT, address, method, path, headers, body)
+}
+
+/// Sends one request and collects the answer, for callers that ask elsewhere after `limit`.
+///
+/// # Errors
+///
+/// Returns an error if the answer is not there within `limit`.
+pub fn send_within(
+    limit: Duration,
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<Bytes>,
 ) -> io::Result<Answer> {
     let mut request = Request::builder()
         .method(method)
@@ -85,7 +101,7 @@
         .body(Full::new(body.into()))
         .map_err(io::Error::other)?;
     let exchange = async {
-        match tokio::time::timeout(REQUEST_LIMIT, exchange(address, request)).await {
+        match tokio::time::timeout(limit, exchange(address, request)).await {
             Ok(answer) => answer,
             Err(_) => Err(io::Error::from(io::ErrorKind::TimedOut)),
         }
--- a/testing/testutils/src/operator.rs
+++ b/testing/testutils/src/operator.rs
@@ -1,6 +1,9 @@
 //! An operator over HTTP, who asks one control daemon after the other.
 
-use std::net::SocketAddr;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
 
 use cicadabend::{
     fleet::FleetConfig,
@@ -33,6 +36,9 @@
     wait::eventually, //
 };
 
+/// After this long without an answer the operator asks the next control daemon.
+const ANSWER_LIMIT: Duration = Duration::from_secs(3);
+
 /// An operator with a token.
 #[derive(Clone, Debug)]
 pub struct Operator {
@@ -122,7 +128,7 @@
             ("authorization", self.authorization.as_str()),
             ("content-type", "application/json"),
         ];
-        client::send(control, method, path, &headers, body).ok()
+        client::send_within(ANSWER_LIMIT, control, method, path, &headers, body).ok()
     }
 }
 
