cli: test that the command survives the leader's death

With three control daemons, the command reaches the leader through a follower, and confirms after the leader was killed.

--- a/cli/tests/runner/test_real_processes.rs
+++ b/cli/tests/runner/test_real_processes.rs
@@ -6,10 +6,14 @@
     FleetStatus,
     Plan, //
 };
-use cicadabend_testutils::deployment::{
-    Deployment,
-    Shape,
-    intent, //
+use cicadabend_testutils::{
+    deployment::{
+        Deployment,
+        STEP_LIMIT,
+        Shape,
+        intent, //
+    },
+    wait::eventually,
 };
 
 use super::support::{
@@ -19,16 +23,31 @@
 
 const WATCH_MS: &str = "40000";
 
-fn started() -> Deployment {
-    Deployment::start(Shape::with_one_entry_per_domain())
+/// Starts a fleet and waits until every VM is reported.
+///
+/// A plan tells which VMs it takes, so one that is made while engines still announce
+/// themselves for the first time is refused as out of date when it is confirmed.
+fn started(shape: Shape) -> Deployment {
+    let deployment = Deployment::start(shape);
+    let wanted = deployment.shape().vm_names().len();
+    eventually("every VM is reported", STEP_LIMIT, || {
+        let seen = operate(&deployment, &["status"]);
+        let status: FleetStatus = serde_json::from_str(&seen.stdout).ok()?;
+        let vms = status.domains.iter().map(|d| d.report.vms.len());
+        (vms.sum::<usize>() == wanted).then_some(())
+    });
+    deployment
 }
 
 fn operate(deployment: &Deployment, arguments: &[&str]) -> Seen {
-    let control = deployment.operator_addresses();
+    operate_at(deployment, &deployment.operator_addresses(), arguments)
+}
+
+fn operate_at(deployment: &Deployment, control: &str, arguments: &[&str]) -> Seen {
     let token_file = deployment.folder().join("operator-token");
     let connection = [
         "--control",
-        &control,
+        control,
         "--token-file",
         token_file.to_str().unwrap(),
         "--operator",
@@ -45,11 +64,15 @@
     seen.stdout
 }
 
-fn apply(deployment: &Deployment) -> Plan {
+fn write_intent(deployment: &Deployment) -> String {
     let path = deployment.folder().join("intent.json");
     let text = serde_json::to_string(&intent(deployment.shape())).unwrap();
     fs::write(&path, text).unwrap();
-    let plan = succeed(deployment, &["apply", path.to_str().unwrap()]);
+    path.to_str().unwrap().to_owned()
+}
+
+fn apply(deployment: &Deployment) -> Plan {
+    let plan = succeed(deployment, &["apply", &write_intent(deployment)]);
     serde_json::from_str(&plan).unwrap()
 }
 
@@ -70,7 +93,7 @@
 /// and its group serves on another one.
 #[test]
 fn an_operator_puts_an_intent_in_force_and_drains_a_vm() {
-    let deployment = started();
+    let deployment = started(Shape::with_one_entry_per_domain());
 
     let first = apply(&deployment);
     assert_eq!(confirm(&deployment, &first).code, 0);
@@ -94,7 +117,7 @@
 /// the other sees a conflict with its own exit code, and nothing of it happens.
 #[test]
 fn the_second_of_two_plans_on_one_revision_is_a_conflict() {
-    let deployment = started();
+    let deployment = started(Shape::with_one_entry_per_domain());
     let first = apply(&deployment);
     let second = apply(&deployment);
 
@@ -105,3 +128,37 @@
     assert_eq!(refused.code, 4, "{refused:?}");
     deployment.stop_gracefully();
 }
+
+/// An operator who knows only one control daemon reaches the leader through it. Then the
+/// leader dies between plan and confirmation; the command finds the next one, which
+/// knows the plan.
+#[test]
+fn the_command_follows_the_leader_and_survives_its_death() {
+    let mut deployment = started(Shape {
+        controls: 3,
+        ..Shape::with_one_entry_per_domain()
+    });
+    let status = succeed(&deployment, &["status"]);
+    let status: FleetStatus = serde_json::from_str(&status).unwrap();
+    let leader = status.leader.to_string();
+    let names = deployment.shape().control_names();
+    let follower = names.iter().position(|name| *name != leader).unwrap();
+    let addresses = deployment.operator_addresses();
+    let follower = addresses.split(',').nth(follower).unwrap();
+
+    let applied = operate_at(
+        &deployment,
+        follower,
+        &["apply", &write_intent(&deployment)],
+    );
+    assert_eq!(applied.code, 0, "{applied:?}");
+    let plan: Plan = serde_json::from_str(&applied.stdout).unwrap();
+    deployment.process(&leader).kill();
+    let plan = plan.id.to_string();
+    let confirmed = operate(&deployment, &["confirm", &plan, "--timeout-ms", WATCH_MS]);
+
+    assert_eq!(confirmed.code, 0, "{confirmed:?}");
+    let history = succeed(&deployment, &["history"]);
+    assert!(history.contains("\"revision\":1"), "{history}");
+    deployment.stop_gracefully();
+}
