--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -213,7 +213,7 @@
                     .to_owned()
             }
             Self::Refused(OperatorError::NoQuorum) => {
-                "nothing was changed; failure domains go on serving; see which control daemons \
+                "failure domains go on serving; see which control daemons \
                  are down, then repeat"
                     .to_owned()
             }
