spread: say nothing to entry daemons before this run is known to be level

Cause: a control daemon that was down while revisions were accepted starts with the old one from its disk. Alone with entry daemons that restart, as in a domain that is cut off, it was the word they waited for, and they served by a revision older than they had served by.

Change: a leader asks a majority what is accepted, once a second and when it hears another run of a control daemon, and passes the answer on in its sign of life together with the runs it had heard before asking. A control daemon speaks to entry daemons once its log holds what was found accepted after its own start; until then another one serves its domain.

Ruled out: taking any leader's revision without the run's number, because sockets deliver what was sent to an earlier run; asking entry daemons, which may all have restarted; a lease that must be renewed, which would silence the control daemon of every domain that is cut off.

--- a/control/src/run.rs
+++ b/control/src/run.rs
@@ -154,7 +154,7 @@
     );
     let spread = spawn("spread", move || spread.run(spread_out))?;
     let operators = Arc::new(Operators {
-        topology: topology(&settings),
+        topology: topology(&settings, peers.sender().identity().boot),
         settings,
         tokens,
         replication,
--- a/control/src/spread/mod.rs
+++ b/control/src/spread/mod.rs
@@ -2,6 +2,8 @@
 //!
 //! The decisions are in [`cicadabend::fleet::spread`]; this thread carries them out.
 
+mod confirmation;
+
 use std::{
     sync::{
         Arc,
@@ -41,6 +43,8 @@
     },
 };
 
+use confirmation::Confirmation;
+
 use crate::{
     counters::ConfigSent,
     events::LogEvent,
@@ -63,12 +67,13 @@
     metrics: Metrics,
     clock: Clock,
     in_force: Revision,
+    confirmation: Confirmation,
     other_controls: Vec<DaemonId>,
     operators: Option<Address>,
 }
 
 /// Returns the processes that the settings name.
-pub(crate) fn topology(settings: &ControlSettings) -> Topology {
+pub(crate) fn topology(settings: &ControlSettings, boot: BootId) -> Topology {
     let of_role = |role: PeerRole| {
         let peers = settings.peers.iter().filter(move |peer| peer.role == role);
         peers.map(|peer| (peer.daemon.clone(), peer.failure_domain.clone()))
@@ -76,6 +81,7 @@
     let own = (settings.daemon.clone(), settings.failure_domain.clone());
     Topology {
         own: settings.daemon.clone(),
+        boot,
         controls: of_role(PeerRole::Control).chain([own]).collect(),
         entries: of_role(PeerRole::Entry).collect(),
     }
@@ -91,7 +97,7 @@
         metrics: Metrics,
         clock: Clock,
     ) -> Self {
-        let topology = topology(settings);
+        let topology = topology(settings, peers.identity().boot);
         let others = topology.controls.keys();
         let others = others.filter(|daemon| **daemon != topology.own);
         let operators = settings.operators.listen;
@@ -105,6 +111,7 @@
             metrics,
             clock,
             in_force: Revision::default(),
+            confirmation: Confirmation::default(),
             // An operator cannot be sent to a listener on all addresses.
             operators: (!operators.ip().is_unspecified()).then_some(operators),
         }
@@ -121,14 +128,17 @@
                     None => return,
                 },
                 _ = tick.tick() => self.spread(),
-                _ = hello.tick() => self.say_hello(),
+                _ = hello.tick() => {
+                    self.show_gauges();
+                    self.say_hello();
+                }
             }
         }
     }
 
     fn handle(&mut self, incoming: Incoming) {
         let now = self.clock.now();
-        let from = incoming.from;
+        let (from, boot) = (incoming.from, incoming.boot);
         match incoming.message {
             PeerMessage::ConfigAck(ack) => self.decisions.hear_acknowledgement(&from, ack.applied),
             PeerMessage::ConfigRequest { have } => {
@@ -143,7 +153,7 @@
                 self.note_in_force(now);
             }
             PeerMessage::ControlHello(hello) => {
-                self.decisions.hear_control(from, hello, now);
+                self.decisions.hear_control(from, boot, hello, now);
                 self.publish();
             }
             PeerMessage::Figures(figures) => {
@@ -159,6 +169,7 @@
 
     fn spread(&mut self) {
         self.take_accepted();
+        self.confirm();
         for sending in self.decisions.tick(self.clock.now()) {
             self.send(sending);
         }
@@ -206,7 +217,9 @@
     }
 
     /// The sockets count by themselves; their totals are shown as gauges.
-    fn show_traffic(&self) {
+    fn show_gauges(&self) {
+        let revision = self.decisions.revision().0;
+        self.metrics.gauge("accepted_revision", revision);
         let counters = self.peers.counters();
         let shown = [
             ("peers_sent_messages", &counters.sent_messages),
@@ -225,12 +238,29 @@
         }
     }
 
+    /// As leader, finds out what is accepted and lets the other control daemons know.
+    fn confirm(&mut self) {
+        let now = self.clock.now();
+        if let Some(revision) = self.confirmation.take(now) {
+            self.decisions.confirm(revision);
+            self.say_hello();
+        }
+        if self.replication.status().is_leader {
+            let runs = self.decisions.runs();
+            self.confirmation.ask(&self.replication, runs, now);
+        }
+    }
+
     fn say_hello(&self) {
+        let now = self.clock.now();
+        let is_leader = self.replication.status().is_leader;
+        let confirmed = self.confirmation.fresh(now).filter(|_| is_leader);
         let hello = ControlHello {
             operators: self.operators,
-            hears: self.decisions.hears(self.clock.now()),
+            hears: self.decisions.hears(now),
+            is_level: self.decisions.is_level(),
+            confirmed: confirmed.cloned(),
         };
-        self.show_traffic();
         for control in &self.other_controls {
             self.peers
                 .send(control, PeerMessage::ControlHello(hello.clone()));
--- a/control/tests/daemon/fixtures.rs
+++ b/control/tests/daemon/fixtures.rs
@@ -135,20 +135,13 @@
 
     /// Returns whether the daemon answers operators, which only a leader does.
     pub fn leads(&self) -> bool {
-        self.answer_to_config()
-            .is_some_and(|answer| answer.starts_with("HTTP/1.1 200"))
+        get(self.operators, "/v1/config").is_some_and(|answer| answer.starts_with("HTTP/1.1 200"))
     }
 
-    fn answer_to_config(&self) -> Option<String> {
-        let mut stream = TcpStream::connect(self.operators).ok()?;
-        let request = format!(
-            "GET /v1/config HTTP/1.1\r\nhost: control\r\nconnection: close\r\n\
-             authorization: Bearer {ANA}\r\n\r\n"
-        );
-        stream.write_all(request.as_bytes()).ok()?;
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).ok()?;
-        Some(answer)
+    /// Returns whether the daemon has taken this revision over.
+    pub fn knows_revision(&self, revision: u64) -> bool {
+        let gauge = format!("\"accepted_revision\":{revision},");
+        get(self.metrics, "/metrics").is_some_and(|answer| answer.contains(&gauge))
     }
 
     /// Ends the daemon at once, as a crash does.
@@ -262,6 +255,19 @@
     path.display().to_string()
 }
 
+/// Returns the whole answer to a request without a body, or `None` if none comes.
+fn get(address: SocketAddr, path: &str) -> Option<String> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    let request = format!(
+        "GET {path} HTTP/1.1\r\nhost: control\r\nconnection: close\r\n\
+         authorization: Bearer {ANA}\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).ok()?;
+    Some(answer)
+}
+
 /// Sends one HTTP request and returns the status and the body.
 pub async fn request(
     address: SocketAddr,
--- a/control/tests/daemon/holder.rs
+++ b/control/tests/daemon/holder.rs
@@ -19,6 +19,8 @@
     pub entry: EntryPeer,
     pub configs: RecentConfigs,
     pub older_seen: u64,
+    /// Every revision that was held, in order.
+    pub held: Vec<Revision>,
     reports: u64,
 }
 
@@ -29,6 +31,7 @@
             entry,
             configs: RecentConfigs::default(),
             older_seen: 0,
+            held: Vec::new(),
             reports: 0,
         }
     }
@@ -42,6 +45,12 @@
         }
     }
 
+    /// Asks for what is newer than what is held.
+    pub fn ask(&self) {
+        let have = self.configs.revision();
+        self.entry.send(&PeerMessage::ConfigRequest { have });
+    }
+
     /// Reports what is held.
     pub fn report(&mut self) {
         self.reports += 1;
@@ -50,12 +59,11 @@
 
     fn take(&mut self, update: &ConfigUpdate) {
         match self.configs.receive(update) {
-            Update::Applied => self.report(),
-            Update::Behind => {
-                let have = self.configs.revision();
-                let request = PeerMessage::ConfigRequest { have };
-                self.entry.send(&request);
+            Update::Applied => {
+                self.held.push(self.configs.revision());
+                self.report();
             }
+            Update::Behind => self.ask(),
             Update::Same => {}
             Update::Older => self.older_seen += 1,
         }
--- a/control/tests/daemon/test_cluster.rs
+++ b/control/tests/daemon/test_cluster.rs
@@ -23,12 +23,18 @@
     holder::Holder,
 };
 
-fn take_leader(daemons: &mut Vec<ControlDaemon>) -> ControlDaemon {
+/// How long, in rounds, a control daemon is left alone; long enough for its digests.
+const ALONE_ROUNDS: usize = 10;
+const ALONE_ROUND: Duration = Duration::from_millis(300);
+
+fn leader_of(daemons: &[ControlDaemon]) -> usize {
     wait_until("a leader", || daemons.iter().any(ControlDaemon::leads));
-    let leader = daemons
-        .iter()
-        .position(ControlDaemon::leads)
-        .expect("one leads");
+    let leader = daemons.iter().position(ControlDaemon::leads);
+    leader.expect("one leads")
+}
+
+fn take_leader(daemons: &mut Vec<ControlDaemon>) -> ControlDaemon {
+    let leader = leader_of(daemons);
     daemons.remove(leader)
 }
 
@@ -100,10 +106,7 @@
             holder
         })
     });
-    let leader = daemons
-        .iter()
-        .position(ControlDaemon::leads)
-        .expect("one leads");
+    let leader = leader_of(&daemons);
     daemons[leader].change(&intent(1), "first").await;
     let mut holders = Vec::new();
     for holder in reporting {
@@ -131,3 +134,39 @@
     let config = serde_json::to_value(&*holder.configs.config()).expect("a configuration");
     assert_eq!(config, accepted["config"]);
 }
+
+/// A control daemon is down while a change is accepted. Then everything stops, and it
+/// starts again alone, as in a domain that is cut off, beside an entry daemon that has
+/// served by the newer revision and lost it. The entry daemon is told nothing until
+/// another control daemon is back, and then the newest revision, never the older one.
+#[tokio::test]
+async fn a_control_daemon_that_missed_a_change_does_not_hand_out_the_older_one() {
+    let entry = entry_in(DOMAINS[0], "entry-1");
+    let mut daemons = ControlDaemon::start_cluster(3, std::slice::from_ref(&entry));
+    let leader = leader_of(&daemons);
+    daemons[leader].change(&intent(1), "first").await;
+    let outdated = (leader + 1) % daemons.len();
+    wait_until("the follower's log", || daemons[outdated].knows_revision(1));
+    daemons[outdated].kill();
+    daemons[leader].change(&intent(2), "second").await;
+    daemons.iter_mut().for_each(ControlDaemon::kill);
+
+    daemons[outdated].spawn();
+    let all: Vec<&ControlDaemon> = daemons.iter().collect();
+    let mut holder = Holder::new(EntryPeer::start(&entry, &all));
+    for _ in 0..ALONE_ROUNDS {
+        holder.report();
+        holder.ask();
+        let nothing = tokio::time::timeout(ALONE_ROUND, holder.hold(Revision(1))).await;
+        assert!(nothing.is_err(), "it was told {:?}", holder.held);
+    }
+    daemons[leader].spawn();
+    let deadline = tokio::time::Instant::now() + DEADLINE;
+    while holder.held.is_empty() {
+        holder.report();
+        let _ = tokio::time::timeout(ALONE_ROUND, holder.hold(Revision(2))).await;
+        assert!(tokio::time::Instant::now() < deadline, "nothing came");
+    }
+
+    assert_eq!(holder.held, vec![Revision(2)]);
+}
--- a/lib/src/fleet/spread.rs
+++ b/lib/src/fleet/spread.rs
@@ -49,6 +49,8 @@
 pub struct Topology {
     /// This control daemon.
     pub own: DaemonId,
+    /// Its run.
+    pub boot: BootId,
     /// All control daemons, with their failure domains.
     pub controls: BTreeMap<DaemonId, FailureDomain>,
     /// All entry daemons, with their failure domains.
@@ -76,6 +78,7 @@
 #[derive(Clone, Debug)]
 struct HeardControl {
     at: Timestamp,
+    boot: BootId,
     hello: ControlHello,
 }
 
@@ -99,6 +102,8 @@
     /// The failure domains that have entry daemons.
     domains: Arc<BTreeSet<FailureDomain>>,
     configs: RecentConfigs,
+    /// What this run must hold before it says anything; `None` while nobody has told it.
+    floor: Option<Revision>,
     reports: BTreeMap<FailureDomain, HeardReport>,
     controls: BTreeMap<DaemonId, HeardControl>,
     targets: BTreeMap<DaemonId, Target>,
@@ -111,6 +116,7 @@
             domains: Arc::new(topology.entries.values().cloned().collect()),
             topology,
             configs: RecentConfigs::default(),
+            floor: None,
             reports: BTreeMap::new(),
             controls: BTreeMap::new(),
             targets: BTreeMap::new(),
@@ -170,10 +176,45 @@
     }
 
     /// Notes another control daemon's sign of life.
-    pub fn hear_control(&mut self, from: DaemonId, hello: ControlHello, now: Timestamp) {
-        if self.topology.controls.contains_key(&from) {
-            self.controls.insert(from, HeardControl { at: now, hello });
+    pub fn hear_control(
+        &mut self,
+        from: DaemonId,
+        boot: BootId,
+        hello: ControlHello,
+        now: Timestamp,
+    ) {
+        if !self.topology.controls.contains_key(&from) {
+            return;
         }
+        if let Some(confirmed) = &hello.confirmed
+            && confirmed.runs.get(&self.topology.own) == Some(&self.topology.boot)
+        {
+            self.confirm(confirmed.revision);
+        }
+        let heard = HeardControl {
+            at: now,
+            boot,
+            hello,
+        };
+        self.controls.insert(from, heard);
+    }
+
+    /// Takes a revision that a majority was asked for after this run had started.
+    pub fn confirm(&mut self, revision: Revision) {
+        self.floor.get_or_insert(revision);
+    }
+
+    /// Returns whether this run knows that it holds all that was accepted before it.
+    pub fn is_level(&self) -> bool {
+        self.floor.is_some_and(|floor| floor <= self.revision())
+    }
+
+    /// Returns the runs of the other control daemons that were heard last.
+    pub fn runs(&self) -> BTreeMap<DaemonId, BootId> {
+        let heard = self.controls.iter();
+        heard
+            .map(|(daemon, heard)| (daemon.clone(), heard.boot))
+            .collect()
     }
 
     /// Returns the failure domains whose leaders were heard lately.
@@ -196,7 +237,8 @@
 
     /// Answers a daemon that asks for what is newer than `have`.
     pub fn answer(&mut self, from: &DaemonId, have: Revision, now: Timestamp) -> Option<Sending> {
-        if !self.topology.entries.contains_key(from) || have >= self.revision() {
+        let is_entry = self.topology.entries.contains_key(from);
+        if !is_entry || !self.is_level() || have >= self.revision() {
             return None;
         }
         let target = self.targets.entry(from.clone()).or_default();
@@ -253,9 +295,13 @@
     }
 
     fn live_controls(&self, now: Timestamp) -> Vec<&DaemonId> {
+        // One that says nothing to entry daemons serves no domain.
         let is_live = |daemon: &&DaemonId| {
+            if **daemon == self.topology.own {
+                return self.is_level();
+            }
             let heard = self.controls.get(*daemon);
-            **daemon == self.topology.own || heard.is_some_and(|heard| is_fresh(heard.at, now))
+            heard.is_some_and(|heard| heard.hello.is_level && is_fresh(heard.at, now))
         };
         self.topology.controls.keys().filter(is_live).collect()
     }
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -99,6 +99,21 @@
     pub operators: Option<Address>,
     /// The failure domains whose leaders it has heard lately.
     pub hears: BTreeSet<FailureDomain>,
+    /// Whether it knows that it is level; see [`crate::fleet::spread`].
+    pub is_level: bool,
+    /// What a leader has found to be accepted; `None` from a follower.
+    pub confirmed: Option<ConfirmedRevision>,
+}
+
+/// The accepted revision, as a leader found it by asking a majority.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ConfirmedRevision {
+    /// The revision.
+    pub revision: Revision,
+    /// The runs of other control daemons that the leader had heard before it asked. A run
+    /// that finds itself here knows that the revision was not found before its start:
+    /// the sockets deliver what was sent to an earlier run to the next one.
+    pub runs: BTreeMap<DaemonId, BootId>,
 }
 
 /// The domain leader's lease; volatile, renewed by a majority of the domain's daemons.
--- a/lib/tests/test_fleet_spread.rs
+++ b/lib/tests/test_fleet_spread.rs
@@ -33,6 +33,7 @@
     peer_api::{
         ConfigBody,
         ConfigUpdate,
+        ConfirmedRevision,
         ControlHello,
         DomainReport, //
     },
@@ -65,6 +66,7 @@
         .flat_map(|name| (1..=3).map(move |number| entry(name, number)));
     Topology {
         own: daemon(own),
+        boot: BootId(1),
         controls: BTreeMap::from([
             (daemon("control-1"), domain("cumbaya")),
             (daemon("control-2"), domain("carcelen")),
@@ -105,12 +107,21 @@
     ControlHello {
         operators: None,
         hears: hears.iter().map(|name| domain(name)).collect(),
+        is_level: true,
+        confirmed: None,
     }
 }
 
+/// A control daemon that knows that it is level.
+fn level_spread(own: &str) -> ControlSpread {
+    let mut spread = ControlSpread::new(topology(own));
+    spread.confirm(Revision(0));
+    spread
+}
+
 /// `control-1`, which hears all leaders and `control-2`.
 fn spread_at(now: Timestamp, applied: u64) -> ControlSpread {
-    let mut spread = ControlSpread::new(topology("control-1"));
+    let mut spread = level_spread("control-1");
     hear_all(&mut spread, now, applied);
     spread
 }
@@ -120,7 +131,7 @@
         let report = report(name, now.0 + 1, applied);
         spread.hear_report(&leader(name), report, now);
     }
-    spread.hear_control(daemon("control-2"), hello(&DOMAINS), now);
+    spread.hear_control(daemon("control-2"), BootId(2), hello(&DOMAINS), now);
 }
 
 fn receivers(sendings: &[Sending]) -> BTreeSet<DaemonId> {
@@ -165,9 +176,9 @@
 fn a_domain_without_its_own_control_daemon_is_served_by_exactly_one() {
     let now = Timestamp(0);
     let serving = ["control-1", "control-2"].map(|own| {
-        let mut spread = ControlSpread::new(topology(own));
+        let mut spread = level_spread(own);
         for other in ["control-1", "control-2"] {
-            spread.hear_control(daemon(other), hello(&DOMAINS), now);
+            spread.hear_control(daemon(other), BootId(2), hello(&DOMAINS), now);
         }
         hear_all(&mut spread, now, 1);
         spread.serves(&domain("sangolqui"), now)
@@ -185,7 +196,12 @@
 
     assert!(spread.serves(&domain("carcelen"), Timestamp(4_000)));
 
-    spread.hear_control(daemon("control-2"), hello(&DOMAINS), Timestamp(5_000));
+    spread.hear_control(
+        daemon("control-2"),
+        BootId(2),
+        hello(&DOMAINS),
+        Timestamp(5_000),
+    );
     assert!(!spread.serves(&domain("carcelen"), Timestamp(5_000)));
 }
 
@@ -195,15 +211,20 @@
 fn a_control_daemon_that_does_not_hear_a_domain_does_not_keep_it() {
     let now = Timestamp(0);
     let mut spread = spread_at(now, 1);
-    spread.hear_control(daemon("control-2"), hello(&["carcelen"]), now);
+    spread.hear_control(daemon("control-2"), BootId(2), hello(&["carcelen"]), now);
 
     assert!(spread.serves(&domain("sangolqui"), now));
 }
 
 #[test]
 fn while_no_leader_is_heard_everyone_in_the_domain_gets_a_digest() {
-    let mut spread = ControlSpread::new(topology("control-1"));
-    spread.hear_control(daemon("control-2"), hello(&["sangolqui"]), Timestamp(0));
+    let mut spread = level_spread("control-1");
+    spread.hear_control(
+        daemon("control-2"),
+        BootId(2),
+        hello(&["sangolqui"]),
+        Timestamp(0),
+    );
     spread.accept(Revision(1), config(1));
 
     let sendings = spread.tick(Timestamp(0));
@@ -442,3 +463,76 @@
 
     assert!(!standing_of(&spread, 0, 0).in_force);
 }
+
+/// What `control-2`, a leader, says after it had heard `run` of `control-1`.
+fn leader_hello(run: u64, revision: u64) -> ControlHello {
+    ControlHello {
+        confirmed: Some(ConfirmedRevision {
+            revision: Revision(revision),
+            runs: BTreeMap::from([(daemon("control-1"), BootId(run))]),
+        }),
+        ..hello(&DOMAINS)
+    }
+}
+
+/// A control daemon was down while revisions were accepted, and starts with what is on its
+/// disk. An entry daemon that restarts at the same time asks it. It must not be told the
+/// old revision, by which it would serve after having served by a newer one.
+#[test]
+fn a_control_daemon_says_nothing_before_it_knows_that_it_is_level() {
+    let mut spread = ControlSpread::new(topology("control-1"));
+    hear_all(&mut spread, Timestamp(0), 3);
+    spread.accept(Revision(1), config(1));
+
+    assert_eq!(spread.tick(Timestamp(0)), Vec::new());
+    assert_eq!(
+        spread.answer(&leader("cumbaya"), Revision(0), Timestamp(0)),
+        None
+    );
+
+    spread.hear_control(
+        daemon("control-2"),
+        BootId(2),
+        leader_hello(1, 3),
+        Timestamp(0),
+    );
+    assert_eq!(spread.tick(Timestamp(1_000)), Vec::new());
+
+    spread.accept(Revision(3), config(3));
+    let answer = spread.answer(&leader("cumbaya"), Revision(0), Timestamp(2_000));
+    assert_eq!(answer.unwrap().update.revision, Revision(3));
+}
+
+/// What a leader sent to an earlier run waited in a socket and reaches the new one. It
+/// says nothing of what was accepted since, so it does not count.
+#[test]
+fn what_was_confirmed_to_an_earlier_run_does_not_count() {
+    let mut spread = ControlSpread::new(topology("control-1"));
+    hear_all(&mut spread, Timestamp(0), 3);
+    spread.accept(Revision(1), config(1));
+
+    spread.hear_control(
+        daemon("control-2"),
+        BootId(2),
+        leader_hello(0, 1),
+        Timestamp(0),
+    );
+
+    assert!(!spread.is_level());
+    assert_eq!(spread.tick(Timestamp(0)), Vec::new());
+}
+
+/// While a failure domain's own control daemon does not know that it is level and
+/// therefore keeps silent, another one serves the domain.
+#[test]
+fn the_domain_of_a_control_daemon_that_is_not_level_is_taken_over() {
+    let mut spread = spread_at(Timestamp(0), 1);
+    let silent = ControlHello {
+        is_level: false,
+        ..hello(&DOMAINS)
+    };
+
+    spread.hear_control(daemon("control-2"), BootId(3), silent, Timestamp(0));
+
+    assert!(spread.serves(&domain("carcelen"), Timestamp(0)));
+}
--- a/lib/tests/test_fleet_spread_size.rs
+++ b/lib/tests/test_fleet_spread_size.rs
@@ -24,6 +24,7 @@
         }, //
     },
     peer_api::{
+        ConfirmedRevision,
         ControlHello,
         DomainReport, //
     },
@@ -69,6 +70,7 @@
     });
     Topology {
         own: control(own),
+        boot: BootId(own as u64),
         controls: (0..CONTROLS).map(|n| (control(n), domain(n))).collect(),
         entries: entries.collect(),
     }
@@ -117,7 +119,7 @@
             reports: 0,
             received_bytes: 0,
         };
-        Self {
+        let mut fleet = Self {
             controls: (0..CONTROLS)
                 .map(|n| ControlSpread::new(topology(n)))
                 .collect(),
@@ -126,7 +128,9 @@
             slowest_ms: 0,
             accepted_at: Timestamp(0),
             random: SmallRng::seed_from_u64(19),
-        }
+        };
+        fleet.controls[0].confirm(Revision(0));
+        fleet
     }
 
     fn accept(&mut self, revision: u64, now: Timestamp) {
@@ -149,14 +153,22 @@
 
     fn say_hello(&mut self, now: Timestamp) {
         for from in 0..CONTROLS {
+            // The first one leads.
+            let confirmed = (from == 0).then(|| ConfirmedRevision {
+                revision: self.controls[from].revision(),
+                runs: self.controls[from].runs(),
+            });
             let hello = ControlHello {
                 operators: None,
                 hears: self.controls[from].hears(now),
+                is_level: self.controls[from].is_level(),
+                confirmed,
             };
             let bytes = postcard::to_stdvec(&hello).unwrap().len() as u64;
             self.sent_bytes[from] += bytes * (CONTROLS as u64 - 1);
             for to in (0..CONTROLS).filter(|to| *to != from) {
-                self.controls[to].hear_control(control(from), hello.clone(), now);
+                let boot = BootId(from as u64);
+                self.controls[to].hear_control(control(from), boot, hello.clone(), now);
             }
         }
     }
