--- a/entry/src/commands/mod.rs
+++ b/entry/src/commands/mod.rs
@@ -22,6 +22,7 @@
 };
 use cicadabend_daemon::{
     clock::Clock,
+    metrics::Metrics,
     ring::Receiver, //
 };
 use displaydoc::Display;
@@ -42,6 +43,11 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 
+use crate::domain::{
+    counters::CommandOutcome,
+    events::LogEvent, //
+};
+
 /// How long an engine may take to answer a command.
 const REPLY_TIMEOUT: Duration = Duration::from_secs(2);
 /// The most bytes of an engine's answer.
@@ -92,11 +98,13 @@
     pub(crate) permit: Arc<CommandPermit>,
     pub(crate) clock: Clock,
     pub(crate) connect_timeout_ms: u64,
+    pub(crate) metrics: Metrics,
 }
 
 impl CommandSender {
     /// Sends until the `domain` thread has gone.
     pub(crate) async fn run(self, mut commands: Receiver<AddressedCommand>) {
+        self.metrics.declare::<CommandOutcome>();
         let own = Rc::new(self);
         while let Some(command) = commands.next().await {
             let own = Rc::clone(&own);
@@ -106,12 +114,18 @@
 
     async fn deliver(&self, command: AddressedCommand) {
         let (vm, token) = (command.command.vm.clone(), command.command.token);
-        match self.exchange(&command).await {
-            Ok(CommandReply::Accepted) => {
-                log::info!("CB1310 command accepted vm={vm} token={token}");
+        let outcome = self.exchange(&command).await;
+        self.metrics.count(counted(&outcome));
+        match outcome {
+            Ok(CommandReply::Accepted) => LogEvent::CommandAccepted { vm, token }.emit(),
+            Ok(reply) => {
+                let reply = format!("{reply:?}");
+                LogEvent::CommandRefused { vm, token, reply }.emit();
+            }
+            Err(error) => {
+                let reason = error.to_string();
+                LogEvent::CommandFailed { vm, token, reason }.emit();
             }
-            Ok(reply) => log::warn!("CB1311 command refused vm={vm} token={token} reply={reply:?}"),
-            Err(error) => log::warn!("CB1312 command failed vm={vm} token={token} reason={error}"),
         }
     }
 
@@ -151,3 +165,17 @@
             .map_err(|_| CommandError::ReplyTimeout)?
     }
 }
+
+fn counted(outcome: &Result<CommandReply, CommandError>) -> CommandOutcome {
+    match outcome {
+        Ok(CommandReply::Accepted) => CommandOutcome::Accepted,
+        Ok(CommandReply::StaleToken { .. }) => CommandOutcome::StaleToken,
+        Ok(CommandReply::WrongVm { .. }) => CommandOutcome::WrongVm,
+        Err(CommandError::Connect(_)) => CommandOutcome::Connect,
+        Err(CommandError::ConnectTimeout) => CommandOutcome::ConnectTimeout,
+        Err(CommandError::NoPermit) => CommandOutcome::NoPermit,
+        Err(CommandError::Exchange(_)) => CommandOutcome::Exchange,
+        Err(CommandError::ReplyTimeout) => CommandOutcome::ReplyTimeout,
+        Err(CommandError::Reply) => CommandOutcome::Reply,
+    }
+}
--- a/entry/src/domain/mod.rs
+++ b/entry/src/domain/mod.rs
@@ -1,5 +1,8 @@
 //! The `domain` thread and the two threads that speak with upstreams for it.
 
+pub(crate) mod counters;
+pub(crate) mod events;
+mod observation;
 mod parameters;
 mod thread;
 
@@ -30,6 +33,7 @@
 use cicadabend_daemon::{
     clock::Clock,
     duty,
+    metrics::Metrics,
     peers::{
         Incoming,
         PeerSender, //
@@ -102,6 +106,8 @@
     pub cache_notices: Option<ring::Sender<CacheNotice>>,
     /// Figures and demand.
     pub serve_notices: Option<ring::Receiver<ServeNotice>>,
+    /// Where everything is counted; in the process only if absent.
+    pub metrics: Option<Metrics>,
 }
 
 /// The running threads and where upstreams reach them.
@@ -138,6 +144,10 @@
     let (event_sender, events) = ring::bounded("domain-events", EVENT_RING_CAPACITY);
     let (command_sender, command_receiver) = ring::bounded("commands", COMMAND_RING_CAPACITY);
     let permit = Arc::new(commands::CommandPermit::default());
+    let metrics = context
+        .metrics
+        .clone()
+        .unwrap_or_else(Metrics::in_process_only);
     let parameters = domain_parameters(settings, peers.identity().boot);
     let domain = thread::DomainThread {
         coordinator: cicadabend::domain::coordinator::Coordinator::new(parameters, clock.now()),
@@ -146,18 +156,27 @@
         clock,
         commands: command_sender,
         permit: Arc::clone(&permit),
+        observation: observation::Observation::new(
+            metrics.clone(),
+            settings.failure_domain.clone(),
+            clock.now(),
+        ),
         context,
     };
     let sending = commands::CommandSender {
         permit,
         clock,
         connect_timeout_ms: settings.upstreams.connect_timeout_ms,
+        metrics: metrics.clone(),
     };
     let hearing = upstreams::AnnouncementListener {
         events: event_sender,
         clock,
         terms: settings.upstreams.clone(),
+        metrics,
     };
+    let address = upstream_address;
+    events::LogEvent::UpstreamsListening { address }.emit();
     let domain_stop = stop.clone();
     let upstreams_stop = stop;
     let threads = vec![
--- a/entry/src/domain/thread.rs
+++ b/entry/src/domain/thread.rs
@@ -44,8 +44,14 @@
 };
 
 use super::{
-    DomainContext,
-    DomainEvent, //
+    DomainContext, DomainEvent,
+    counters::{
+        AnnouncementDrop,
+        CommandOutcome,
+        DomainChange, //
+    },
+    events::LogEvent,
+    observation::Observation,
 };
 use crate::commands::CommandPermit;
 
@@ -62,6 +68,7 @@
     pub(super) clock: Clock,
     pub(super) commands: Sender<AddressedCommand>,
     pub(super) permit: Arc<CommandPermit>,
+    pub(super) observation: Observation,
     pub(super) context: DomainContext,
 }
 
@@ -118,8 +125,10 @@
     fn receive(&mut self, incoming: Incoming) -> bool {
         if let PeerMessage::ClaimReply(reply) = incoming.message {
             if let Some(claim_replies) = &self.context.claim_replies {
-                // The ring counts what does not fit; the claimant asks again.
-                let _ = claim_replies.push(reply);
+                // The claimant asks again for what does not fit.
+                if claim_replies.push(reply).is_err() {
+                    self.count(DomainChange::ClaimReplyDropped);
+                }
             }
             return false;
         }
@@ -142,12 +151,33 @@
         match outcome {
             Ok(actions) => self.act(actions),
             Err(refusal) => {
-                log::warn!("CB1301 announcement refused reason={refusal}");
+                self.tell_refusal(&refusal);
                 false
             }
         }
     }
 
+    fn tell_refusal(&self, refusal: &AnnouncementRefusal) {
+        let metrics = self.observation.metrics();
+        let reason = refusal.to_string();
+        match refusal {
+            // Ordinary where messages are doubled or overtake each other.
+            AnnouncementRefusal::Outdated { .. } => metrics.count(AnnouncementDrop::Outdated),
+            AnnouncementRefusal::TwoVmsOneId { .. } => {
+                metrics.count(AnnouncementDrop::TwoVmsOneId);
+                LogEvent::AnnouncementRefused { reason }.emit();
+            }
+            AnnouncementRefusal::OtherDomain { .. } => {
+                metrics.count(AnnouncementDrop::OtherDomain);
+                LogEvent::AnnouncementRefused { reason }.emit();
+            }
+        }
+    }
+
+    fn count(&self, change: DomainChange) {
+        self.observation.metrics().count(change);
+    }
+
     fn hear(
         &mut self,
         mut announcement: Announcement,
@@ -162,12 +192,15 @@
         if let Some(cache_notices) = &self.context.cache_notices {
             let replica = self.replica_of(&vm);
             for event in events {
-                // The ring counts what does not fit; a gap in the numbers shows it.
-                let _ = cache_notices.push(CacheNotice {
+                let notice = CacheNotice {
                     replica: replica.clone(),
                     boot,
                     event,
-                });
+                };
+                // A gap in the events' numbers shows the receiver what is missing.
+                if cache_notices.push(notice).is_err() {
+                    self.count(DomainChange::CacheNoticeDropped);
+                }
             }
         }
         Ok(actions)
@@ -183,7 +216,10 @@
     }
 
     fn tick(&mut self) -> bool {
-        let actions = self.coordinator.tick(self.clock.now());
+        let now = self.clock.now();
+        self.observation.notice_pause(now);
+        self.observation.show(&self.coordinator, &self.peers, now);
+        let actions = self.coordinator.tick(now);
         self.act(actions)
     }
 
@@ -196,7 +232,9 @@
                 Action::Send(to, message) => self.peers.send(&to, message),
                 Action::Command(command) => {
                     // The leader repeats what the engine does not announce.
-                    let _ = self.commands.push_dropping_oldest(command);
+                    if self.commands.push_dropping_oldest(command).is_some() {
+                        self.observation.metrics().count(CommandOutcome::RingFull);
+                    }
                 }
                 Action::Publish => publish = true,
             }
@@ -204,8 +242,10 @@
         publish
     }
 
-    fn publish(&self) {
-        let snapshot = self.coordinator.snapshot(self.clock.now());
+    fn publish(&mut self) {
+        let now = self.clock.now();
+        let snapshot = self.coordinator.snapshot(now);
+        self.observation.look(&self.coordinator, &snapshot, now);
         self.snapshot.store(Arc::new(snapshot));
     }
 }
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -111,6 +111,7 @@
         claim_replies: Some(claim_replies),
         cache_notices: Some(cache_sender),
         serve_notices: Some(serve_notices),
+        metrics: Some(process.metrics.clone()),
     };
     let link = DomainLink {
         cache_notices: Some(cache_notices),
--- a/entry/src/upstreams/mod.rs
+++ b/entry/src/upstreams/mod.rs
@@ -20,6 +20,7 @@
 };
 use cicadabend_daemon::{
     clock::Clock,
+    metrics::Metrics,
     ring::Sender,
     settings::UpstreamSettings, //
 };
@@ -49,7 +50,11 @@
     watch, //
 };
 
-use crate::domain::DomainEvent;
+use crate::domain::{
+    DomainEvent,
+    counters::AnnouncementDrop,
+    events::LogEvent, //
+};
 
 /// The most bytes of one announcement.
 const ANNOUNCEMENT_LIMIT_BYTES: usize = 256 * 1024;
@@ -65,15 +70,18 @@
     pub(crate) events: Sender<DomainEvent>,
     pub(crate) clock: Clock,
     pub(crate) terms: UpstreamSettings,
+    pub(crate) metrics: Metrics,
 }
 
 impl AnnouncementListener {
     /// Listens until the process stops.
     pub(crate) async fn run(self, listener: TcpListener, mut stop: watch::Receiver<bool>) {
+        self.metrics.declare::<AnnouncementDrop>();
         let listener = match tokio::net::TcpListener::from_std(listener) {
             Ok(listener) => listener,
             Err(error) => {
-                log::error!("CB1302 cannot listen for upstreams error={error}");
+                let reason = error.to_string();
+                LogEvent::UpstreamsUnavailable { reason }.emit();
                 return;
             }
         };
@@ -89,6 +97,7 @@
                 continue;
             };
             let Ok(place) = Arc::clone(&connections).try_acquire_owned() else {
+                own.metrics.count(AnnouncementDrop::TooManyConnections);
                 continue;
             };
             let own = Rc::clone(&own);
@@ -111,7 +120,8 @@
             .header_read_timeout(Duration::from_millis(self.idle_limit_ms()))
             .serve_connection(TokioIo::new(stream), answer);
         if let Err(error) = connection.await {
-            log::debug!("CB1303 connection of an upstream ended error={error}");
+            let reason = error.to_string();
+            LogEvent::UpstreamConnectionEnded { reason }.emit();
         }
     }
 
@@ -126,28 +136,35 @@
         made_after: Option<Timestamp>,
     ) -> Response<Full<Bytes>> {
         if request.uri().path() != PATH_ANNOUNCE {
-            return text(StatusCode::NOT_FOUND, "no such path");
+            return self.drop_with(AnnouncementDrop::NotFound, StatusCode::NOT_FOUND);
         }
         if request.method() != Method::POST {
-            return text(StatusCode::METHOD_NOT_ALLOWED, "announcements are posted");
+            return self.drop_with(AnnouncementDrop::NotFound, StatusCode::METHOD_NOT_ALLOWED);
         }
         let body = Limited::new(request.into_body(), ANNOUNCEMENT_LIMIT_BYTES).collect();
         let body = match tokio::time::timeout(READ_TIMEOUT, body).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(_)) => {
-                return text(
-                    StatusCode::PAYLOAD_TOO_LARGE,
-                    "the body is cut off or too large",
-                );
+                return self.drop_with(AnnouncementDrop::TooLarge, StatusCode::PAYLOAD_TOO_LARGE);
+            }
+            Err(_) => {
+                return self.drop_with(AnnouncementDrop::TooSlow, StatusCode::REQUEST_TIMEOUT);
             }
-            Err(_) => return text(StatusCode::REQUEST_TIMEOUT, "the body took too long"),
         };
         match serde_json::from_slice::<Announcement>(&body) {
             Ok(announcement) => self.hand_over(announcement, made_after).await,
-            Err(error) => text(StatusCode::BAD_REQUEST, &error.to_string()),
+            Err(error) => {
+                self.metrics.count(AnnouncementDrop::Malformed);
+                text(StatusCode::BAD_REQUEST, &error.to_string())
+            }
         }
     }
 
+    fn drop_with(&self, reason: AnnouncementDrop, status: StatusCode) -> Response<Full<Bytes>> {
+        self.metrics.count(reason);
+        text(status, status.canonical_reason().unwrap_or_default())
+    }
+
     async fn hand_over(
         &self,
         announcement: Announcement,
@@ -160,10 +177,7 @@
             verdict,
         };
         if self.events.push(event).is_err() {
-            return text(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "too many announcements wait",
-            );
+            return self.drop_with(AnnouncementDrop::RingFull, StatusCode::SERVICE_UNAVAILABLE);
         }
         match outcome.await {
             Ok(Ok(())) => self.accepted(),
--- a/lib/src/domain/coordinator/mod.rs
+++ b/lib/src/domain/coordinator/mod.rs
@@ -114,6 +114,11 @@
         self.table.as_ref()
     }
 
+    /// Returns what was lost in this epoch, as far as this daemon led.
+    pub fn losses(&self) -> Losses {
+        self.losses
+    }
+
     /// Returns the revision in force here.
     pub fn revision(&self) -> Revision {
         self.config.revision()
