--- a/testing/load/src/bench/mod.rs
+++ b/testing/load/src/bench/mod.rs
@@ -3,12 +3,14 @@
 //! - [`cluster`]: the processes.
 //! - [`process_stats`]: what the operating system says of one.
 //! - [`overhead`]: an entry daemon against going to the engine directly.
+//! - [`mixed`]: the shapes of both deployments under load, and their accounts.
 //! - [`policies`]: routing policies side by side.
 //! - [`spread`]: how soon a change is in force everywhere.
 //! - [`slopes`]: what one entry daemon uses as a function of the fleet.
 //! - [`report`] and [`plot`]: JSON, Markdown and SVG.
 
 pub mod cluster;
+pub mod mixed;
 pub mod overhead;
 pub mod plot;
 pub mod policies;
