--- a/testing/load/src/commands/bench.rs
+++ b/testing/load/src/commands/bench.rs
@@ -21,7 +21,11 @@
 use crate::bench::{
     self,
     BenchError,
+<<<<<<< HEAD
     capacity,
+=======
+    mixed,
+>>>>>>> engine
     overhead,
     policies,
     progress,
@@ -34,7 +38,11 @@
 };
 
 /// The parts in the order in which they run.
+<<<<<<< HEAD
 const PARTS: [&str; 5] = ["overhead", "policies", "spread", "slopes", "capacity"];
+=======
+const PARTS: [&str; 5] = ["overhead", "mixed", "policies", "spread", "slopes"];
+>>>>>>> engine
 
 /// Returns the command line of `bench`.
 pub fn command() -> Command {
@@ -87,6 +95,7 @@
 fn measure(part: &str, out: &Path) -> Result<Report, BenchError> {
     match part {
         "overhead" => overhead::measure(),
+        "mixed" => mixed::measure(),
         "policies" => policies::measure(),
         "spread" => spread::measure(),
         "slopes" => slopes::measure(),
