--- a/testing/load/src/bench/slopes.rs
+++ b/testing/load/src/bench/slopes.rs
@@ -279,13 +279,9 @@
     Report {
         part: "slopes",
         about: format!(
-<<<<<<< HEAD
-            "One failure domain (but for the last axis), one control daemon, default timing, no callers; each point is a \
-             cluster of its own, watched for {} s. Processor time is the sum over threads in \
-=======
-            "One failure domain, one control daemon, default timing, no callers; each point but \
-             those by changes is a cluster of its own, watched for {} s. Processor time is the sum over threads in \
->>>>>>> engine
+            "One failure domain (but for the last axis), one control daemon, default timing, \
+             no callers; each point but those by changes is a cluster of its own, watched for \
+             {} s. Processor time is the sum over threads in \
              schedstat; bytes are sent and received ones together, of TCP connections that \
              `ss` shows: to other daemons, from announcing upstreams, others (commands, the \
              bench itself). The busiest daemon is the domain leader as a rule.",
--- a/testing/load/src/commands/bench.rs
+++ b/testing/load/src/commands/bench.rs
@@ -21,11 +21,8 @@
 use crate::bench::{
     self,
     BenchError,
-<<<<<<< HEAD
     capacity,
-=======
     mixed,
->>>>>>> engine
     overhead,
     policies,
     progress,
@@ -38,11 +35,9 @@
 };
 
 /// The parts in the order in which they run.
-<<<<<<< HEAD
-const PARTS: [&str; 5] = ["overhead", "policies", "spread", "slopes", "capacity"];
-=======
-const PARTS: [&str; 5] = ["overhead", "mixed", "policies", "spread", "slopes"];
->>>>>>> engine
+const PARTS: [&str; 6] = [
+    "overhead", "mixed", "policies", "spread", "slopes", "capacity",
+];
 
 /// Returns the command line of `bench`.
 pub fn command() -> Command {
