serve: never run two requests under one id

Cause: engines cancel and resume by request id; a caller that used an id twice at once had its second request stopped by the end of the first. Change: an id in use at this daemon is replaced by a new one. Left: two daemons can still be given the same id; that needs an attempt id in the engines' interface.

--- a/entry/src/serve/caller.rs
+++ b/entry/src/serve/caller.rs
@@ -16,6 +16,7 @@
 use super::{
     answer::Refusal,
     headers,
+    request_ids::RequestIdInUse,
     server::Server, //
 };
 
@@ -26,21 +27,23 @@
 pub(super) struct Caller {
     pub(super) team: TeamName,
     pub(super) request_id: RequestId,
+    _in_use: RequestIdInUse,
     pub(super) snapshot: Arc<RoutingSnapshot>,
 }
 
-/// Returns the caller's request id, or a new one if it is missing or unusable.
-pub(super) fn request_id(server: &Server, headers: &HeaderMap) -> Option<RequestId> {
+/// Takes the caller's request id, or a new one if it is missing, unusable or in use.
+pub(super) fn take_request_id(server: &Server, headers: &HeaderMap) -> Option<RequestIdInUse> {
     headers::text(headers, HEADER_REQUEST_ID)
         .and_then(|id| id.parse().ok())
-        .or_else(|| server.new_request_id())
+        .and_then(|id| server.request_ids.take(id))
+        .or_else(|| server.request_ids.take(server.new_request_id()?))
 }
 
 /// Finds out who calls.
 pub(super) fn identify(
     server: &Server,
     headers: &HeaderMap,
-    request_id: RequestId,
+    request_id: RequestIdInUse,
 ) -> Result<Caller, Refusal> {
     let snapshot = server.snapshot.load_full();
     let key = headers::text(headers, HEADER_AUTHORIZATION)
@@ -55,7 +58,8 @@
     match server.team_of_key(&snapshot.config, key) {
         Some(team) => Ok(Caller {
             team,
-            request_id,
+            request_id: request_id.id().clone(),
+            _in_use: request_id,
             snapshot,
         }),
         None => Err(Refusal::new(
--- a/entry/src/serve/handler.rs
+++ b/entry/src/serve/handler.rs
@@ -36,6 +36,7 @@
     events::LogEvent,
     headers,
     plain,
+    request_ids::RequestIdInUse,
     server::Server, //
 };
 
@@ -50,10 +51,10 @@
         PATH_READY => return readiness(&server),
         _ => {}
     }
-    let Some(request_id) = caller::request_id(&server, request.headers()) else {
+    let Some(request_id) = caller::take_request_id(&server, request.headers()) else {
         return Refusal::new(ErrorCode::BadRequest, "The request has no usable id.").answer("");
     };
-    let id = request_id.to_string();
+    let id = request_id.id().to_string();
     match dispatch(&server, request, request_id).await {
         Ok(mut answer) => {
             headers::set(answer.headers_mut(), HEADER_REQUEST_ID, &id);
@@ -81,7 +82,7 @@
 async fn dispatch(
     server: &Rc<Server>,
     request: Request<Incoming>,
-    request_id: RequestId,
+    request_id: RequestIdInUse,
 ) -> Result<Response<AnswerBody>, Refusal> {
     check_header_size(server, &request)?;
     let caller = caller::identify(server, request.headers(), request_id)?;
--- a/entry/src/serve/mod.rs
+++ b/entry/src/serve/mod.rs
@@ -31,6 +31,7 @@
 mod passed_body;
 mod plain;
 mod replay;
+mod request_ids;
 mod resume;
 mod run;
 mod server;
--- a/entry/src/serve/server.rs
+++ b/entry/src/serve/server.rs
@@ -49,6 +49,7 @@
     figures::Figures,
     headers,
     housekeeping,
+    request_ids::RequestIds,
     times::ServiceTimes,
     upstream::Pool, //
 };
@@ -63,6 +64,7 @@
     pub(super) admission: AdmissionDesk,
     pub(super) claims: Rc<ClaimDesk>,
     pub(super) detached: Rc<Detached>,
+    pub(super) request_ids: RequestIds,
     pub(super) draining: Cell<bool>,
     pub(super) router: RefCell<Router>,
     pub(super) own_load: RefCell<OwnLoad>,
@@ -111,6 +113,7 @@
             admission,
             claims,
             detached: Rc::default(),
+            request_ids: RequestIds::default(),
             draining: Cell::new(false),
             router: RefCell::default(),
             own_load: RefCell::default(),
--- a/entry/tests/test_serve/test_streams.rs
+++ b/entry/tests/test_serve/test_streams.rs
@@ -226,6 +226,31 @@
     assert!(cancels[0].head.contains("/cancel/request-1 "));
 }
 
+/// Two callers use the same request id at the same time. Engines cancel and resume by
+/// id, so the second one gets an id of its own, and the end of the first does not
+/// stop it.
+#[test]
+fn two_requests_in_progress_never_share_an_id() {
+    let engine = ScriptedUpstream::start(|_, _| {
+        vec![Step::stream_head(), Step::event(0, "a"), Step::AwaitClose]
+    });
+    let fixture = Fixture::with_engines(&[engine.address]);
+    let mut callers = [fixture.caller(), fixture.caller()];
+
+    for caller in &mut callers {
+        caller.complete("x-request-id: request-1\r\n");
+        caller.head();
+    }
+
+    let ids: Vec<_> = engine
+        .requests()
+        .iter()
+        .map(|r| r.header("x-request-id"))
+        .collect();
+    assert_eq!(ids.len(), 2);
+    assert_ne!(ids[0], ids[1]);
+}
+
 /// The caller leaves before the first byte of the answer.
 #[test]
 fn a_caller_that_leaves_while_waiting_frees_its_slot() {
