process: end the daemon when one of its threads ends by itself

Cause: a daemon whose serving thread panicked went on as a process that looked alive and served nobody; run() had grown long. Change: the main thread looks after its threads while it waits for the stop; the rings between serving and the other threads are made in one function.

--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -7,7 +7,9 @@
     },
     io,
     net::TcpListener,
-    sync::Arc, //
+    sync::Arc,
+    thread::JoinHandle,
+    time::Duration, //
 };
 
 use arc_swap::ArcSwap;
@@ -45,7 +47,10 @@
 };
 use displaydoc::Display;
 use thiserror::Error;
-use tokio::sync::watch;
+use tokio::{
+    sync::watch,
+    time::sleep, //
+};
 
 use crate::{
     domain::{
@@ -68,6 +73,8 @@
 const CACHE_NOTICE_CAPACITY: usize = 4_096;
 /// How many notices of demand and figures wait for the domain thread.
 const SERVE_NOTICE_CAPACITY: usize = 64;
+/// How often the daemon looks whether a thread has ended by itself.
+const THREAD_LOOK_MS: u64 = 200;
 
 /// Why the daemon cannot run.
 #[derive(Debug, Display, Error)]
@@ -81,6 +88,11 @@
     },
     /// cannot run a thread: {0}
     Thread(#[from] io::Error),
+    /// the thread {thread} has ended by itself
+    ThreadEnded {
+        /// Its name.
+        thread: String,
+    },
     /// {0}
     Chart(#[from] ChartError),
     /// cannot talk to peers: {0}
@@ -104,19 +116,11 @@
     let clock = process.clock;
     let boot = draw_boot();
     let (peers, inbox) = start_peers(&settings, boot)?;
-    let (claim_replies, replies) = ring::bounded("claim-replies", CLAIM_REPLY_CAPACITY);
-    let (cache_sender, cache_notices) = ring::bounded("cache-notices", CACHE_NOTICE_CAPACITY);
-    let (notices, serve_notices) = ring::bounded("serve-notices", SERVE_NOTICE_CAPACITY);
-    let context = DomainContext {
-        claim_replies: Some(claim_replies),
-        cache_notices: Some(cache_sender),
-        serve_notices: Some(serve_notices),
-    };
-    let link = DomainLink {
-        cache_notices: Some(cache_notices),
-        notices: Some(notices),
-    };
-    let claims = claim_link(&settings, peers.sender(), replies);
+    let Links {
+        context,
+        domain: link,
+        claims,
+    } = links(&settings, peers.sender());
     let (stop_domain, domain_stopped) = watch::channel(false);
     let domain = domain::start(
         &settings,
@@ -139,20 +143,50 @@
         boot,
     };
     let serving = serve::start(setup, stopped)?;
-    wait_for_stop(process.stop)?;
+    let mut threads = domain.threads;
+    threads.push(serving.thread);
+    wait_for_stop(process.stop, &threads)?;
+    let serving = threads.pop();
     // The receivers are gone only if the thread has ended already.
     let _ = stop.send(true);
-    program::join(serving.thread)?;
+    serving.map_or(Ok(()), program::join)?;
     // The domain is coordinated until the last request has ended: its lease and its
     // view of upstreams are what running requests depend on.
     let _ = stop_domain.send(true);
-    for thread in domain.threads {
+    for thread in threads {
         program::join(thread)?;
     }
     drop(peers);
     Ok(())
 }
 
+/// What joins the serving thread to the others.
+struct Links {
+    context: DomainContext,
+    domain: DomainLink,
+    claims: ClaimLink,
+}
+
+fn links(settings: &EntrySettings, peers: PeerSender) -> Links {
+    let (claim_replies, replies) = ring::bounded("claim-replies", CLAIM_REPLY_CAPACITY);
+    let (cache_sender, cache_notices) = ring::bounded("cache-notices", CACHE_NOTICE_CAPACITY);
+    let (notices, serve_notices) = ring::bounded("serve-notices", SERVE_NOTICE_CAPACITY);
+    let context = DomainContext {
+        claim_replies: Some(claim_replies),
+        cache_notices: Some(cache_sender),
+        serve_notices: Some(serve_notices),
+    };
+    let domain = DomainLink {
+        cache_notices: Some(cache_notices),
+        notices: Some(notices),
+    };
+    Links {
+        context,
+        domain,
+        claims: claim_link(settings, peers, replies),
+    }
+}
+
 fn start_peers(
     settings: &EntrySettings,
     boot: BootId,
@@ -195,8 +229,25 @@
     BootId(RandomState::new().hash_one(std::process::id()))
 }
 
-fn wait_for_stop(mut stop: StopSignal) -> io::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread().build()?;
-    runtime.block_on(stop.requested());
-    Ok(())
+/// Waits until a stop is asked for, or a thread has ended by itself.
+///
+/// A daemon without one of its threads looks alive and serves nobody; ending the
+/// process lets the platform start it anew.
+fn wait_for_stop(mut stop: StopSignal, threads: &[JoinHandle<()>]) -> Result<(), ProcessError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build()?;
+    runtime.block_on(async {
+        loop {
+            let look = sleep(Duration::from_millis(THREAD_LOOK_MS));
+            tokio::select! {
+                () = stop.requested() => return Ok(()),
+                () = look => {}
+            }
+            if let Some(ended) = threads.iter().find(|thread| thread.is_finished()) {
+                let thread = ended.thread().name().unwrap_or("unnamed").to_owned();
+                return Err(ProcessError::ThreadEnded { thread });
+            }
+        }
+    })
 }
