--- a/daemon/tests/catalogue/pages.rs
+++ b/daemon/tests/catalogue/pages.rs
@@ -33,6 +33,63 @@
 variant of a closed enum.
 ";
 
+/// What metrics mean that no declaration explains: gauges, timers, and enums of the library.
+const MEANINGS: &[(&str, &str)] = &[
+    (
+        "agreement_refusals.*",
+        "Messages and proposals that the replicated log refused, by reason.",
+    ),
+    ("attempts_running", "Attempts at upstreams that run now."),
+    ("choices.*", "How the routing policy came to its choice."),
+    (
+        "claim_refusals.*",
+        "Not repeatable requests that did not get their claim, by reason.",
+    ),
+    (
+        "peers_dropped_full",
+        "Messages dropped because a peer's send buffer was full: it is cut off or too slow.",
+    ),
+    (
+        "peers_dropped_ring_full",
+        "Messages dropped because the ring to the thread that handles them was full.",
+    ),
+    (
+        "peers_dropped_unknown_peer",
+        "Messages to a peer that the settings do not name.",
+    ),
+    ("peers_received_bytes", "Bytes heard from peers."),
+    ("peers_received_messages", "Messages heard from peers."),
+    ("peers_refused_cluster", "Messages of another cluster."),
+    (
+        "peers_refused_malformed",
+        "Messages that could not be decoded.",
+    ),
+    (
+        "peers_refused_version",
+        "Messages of another version of the protocol.",
+    ),
+    ("peers_sent_bytes", "Bytes sent to peers."),
+    ("peers_sent_messages", "Messages sent to peers."),
+    (
+        "queueing",
+        "How long admitted requests waited in this daemon.",
+    ),
+    (
+        "refusals.*",
+        "Requests answered with an error of cicadabend's own, by the error's code.",
+    ),
+    ("requests_waiting", "Requests that wait in this daemon now."),
+    ("retries.*", "Attempts that were repeated, by reason."),
+    (
+        "time_between_tokens",
+        "Mean time between the parts of one answer.",
+    ),
+    (
+        "time_to_first_token",
+        "Time from sending a request to an upstream to the first part of its answer.",
+    ),
+];
+
 const CRATES: [(&str, &str); 3] = [
     ("daemon", "Every process"),
     ("entry", "Entry daemon"),
@@ -88,7 +145,12 @@
                 explanation,
                 ..
             } = metric;
-            writeln!(page, "| `{name}` | {kind} | {explanation} |").unwrap();
+            let known = MEANINGS.iter().find(|(known, _)| known == name);
+            let meaning = match (explanation.as_str(), known) {
+                ("", Some((_, meaning))) => meaning,
+                (explanation, _) => explanation,
+            };
+            writeln!(page, "| `{name}` | {kind} | {meaning} |").unwrap();
         }
     }
     page
