claims: keep millions of keys by hash, and drop the oldest bodies first

The bound on keys decides how long a key can be remembered at 21,000 requests a second; with the texts of team and key in two places and a claimant in each it was set to 2,000,000. The memory before was not measured.

When bodies are too many the oldest go; before, the newest were not kept, though a resend comes soon or never.

--- a/control/examples/measure_claims.rs
+++ b/control/examples/measure_claims.rs
@@ -21,6 +21,10 @@
 
 use arc_swap::ArcSwap;
 use cicadabend::{
+    claims::{
+        ClaimReplica,
+        ReplicaBounds, //
+    },
     fleet::Voter,
     peer_api::{
         ClaimAction,
@@ -57,6 +61,7 @@
 const CLAIMS: u64 = 100_000;
 const UNDER_WAY: [u64; 5] = [1, 16, 256, 1_024, 4_096];
 const BODY_BYTES: usize = 1_024;
+const KEYS_IN_MEMORY: u64 = 6_500_000;
 
 fn main() -> Result<(), Box<dyn Error>> {
     let parent = std::env::args().nth(1).unwrap_or_else(|| ".".to_owned());
@@ -65,6 +70,7 @@
     let sync = median_sync(&folder)?;
     println!("one sync of one record: {} us", sync.as_micros());
     print_sizes()?;
+    print_memory()?;
     println!("under way | kind | claims/s | p50 in syncs | p99 in syncs");
     drop(folder);
     for under_way in UNDER_WAY {
@@ -108,6 +114,44 @@
     Ok(())
 }
 
+/// Prints what a remembered key costs in memory, with an outcome whose body was dropped.
+fn print_memory() -> Result<(), Box<dyn Error>> {
+    let identity = Voter {
+        daemon: "control-1".parse()?,
+        disk: 1,
+    };
+    let voters = VoterSet {
+        number: 1,
+        voters: [identity.clone()].into(),
+    };
+    let bounds = ReplicaBounds {
+        retention: Duration::from_secs(300),
+        max_keys: usize::MAX,
+        max_body_bytes: 0,
+        max_total_body_bytes: 0,
+    };
+    let mut replica = ClaimReplica::recover(identity, bounds, Vec::new(), Timestamp(0));
+    let before = resident_bytes()?;
+    for number in 0..KEYS_IN_MEMORY {
+        let PeerMessage::Claim(request) = request(number, true)?.message else {
+            continue;
+        };
+        replica.handle(&request, &voters, Timestamp(number / 1_000));
+        replica.commit();
+    }
+    let bytes = resident_bytes()?.saturating_sub(before);
+    let per_key = bytes / replica.len() as u64;
+    println!("{KEYS_IN_MEMORY} keys: {per_key} bytes each in memory");
+    Ok(())
+}
+
+fn resident_bytes() -> Result<u64, Box<dyn Error>> {
+    const PAGE_BYTES: u64 = 4_096;
+    let pages = std::fs::read_to_string("/proc/self/statm")?;
+    let resident = pages.split(' ').nth(1).ok_or("no resident size")?;
+    Ok(resident.parse::<u64>()? * PAGE_BYTES)
+}
+
 fn median_sync(folder: &DataFolder) -> Result<Duration, Box<dyn Error>> {
     let (mut journal, _) = Journal::open(folder, "synctest", JournalSettings::default())?;
     let mut times = Vec::new();
--- a/control/src/claims/mod.rs
+++ b/control/src/claims/mod.rs
@@ -52,8 +52,8 @@
 /// The shortest retention: it must be far above the time in which an entry daemon may
 /// start a granted attempt (30 seconds).
 const MIN_RETENTION: Duration = Duration::from_secs(300);
-/// The most keys remembered; at about 300 bytes each without bodies.
-const MAX_KEYS: usize = 2_000_000;
+/// The most keys remembered: 21,000 a second for the shortest retention, and some more.
+const MAX_KEYS: usize = 6_500_000;
 /// The most bytes of an outcome's body.
 const MAX_BODY_BYTES: usize = 16 * 1024;
 /// The most bytes of all bodies together.
--- a/lib/src/claims/coordinator.rs
+++ b/lib/src/claims/coordinator.rs
@@ -6,12 +6,16 @@
     HashMap, //
 };
 
-use super::attempt::{
-    Attempt,
-    AttemptEnd,
-    ClaimOutput,
-    ClaimTiming,
-    Decision, //
+use super::{
+    attempt::{
+        Attempt,
+        AttemptEnd,
+        Decision, //
+    },
+    output::{
+        ClaimOutput,
+        ClaimTiming, //
+    }, //
 };
 use crate::{
     fleet::Voter,
--- a/lib/src/claims/mod.rs
+++ b/lib/src/claims/mod.rs
@@ -11,17 +11,19 @@
 
 mod attempt;
 mod coordinator;
+mod key_state;
+mod output;
 mod record;
 mod replica;
 mod standing;
 mod tally;
 
-pub use attempt::{
+pub use coordinator::ClaimCoordinator;
+pub use output::{
     ClaimOutput,
     ClaimRefusal,
     ClaimTiming, //
 };
-pub use coordinator::ClaimCoordinator;
 pub use record::{
     ClaimRecord,
     ClaimRecordError,
--- /dev/null
+++ b/lib/src/claims/output.rs
@@ -0,0 +1,141 @@
+//! What an entry daemon is told to do about its attempts, and why some do not run.
+
+use std::time::Duration;
+
+use crate::{
+    caller_api::ErrorCode,
+    peer_api::{
+        ClaimRequest,
+        StoredOutcome, //
+    },
+    prelude::*,
+};
+
+/// How long an entry daemon waits for claim replicas.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ClaimTiming {
+    /// How long answers to `Acquire` are waited for.
+    pub acquire_timeout: Duration,
+    /// How long after its beginning a granted attempt may still be sent; far below the
+    /// replicas' retention.
+    pub start_within: Duration,
+    /// After which silence a question is sent again; doubled each time.
+    pub resend_after: Duration,
+    /// How long outcomes and releases are sent again while no majority has them.
+    pub settle_timeout: Duration,
+    /// The middle of the time after which a refused caller should come back.
+    pub retry_after: Duration,
+}
+
+impl Default for ClaimTiming {
+    fn default() -> Self {
+        Self {
+            acquire_timeout: Duration::from_millis(1_000),
+            start_within: Duration::from_secs(30),
+            resend_after: Duration::from_millis(200),
+            settle_timeout: Duration::from_secs(30),
+            retry_after: Duration::from_millis(500),
+        }
+    }
+}
+
+/// What is to be done about an attempt.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ClaimOutput {
+    /// Send this to a control daemon.
+    Send {
+        /// The control daemon.
+        to: DaemonId,
+        /// The message.
+        request: ClaimRequest,
+    },
+    /// The attempt may run now; afterwards it is completed or released.
+    Granted {
+        /// The attempt's number.
+        attempt: u64,
+    },
+    /// The attempt does not run; the caller gets its answer now.
+    Refused {
+        /// The attempt's number.
+        attempt: u64,
+        /// Why.
+        refusal: ClaimRefusal,
+    },
+}
+
+/// Why an attempt does not run; closed, so that each has a counter.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ClaimRefusal {
+    /// An earlier sending ran; its outcome is the answer.
+    AlreadyCompleted(StoredOutcome),
+    /// An earlier sending is running, as far as is known.
+    InProgress {
+        /// When to ask again.
+        retry_after: Duration,
+    },
+    /// An earlier sending may have run, and the daemon that sent it is gone.
+    OutcomeUnknown,
+    /// The key was used for a different request.
+    KeyReused,
+    /// Several sendings claimed the key at once and took each other's majority: this
+    /// one did not run.
+    Contended {
+        /// When to send again, different for each of them.
+        retry_after: Duration,
+    },
+    /// No majority could be reached: this sending did not run, and nothing was found
+    /// out about earlier ones.
+    NoMajority {
+        /// When to send again.
+        retry_after: Duration,
+    },
+}
+
+impl ClaimRefusal {
+    /// The names of all refusals, for counters.
+    pub const NAMES: [&'static str; 6] = [
+        "already_completed",
+        "in_progress",
+        "outcome_unknown",
+        "key_reused",
+        "contended",
+        "no_majority",
+    ];
+
+    /// Returns the refusal as it stands in counters.
+    pub fn name(&self) -> &'static str {
+        match self {
+            ClaimRefusal::AlreadyCompleted(_) => "already_completed",
+            ClaimRefusal::InProgress { .. } => "in_progress",
+            ClaimRefusal::OutcomeUnknown => "outcome_unknown",
+            ClaimRefusal::KeyReused => "key_reused",
+            ClaimRefusal::Contended { .. } => "contended",
+            ClaimRefusal::NoMajority { .. } => "no_majority",
+        }
+    }
+
+    /// Returns the code that tells the caller; `None` where the first outcome does.
+    pub fn code(&self) -> Option<ErrorCode> {
+        match self {
+            ClaimRefusal::AlreadyCompleted(_) => None,
+            ClaimRefusal::InProgress { .. } => Some(ErrorCode::InProgress),
+            ClaimRefusal::OutcomeUnknown => Some(ErrorCode::OutcomeUnknown),
+            ClaimRefusal::KeyReused => Some(ErrorCode::KeyReused),
+            ClaimRefusal::Contended { .. } | ClaimRefusal::NoMajority { .. } => {
+                Some(ErrorCode::NotRun)
+            }
+        }
+    }
+
+    /// Returns when the caller should come back, if that helps.
+    pub fn retry_after(&self) -> Option<Duration> {
+        match self {
+            ClaimRefusal::InProgress { retry_after }
+            | ClaimRefusal::Contended { retry_after }
+            | ClaimRefusal::NoMajority { retry_after } => Some(*retry_after),
+            ClaimRefusal::AlreadyCompleted(_)
+            | ClaimRefusal::OutcomeUnknown
+            | ClaimRefusal::KeyReused => None,
+        }
+    }
+}
--- a/lib/src/claims/replica.rs
+++ b/lib/src/claims/replica.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::{
-        BTreeMap,
         HashMap,
         VecDeque, //
     },
@@ -12,6 +11,14 @@
 use super::{
     ClaimRecord,
     NumberedRecord,
+    key_state::{
+        Holder,
+        KeyHash,
+        KeyState,
+        Phase,
+        Runs,
+        outcome, //
+    },
     standing::Standing, //
 };
 use crate::{
@@ -28,12 +35,6 @@
     prelude::*,
 };
 
-/// How many runs of entry daemons a key remembers released attempts of.
-///
-/// Forgetting one is harmless to safety: its late `Acquire` would block the key for
-/// an attempt that never runs, until retention ends.
-const RELEASED_RUNS_LIMIT: usize = 64;
-
 /// What a replica may keep.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ReplicaBounds {
@@ -43,7 +44,7 @@
     pub max_keys: usize,
     /// The most bytes of an outcome's body; a longer one is stored without its body.
     pub max_body_bytes: usize,
-    /// The most bytes of all bodies together; beyond it outcomes are stored without.
+    /// The most bytes of all outcomes together; beyond it the oldest lose their bodies.
     pub max_total_body_bytes: usize,
 }
 
@@ -65,37 +66,17 @@
 pub struct ClaimReplica {
     identity: Voter,
     bounds: ReplicaBounds,
-    keys: HashMap<ClaimKey, KeyState>,
-    by_expiry: VecDeque<(Timestamp, ClaimKey)>,
+    keys: HashMap<KeyHash, KeyState>,
+    by_expiry: VecDeque<(Timestamp, KeyHash)>,
+    with_body: VecDeque<KeyHash>,
+    runs: Runs,
     next_number: u64,
     body_bytes: usize,
     standing: Standing,
     synced_standing: Standing,
-    undo: Vec<(ClaimKey, Option<KeyState>)>,
-}
-
-#[derive(Clone, Debug)]
-struct KeyState {
-    phase: Phase,
-    released: BTreeMap<Run, u64>,
-    changed_at: Timestamp,
+    undo: Vec<(KeyHash, Option<KeyState>)>,
 }
 
-#[derive(Clone, Debug, PartialEq)]
-enum Phase {
-    Free,
-    Held {
-        claimant: Claimant,
-        fingerprint: u64,
-    },
-    Completed {
-        fingerprint: u64,
-        outcome: StoredOutcome,
-    },
-}
-
-type Run = (DaemonId, BootId);
-
 impl ClaimReplica {
     /// Makes a replica from the records of its disk, in any order.
     ///
@@ -113,6 +94,8 @@
             bounds,
             keys: HashMap::new(),
             by_expiry: VecDeque::new(),
+            with_body: VecDeque::new(),
+            runs: Runs::default(),
             next_number: 0,
             body_bytes: 0,
             standing: Standing::default(),
@@ -122,6 +105,7 @@
         for record in records {
             replica.next_number = record.number.saturating_add(1);
             replica.apply(record.record, now);
+            replica.undo.clear();
         }
         replica.commit();
         replica
@@ -201,18 +185,31 @@
     /// Takes the changes since the last commit back: none of them is on disk.
     pub fn roll_back(&mut self) {
         while let Some((key, before)) = self.undo.pop() {
-            self.replace(&key, before);
+            self.replace(key, before);
         }
         self.standing = self.synced_standing;
     }
 
-    fn replace(&mut self, key: &ClaimKey, state: Option<KeyState>) {
-        self.body_bytes += state.as_ref().map_or(0, KeyState::body_bytes);
+    fn replace(&mut self, key: KeyHash, state: Option<KeyState>) {
+        self.body_bytes += state.as_ref().map_or(0, KeyState::kept_bytes);
         let before = match state {
-            Some(state) => self.keys.insert(key.clone(), state),
-            None => self.keys.remove(key),
+            Some(state) => self.keys.insert(key, state),
+            None => self.keys.remove(&key),
         };
-        self.body_bytes -= before.as_ref().map_or(0, KeyState::body_bytes);
+        self.body_bytes -= before.as_ref().map_or(0, KeyState::kept_bytes);
+    }
+
+    /// Drops the oldest bodies while there are too many: a resend comes soon or never.
+    fn drop_old_bodies(&mut self) {
+        while self.body_bytes > self.bounds.max_total_body_bytes {
+            let Some(key) = self.with_body.pop_front() else {
+                return;
+            };
+            if let Some(state) = self.keys.get_mut(&key) {
+                self.body_bytes -= state.kept_bytes();
+                state.drop_kept();
+            }
+        }
     }
 
     /// Forgets keys whose retention has ended; a resend after that runs again.
@@ -224,9 +221,18 @@
             let changed_at = self.keys.get(&key).map(|state| state.changed_at);
             match changed_at.map(|at| at + self.bounds.retention) {
                 Some(ends_at) if ends_at > now => self.by_expiry.push_back((ends_at, key)),
-                _ => self.replace(&key, None),
+                _ => self.replace(key, None),
             }
         }
+        self.forget_expired_bodies();
+    }
+
+    fn forget_expired_bodies(&mut self) {
+        while let Some(key) = self.with_body.front()
+            && !self.keys.contains_key(key)
+        {
+            self.with_body.pop_front();
+        }
     }
 
     fn acquire(
@@ -236,36 +242,9 @@
         fingerprint: u64,
         now: Timestamp,
     ) -> Handled {
-        if let Some(state) = self.keys.get(key) {
-            match &state.phase {
-                Phase::Completed {
-                    fingerprint: first,
-                    outcome,
-                } => {
-                    return said(ClaimVerdict::Completed {
-                        outcome: outcome.clone(),
-                        fingerprint_differs: *first != fingerprint,
-                    });
-                }
-                Phase::Held {
-                    claimant: holder, ..
-                } if holder == claimant => return said(ClaimVerdict::Held),
-                Phase::Held {
-                    claimant: holder,
-                    fingerprint: first,
-                } => {
-                    return said(ClaimVerdict::HeldByOther {
-                        holder: holder.clone(),
-                        fingerprint_differs: *first != fingerprint,
-                    });
-                }
-                // A delayed `Acquire` must not block the key for an attempt that has
-                // already told its caller that it did not run.
-                Phase::Free if state.has_released(claimant) => {
-                    return said(ClaimVerdict::Unavailable);
-                }
-                Phase::Free => {}
-            }
+        let attempt = self.runs.holder(claimant);
+        if let Some(verdict) = self.known(KeyHash::of(key), attempt, fingerprint) {
+            return said(verdict);
         }
         if self.standing.granting_number().is_none() {
             return said(ClaimVerdict::Unavailable);
@@ -278,13 +257,40 @@
         self.change(record, ClaimVerdict::Held, now)
     }
 
+    /// Returns the answer that what is known of a key gives; `None` if it is free.
+    fn known(&self, key: KeyHash, attempt: Holder, fingerprint: u64) -> Option<ClaimVerdict> {
+        let state = self.keys.get(&key)?;
+        match &state.phase {
+            Phase::Completed {
+                fingerprint: first,
+                status,
+                kept,
+            } => Some(ClaimVerdict::Completed {
+                outcome: outcome(*status, kept.as_deref()),
+                fingerprint_differs: *first != fingerprint,
+            }),
+            Phase::Held { holder, .. } if *holder == attempt => Some(ClaimVerdict::Held),
+            Phase::Held {
+                holder,
+                fingerprint: first,
+            } => Some(ClaimVerdict::HeldByOther {
+                holder: self.runs.claimant(*holder)?,
+                fingerprint_differs: *first != fingerprint,
+            }),
+            // A delayed `Acquire` must not block the key for an attempt that has
+            // already told its caller that it did not run.
+            Phase::Free if state.has_released(attempt) => Some(ClaimVerdict::Unavailable),
+            Phase::Free => None,
+        }
+    }
+
     fn release(&mut self, key: &ClaimKey, claimant: &Claimant, now: Timestamp) -> Handled {
-        if let Some(state) = self.keys.get(key) {
-            let is_held =
-                matches!(&state.phase, Phase::Held { claimant: holder, .. } if holder == claimant);
-            if !is_held && state.has_released(claimant) {
-                return said(ClaimVerdict::Recorded);
-            }
+        let attempt = self.runs.holder(claimant);
+        if let Some(state) = self.keys.get(&KeyHash::of(key))
+            && !state.is_held_by(attempt)
+            && state.has_released(attempt)
+        {
+            return said(ClaimVerdict::Recorded);
         }
         let record = ClaimRecord::Released {
             key: key.clone(),
@@ -301,14 +307,13 @@
         outcome: &StoredOutcome,
         now: Timestamp,
     ) -> Handled {
-        let state = self.keys.get(key);
+        let state = self.keys.get(&KeyHash::of(key));
         if state.is_some_and(|state| matches!(state.phase, Phase::Completed { .. })) {
             return said(ClaimVerdict::Recorded);
         }
         let mut outcome = outcome.clone();
         let length = outcome.body.as_ref().map_or(0, Vec::len);
-        let is_too_much = self.body_bytes + length > self.bounds.max_total_body_bytes;
-        if length > self.bounds.max_body_bytes || is_too_much {
+        if length > self.bounds.max_body_bytes {
             outcome.body = None;
         }
         let record = ClaimRecord::Completed {
@@ -321,7 +326,8 @@
     }
 
     fn change(&mut self, record: ClaimRecord, verdict: ClaimVerdict, now: Timestamp) -> Handled {
-        let is_known = record.key().is_some_and(|key| self.keys.contains_key(key));
+        let hash = record.key().map(KeyHash::of);
+        let is_known = hash.is_some_and(|hash| self.keys.contains_key(&hash));
         if !is_known && self.keys.len() >= self.bounds.max_keys {
             // Forgetting an older key instead would let its resend run again.
             return said(ClaimVerdict::Unavailable);
@@ -343,92 +349,61 @@
         if let ClaimRecord::MayGrant { voters_number } = record {
             self.standing = Standing::Grants { voters_number };
         }
-        let Some(key) = record.key().cloned() else {
+        let Some(key) = record.key().map(KeyHash::of) else {
             return;
         };
         let before = self.keys.get(&key).cloned();
         if before.is_none() {
             let ends_at = now + self.bounds.retention;
-            self.by_expiry.push_back((ends_at, key.clone()));
+            self.by_expiry.push_back((ends_at, key));
         }
-        let mut state = before.clone().unwrap_or(KeyState {
-            phase: Phase::Free,
-            released: BTreeMap::new(),
-            changed_at: now,
-        });
+        let mut state = before.clone().unwrap_or_else(|| KeyState::new(now));
         state.changed_at = now;
-        state.apply(record);
-        self.replace(&key, Some(state));
+        self.apply_to(&mut state, record);
+        let has_body = state.kept_bytes() > 0;
+        self.replace(key, Some(state));
         self.undo.push((key, before));
-    }
-}
-
-impl ClaimRecord {
-    fn key(&self) -> Option<&ClaimKey> {
-        match self {
-            ClaimRecord::Held { key, .. }
-            | ClaimRecord::Released { key, .. }
-            | ClaimRecord::Completed { key, .. } => Some(key),
-            ClaimRecord::MayGrant { .. } => None,
+        if has_body {
+            self.with_body.push_back(key);
+            self.drop_old_bodies();
         }
     }
-}
 
-impl KeyState {
-    fn apply(&mut self, record: ClaimRecord) {
+    fn apply_to(&mut self, state: &mut KeyState, record: ClaimRecord) {
         match record {
             ClaimRecord::Held {
                 claimant,
                 fingerprint,
                 ..
             } => {
-                self.phase = Phase::Held {
-                    claimant,
+                let holder = self.runs.holder(&claimant);
+                state.phase = Phase::Held {
+                    holder,
                     fingerprint,
                 };
             }
-            ClaimRecord::Released { claimant, .. } => self.apply_release(claimant),
+            ClaimRecord::Released { claimant, .. } => {
+                state.release(self.runs.holder(&claimant));
+            }
             ClaimRecord::Completed {
                 fingerprint,
                 outcome,
                 ..
-            } => {
-                self.phase = Phase::Completed {
-                    fingerprint,
-                    outcome,
-                };
-            }
+            } => state.complete(fingerprint, outcome),
             ClaimRecord::MayGrant { .. } => {}
         }
     }
+}
 
-    fn body_bytes(&self) -> usize {
-        match &self.phase {
-            Phase::Completed { outcome, .. } => outcome.body.as_ref().map_or(0, Vec::len),
-            Phase::Free | Phase::Held { .. } => 0,
-        }
-    }
-
-    fn apply_release(&mut self, released: Claimant) {
-        let is_held = matches!(&self.phase, Phase::Held { claimant, .. } if *claimant == released);
-        if is_held {
-            self.phase = Phase::Free;
-        }
-        let run = (released.daemon, released.boot);
-        let highest = self.released.entry(run).or_default();
-        *highest = (*highest).max(released.attempt);
-        if self.released.len() > RELEASED_RUNS_LIMIT {
-            self.released.pop_first();
+impl ClaimRecord {
+    fn key(&self) -> Option<&ClaimKey> {
+        match self {
+            ClaimRecord::Held { key, .. }
+            | ClaimRecord::Released { key, .. }
+            | ClaimRecord::Completed { key, .. } => Some(key),
+            ClaimRecord::MayGrant { .. } => None,
         }
     }
-
-    /// Returns whether an attempt, or a later one of the same run, was released.
-    fn has_released(&self, claimant: &Claimant) -> bool {
-        let run = (claimant.daemon.clone(), claimant.boot);
-        self.released
-            .get(&run)
-            .is_some_and(|highest| *highest >= claimant.attempt)
-    }
 }
 
 fn said(verdict: ClaimVerdict) -> Handled {
