--- a/control/src/replication/bootstrap.rs
+++ b/control/src/replication/bootstrap.rs
@@ -24,7 +24,7 @@
 use super::{
     error::ReplicationError,
     events::LogEvent,
-    thread::Starting, //
+    requests::Starting, //
 };
 use crate::run::random_number;
 
--- a/control/src/replication/events.rs
+++ b/control/src/replication/events.rs
@@ -24,6 +24,9 @@
     1706 Info VotersChanged { number: u64, voters: usize } "the set of voters changed";
     /// The log's entries were replaced by the state they led to.
     1707 Info Compacted { through: cicadabend::agreement::LogIndex } "the log was compacted";
+    /// The state is larger than one message may be; a daemon that lacks compacted entries
+    /// cannot catch up until it is smaller.
+    1708 Error SnapshotTooLarge { bytes: usize } "a snapshot cannot be sent";
     /// The disk is full; nothing is acknowledged until there is room.
     1710 Error DiskFull { reason: String } "the disk is full";
     /// There is room on the disk again.
--- a/control/src/replication/mod.rs
+++ b/control/src/replication/mod.rs
@@ -18,6 +18,8 @@
 mod events;
 mod handle;
 mod machine;
+mod membership;
+mod requests;
 mod storage;
 mod thread;
 mod waiting;
--- a/control/src/replication/thread.rs
+++ b/control/src/replication/thread.rs
@@ -20,15 +20,10 @@
         RefusalCounts,
         RoleName,
         Status,
-        VoterChange,
         decode_message,
         encode_message, //
     },
-    fleet::{
-        FleetAnswer,
-        FleetCommand,
-        Voter, //
-    },
+    fleet::FleetAnswer,
     peer_api::PeerMessage,
     prelude::*,
 };
@@ -47,7 +42,6 @@
 };
 
 use super::{
-    error::ReplicationError,
     events::LogEvent,
     handle::{
         Request,
@@ -55,6 +49,7 @@
         Standing, //
     },
     machine::Machine,
+    requests::Starting,
     storage::Persisted,
     waiting::Waiting,
 };
@@ -66,6 +61,9 @@
 /// The most items taken from one ring before the others get their turn.
 const MOST_PER_TURN: usize = 64;
 
+/// What of a peer message's limit of 8 MiB is left for a snapshot's state.
+const SNAPSHOT_LIMIT_BYTES: usize = 8 * 1024 * 1024 - 64 * 1024;
+
 /// What the thread takes from.
 pub(super) struct Inputs {
     pub requests: Receiver<Request>,
@@ -98,16 +96,8 @@
     pub role: Option<RoleName>,
 }
 
-/// A daemon that has just started does not know yet whether anyone leads.
-pub(super) struct Starting {
-    /// When it is certain that there was time for an election.
-    pub until: Timestamp,
-    /// What came meanwhile; "no majority" would be an untrue answer to it.
-    pub requests: Vec<Request>,
-}
-
 /// Why the thread cannot go on.
-struct Failed(String);
+pub(super) struct Failed(pub String);
 
 impl AgreementThread {
     /// Runs until the peers' ring is closed or the disk fails.
@@ -182,7 +172,7 @@
         Ok(())
     }
 
-    fn tell(&mut self, event: Event) -> Result<(), Failed> {
+    pub(super) fn tell(&mut self, event: Event) -> Result<(), Failed> {
         let actions = self.node.handle(event, self.clock.now());
         for action in actions {
             self.carry_out(action)?;
@@ -222,7 +212,7 @@
         Ok(())
     }
 
-    fn send(&self, message: &Message) {
+    pub(super) fn send(&self, message: &Message) {
         // Encoding these types cannot fail; a lost message would be repeated anyway.
         if let Ok(bytes) = encode_message(message) {
             let to = &message.to.daemon;
@@ -278,107 +268,14 @@
         }
     }
 
-    /// Takes part in making the first set of voters, as long as this node has no state.
-    fn found(&mut self, message: &Message) -> Result<(), Failed> {
-        if !self.node.has_no_voters() {
-            return Ok(());
-        }
-        if let Some(reply) = self.founding.receive(message) {
-            self.send(&reply);
-        }
-        self.found_if_all_are_new()
-    }
-
-    fn found_if_all_are_new(&mut self) -> Result<(), Failed> {
-        let Some(voters) = self.founding.founded() else {
-            return Ok(());
-        };
-        LogEvent::Founded {
-            voters: voters.voters.len(),
-        }
-        .emit();
-        self.tell(Event::Found { voters })
-    }
-
-    fn note_new_disk(&mut self, message: &Message) {
-        let Voter { daemon, disk } = message.from.clone();
-        let mut standing = Standing::clone(&self.shared.standing.load());
-        if standing.new_disks.insert(daemon.clone(), disk) != Some(disk) {
-            LogEvent::NewDisk { daemon, disk }.emit();
-            self.shared.standing.store(Arc::new(standing));
-        }
-    }
-
-    /// Takes the requests that came before this daemon knew a leader.
-    fn end_start(&mut self) -> Result<(), Failed> {
-        let now = self.clock.now();
-        let has_leader = self.node.status().leader.is_some();
-        let ended = self
-            .starting
-            .take_if(|starting| has_leader || now >= starting.until);
-        for request in ended.into_iter().flat_map(|starting| starting.requests) {
-            self.take_request(request)?;
-        }
-        Ok(())
-    }
-
-    fn take_request(&mut self, request: Request) -> Result<(), Failed> {
-        if let Some(starting) = &mut self.starting {
-            starting.requests.push(request);
-            return Ok(());
-        }
-        match request {
-            Request::Propose { answer, .. } if self.disk_is_full => {
-                let reason = "the disk is full; nothing was changed".to_owned();
-                let _ = answer.send(Err(ReplicationError::Storage(reason)));
-                Ok(())
-            }
-            Request::Propose { command, answer } => {
-                let id = self.waiting.add_proposal(answer);
-                self.propose(id, command)
-            }
-            Request::Read { answer } => {
-                let id = self.waiting.add_read(answer);
-                self.tell(Event::Read { id })
-            }
-            Request::HandOver { done } => {
-                let has_others = self.node.status().voters.voters.len() > 1;
-                if has_others {
-                    self.waiting.add_hand_over(done);
-                }
-                self.tell(Event::Transfer)
-            }
-        }
-    }
-
-    fn propose(
-        &mut self,
-        id: cicadabend::agreement::ProposalId,
-        command: FleetCommand,
-    ) -> Result<(), Failed> {
-        if let FleetCommand::ChangeVoters { voters } = &command {
-            return match voter_change(&self.node.status(), voters) {
-                Some(change) => self.tell(Event::ChangeVoters { id, change }),
-                None => {
-                    self.waiting.decide(id, Ok(FleetAnswer::VotersRefused));
-                    Ok(())
-                }
-            };
-        }
-        match postcard::to_stdvec(&command) {
-            Ok(command) => self.tell(Event::Propose { id, command }),
-            Err(error) => {
-                let outcome = Err(ReplicationError::Storage(error.to_string()));
-                self.waiting.decide(id, outcome);
-                Ok(())
-            }
-        }
-    }
-
     /// What is done now and then: founding, learners, snapshots, counters.
     fn upkeep(&mut self) -> Result<(), Failed> {
         if let Some((through, data)) = self.machine.snapshot_if_due(self.compact_after_entries) {
             LogEvent::Compacted { through }.emit();
+            let bytes = data.len();
+            if bytes > SNAPSHOT_LIMIT_BYTES {
+                LogEvent::SnapshotTooLarge { bytes }.emit();
+            }
             self.tell(Event::Compact { through, data })?;
         }
         let now = self.clock.now();
@@ -399,20 +296,6 @@
         self.promote_learner()
     }
 
-    /// A learner is there to become a voter; the node refuses until it has caught up.
-    fn promote_learner(&mut self) -> Result<(), Failed> {
-        let status = self.node.status();
-        if status.role != RoleName::Leader {
-            return Ok(());
-        }
-        let Some(learner) = status.voters.learners.first().cloned() else {
-            return Ok(());
-        };
-        let id = self.waiting.unawaited_proposal();
-        let change = VoterChange::Promote(learner);
-        self.tell(Event::ChangeVoters { id, change })
-    }
-
     fn count_refusals(&mut self) {
         let counts = *self.node.refusals();
         for reason in Refusal::ALL {
@@ -464,18 +347,3 @@
     .emit();
     Failed(reason)
 }
-
-/// Returns the change by one voter that leads to a set, if there is one.
-fn voter_change(
-    status: &Status,
-    wanted: &std::collections::BTreeSet<Voter>,
-) -> Option<VoterChange> {
-    let current = &status.voters.voters;
-    let added: Vec<&Voter> = wanted.difference(current).collect();
-    let removed: Vec<&Voter> = current.difference(wanted).collect();
-    match (added.as_slice(), removed.as_slice()) {
-        ([voter], []) => Some(VoterChange::AddLearner((*voter).clone())),
-        ([], [voter]) => Some(VoterChange::Remove((*voter).clone())),
-        _ => None,
-    }
-}
--- a/lib/src/agreement/mod.rs
+++ b/lib/src/agreement/mod.rs
@@ -34,6 +34,7 @@
 mod reads;
 mod refusals;
 mod settings;
+mod status;
 mod types;
 
 pub use durable::{
@@ -59,11 +60,7 @@
     decode_message,
     encode_message, //
 };
-pub use node::{
-    Node,
-    RoleName,
-    Status, //
-};
+pub use node::Node;
 pub use refusals::{
     Refusal,
     RefusalCounts, //
@@ -72,6 +69,10 @@
     ReadMode,
     Settings, //
 };
+pub use status::{
+    RoleName,
+    Status, //
+};
 pub use types::{
     Entry,
     EntryBody,
