cli: never lead back another operator's plan unseen

drain and policies read the configuration and send it back as a whole. A plan accepted in between would have been led back by the next one.

--- a/cli/src/commands/apply.rs
+++ b/cli/src/commands/apply.rs
@@ -1,6 +1,9 @@
 //! `apply FILE`: has a plan made for an intent.
 
-use cicadabend::fleet::FleetConfig;
+use cicadabend::{
+    fleet::FleetConfig,
+    prelude::*, //
+};
 use cicadabend_daemon::settings;
 use clap::{
     Arg,
@@ -19,11 +22,19 @@
 
 pub(super) const NAME: &str = "apply";
 const FILE: &str = "FILE";
+const BASE: &str = "base";
 
 pub(super) fn command() -> Command {
     Command::new(NAME)
         .about("Make a plan for an intent; nothing changes before it is confirmed")
         .arg(Arg::new(FILE).required(true).help("The intent, as JSON"))
+        .arg(
+            Arg::new(BASE)
+                .long(BASE)
+                .value_name("REVISION")
+                .value_parser(clap::value_parser!(u64))
+                .help("The revision that the intent was written from; refuse a plan on another"),
+        )
         .arg(reason_argument())
         .after_help("Example:\n  cicadabend --config client.json apply intent.json")
 }
@@ -37,6 +48,11 @@
         settings::load(&path).map_err(|source| CommandError::Settings { path, source })?;
     let reason = text_argument(arguments, REASON);
     let plan = context.client.plan(config, reason).await?;
+    let expected = arguments.get_one(BASE).copied().map(Revision);
+    if let Some(expected) = expected.filter(|expected| *expected != plan.base_revision) {
+        let found = plan.base_revision;
+        return Err(CommandError::BaseChanged { expected, found });
+    }
     show_plan(context.output, &plan);
     Ok(())
 }
--- a/cli/src/commands/drain.rs
+++ b/cli/src/commands/drain.rs
@@ -1,6 +1,9 @@
 //! `drain VM`: a plan that takes a VM out of all groups, or back.
 
-use cicadabend::prelude::*;
+use cicadabend::{
+    fleet::FleetConfig,
+    prelude::*, //
+};
 use clap::{
     Arg,
     ArgAction,
@@ -11,6 +14,7 @@
 use super::{
     Context,
     REASON,
+    planning::plan_change,
     reason_argument,
     show_plan,
     text_argument, //
@@ -48,16 +52,24 @@
                 allowed: error.to_string(),
             },
         )?;
-    let mut config = context.client.config().await?.config;
-    if arguments.get_flag(UNDO) {
-        if !config.drained_vms.remove(&vm) {
-            return Err(CommandError::NotDrained { vm });
-        }
-    } else if !config.drained_vms.insert(vm.clone()) {
-        return Err(CommandError::Drained { vm });
-    }
+    let is_undo = arguments.get_flag(UNDO);
     let reason = text_argument(arguments, REASON);
-    let plan = context.client.plan(config, reason).await?;
+    let change = |config: &mut FleetConfig| mark(config, &vm, is_undo);
+    let plan = plan_change(context, reason, change).await?;
     show_plan(context.output, &plan);
     Ok(())
 }
+
+fn mark(config: &mut FleetConfig, vm: &VmId, is_undo: bool) -> Result<(), CommandError> {
+    let vm = vm.clone();
+    if is_undo {
+        return match config.drained_vms.remove(&vm) {
+            true => Ok(()),
+            false => Err(CommandError::NotDrained { vm }),
+        };
+    }
+    match config.drained_vms.insert(vm.clone()) {
+        true => Ok(()),
+        false => Err(CommandError::Drained { vm }),
+    }
+}
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -6,6 +6,7 @@
 mod drain;
 mod history;
 mod init;
+mod planning;
 mod policies;
 mod status;
 mod verify_data;
--- a/cli/src/commands/policies.rs
+++ b/cli/src/commands/policies.rs
@@ -2,6 +2,7 @@
 
 use cicadabend::{
     fleet::{
+        FleetConfig,
         RoutingArm,
         RoutingPolicy,
         Service, //
@@ -17,6 +18,7 @@
 use super::{
     Context,
     REASON,
+    planning::plan_change,
     reason_argument,
     show_plan,
     text_argument, //
@@ -104,17 +106,19 @@
     reason: &str,
     context: &mut Context<'_, '_>,
 ) -> Result<(), CommandError> {
-    let mut config = context.client.config().await?.config;
-    match config.services.get_mut(service) {
-        Some(Service::Model(model)) => model.routing = arms,
-        Some(Service::Plain(plain)) => plain.routing = arms,
-        None => {
-            return Err(CommandError::UnknownService {
-                service: service.clone(),
-            });
+    let change = |config: &mut FleetConfig| {
+        match config.services.get_mut(service) {
+            Some(Service::Model(model)) => model.routing = arms.clone(),
+            Some(Service::Plain(plain)) => plain.routing = arms.clone(),
+            None => {
+                return Err(CommandError::UnknownService {
+                    service: service.clone(),
+                });
+            }
         }
-    }
-    let plan = context.client.plan(config, reason).await?;
+        Ok(())
+    };
+    let plan = plan_change(context, reason, change).await?;
     show_plan(context.output, &plan);
     Ok(())
 }
--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -115,6 +115,13 @@
         /// The plan refused.
         plan: PlanId,
     },
+    /// the change was made from revision {expected}, but the revision is {found} now
+    BaseChanged {
+        /// The revision that the configuration was taken from.
+        expected: Revision,
+        /// The revision now.
+        found: Revision,
+    },
     /// this idempotency key was used to confirm plan {first_plan}
     KeyReused {
         /// The plan it was first used for.
@@ -182,7 +189,9 @@
             Self::Refused(OperatorError::OutcomeUnknown) | Self::OutcomeUnknown { .. } => {
                 EXIT_OUTCOME_UNKNOWN
             }
-            Self::Conflict { .. } | Self::FleetChanged { .. } => EXIT_CONFLICT,
+            Self::Conflict { .. } | Self::FleetChanged { .. } | Self::BaseChanged { .. } => {
+                EXIT_CONFLICT
+            }
             Self::NotInForce { .. } | Self::NoRevision { .. } | Self::GroupsUnfinished { .. } => {
                 EXIT_NOT_IN_FORCE
             }
@@ -236,6 +245,11 @@
                 "nothing was changed; run `cicadabend apply` again for a plan on the fleet as it is"
                     .to_owned()
             }
+            Self::BaseChanged { .. } => {
+                "nothing was changed; `cicadabend history` shows what came between, \
+                 `cicadabend config` the configuration to start from"
+                    .to_owned()
+            }
             Self::KeyReused { .. } => {
                 "leave --idempotency-key out; a new key is drawn for a new confirmation".to_owned()
             }
--- a/cli/tests/runner/test_plans.rs
+++ b/cli/tests/runner/test_plans.rs
@@ -401,6 +401,56 @@
     assert_eq!(sent["drained_vms"], serde_json::json!(["vm-3"]));
 }
 
+/// The operator gets a plan that drains a VM and does nothing else. Another plan is
+/// accepted while `drain` has read the configuration and not sent its own; sending the
+/// older one would lead back what the other plan has changed.
+#[test]
+fn drain_starts_again_if_another_plan_was_accepted_meanwhile() {
+    let newer = AcceptedConfig {
+        revision: Revision(4),
+        config: FleetConfig::default(),
+    };
+    let newer_plan = Plan {
+        base_revision: Revision(4),
+        ..plan()
+    };
+    let control = StandIn::start(vec![
+        Step::ok(accepted()),
+        Step::ok(newer_plan.clone()),
+        Step::ok(newer),
+        Step::ok(newer_plan),
+    ]);
+    let operator = Operator::of(&[control.address]);
+
+    let seen = operator.run(&["drain", "vm-3"]);
+
+    assert_eq!(seen.code, 0, "{}", seen.stderr);
+    let sent = &control.received()[3].body["config"];
+    assert_eq!(sent["services"], serde_json::json!({}));
+    assert_eq!(sent["drained_vms"], serde_json::json!(["vm-3"]));
+}
+
+#[test]
+fn apply_refuses_a_plan_on_another_revision_than_the_intent_was_written_from() {
+    let control = StandIn::start(vec![Step::ok(plan())]);
+    let operator = Operator::of(&[control.address]);
+    let intent = operator.write("intent.json", INTENT);
+
+    let seen = operator.run(&["apply", &intent, "--base", "2"]);
+
+    assert_eq!(
+        seen,
+        Seen {
+            stdout: String::new(),
+            stderr: "Error: the change was made from revision 2, but the revision is 3 now\n\
+                     Hint: nothing was changed; `cicadabend history` shows what came between, \
+                     `cicadabend config` the configuration to start from\n"
+                .to_owned(),
+            code: 4,
+        }
+    );
+}
+
 #[test]
 fn a_vm_that_is_not_drained_cannot_be_undrained() {
     let control = StandIn::start(vec![Step::ok(accepted())]);
