--- a/daemon/tests/catalogue/main.rs
+++ b/daemon/tests/catalogue/main.rs
@@ -1,4 +1,4 @@
-//! The catalogue pages in `docs/` list exactly what the code declares.
+//! The catalogue pages in `docs/` list exactly what the code declares, and links work.
 //!
 //! `UPDATE_DOCS=1 cargo test -p cicadabend-daemon --test catalogue` writes the pages anew.
 
@@ -9,9 +9,11 @@
 
 use std::{
     collections::BTreeMap,
-    env,
-    fs,
-    path::PathBuf, //
+    env, fs,
+    path::{
+        Path,
+        PathBuf, //
+    },
 };
 
 use sources::{
@@ -58,6 +60,39 @@
     assert_page_is_current("metrics.md", &pages::metrics(&sources));
 }
 
+/// Returns the pages of a folder and the folders in it.
+fn pages_in(folder: &Path) -> Vec<PathBuf> {
+    let files = fs::read_dir(folder).unwrap();
+    let paths = files.map(|file| file.unwrap().path());
+    let pages = paths.flat_map(|path| match path.is_dir() {
+        true => pages_in(&path),
+        false => vec![path],
+    });
+    pages
+        .filter(|path| path.extension().is_some_and(|extension| extension == "md"))
+        .collect()
+}
+
+fn dead_links(page: &Path) -> Vec<String> {
+    let text = fs::read_to_string(page).unwrap();
+    let links = text.split("](").skip(1);
+    let targets = links.filter_map(|link| link.split([')', '#']).next());
+    let files = targets.filter(|target| !target.is_empty() && !target.contains("://"));
+    let dead = files.filter(|target| !page.with_file_name("").join(target).exists());
+    dead.map(|target| format!("{}: {target}", page.display()))
+        .collect()
+}
+
+#[test]
+fn links_between_pages_lead_somewhere() {
+    let mut pages = pages_in(&root().join("docs"));
+    pages.extend(["README.md", "CONTRIBUTING.md", "examples/README.md"].map(|p| root().join(p)));
+
+    let dead: Vec<String> = pages.iter().flat_map(|page| dead_links(page)).collect();
+
+    assert!(dead.is_empty(), "{dead:#?}");
+}
+
 #[test]
 fn a_number_stands_for_one_event() {
     let mut known: BTreeMap<u16, Event> = BTreeMap::new();
--- a/daemon/tests/catalogue/pages.rs
+++ b/daemon/tests/catalogue/pages.rs
@@ -35,6 +35,34 @@
 
 /// What metrics mean that no declaration explains: gauges, timers, and enums of the library.
 const MEANINGS: &[(&str, &str)] = &[
+    (
+        "accepted_revision",
+        "The accepted revision, as this control daemon knows it.",
+    ),
+    (
+        "domain_epoch",
+        "The highest epoch that this daemon has heard of.",
+    ),
+    (
+        "domain_group_downtime_ms",
+        "Time in which a wanted group did not serve, summed over groups, this epoch.",
+    ),
+    (
+        "domain_groups_serving",
+        "Groups of the domain that this daemon may route to.",
+    ),
+    (
+        "domain_revision",
+        "The revision that this daemon serves by.",
+    ),
+    (
+        "domain_stranded_accelerator_ms",
+        "Time in which a healthy accelerator could not serve, summed, this epoch.",
+    ),
+    (
+        "domain_upstreams_alive",
+        "Upstreams of the domain that announce themselves in time.",
+    ),
     (
         "agreement_refusals.*",
         "Messages and proposals that the replicated log refused, by reason.",
