domain: carry figures by policy to control by way of the leader

Nothing took the serving thread's notices, so its ring filled up and control had no figures. Each daemon's figures wait for a leader that has shown itself by a table (a test lost those sent to one that did not know yet that it leads), go to it, and from it to every control daemon.

Team demand is taken and not used: daemons use equal parts of a limit, and lending needs them to hold back what may be lent.

--- a/entry/src/domain/counters.rs
+++ b/entry/src/domain/counters.rs
@@ -63,6 +63,8 @@
         ClaimReplyDropped,
         /// A cache event did not fit into its ring.
         CacheNoticeDropped,
+        /// Figures by policy were dropped because no leader took them for too long.
+        FiguresDropped,
         /// A group began to take requests.
         GroupAdmitted,
         /// A group ceased to take requests.
--- a/entry/src/domain/thread.rs
+++ b/entry/src/domain/thread.rs
@@ -44,7 +44,7 @@
 };
 
 use super::{
-    DomainContext, DomainEvent,
+    DomainContext, DomainEvent, ServeNotice,
     counters::{
         AnnouncementDrop,
         CommandOutcome,
@@ -80,6 +80,7 @@
         mut events: Receiver<DomainEvent>,
         mut stop: watch::Receiver<bool>,
     ) {
+        let mut notices = self.context.serve_notices.take();
         let mut ticker = tokio::time::interval(TICK);
         ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -93,6 +94,7 @@
                     Some(event) => publish |= self.take(event),
                     None => return,
                 },
+                notice = next_notice(&mut notices) => self.take_notice(notice),
                 _ = ticker.tick() => publish |= self.tick(),
                 _ = stop.wait_for(|stopping| *stopping) => return,
             }
@@ -122,6 +124,20 @@
         publish
     }
 
+    fn take_notice(&mut self, notice: ServeNotice) {
+        match notice {
+            ServeNotice::Figures(figures) => {
+                let dropped = self.coordinator.take_figures(figures);
+                if dropped > 0 {
+                    let metrics = self.observation.metrics();
+                    metrics.count_many(DomainChange::FiguresDropped, dropped as u64);
+                }
+            }
+            // TODO: divide limits by demand once daemons hold back what they may lend.
+            ServeNotice::Demand(_) => {}
+        }
+    }
+
     fn receive(&mut self, incoming: Incoming) -> bool {
         if let PeerMessage::ClaimReply(reply) = incoming.message {
             if let Some(claim_replies) = &self.context.claim_replies {
@@ -249,3 +265,14 @@
         self.snapshot.store(Arc::new(snapshot));
     }
 }
+
+/// Waits for a notice; for ever if none can come.
+async fn next_notice(notices: &mut Option<Receiver<ServeNotice>>) -> ServeNotice {
+    if let Some(receiver) = notices
+        && let Some(notice) = receiver.next().await
+    {
+        return notice;
+    }
+    *notices = None;
+    std::future::pending().await
+}
--- a/lib/src/domain/coordinator/mod.rs
+++ b/lib/src/domain/coordinator/mod.rs
@@ -1,5 +1,6 @@
 //! One entry daemon's part in its failure domain: events in, actions out.
 
+mod figures;
 mod relaying;
 mod reporting;
 mod serving;
@@ -31,6 +32,7 @@
     peer_api::{
         DomainReport,
         DomainTable,
+        FiguresDelta,
         LeaseMessage,
         PeerMessage, //
     },
@@ -69,6 +71,7 @@
     report_sequence: u64,
     last_report: Option<DomainReport>,
     reported_at: Timestamp,
+    waiting_figures: Vec<FiguresDelta>,
     last_event: Timestamp,
     last_tick: Timestamp,
     repeat_at: Timestamp,
@@ -91,6 +94,7 @@
             report_sequence: 0,
             last_report: None,
             reported_at: now,
+            waiting_figures: Vec::new(),
             last_event: now,
             last_tick: now,
             repeat_at: now,
@@ -176,6 +180,7 @@
             }
             PeerMessage::Report(report) => self.receive_report(from, report, now),
             PeerMessage::Relay(announcement) => self.receive_relay(from, *announcement, now),
+            PeerMessage::Figures(figures) => self.receive_figures(from, figures),
             PeerMessage::Heard(vms) => self.receive_list(from, vms, now),
             PeerMessage::RelayOrder(orders) => self.receive_relay_order(from, orders, now),
             _ => {}
@@ -206,6 +211,7 @@
             self.arrange_relays(now);
         }
         self.report(now);
+        self.send_figures(now);
         self.upstreams.forget_old(now);
         self.actions.push(Action::Publish);
         self.take_actions()
--- a/lib/tests/test_domain_spread.rs
+++ b/lib/tests/test_domain_spread.rs
@@ -27,10 +27,12 @@
         },
         spread_tree,
     },
+    fleet::RoutingPolicy,
     peer_api::{
         ConfigBody,
         ConfigUpdate,
         DomainReport,
+        FiguresDelta,
         PeerMessage, //
     },
     prelude::*,
@@ -94,6 +96,8 @@
     reports: BTreeMap<FailureDomain, DomainReport>,
     /// How many whole configurations and deltas each daemon sent.
     configs_sent: BTreeMap<DaemonId, usize>,
+    /// How many requests the first control daemon was told of.
+    requests: u64,
 }
 
 fn update(revision: u64) -> ConfigUpdate {
@@ -124,6 +128,7 @@
             config: update(1),
             reports: BTreeMap::new(),
             configs_sent: BTreeMap::new(),
+            requests: 0,
         }
     }
 
@@ -182,6 +187,9 @@
             PeerMessage::Report(report) => {
                 self.reports.insert(report.failure_domain.clone(), report);
             }
+            PeerMessage::Figures(figures) if *to == control(DOMAINS[0]) => {
+                self.requests += figures.iter().map(|figures| figures.requests).sum::<u64>();
+            }
             PeerMessage::ConfigRequest { have } if have < self.config.revision => {
                 self.receive(to, from, PeerMessage::Config(self.config.clone()));
             }
@@ -396,3 +404,28 @@
     let after: Vec<usize> = names.iter().map(|name| fleet.replicas(name)).collect();
     assert_eq!(after, vec![0; names.len()]);
 }
+
+/// Requests are decided at every daemon, and an operator compares policies. Figures come to
+/// control by way of the leader, also those that were counted before there was one.
+#[test]
+fn figures_of_every_daemon_come_to_control() {
+    let mut fleet = Fleet::new(3);
+    let figures = FiguresDelta {
+        service: "field-api".parse().expect("a valid name"),
+        policy: RoutingPolicy::RoundRobin,
+        requests: 1,
+        failures: 0,
+        cache_hits: 0,
+        first_token_sum_us: 0,
+        first_token_sum_squares: 0.0,
+        first_token_buckets: Vec::new(),
+        between_tokens_buckets: Vec::new(),
+    };
+    for daemon in fleet.daemons.values_mut() {
+        assert_eq!(daemon.take_figures(vec![figures.clone()]), 0);
+    }
+
+    fleet.pass(8_000);
+
+    assert_eq!(fleet.requests, 6);
+}
