--- a/testing/load/tests/test_bench_report.rs
+++ b/testing/load/tests/test_bench_report.rs
@@ -1,8 +1,4 @@
 //! Reports of the benchmarks, and what they read from the operating system.
-#![expect(
-    clippy::unwrap_used,
-    reason = "a fixture that cannot go on fails its test"
-)]
 
 use std::{
     collections::HashSet,
