serve: give up a stream that its caller stopped reading

Cause: one stopped stream of an HTTP/2 connection kept its slot while the connection stood, because hyper does not poll a body without capacity. Ruled out: a timer in the body, which is not polled then.

--- a/entry/src/serve/housekeeping.rs
+++ b/entry/src/serve/housekeeping.rs
@@ -20,6 +20,8 @@
 
 /// How often deadlines of waiting requests and the snapshot are looked at.
 const TICK_MS: u64 = 10;
+/// How often answers that nobody reads are looked for.
+const SWEEP_MS: u64 = 250;
 /// How often the domain thread is told of demand and figures.
 const NOTICE_MS: u64 = 500;
 
@@ -35,6 +37,7 @@
 /// Starts the tasks.
 pub(super) fn start(server: &Rc<Server>, link: DomainLink) {
     tokio::task::spawn_local(tick_forever(Rc::clone(server)));
+    tokio::task::spawn_local(sweep_forever(Rc::clone(server)));
     if let Some(notices) = link.cache_notices {
         tokio::task::spawn_local(take_cache_notices(Rc::clone(server), notices));
     }
@@ -58,6 +61,16 @@
     }
 }
 
+async fn sweep_forever(server: Rc<Server>) {
+    let limit = Duration::from_millis(server.settings.callers.read_timeout_ms);
+    let mut ticks = interval(Duration::from_millis(SWEEP_MS));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        server.bodies.give_up_stopped(limit);
+    }
+}
+
 async fn take_cache_notices(server: Rc<Server>, mut notices: ring::Receiver<CacheNotice>) {
     while let Some(notice) = notices.next().await {
         let now = server.clock.now();
--- a/entry/src/serve/listener.rs
+++ b/entry/src/serve/listener.rs
@@ -173,7 +173,10 @@
     let service = service_fn(move |request| {
         first_seen.set(true);
         let server = Rc::clone(&server);
-        async move { Ok::<_, Infallible>(handler::answer(server, request).await) }
+        async move {
+            let answer = handler::answer(Rc::clone(&server), request).await;
+            Ok::<_, Infallible>(answer.map(|body| server.bodies.watch(body)))
+        }
     });
     let stream = TokioIo::new(CallerStream::new(stream, read_timeout));
     let mut connection = pin!(builder.serve_connection(stream, service));
--- a/entry/src/serve/mod.rs
+++ b/entry/src/serve/mod.rs
@@ -38,6 +38,7 @@
 mod spec;
 mod times;
 mod upstream;
+mod watched_body;
 
 use std::{
     io,
--- a/entry/src/serve/server.rs
+++ b/entry/src/serve/server.rs
@@ -51,7 +51,8 @@
     housekeeping,
     request_ids::RequestIds,
     times::ServiceTimes,
-    upstream::Pool, //
+    upstream::Pool,
+    watched_body::BodyWatch, //
 };
 
 /// The serving thread's state; it never leaves the thread.
@@ -65,6 +66,7 @@
     pub(super) claims: Rc<ClaimDesk>,
     pub(super) detached: Rc<Detached>,
     pub(super) request_ids: RequestIds,
+    pub(super) bodies: BodyWatch,
     pub(super) draining: Cell<bool>,
     pub(super) router: RefCell<Router>,
     pub(super) own_load: RefCell<OwnLoad>,
@@ -114,6 +116,7 @@
             claims,
             detached: Rc::default(),
             request_ids: RequestIds::default(),
+            bodies: BodyWatch::default(),
             draining: Cell::new(false),
             router: RefCell::default(),
             own_load: RefCell::default(),
--- a/entry/tests/test_serve/test_http2.rs
+++ b/entry/tests/test_serve/test_http2.rs
@@ -138,3 +138,37 @@
         drop(second);
     });
 }
+
+/// A caller stops reading one stream of its connection. That request is given up,
+/// so that its slot is free again, and another stream of the connection is served.
+#[test]
+fn a_stopped_stream_is_given_up_and_the_others_are_served() {
+    let large = "x".repeat(16 * 1024 * 1024);
+    let upstream = ScriptedUpstream::start(move |number, _| match number {
+        0 => vec![Step::whole("200 OK", &large)],
+        _ => vec![Step::whole("200 OK", "small")],
+    });
+    let fixture = Fixture::start(&[], &[upstream.address], |settings| {
+        settings.callers.read_timeout_ms = 300;
+    });
+    let get = || {
+        Request::get("http://entry/services/field-api/a")
+            .header("authorization", format!("Bearer {API_KEY}"))
+            .body(Full::default())
+            .unwrap()
+    };
+
+    run(async {
+        let mut sender = connect(&fixture).await;
+        let stopped = sender.send_request(get()).await.unwrap();
+        assert_eq!(fixture.counter("attempts_running"), 1);
+        let end = std::time::Instant::now() + std::time::Duration::from_secs(10);
+        while fixture.counter("attempts_running") > 0 {
+            assert!(std::time::Instant::now() < end);
+            tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+        }
+        let other = sender.send_request(get()).await.unwrap();
+        assert_eq!(read(other.into_body()).await, ("small".to_owned(), true));
+        drop(stopped);
+    });
+}
