--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -27,6 +27,7 @@
     routing::RoutingSnapshot, //
 };
 use cicadabend_daemon::{
+    metrics::Metrics,
     peers::{
         Incoming,
         PeerError,
@@ -120,7 +121,7 @@
         context,
         domain: link,
         claims,
-    } = links(&settings, peers.sender());
+    } = links(&settings, peers.sender(), process.metrics.clone());
     let (stop_domain, domain_stopped) = watch::channel(false);
     let domain = domain::start(
         &settings,
@@ -167,7 +168,7 @@
     claims: ClaimLink,
 }
 
-fn links(settings: &EntrySettings, peers: PeerSender) -> Links {
+fn links(settings: &EntrySettings, peers: PeerSender, metrics: Metrics) -> Links {
     let (claim_replies, replies) = ring::bounded("claim-replies", CLAIM_REPLY_CAPACITY);
     let (cache_sender, cache_notices) = ring::bounded("cache-notices", CACHE_NOTICE_CAPACITY);
     let (notices, serve_notices) = ring::bounded("serve-notices", SERVE_NOTICE_CAPACITY);
@@ -175,6 +176,7 @@
         claim_replies: Some(claim_replies),
         cache_notices: Some(cache_sender),
         serve_notices: Some(serve_notices),
+        metrics: Some(metrics),
     };
     let domain = DomainLink {
         cache_notices: Some(cache_notices),
