routing: let the scoring policy look farther before home is quite full

With reports half a second old, a home replica with its last slot free has often none left. The scoring policy weighs the distance, so it now compares all domains once no home replica has more than a tenth of its slots free; the other policies, which do not weigh it, still leave home only when it is full.

--- a/lib/src/routing/mod.rs
+++ b/lib/src/routing/mod.rs
@@ -6,6 +6,7 @@
 
 mod arm;
 mod distance;
+mod domains;
 mod ejection;
 mod estimate;
 mod own_load;
--- a/lib/src/routing/router.rs
+++ b/lib/src/routing/router.rs
@@ -21,6 +21,11 @@
     RouterSettings,
     RoutingSnapshot,
     choose_arm,
+    domains::{
+        has_reserve,
+        nearest_with_capacity,
+        with_room, //
+    },
     ejection::Ejections,
     estimate::{
         Estimate,
@@ -99,7 +104,7 @@
         if let Some(probed) = self.take_probe(query, &all, now) {
             return Some(choice(probed, policy, ChoiceReason::Probe, query));
         }
-        let candidates = self.in_use(all, query.home);
+        let candidates = self.in_use(all, query.home, policy);
         if candidates.is_empty() {
             return None;
         }
@@ -257,16 +262,23 @@
             .find(|candidate| self.ejections.take_probe(&candidate.replica.id, now))
     }
 
-    /// Returns the candidates that are not ejected, in the domain to use.
+    /// Returns the candidates that are not ejected, in the domains to use.
     ///
     /// If all are ejected they are used all the same: a slow answer is better than none.
-    fn in_use<'a>(&self, all: Vec<Candidate<'a>>, home: &FailureDomain) -> Vec<Candidate<'a>> {
+    fn in_use<'a>(
+        &self,
+        mut all: Vec<Candidate<'a>>,
+        home: &FailureDomain,
+        policy: RoutingPolicy,
+    ) -> Vec<Candidate<'a>> {
         let is_in = |candidate: &Candidate<'_>| !self.ejections.is_out(&candidate.replica.id);
         if all.iter().any(is_in) {
-            let healthy = all.into_iter().filter(is_in).collect();
-            return nearest_with_capacity(healthy, home);
+            all.retain(is_in);
+        }
+        match policy {
+            RoutingPolicy::ExpectedLatency if !has_reserve(&all, home) => with_room(all, home),
+            _ => nearest_with_capacity(all, home),
         }
-        nearest_with_capacity(all, home)
     }
 
     fn candidates<'a>(
@@ -369,29 +381,3 @@
         .filter(|replica| replica.service == *service)
         .collect()
 }
-
-/// Keeps the home domain if it has room; else the nearest domain that has; else all.
-///
-/// Without room anywhere the home domain alone is kept, since a longer way to
-/// another queue gains nothing; without a home replica all domains are.
-fn nearest_with_capacity<'a>(
-    candidates: Vec<Candidate<'a>>,
-    home: &FailureDomain,
-) -> Vec<Candidate<'a>> {
-    let has_room = |c: &&Candidate<'_>| !c.load.is_saturated();
-    let nearest = candidates
-        .iter()
-        .filter(has_room)
-        .min_by_key(|c| (c.replica.failure_domain != *home, c.round_trip))
-        .map(|c| c.replica.failure_domain.clone());
-    let has_home = candidates.iter().any(|c| c.replica.failure_domain == *home);
-    let domain = match nearest {
-        Some(domain) => domain,
-        None if has_home => home.clone(),
-        None => return candidates,
-    };
-    candidates
-        .into_iter()
-        .filter(|c| c.replica.failure_domain == domain)
-        .collect()
-}
