peers: show the sockets' totals in one place

Cause: duplicates found the list of the peers' ten gauges twice, in the entry and the control daemon; a new counter would have been forgotten once. Change: the counters show themselves. Measured: the same names are served (docs/metrics.md, checked by the catalogue test); nothing else changes.

--- a/control/src/spread/mod.rs
+++ b/control/src/spread/mod.rs
@@ -5,10 +5,7 @@
 mod confirmation;
 
 use std::{
-    sync::{
-        Arc,
-        atomic::Ordering, //
-    },
+    sync::Arc,
     time::Duration, //
 };
 
@@ -216,26 +213,10 @@
         self.peers.send(&sending.to, message);
     }
 
-    /// The sockets count by themselves; their totals are shown as gauges.
     fn show_gauges(&self) {
         let revision = self.decisions.revision().0;
         self.metrics.gauge("accepted_revision", revision);
-        let counters = self.peers.counters();
-        let shown = [
-            ("peers_sent_messages", &counters.sent_messages),
-            ("peers_sent_bytes", &counters.sent_bytes),
-            ("peers_received_messages", &counters.received_messages),
-            ("peers_received_bytes", &counters.received_bytes),
-            ("peers_dropped_full", &counters.dropped_full),
-            ("peers_dropped_unknown_peer", &counters.dropped_unknown_peer),
-            ("peers_dropped_ring_full", &counters.dropped_ring_full),
-            ("peers_refused_malformed", &counters.refused_malformed),
-            ("peers_refused_version", &counters.refused_version),
-            ("peers_refused_cluster", &counters.refused_cluster),
-        ];
-        for (name, value) in shown {
-            self.metrics.gauge(name, value.load(Ordering::Relaxed));
-        }
+        self.peers.counters().show(&self.metrics);
     }
 
     /// As leader, finds out what is accepted and lets the other control daemons know.
--- a/daemon/src/peers.rs
+++ b/daemon/src/peers.rs
@@ -42,6 +42,7 @@
 use thiserror::Error;
 
 use crate::{
+    metrics::Metrics,
     ring::Sender,
     settings::PeerAddress, //
 };
@@ -125,6 +126,27 @@
     pub dropped_ring_full: AtomicU64,
 }
 
+impl PeerCounters {
+    /// Shows the totals as gauges; the sockets count by themselves.
+    pub fn show(&self, metrics: &Metrics) {
+        let shown = [
+            ("peers_sent_messages", &self.sent_messages),
+            ("peers_sent_bytes", &self.sent_bytes),
+            ("peers_received_messages", &self.received_messages),
+            ("peers_received_bytes", &self.received_bytes),
+            ("peers_dropped_full", &self.dropped_full),
+            ("peers_dropped_unknown_peer", &self.dropped_unknown_peer),
+            ("peers_dropped_ring_full", &self.dropped_ring_full),
+            ("peers_refused_malformed", &self.refused_malformed),
+            ("peers_refused_version", &self.refused_version),
+            ("peers_refused_cluster", &self.refused_cluster),
+        ];
+        for (name, value) in shown {
+            metrics.gauge(name, value.load(Ordering::Relaxed));
+        }
+    }
+}
+
 fn add(counter: &AtomicU64, amount: usize) {
     counter.fetch_add(amount as u64, Ordering::Relaxed);
 }
--- a/entry/src/domain/observation.rs
+++ b/entry/src/domain/observation.rs
@@ -5,8 +5,7 @@
         BTreeMap,
         BTreeSet, //
     },
-    sync::atomic::Ordering,
-    time::Duration,
+    time::Duration, //
 };
 
 use cicadabend::{
@@ -175,26 +174,6 @@
         let stranded_ms = losses.stranded_accelerator_ms;
         self.metrics
             .gauge("domain_stranded_accelerator_ms", stranded_ms);
-        self.show_traffic(peers);
-    }
-
-    /// The sockets count by themselves; their totals are shown as gauges.
-    fn show_traffic(&self, peers: &PeerSender) {
-        let counters = peers.counters();
-        let shown = [
-            ("peers_sent_messages", &counters.sent_messages),
-            ("peers_sent_bytes", &counters.sent_bytes),
-            ("peers_received_messages", &counters.received_messages),
-            ("peers_received_bytes", &counters.received_bytes),
-            ("peers_dropped_full", &counters.dropped_full),
-            ("peers_dropped_unknown_peer", &counters.dropped_unknown_peer),
-            ("peers_dropped_ring_full", &counters.dropped_ring_full),
-            ("peers_refused_malformed", &counters.refused_malformed),
-            ("peers_refused_version", &counters.refused_version),
-            ("peers_refused_cluster", &counters.refused_cluster),
-        ];
-        for (name, value) in shown {
-            self.metrics.gauge(name, value.load(Ordering::Relaxed));
-        }
+        peers.counters().show(&self.metrics);
     }
 }
