testutils: accept a configuration in one place; drop what nothing calls

Cause: read once more, planning and confirming a configuration stood three times (the deployment fixture and two test files), and three fixtures had no caller: cut_all, inject_both, is_running. Change: Operator::accept serves all three; the dead ones are gone. No assertion, bound or expectation changes.

--- a/testing/integration/tests/test_configuration.rs
+++ b/testing/integration/tests/test_configuration.rs
@@ -7,7 +7,6 @@
         FleetConfig,
         Service, //
     },
-    operator_api::ConfirmReply,
     prelude::*,
 };
 use cicadabend_testutils::{
@@ -34,14 +33,6 @@
     config
 }
 
-fn accept(deployment: &Deployment, config: FleetConfig, key: &str) -> Revision {
-    let plan = deployment.operator().plan(config);
-    match deployment.operator().confirm(plan.id, key) {
-        ConfirmReply::Accepted { revision } => revision,
-        refused => panic!("refused: {refused:?}"),
-    }
-}
-
 /// Returns the revision that an entry daemon serves a request by.
 fn served_by(deployment: &Deployment, entry: &str) -> Option<Revision> {
     let answer = caller::stream(deployment.entry_address(entry), TOKENS).ok()?;
@@ -69,7 +60,9 @@
     let mut newest = Revision(0);
     for number in 1..=CHANGES {
         let config = version(deployment.shape(), number);
-        newest = accept(&deployment, config, &format!("change-{number}"));
+        newest = deployment
+            .operator()
+            .accept(config, &format!("change-{number}"));
     }
     let names = deployment.shape().daemon_names();
     for name in &names {
@@ -104,7 +97,9 @@
     wait_until_served_by(&deployment, "sangolqui-entry-1", Revision(1));
     deployment.cut_off_domain("sangolqui");
 
-    let newer = accept(&deployment, version(&shape, 1), "during-the-partition");
+    let newer = deployment
+        .operator()
+        .accept(version(&shape, 1), "during-the-partition");
     wait_until_served_by(&deployment, "carcelen-entry-1", newer);
     // Longer than every lease in the tests' settings.
     std::thread::sleep(Duration::from_secs(2));
@@ -127,7 +122,7 @@
         Some(Service::Model(_))
     ));
 
-    accept(&deployment, config, "remove-the-service");
+    deployment.operator().accept(config, "remove-the-service");
 
     for entry in deployment.shape().entry_names() {
         eventually("the service is unknown", STEP_LIMIT, || {
--- a/testing/integration/tests/test_failures.rs
+++ b/testing/integration/tests/test_failures.rs
@@ -4,11 +4,7 @@
 
 use std::fs;
 
-use cicadabend::{
-    fleet::FleetConfig,
-    operator_api::ConfirmReply,
-    prelude::*, //
-};
+use cicadabend::fleet::FleetConfig;
 use cicadabend_testutils::{
     caller::{
         self,
@@ -33,14 +29,6 @@
     config
 }
 
-fn accept(deployment: &Deployment, config: FleetConfig, key: &str) -> Revision {
-    let plan = deployment.operator().plan(config);
-    match deployment.operator().confirm(plan.id, key) {
-        ConfirmReply::Accepted { revision } => revision,
-        refused => panic!("refused: {refused:?}"),
-    }
-}
-
 fn control_leader(deployment: &Deployment) -> String {
     let status = eventually("a control daemon leads", STEP_LIMIT, || {
         deployment.operator().status()
@@ -84,11 +72,9 @@
     let mut deployment = Deployment::start_serving(Shape::with_one_entry_per_domain());
     let stopped = control_leader(&deployment);
     deployment.process(&stopped).pause();
-    let newer = accept(
-        &deployment,
-        with_weight(&deployment.shape().clone(), 7),
-        "newer",
-    );
+    let newer = deployment
+        .operator()
+        .accept(with_weight(&deployment.shape().clone(), 7), "newer");
 
     deployment.process(&stopped).resume();
 
@@ -133,11 +119,9 @@
     let domain = deployment.shape().domain_of(&cut_off).to_owned();
     deployment.cut_off_domain(&domain);
 
-    let newer = accept(
-        &deployment,
-        with_weight(&deployment.shape().clone(), 5),
-        "majority",
-    );
+    let newer = deployment
+        .operator()
+        .accept(with_weight(&deployment.shape().clone(), 5), "majority");
 
     let alone = deployment.operator_at(&cut_off);
     assert!(alone.config().is_none_or(|config| config.revision < newer));
@@ -296,11 +280,9 @@
 #[test]
 fn a_control_daemon_that_lost_its_disk_brings_back_no_old_state() {
     let mut deployment = Deployment::start_serving(Shape::with_one_entry_per_domain());
-    let newer = accept(
-        &deployment,
-        with_weight(&deployment.shape().clone(), 3),
-        "before",
-    );
+    let newer = deployment
+        .operator()
+        .accept(with_weight(&deployment.shape().clone(), 3), "before");
     let leader = control_leader(&deployment);
     let controls = deployment.shape().control_names();
     let lost = controls
--- a/testing/testutils/src/deployment.rs
+++ b/testing/testutils/src/deployment.rs
@@ -12,13 +12,7 @@
     time::Duration, //
 };
 
-use cicadabend::{
-    operator_api::{
-        ConfirmReply,
-        FleetStatus, //
-    },
-    prelude::*,
-};
+use cicadabend::{operator_api::FleetStatus, prelude::*};
 use tempfile::TempDir;
 
 use crate::{
@@ -114,11 +108,7 @@
     ///
     /// Panics if the plan is not accepted.
     pub fn put_intent_in_force(&self) -> Revision {
-        let plan = self.operator().plan(intent(&self.shape));
-        match self.operator().confirm(plan.id, "first-intent") {
-            ConfirmReply::Accepted { revision } => revision,
-            refused => panic!("the first intent was refused: {refused:?}"),
-        }
+        self.operator().accept(intent(&self.shape), "first-intent")
     }
 
     /// Returns the shape that was started.
--- a/testing/testutils/src/fault_proxy.rs
+++ b/testing/testutils/src/fault_proxy.rs
@@ -181,12 +181,6 @@
         }));
     }
 
-    /// Adds a fault in both directions.
-    pub fn inject_both(&mut self, fault: Fault) {
-        self.inject(fault, Direction::ToTarget);
-        self.inject(fault, Direction::FromTarget);
-    }
-
     fn send(&self, kind: ToxicEventKind) {
         let running = self.running.as_ref().expect("the proxy is cut");
         let event = ToxicEvent::new(self.listen.to_string(), kind);
@@ -237,10 +231,3 @@
         closed,
     })
 }
-
-/// Cuts every proxy of a set, as a network partition does.
-pub fn cut_all<'a>(proxies: impl IntoIterator<Item = &'a mut FaultProxy>) {
-    for proxy in proxies {
-        proxy.cut();
-    }
-}
--- a/testing/testutils/src/operator.rs
+++ b/testing/testutils/src/operator.rs
@@ -82,6 +82,19 @@
         self.post_until_answered(PATH_CONFIRM, &request)
     }
 
+    /// Plans and confirms a configuration, and returns the revision that accepts it.
+    ///
+    /// # Panics
+    ///
+    /// Panics with the answer if the confirmation is refused.
+    pub fn accept(&self, config: FleetConfig, key: &str) -> Revision {
+        let plan = self.plan(config);
+        match self.confirm(plan.id, key) {
+            ConfirmReply::Accepted { revision } => revision,
+            refused => panic!("refused: {refused:?}"),
+        }
+    }
+
     /// Returns the fleet's status if a leader answers.
     pub fn status(&self) -> Option<FleetStatus> {
         self.get(PATH_STATUS)
--- a/testing/testutils/src/process.rs
+++ b/testing/testutils/src/process.rs
@@ -109,11 +109,6 @@
         self.was_killed
     }
 
-    /// Returns whether the process still runs.
-    pub fn is_running(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
-    }
-
     /// Waits for the end of the process.
     ///
     /// # Errors
