--- a/control/examples/measure_claims.rs
+++ b/control/examples/measure_claims.rs
@@ -107,6 +107,8 @@
             cluster: "auditorias-quito".parse()?,
             from: "entry-cumbaya-1".parse()?,
             boot: BootId(u64::MAX),
+            number: 0,
+            heard: 0,
             message,
         };
         println!("{kind}: {} bytes", postcard::to_stdvec(&envelope)?.len());
--- a/control/src/counters.rs
+++ b/control/src/counters.rs
@@ -55,6 +55,8 @@
         SpreadRingFull,
         /// The ring to the thread `claims` is full.
         ClaimsRingFull,
+        /// The ring to the thread `members` is full.
+        MembersRingFull,
         /// No thread of a control daemon handles messages of this kind.
         NotForControl,
     }
@@ -71,3 +73,19 @@
         Whole,
     }
 }
+
+cicadabend_daemon::counters! {
+    /// Calls of operators and upstreams that were not granted, by reason.
+    pub enum CallRefusal = "call_refusals" {
+        /// The body broke off or came too slowly.
+        BodyIncomplete,
+        /// The table of routes is invalid.
+        Invalid,
+        /// The call cannot be understood.
+        Malformed,
+        /// The ring to the thread `members` is full.
+        RingFull,
+        /// This daemon does not lead, or no majority answers.
+        NoLeader,
+    }
+}
--- a/control/src/events.rs
+++ b/control/src/events.rs
@@ -34,6 +34,12 @@
     } "confirmation answered";
     /// The log could not take a command; the reason says what to repair.
     1507 Error LogUnavailable { reason: String } "the log cannot be written";
+    /// A table of routes was refused; nothing was changed.
+    1508 Warn RoutesRefused { reason: String } "routes refused";
+    /// A table of routes that is not newer than the one in force was acknowledged.
+    1509 Info RoutesKept { version: u64, held: u64 } "routes not newer";
+    /// A table of routes was given to the log; the outcome is what the operator is told.
+    1510 Info RoutesAnswered { version: u64, outcome: String } "routes answered";
     /// A new revision is being sent to the failure domains that this daemon serves.
     1520 Info RevisionSpreading {
         revision: cicadabend::prelude::Revision,
--- a/control/src/inbox.rs
+++ b/control/src/inbox.rs
@@ -10,7 +10,10 @@
     },
 };
 
-use crate::counters::InboxDrop;
+use crate::{
+    counters::InboxDrop,
+    members::MembersEvent, //
+};
 
 /// The rings towards the threads that handle messages.
 pub(crate) struct Destinations {
@@ -18,6 +21,8 @@
     pub(crate) agreement: Sender<Incoming>,
     /// Reports, acknowledgements, figures and requests for the configuration.
     pub(crate) spread: Sender<Incoming>,
+    /// Hellos, rosters and upstreams' reports, where daemons find each other by seeds.
+    pub(crate) members: Option<Sender<MembersEvent>>,
     /// Questions about requests that must run at most once.
     pub(crate) claims: Sender<Incoming>,
     /// Counters.
@@ -53,7 +58,15 @@
                 let pushed = self.spread.push(incoming);
                 pushed.map_err(|_| InboxDrop::SpreadRingFull)
             }
+            PeerMessage::Hello(_) | PeerMessage::Roster(_) | PeerMessage::Upstreams(_) => {
+                let Some(members) = &self.members else {
+                    return Err(InboxDrop::NotForControl);
+                };
+                let pushed = members.push(MembersEvent::Peer(incoming));
+                pushed.map_err(|_| InboxDrop::MembersRingFull)
+            }
             PeerMessage::Lease(_)
+            | PeerMessage::Routes(_)
             | PeerMessage::Config(_)
             | PeerMessage::Table(_)
             | PeerMessage::TableAck { .. }
--- /dev/null
+++ b/control/src/lib.rs
@@ -0,0 +1,33 @@
+//! The control daemon: keeps the accepted configuration on disk and spreads it.
+//!
+//! Threads, joined by bounded rings:
+//!
+//! - `operators`: the operators' HTTP listener ([`operators`]); where an [`edge`] is given
+//!   also the calls of operators and upstreams that the edge translates ([`calls`]).
+//! - `agreement`: the replicated log and the fleet's state ([`replication`]).
+//! - `inbox`: sorts messages from other processes by who handles them ([`inbox`]).
+//! - `spread`: sends the configuration and takes in what domains report ([`spread`]).
+//! - `members`: where daemons find each other by seeds: who is there, what upstreams
+//!   report, and, on the leader, which groups there are ([`members`]).
+//! - `orders`: gives orders to engines ([`orders`]).
+//! - `peers`: hears other processes.
+
+mod calls;
+mod claims;
+mod counters;
+pub mod edge;
+mod events;
+mod inbox;
+mod members;
+mod operators;
+mod orders;
+mod replication;
+mod run;
+mod spread;
+mod view;
+
+pub use run::{
+    RunError,
+    run,
+    run_with_edge, //
+};
--- /dev/null
+++ b/control/src/members/leading.rs
@@ -0,0 +1,178 @@
+//! What the leader does besides: groups and the set of voters.
+
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use cicadabend::{
+    fleet::{
+        FleetCommand,
+        Voter, //
+    },
+    grouping::{
+        Grouping,
+        GroupingSettings,
+        GroupingView,
+        Order,
+        OrderOutcome, //
+    },
+    peer_api::DaemonRole,
+    prelude::*,
+    registry::Registry,
+    roster::{
+        Members,
+        VoterView,
+        next_voters, //
+    },
+    routes::RouteTable,
+};
+
+use super::events::LogEvent;
+use crate::replication::ReplicationHandle;
+
+/// How often the set of voters is looked at.
+const VOTERS_EVERY: Duration = Duration::from_millis(500);
+/// How long a new leader listens before it looks at the set of voters.
+const VOTERS_AFTER: Duration = Duration::from_millis(2_000);
+
+/// The leader's part, as long as this daemon leads.
+pub(super) struct Leading {
+    settings: GroupingSettings,
+    term: Option<(u64, Timestamp)>,
+    grouping: Option<Grouping>,
+    phases: BTreeMap<GroupId, &'static str>,
+    voters_due: Timestamp,
+}
+
+impl Leading {
+    pub(super) fn new(settings: GroupingSettings) -> Self {
+        Self {
+            settings,
+            term: None,
+            grouping: None,
+            phases: BTreeMap::new(),
+            voters_due: Timestamp::default(),
+        }
+    }
+
+    /// Follows whether this daemon leads; the lease is checked at each look.
+    pub(super) fn follow(&mut self, replication: &ReplicationHandle, now: Timestamp) {
+        let status = replication.status();
+        match (self.term, status.is_leader) {
+            (Some((term, _)), true) if term == status.term => {}
+            (_, true) => {
+                let term = status.term;
+                LogEvent::GroupingBegins { term }.emit();
+                self.term = Some((term, now));
+                self.grouping = Some(Grouping::new(self.settings, term, now));
+                self.phases.clear();
+            }
+            (Some((term, _)), false) => {
+                LogEvent::GroupingEnds { term }.emit();
+                self.term = None;
+                self.grouping = None;
+            }
+            (None, false) => {}
+        }
+    }
+
+    /// Returns the orders to give now.
+    pub(super) fn orders(
+        &mut self,
+        table: &RouteTable,
+        registry: &Registry,
+        now: Timestamp,
+    ) -> Vec<Order> {
+        let Some(grouping) = &mut self.grouping else {
+            return Vec::new();
+        };
+        let orders = grouping.tick(GroupingView {
+            table,
+            registry,
+            now,
+        });
+        for order in &orders {
+            LogEvent::OrderGiven {
+                order: order.kind.name(),
+                instance: order.to.clone(),
+                group: order.group.clone(),
+                epoch: order.epoch,
+            }
+            .emit();
+        }
+        self.log_phases();
+        orders
+    }
+
+    fn log_phases(&mut self) {
+        let Some(grouping) = &self.grouping else {
+            return;
+        };
+        let mut phases = BTreeMap::new();
+        for (group, _, model, phase) in grouping.groups() {
+            if self.phases.get(group) != Some(&phase) {
+                LogEvent::GroupMoved {
+                    group: group.clone(),
+                    model: model.clone(),
+                    phase: phase.to_owned(),
+                }
+                .emit();
+            }
+            phases.insert(group.clone(), phase);
+        }
+        self.phases = phases;
+    }
+
+    /// Takes note of the answer to an order.
+    pub(super) fn answered(&mut self, order: &Order, outcome: OrderOutcome, now: Timestamp) {
+        LogEvent::OrderAnswered {
+            order: order.kind.name(),
+            instance: order.to.clone(),
+            group: order.group.clone(),
+            outcome: outcome.name(),
+        }
+        .emit();
+        if let Some(grouping) = &mut self.grouping {
+            grouping.answered(order, outcome, now);
+        }
+    }
+
+    /// Returns the change of the set of voters to propose now.
+    pub(super) fn voters(
+        &mut self,
+        me: &Voter,
+        members: &Members,
+        replication: &ReplicationHandle,
+        now: Timestamp,
+    ) -> Option<FleetCommand> {
+        let (_, since) = self.term?;
+        if now < self.voters_due || now.since(since) < VOTERS_AFTER {
+            return None;
+        }
+        self.voters_due = now + VOTERS_EVERY;
+        let here: Vec<Voter> = members
+            .here(DaemonRole::Control, now)
+            .filter_map(|member| {
+                Some(Voter {
+                    daemon: member.daemon.clone(),
+                    disk: member.disk?,
+                })
+            })
+            .collect();
+        let state = replication.local();
+        let wanted = next_voters(&VoterView {
+            voters: state.voters(),
+            me,
+            here: &here,
+            silent_for: &|daemon| members.silent_for(daemon, now),
+            listening_for: now.since(since),
+        })?;
+        let names: Vec<&str> = wanted.iter().map(|voter| voter.daemon.as_str()).collect();
+        LogEvent::VotersWanted {
+            voters: names.join(","),
+        }
+        .emit();
+        Some(FleetCommand::ChangeVoters { voters: wanted })
+    }
+}
--- a/control/src/operators/body.rs
+++ b/control/src/operators/body.rs
@@ -25,7 +25,7 @@
 use crate::counters::OperatorRefusal;
 
 /// An answer to an operator.
-pub(super) type Answer = Response<Full<Bytes>>;
+pub(crate) type Answer = Response<Full<Bytes>>;
 
 /// How long an operator may take to send a body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
--- a/control/src/operators/mod.rs
+++ b/control/src/operators/mod.rs
@@ -17,10 +17,12 @@
 };
 
 use crate::{
+    calls::Calls,
     replication::ReplicationHandle,
     view::SharedView, //
 };
 
+pub(crate) use body::Answer;
 pub(crate) use listener::serve;
 
 /// What answering an operator needs.
@@ -29,8 +31,10 @@
     pub(crate) settings: Arc<ControlSettings>,
     /// The processes that the settings name.
     pub(crate) topology: Topology,
-    /// Who may ask.
-    pub(crate) tokens: tokens::OperatorTokens,
+    /// Who may ask; nobody, if there is no token file.
+    pub(crate) tokens: Option<tokens::OperatorTokens>,
+    /// Calls that an edge translates.
+    pub(crate) calls: Option<Calls>,
     /// The log.
     pub(crate) replication: ReplicationHandle,
     /// What the failure domains and the other control daemons say.
--- a/control/src/operators/requests.rs
+++ b/control/src/operators/requests.rs
@@ -50,6 +50,11 @@
 impl Operators {
     /// Answers one request; every failure is an answer too.
     pub(super) async fn answer(&self, request: Request<Incoming>) -> Answer {
+        if let Some(calls) = &self.calls
+            && calls.knows(&request)
+        {
+            return calls.answer(request).await;
+        }
         let method = request.method().clone();
         let path = request.uri().path().to_owned();
         let operator = self.authenticate(&request);
@@ -104,7 +109,7 @@
     fn authenticate(&self, request: &Request<Incoming>) -> Option<String> {
         let header = request.headers().get(header::AUTHORIZATION);
         let header = header.and_then(|value| value.to_str().ok());
-        self.tokens.operator(header).map(str::to_owned)
+        self.tokens.as_ref()?.operator(header).map(str::to_owned)
     }
 
     async fn body<T: DeserializeOwned>(&self, request: Request<Incoming>) -> Result<T, Refusal> {
--- a/control/src/replication/bootstrap.rs
+++ b/control/src/replication/bootstrap.rs
@@ -11,7 +11,7 @@
         Settings,
         VoterSet, //
     },
-    time::Timestamp,
+    prelude::*,
 };
 use cicadabend_daemon::{
     settings::{
@@ -83,9 +83,19 @@
 
 /// Makes this daemon's part in making the first set of voters.
 pub(super) fn founding(settings: &ControlSettings, folder: &storage::DataFolder) -> Founding {
+    let me = folder.identity().clone();
+    if let Some(membership) = &settings.membership {
+        let seeds = membership.seed_peers().into_iter().map(|(daemon, _)| daemon);
+        let seeds: Vec<DaemonId> = seeds.collect();
+        // A daemon that the seeds do not name is taken in once they have founded.
+        return match membership.may_found && seeds.contains(&me.daemon) {
+            true => Founding::new(me, seeds, random_number()),
+            false => Founding::not_allowed(me),
+        };
+    }
     let controls = settings.peers.iter();
     let controls = controls
         .filter(|peer| peer.role == PeerRole::Control)
         .map(|peer| peer.daemon.clone());
-    Founding::new(folder.identity().clone(), controls, random_number())
+    Founding::new(me, controls, random_number())
 }
--- a/control/src/replication/membership.rs
+++ b/control/src/replication/membership.rs
@@ -59,11 +59,12 @@
         if status.role != RoleName::Leader {
             return Ok(());
         }
-        let Some(learner) = status.voters.learners.first().cloned() else {
-            return Ok(());
-        };
-        let id = self.waiting.unawaited_proposal();
-        let change = VoterChange::Promote(learner);
-        self.tell(Event::ChangeVoters { id, change })
+        // All in turn: one that never catches up must not hold up the others.
+        for learner in status.voters.learners {
+            let id = self.waiting.unawaited_proposal();
+            let change = VoterChange::Promote(learner);
+            self.tell(Event::ChangeVoters { id, change })?;
+        }
+        Ok(())
     }
 }
--- a/control/src/run.rs
+++ b/control/src/run.rs
@@ -14,18 +14,31 @@
     time::Duration,
 };
 
-use cicadabend::prelude::*;
+use cicadabend::{
+    grouping::GroupingSettings,
+    ids::Address,
+    peer_api::{
+        DaemonRole,
+        MemberAddress, //
+    },
+    prelude::*,
+};
 use cicadabend_daemon::{
     duty,
     metrics::Metrics,
     peers::{
         PeerError,
         PeerIdentity,
+        PeerSender,
         Peers, //
     },
     program::Process,
     ring,
-    settings::ControlSettings,
+    seeds::SeedWatch,
+    settings::{
+        ControlSettings,
+        MembershipSettings, //
+    },
     storage::{
         DataFolder,
         StorageError, //
@@ -33,23 +46,33 @@
 };
 use displaydoc::Display;
 use thiserror::Error;
+use tokio::sync::watch;
 
 use crate::{
+    calls::Calls,
     claims::{
         self,
         ClaimsError, //
     },
     counters::{
+        CallRefusal,
         ConfigSent,
         ConfirmAnswer,
         InboxDrop,
         OperatorRefusal, //
     },
+    edge::ControlEdge,
     events::LogEvent,
     inbox::{
         self,
         Destinations, //
     },
+    members::{
+        MembersEvent,
+        MembersSetup,
+        MembersThread,
+        SharedAddresses, //
+    },
     operators::{
         self,
         Operators,
@@ -58,9 +81,11 @@
             TokenError, //
         }, //
     },
+    orders,
     replication::{
         self,
-        ReplicationError, //
+        ReplicationError,
+        ReplicationHandle, //
     },
     spread::{
         Spread,
@@ -75,11 +100,16 @@
 /// Claims that gather while one sync runs; an entry daemon asks again for what is dropped.
 const CLAIMS_CAPACITY: usize = 8_192;
 
+/// Events for the thread `members`; senders repeat what is dropped.
+const MEMBERS_CAPACITY: usize = 8_192;
+/// Orders on their way to engines; one that is dropped is given again.
+const ORDERS_CAPACITY: usize = 1_024;
+
 /// Why the daemon cannot start.
 #[derive(Debug, Display, Error)]
-pub(crate) enum RunError {
+pub enum RunError {
     /// operators.token_file: {0}
-    Tokens(TokenError),
+    Tokens(String),
     /// operators.listen: cannot listen on {address}: {source}
     Listen {
         /// Where.
@@ -92,18 +122,36 @@
     /// data_folder: {0}
     Storage(StorageError),
     /// {0}
-    Replication(ReplicationError),
+    Replication(String),
     /// cannot answer for claims: {0}
-    Claims(ClaimsError),
+    Claims(String),
     /// cannot start a thread: {0}
     Thread(io::Error),
 }
 
 /// Runs the daemon until a stop is asked for.
-pub(crate) fn run(settings: ControlSettings, process: Process) -> Result<(), RunError> {
+///
+/// # Errors
+///
+/// Returns [`RunError`] if something it needs cannot be had.
+pub fn run(settings: ControlSettings, process: Process) -> Result<(), RunError> {
+    run_with_edge(settings, process, None)
+}
+
+/// Runs the daemon with an edge that translates operators' and upstreams' calls.
+///
+/// # Errors
+///
+/// Returns [`RunError`] if something it needs cannot be had.
+pub fn run_with_edge(
+    settings: ControlSettings,
+    process: Process,
+    edge: Option<Arc<dyn ControlEdge>>,
+) -> Result<(), RunError> {
     declare_counters(&process.metrics);
-    let tokens = OperatorTokens::read(Path::new(&settings.operators.token_file))
-        .map_err(RunError::Tokens)?;
+    let tokens = settings.operators.token_file.as_ref();
+    let tokens = tokens.map(|path| OperatorTokens::read(Path::new(path)));
+    let tokens = tokens.transpose().map_err(|error| RunError::Tokens(error.to_string()))?;
     let listener = listen(&settings)?;
     let settings = Arc::new(settings);
     let (inbox_in, inbox_out) = ring::bounded("peer-inbox", PEER_INBOX_CAPACITY);
@@ -114,6 +162,10 @@
         inbox_in,
     )
     .map_err(RunError::Peers)?;
+    for (daemon, address) in seeds(&settings) {
+        let known = peers.sender().know(&daemon, address);
+        known.map_err(RunError::Peers)?;
+    }
     let (agreement_in, agreement_out) = ring::bounded("agreement", AGREEMENT_CAPACITY);
     let (spread_in, spread_out) = ring::bounded("spread", SPREAD_CAPACITY);
     let folder = DataFolder::open(
@@ -124,7 +176,7 @@
     .map_err(RunError::Storage)?;
     let (replication, agreement) =
         replication::start(&settings, &folder, &process, peers.sender(), agreement_out)
-            .map_err(RunError::Replication)?;
+            .map_err(|error| RunError::Replication(error.to_string()))?;
     let (claims_in, claims_out) = ring::bounded("claims", CLAIMS_CAPACITY);
     let claims = claims::start(
         &folder,
@@ -134,29 +186,49 @@
         replication.voters(),
         process.clock,
     )
-    .map_err(RunError::Claims)?;
+    .map_err(|error| RunError::Claims(error.to_string()))?;
     let log = replication.clone();
+    let mut threads = Vec::new();
+    let (end, ended) = watch::channel(false);
+    let membership = start_members(
+        &settings,
+        &process,
+        &folder,
+        &replication,
+        peers.sender(),
+        edge,
+        ended,
+        &mut threads,
+    )?;
+    let (members_in, calls) = membership.map_or((None, None), |(members, calls)| {
+        (Some(members), calls)
+    });
     let destinations = Destinations {
         agreement: agreement_in,
         spread: spread_in,
+        members: members_in,
         claims: claims_in,
         metrics: process.metrics.clone(),
     };
     let inbox = spawn("inbox", move || inbox::sort(inbox_out, destinations))?;
     let view = SharedView::default();
-    let spread = Spread::new(
-        &settings,
-        replication.clone(),
-        peers.sender(),
-        view.clone(),
-        process.metrics.clone(),
-        process.clock,
-    );
-    let spread = spawn("spread", move || spread.run(spread_out))?;
+    // Where daemons find each other by seeds there are no listed domains to spread to.
+    if settings.membership.is_none() {
+        let spread = Spread::new(
+            &settings,
+            replication.clone(),
+            peers.sender(),
+            view.clone(),
+            process.metrics.clone(),
+            process.clock,
+        );
+        threads.push(spawn("spread", move || spread.run(spread_out))?);
+    }
     let operators = Arc::new(Operators {
         topology: topology(&settings, peers.sender().identity().boot),
         settings,
         tokens,
+        calls,
         replication,
         view,
         metrics: process.metrics,
@@ -171,19 +243,97 @@
     join(serving);
     log.hand_over();
     drop(peers);
-    for thread in [inbox, spread, claims, agreement] {
+    join(inbox);
+    // Without a thread `members` nobody listens.
+    let _ = end.send(true);
+    for thread in threads.into_iter().chain([claims, agreement]) {
         join(thread);
     }
     match log.failure() {
-        Some(reason) => Err(RunError::Replication(ReplicationError::Storage(reason))),
+        Some(reason) => {
+            let error = ReplicationError::Storage(reason);
+            Err(RunError::Replication(error.to_string()))
+        },
         None => Ok(()),
     }
 }
 
+fn seeds(settings: &ControlSettings) -> Vec<(DaemonId, Address)> {
+    let membership = settings.membership.as_ref();
+    let seeds = membership.map(MembershipSettings::seed_peers);
+    let others = seeds.into_iter().flatten();
+    others.filter(|(daemon, _)| *daemon != settings.daemon).collect()
+}
+
+type Membership = (ring::Sender<MembersEvent>, Option<Calls>);
+
+/// Starts the threads of a daemon that finds the others by seeds.
+fn start_members(
+    settings: &Arc<ControlSettings>,
+    process: &Process,
+    folder: &DataFolder,
+    replication: &ReplicationHandle,
+    peers: PeerSender,
+    edge: Option<Arc<dyn ControlEdge>>,
+    ended: watch::Receiver<bool>,
+    threads: &mut Vec<JoinHandle<()>>,
+) -> Result<Option<Membership>, RunError> {
+    let Some(membership) = settings.membership.clone() else {
+        return Ok(None);
+    };
+    let (events, events_out) = ring::bounded("members", MEMBERS_CAPACITY);
+    let (orders, orders_out) = ring::bounded("orders", ORDERS_CAPACITY);
+    let addresses = SharedAddresses::default();
+    let operators = settings.operators.listen;
+    let setup = MembersSetup {
+        me: MemberAddress {
+            daemon: settings.daemon.clone(),
+            address: settings.peer_listen,
+            role: DaemonRole::Control,
+            failure_domain: settings.failure_domain.clone(),
+            operators: (!operators.ip().is_unspecified()).then_some(operators),
+            disk: Some(folder.identity().disk),
+        },
+        disk: folder.identity().clone(),
+        hello_every: Duration::from_millis(membership.hello_interval_ms),
+        seeds: SeedWatch::new(process.settings_path.clone(), membership),
+        grouping: GroupingSettings {
+            stall: Duration::from_millis(settings.groups.stall_ms),
+            settle: Duration::from_millis(settings.groups.settle_ms),
+            ..GroupingSettings::default()
+        },
+        replication: replication.clone(),
+        peers,
+        orders,
+        addresses: Arc::clone(&addresses),
+        clock: process.clock,
+    };
+    threads.push(spawn("members", move || {
+        MembersThread::new(setup).run(events_out, ended)
+    })?);
+    let calls = edge.map(|edge| Calls {
+        edge,
+        replication: replication.clone(),
+        addresses,
+        members: events.clone(),
+        metrics: process.metrics.clone(),
+        limit_bytes: settings.operators.max_request_bytes.0,
+    });
+    if let Some(calls) = &calls {
+        let edge = Arc::clone(&calls.edge);
+        let answers = events.clone();
+        // It ends with the ring of orders, which the thread `members` holds; it is not
+        // waited for, since it may be waiting for an engine.
+        spawn("orders", move || orders::give(edge, orders_out, answers))?;
+    }
+    Ok(Some((events, calls)))
+}
+
 fn declare_counters(metrics: &Metrics) {
     metrics.declare::<OperatorRefusal>();
     metrics.declare::<ConfirmAnswer>();
     metrics.declare::<InboxDrop>();
+    metrics.declare::<CallRefusal>();
     metrics.declare::<ConfigSent>();
 }
 
--- a/daemon/src/daemon_events.rs
+++ b/daemon/src/daemon_events.rs
@@ -13,6 +13,12 @@
     1005 Error Failed { reason: String } "failed";
     /// `GET /metrics` is answered at this address.
     1006 Info MetricsListening { address: std::net::SocketAddr } "metrics are served";
+    /// SIGHUP arrived; settings that may change while the process runs are read again.
+    1008 Info ReloadAsked {} "settings may have changed";
+    /// The seeds in the settings file have changed; the new ones are greeted from now on.
+    1009 Info SeedsChanged { seeds: String } "seeds changed";
+    /// The settings file has changed and cannot be used; the old settings stay in force.
+    1010 Warn ReloadRefused { reason: String } "changed settings refused";
     /// Lines were lost because nobody read the log fast enough; nothing else was held up.
     1007 Warn LinesDropped { lines: u64 } "log lines were dropped";
 }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod peers;
 pub mod program;
 pub mod ring;
+pub mod seeds;
 pub mod settings;
 pub mod stop;
 pub mod storage;
--- a/daemon/src/logs.rs
+++ b/daemon/src/logs.rs
@@ -39,6 +39,7 @@
     settings::{
         LogFormat,
         LogLevel,
+        LogOutput,
         LogSettings, //
     },
 };
@@ -75,7 +76,10 @@
     let format = settings.format;
     let losses = move |lines| losses_line(format, lines);
     let queue = match &settings.file {
-        None => LineQueue::start(io::stderr(), losses),
+        None => match settings.output {
+            LogOutput::Stdout => LineQueue::start(io::stdout(), losses),
+            LogOutput::Stderr => LineQueue::start(io::stderr(), losses),
+        },
         Some(path) => {
             let file = fern::log_file(path).map_err(|source| LogError::Open {
                 path: path.clone(),
--- a/daemon/src/peers.rs
+++ b/daemon/src/peers.rs
@@ -8,6 +8,9 @@
     collections::BTreeMap,
     sync::{
         Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError,
         atomic::{
             AtomicU64,
             Ordering, //
@@ -17,6 +20,10 @@
         self,
         JoinHandle, //
     },
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use cicadabend::{
@@ -55,6 +62,8 @@
 const RECONNECT_MIN_MS: u64 = 50;
 /// Longest pause before a lost connection is dialled again.
 const RECONNECT_MAX_MS: u64 = 1_000;
+/// A peer that acknowledges nothing for so long is dialled again; hellos come thrice as often.
+const MUTE_LIMIT: Duration = Duration::from_millis(1_300);
 
 /// Why peers cannot be reached or heard.
 #[derive(Debug, Display, Error)]
@@ -114,6 +123,8 @@
     pub received_bytes: AtomicU64,
     /// Messages dropped because the peer's buffer was full.
     pub dropped_full: AtomicU64,
+    /// Connections that were made anew because the peer acknowledged nothing.
+    pub redialled: AtomicU64,
     /// Messages to a peer that the settings do not name.
     pub dropped_unknown_peer: AtomicU64,
     /// Messages that could not be decoded.
@@ -135,6 +146,7 @@
             ("peers_received_messages", &self.received_messages),
             ("peers_received_bytes", &self.received_bytes),
             ("peers_dropped_full", &self.dropped_full),
+            ("peers_redialled", &self.redialled),
             ("peers_dropped_unknown_peer", &self.dropped_unknown_peer),
             ("peers_dropped_ring_full", &self.dropped_ring_full),
             ("peers_refused_malformed", &self.refused_malformed),
@@ -155,23 +167,29 @@
 #[derive(Clone)]
 pub struct PeerSender {
     identity: PeerIdentity,
-    sockets: Arc<BTreeMap<DaemonId, Socket>>,
+    links: Arc<Mutex<BTreeMap<DaemonId, Link>>>,
     counters: Arc<PeerCounters>,
 }
 
 impl PeerSender {
     /// Sends a message if the peer's buffer has room; never blocks.
     pub fn send(&self, to: &DaemonId, message: PeerMessage) {
-        let Some(socket) = self.sockets.get(to) else {
+        let mut links = lock(&self.links);
+        let Some(link) = links.get_mut(to) else {
             add(&self.counters.dropped_unknown_peer, 1);
             return;
         };
-        let Some(bytes) = self.encode(message) else {
+        if link.is_mute() {
+            add(&self.counters.redialled, 1);
+            link.redial(to);
+        }
+        let (number, heard) = link.next_number();
+        let Some(bytes) = self.encode(message, number, heard) else {
             add(&self.counters.refused_malformed, 1);
             return;
         };
         let length = bytes.len();
-        match socket.try_send(&bytes[..]) {
+        match link.socket.try_send(&bytes[..]) {
             Ok(()) => {
                 add(&self.counters.sent_messages, 1);
                 add(&self.counters.sent_bytes, length);
@@ -180,6 +198,29 @@
         }
     }
 
+    /// Makes a peer known that membership has found, or its new address.
+    ///
+    /// Such a peer is expected to answer: if it acknowledges nothing for a while, the
+    /// connection to it is made anew.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] if the address cannot be dialled at all.
+    pub fn know(&self, peer: &DaemonId, address: Address) -> Result<(), PeerError> {
+        let mut links = lock(&self.links);
+        if links.get(peer).is_some_and(|link| link.address == address) {
+            return Ok(());
+        }
+        let link = Link::new(peer, address, true)?;
+        links.insert(peer.clone(), link);
+        Ok(())
+    }
+
+    /// Closes the connection to a peer that membership has forgotten.
+    pub fn forget(&self, peer: &DaemonId) {
+        lock(&self.links).remove(peer);
+    }
+
     /// Returns the counters of both directions.
     pub fn counters(&self) -> &Arc<PeerCounters> {
         &self.counters
@@ -190,18 +231,90 @@
         &self.identity
     }
 
-    fn encode(&self, message: PeerMessage) -> Option<Vec<u8>> {
+    fn encode(&self, message: PeerMessage, number: u64, heard: u64) -> Option<Vec<u8>> {
         let envelope = Envelope {
             protocol_version: PROTOCOL_VERSION,
             cluster: self.identity.cluster.clone(),
             from: self.identity.daemon.clone(),
             boot: self.identity.boot,
+            number,
+            heard,
             message,
         };
         postcard::to_stdvec(&envelope).ok()
     }
 }
 
+/// The way to one peer.
+struct Link {
+    address: Address,
+    socket: Socket,
+    /// Whether the peer is expected to acknowledge what it hears.
+    is_watched: bool,
+    sent: u64,
+    acknowledged: u64,
+    /// Since when something sent has not been acknowledged.
+    waiting_since: Option<Instant>,
+    heard_boot: BootId,
+    heard: u64,
+}
+
+impl Link {
+    fn new(peer: &DaemonId, address: Address, is_watched: bool) -> Result<Self, PeerError> {
+        Ok(Self {
+            address,
+            socket: dial(peer, address)?,
+            is_watched,
+            sent: 0,
+            acknowledged: 0,
+            waiting_since: None,
+            heard_boot: BootId::default(),
+            heard: 0,
+        })
+    }
+
+    fn next_number(&mut self) -> (u64, u64) {
+        self.sent += 1;
+        self.waiting_since.get_or_insert_with(Instant::now);
+        (self.sent, self.heard)
+    }
+
+    /// A connection can go silent without being closed: what is written to it is taken
+    /// by the system and never arrives. nng keeps it for ever. What shows it is that the
+    /// peer acknowledges nothing any more, whether or not it is heard.
+    fn is_mute(&self) -> bool {
+        let waited = self.waiting_since.map(|since| since.elapsed());
+        self.is_watched && waited.is_some_and(|waited| waited >= MUTE_LIMIT)
+    }
+
+    fn redial(&mut self, peer: &DaemonId) {
+        self.waiting_since = None;
+        // The old socket stays if no new one can be made; the next message tries again.
+        if let Ok(socket) = dial(peer, self.address) {
+            self.socket = socket;
+        }
+    }
+
+    fn hear(&mut self, boot: BootId, number: u64, acknowledged: u64) {
+        if boot != self.heard_boot {
+            self.heard_boot = boot;
+            self.heard = 0;
+        }
+        self.heard = self.heard.max(number);
+        // A peer that has not heard of this run yet acknowledges numbers of an earlier one.
+        if acknowledged > self.sent || acknowledged <= self.acknowledged {
+            return;
+        }
+        self.acknowledged = acknowledged;
+        self.waiting_since = (acknowledged < self.sent).then(Instant::now);
+    }
+}
+
+fn lock(links: &Mutex<BTreeMap<DaemonId, Link>>) -> MutexGuard<'_, BTreeMap<DaemonId, Link>> {
+    // Nothing that holds the lock leaves a link half changed.
+    links.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// The sockets of one process; dropping it closes them and ends the thread.
 pub struct Peers {
     sender: PeerSender,
@@ -224,19 +337,21 @@
     ) -> Result<Self, PeerError> {
         let counters = Arc::new(PeerCounters::default());
         let listener = listen_on(listen)?;
-        let mut sockets = BTreeMap::new();
+        let mut links = BTreeMap::new();
         for peer in peers.iter().filter(|peer| peer.daemon != identity.daemon) {
-            sockets.insert(peer.daemon.clone(), dial(peer)?);
+            let link = Link::new(&peer.daemon, peer.address, false)?;
+            links.insert(peer.daemon.clone(), link);
         }
+        let links = Arc::new(Mutex::new(links));
         let sender = PeerSender {
             identity: identity.clone(),
-            sockets: Arc::new(sockets),
+            links: Arc::clone(&links),
             counters: Arc::clone(&counters),
         };
         let socket = listener.clone();
         let receiving = thread::Builder::new()
             .name("peers".to_owned())
-            .spawn(move || receive_all(&socket, &identity, &counters, &inbox))
+            .spawn(move || receive_all(&socket, &identity, &links, &counters, &inbox))
             .map_err(PeerError::Thread)?;
         Ok(Self {
             sender,
@@ -271,14 +386,14 @@
     Ok(socket)
 }
 
-fn dial(peer: &PeerAddress) -> Result<Socket, PeerError> {
+fn dial(peer: &DaemonId, address: Address) -> Result<Socket, PeerError> {
     let error = |source| PeerError::Dial {
-        peer: peer.daemon.clone(),
-        address: peer.address,
+        peer: peer.clone(),
+        address,
         source,
     };
     let socket = Socket::new(Protocol::Push0).map_err(error)?;
-    let pause = |ms| Some(std::time::Duration::from_millis(ms));
+    let pause = |ms| Some(Duration::from_millis(ms));
     socket
         .set_opt::<SendBufferSize>(SEND_BUFFER_MESSAGES)
         .map_err(error)?;
@@ -289,7 +404,7 @@
         .set_opt::<ReconnectMaxTime>(pause(RECONNECT_MAX_MS))
         .map_err(error)?;
     socket
-        .dial_async(&format!("tcp://{}", peer.address))
+        .dial_async(&format!("tcp://{address}"))
         .map_err(error)?;
     Ok(socket)
 }
@@ -297,22 +412,31 @@
 fn receive_all(
     socket: &Socket,
     identity: &PeerIdentity,
+    links: &Mutex<BTreeMap<DaemonId, Link>>,
     counters: &PeerCounters,
     inbox: &Sender<Incoming>,
 ) {
     while let Ok(bytes) = socket.recv() {
         add(&counters.received_bytes, bytes.len());
-        let Some(incoming) = decode(&bytes, identity, counters) else {
+        let Some(envelope) = decode(&bytes, identity, counters) else {
             continue;
         };
         add(&counters.received_messages, 1);
+        if let Some(link) = lock(links).get_mut(&envelope.from) {
+            link.hear(envelope.boot, envelope.number, envelope.heard);
+        }
+        let incoming = Incoming {
+            from: envelope.from,
+            boot: envelope.boot,
+            message: envelope.message,
+        };
         if inbox.push(incoming).is_err() {
             add(&counters.dropped_ring_full, 1);
         }
     }
 }
 
-fn decode(bytes: &[u8], identity: &PeerIdentity, counters: &PeerCounters) -> Option<Incoming> {
+fn decode(bytes: &[u8], identity: &PeerIdentity, counters: &PeerCounters) -> Option<Envelope> {
     // The version stands first, so it can be read even where the rest has changed.
     match postcard::take_from_bytes::<u16>(bytes) {
         Ok((PROTOCOL_VERSION, _)) => {}
@@ -333,9 +457,5 @@
         add(&counters.refused_cluster, 1);
         return None;
     }
-    Some(Incoming {
-        from: envelope.from,
-        boot: envelope.boot,
-        message: envelope.message,
-    })
+    Some(envelope)
 }
--- a/daemon/src/program.rs
+++ b/daemon/src/program.rs
@@ -85,6 +85,8 @@
     pub metrics: Metrics,
     /// The monotonic clock.
     pub clock: Clock,
+    /// The settings file, for those settings that may change while the process runs.
+    pub settings_path: Option<std::path::PathBuf>,
 }
 
 /// Returns the command line that every daemon has.
@@ -183,7 +185,8 @@
         eprintln!("{}: {error}", program.name);
         return EXIT_FAILED;
     }
-    let outcome = start(program, &metrics).and_then(|process| {
+    let outcome = start(program, &metrics).and_then(|mut process| {
+        process.settings_path = matches.get_one::<String>("config").map(Into::into);
         let metrics = process.metrics.clone();
         let outcome = body(prepared, process);
         metrics.flush();
@@ -229,6 +232,7 @@
         stop_requester,
         metrics,
         clock: Clock::start(),
+        settings_path: None,
     })
 }
 
--- a/daemon/src/settings/check.rs
+++ b/daemon/src/settings/check.rs
@@ -18,9 +18,11 @@
     DomainSettings,
     EntrySettings,
     LogSettings,
+    MembershipSettings,
     MetricSettings,
     PeerAddress,
     Problem,
+    RetrySettings,
     Settings,
     UpstreamSettings, //
 };
@@ -41,10 +43,16 @@
         check.upstreams(&self.upstreams);
         check.domain(&self.domain);
         check.peers(&self.daemon, &self.failure_domain, &self.peers);
+        check.membership(self.membership.as_ref(), &self.daemon, &self.peers);
+        let needs_listen = self.membership.is_none();
+        let has_listen = !needs_listen || self.upstreams.listen.is_some();
+        check.require(has_listen, "upstreams.listen", "null", "an address");
+        check.retries(&self.retries);
         check.logs(&self.logs);
         check.listeners(&[
             ("callers.listen", Some(self.callers.listen)),
-            ("upstreams.listen", Some(self.upstreams.listen)),
+            ("callers.ready_listen", self.callers.ready_listen),
+            ("upstreams.listen", self.upstreams.listen),
             ("peer_listen", Some(self.peer_listen)),
             ("metrics.listen", self.metrics.listen),
         ]);
@@ -68,7 +76,9 @@
     fn problems(&self) -> Vec<Problem> {
         let mut check = Check::default();
         check.path_text("data_folder", &self.data_folder);
-        check.path_text("operators.token_file", &self.operators.token_file);
+        if let Some(path) = &self.operators.token_file {
+            check.path_text("operators.token_file", path);
+        }
         check.at_least_one(
             "operators.max_request_bytes",
             self.operators.max_request_bytes.0,
@@ -76,6 +86,9 @@
         check.agreement(&self.agreement);
         check.length_ms("claim_retention_ms", self.claim_retention_ms);
         check.peers(&self.daemon, &self.failure_domain, &self.peers);
+        check.membership(self.membership.as_ref(), &self.daemon, &self.peers);
+        check.length_ms("groups.stall_ms", self.groups.stall_ms);
+        check.length_ms("groups.settle_ms", self.groups.settle_ms);
         check.logs(&self.logs);
         check.listeners(&[
             ("operators.listen", Some(self.operators.listen)),
@@ -216,6 +229,37 @@
         }
     }
 
+    fn membership(
+        &mut self,
+        membership: Option<&MembershipSettings>,
+        own: &DaemonId,
+        peers: &[PeerAddress],
+    ) {
+        let Some(membership) = membership else {
+            return;
+        };
+        let path = "membership";
+        self.require(
+            peers.is_empty(),
+            path,
+            "beside `peers`",
+            "either `peers` or `membership`",
+        );
+        let is_ip = own.as_str().parse::<std::net::IpAddr>().is_ok();
+        let allowed = "the daemon's IP number, where daemons find each other by seeds";
+        self.require(is_ip, "daemon", own, allowed);
+        let port = u64::from(membership.peer_port);
+        self.at_least_one("membership.peer_port", port);
+        self.length_ms("membership.hello_interval_ms", membership.hello_interval_ms);
+    }
+
+    fn retries(&mut self, retries: &RetrySettings) {
+        let ratio = retries.budget_ratio;
+        let path = "retries.budget_ratio";
+        self.require((0.0..=1.0).contains(&ratio), path, ratio, "0 to 1");
+        self.length_ms("retries.window_ms", retries.window_ms);
+    }
+
     fn peers(&mut self, own: &DaemonId, own_domain: &FailureDomain, peers: &[PeerAddress]) {
         let mut names: BTreeMap<&DaemonId, usize> = BTreeMap::new();
         let mut addresses: BTreeMap<Address, usize> = BTreeMap::new();
--- a/daemon/src/settings/control.rs
+++ b/daemon/src/settings/control.rs
@@ -11,6 +11,7 @@
 
 use super::{
     LogSettings,
+    MembershipSettings,
     MetricSettings,
     PeerAddress, //
 };
@@ -31,8 +32,15 @@
     pub operators: OperatorSettings,
     /// Where this daemon listens for peers.
     pub peer_listen: Address,
-    /// All processes of the cluster; this one may be among them.
+    /// All processes of the cluster, if they are listed; this one may be among them.
+    #[serde(default)]
     pub peers: Vec<PeerAddress>,
+    /// How daemons find each other if they are not listed.
+    #[serde(default)]
+    pub membership: Option<MembershipSettings>,
+    /// Groups that control forms from engines that report to it.
+    #[serde(default)]
+    pub groups: GroupSettings,
     /// Timing of the agreement.
     #[serde(default)]
     pub agreement: AgreementSettings,
@@ -53,13 +61,34 @@
 pub struct OperatorSettings {
     /// Where operators connect.
     pub listen: Address,
-    /// The file that holds one accepted token on each line, as `OPERATOR TOKEN`.
-    pub token_file: String,
+    /// The file that holds one accepted token on each line, as `OPERATOR TOKEN`; without
+    /// one nobody is an operator by token.
+    #[serde(default)]
+    pub token_file: Option<String>,
     /// The most bytes of one request.
     #[serde(default = "default_max_request_bytes")]
     pub max_request_bytes: ByteCount,
 }
 
+/// Groups that control forms from engines that report to it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct GroupSettings {
+    /// How long a head goes on without a member before it is broken.
+    pub stall_ms: u64,
+    /// How long a new leader listens to reports before its first order.
+    pub settle_ms: u64,
+}
+
+impl Default for GroupSettings {
+    fn default() -> Self {
+        Self {
+            stall_ms: 5_000,
+            settle_ms: 1_600,
+        }
+    }
+}
+
 /// Timing of the agreement among control daemons.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, default)]
--- a/daemon/src/settings/entry.rs
+++ b/daemon/src/settings/entry.rs
@@ -11,12 +11,13 @@
 
 use super::{
     LogSettings,
+    MembershipSettings,
     MetricSettings,
     PeerAddress, //
 };
 
 /// Everything an entry daemon is told when it starts.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct EntrySettings {
     /// The deployment.
@@ -31,8 +32,15 @@
     pub upstreams: UpstreamSettings,
     /// Where this daemon listens for peers.
     pub peer_listen: Address,
-    /// All processes of the cluster; this one may be among them.
+    /// All processes of the cluster, if they are listed; this one may be among them.
+    #[serde(default)]
     pub peers: Vec<PeerAddress>,
+    /// How daemons find each other if they are not listed.
+    #[serde(default)]
+    pub membership: Option<MembershipSettings>,
+    /// How often requests may be sent once more.
+    #[serde(default)]
+    pub retries: RetrySettings,
     /// Timing inside the failure domain.
     #[serde(default)]
     pub domain: DomainSettings,
@@ -50,6 +58,9 @@
 pub struct CallerSettings {
     /// Where callers connect.
     pub listen: Address,
+    /// Where the balancer asks whether to send callers here; any path answers.
+    #[serde(default)]
+    pub ready_listen: Option<Address>,
     /// The most connections at once.
     #[serde(default = "default_max_connections")]
     pub max_connections: u32,
@@ -80,8 +91,9 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct UpstreamSettings {
-    /// Where upstreams announce themselves.
-    pub listen: Address,
+    /// Where upstreams announce themselves; needed where daemons are listed.
+    #[serde(default)]
+    pub listen: Option<Address>,
     /// How often an upstream is asked to announce itself.
     #[serde(default = "default_announce_interval_ms")]
     pub announce_interval_ms: u64,
@@ -93,6 +105,28 @@
     pub connect_timeout_ms: u64,
 }
 
+/// How often requests may be sent once more, over all entry daemons together.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RetrySettings {
+    /// Repeats for each request in the window.
+    pub budget_ratio: f64,
+    /// Repeats that are free in each window, for all entry daemons together.
+    pub budget_slack: u32,
+    /// The window.
+    pub window_ms: u64,
+}
+
+impl Default for RetrySettings {
+    fn default() -> Self {
+        Self {
+            budget_ratio: 0.2,
+            budget_slack: 100,
+            window_ms: 10_000,
+        }
+    }
+}
+
 /// Timing inside the failure domain.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, default)]
--- a/daemon/src/settings/mod.rs
+++ b/daemon/src/settings/mod.rs
@@ -12,12 +12,14 @@
 pub use control::{
     AgreementSettings,
     ControlSettings,
+    GroupSettings,
     OperatorSettings, //
 };
 pub use entry::{
     CallerSettings,
     DomainSettings,
     EntrySettings,
+    RetrySettings,
     UpstreamSettings, //
 };
 pub use load::{
@@ -32,7 +34,9 @@
 pub use shared::{
     LogFormat,
     LogLevel,
+    LogOutput,
     LogSettings,
+    MembershipSettings,
     MetricSettings,
     PeerAddress,
     PeerRole, //
--- a/daemon/src/settings/shared.rs
+++ b/daemon/src/settings/shared.rs
@@ -33,18 +33,64 @@
     Control,
 }
 
+/// How daemons find each other without a list.
+///
+/// Daemons that do so are named by their IP number, so that a seed's address names it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct MembershipSettings {
+    /// Addresses of a few control daemons; only their IP numbers count.
+    pub seeds: Vec<Address>,
+    /// The port on which every daemon hears its peers.
+    pub peer_port: u16,
+    /// Whether the seeds found the fleet; only at its very first start, on empty disks.
+    #[serde(default)]
+    pub may_found: bool,
+    /// How often daemons say hello to control daemons.
+    #[serde(default = "default_hello_interval_ms")]
+    pub hello_interval_ms: u64,
+}
+
+fn default_hello_interval_ms() -> u64 {
+    400
+}
+
+impl MembershipSettings {
+    /// Returns the seeds by name, with the addresses at which they hear their peers.
+    pub fn seed_peers(&self) -> Vec<(DaemonId, Address)> {
+        let peer = |seed: &Address| {
+            let name = seed.ip().to_string().parse().ok()?;
+            Some((name, Address::new(seed.ip(), self.peer_port)))
+        };
+        self.seeds.iter().filter_map(peer).collect()
+    }
+}
+
 /// Where log lines go and which ones.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LogSettings {
     /// The lowest level written.
     pub level: LogLevel,
-    /// The file that lines are appended to; standard error if absent.
+    /// Where lines go if no file is named.
+    pub output: LogOutput,
+    /// The file that lines are appended to.
     pub file: Option<String>,
     /// How a line is written.
     pub format: LogFormat,
 }
 
+/// The stream that log lines go to.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogOutput {
+    /// Standard output.
+    Stdout,
+    /// Standard error.
+    #[default]
+    Stderr,
+}
+
 /// The lowest level of the log lines that are written.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/daemon/src/stop.rs
+++ b/daemon/src/stop.rs
@@ -57,6 +57,9 @@
 
 /// Starts the thread `signals`, which turns SIGTERM and SIGINT into a stop.
 ///
+/// SIGHUP ends nothing: it says that the settings file has changed, and daemons look at
+/// those settings that may change while they run, with or without a signal.
+///
 /// When this returns, signals are handled already. The thread lasts as long as the process.
 ///
 /// # Errors
@@ -69,20 +72,32 @@
     let entered = runtime.enter();
     let terminate = signal(SignalKind::terminate())?;
     let interrupt = signal(SignalKind::interrupt())?;
+    let hangup = signal(SignalKind::hangup())?;
     drop(entered);
     let (requester, stop) = manual();
     let thread_requester = requester.clone();
     std::thread::Builder::new()
         .name("signals".to_owned())
-        .spawn(move || runtime.block_on(listen(terminate, interrupt, thread_requester)))?;
+        .spawn(move || runtime.block_on(listen(terminate, interrupt, hangup, thread_requester)))?;
     Ok((requester, stop))
 }
 
-async fn listen(mut terminate: Signal, mut interrupt: Signal, requester: StopRequester) {
+async fn listen(
+    mut terminate: Signal,
+    mut interrupt: Signal,
+    mut hangup: Signal,
+    requester: StopRequester,
+) {
     loop {
         let signal = tokio::select! {
             _ = terminate.recv() => "SIGTERM",
             _ = interrupt.recv() => "SIGINT",
+            _ = hangup.recv() => {
+                // Settings that may change while the process runs are looked at anyway;
+                // without a handler the signal would end the process.
+                LogEvent::ReloadAsked {}.emit();
+                continue;
+            }
         };
         if requester.request() {
             LogEvent::StopRequested { signal }.emit();
--- a/daemon/tests/test_examples.rs
+++ b/daemon/tests/test_examples.rs
@@ -86,7 +86,7 @@
 
     fn listeners(&self) -> Vec<Address> {
         let entries = self.entries.iter().flat_map(|e| {
-            let listeners = [e.callers.listen, e.upstreams.listen, e.peer_listen];
+            let listeners = [e.callers.listen, e.upstreams.listen.unwrap(), e.peer_listen];
             listeners.into_iter().chain(e.metrics.listen)
         });
         let controls = self.controls.iter().flat_map(|c| {
--- /dev/null
+++ b/entry/src/members/mod.rs
@@ -0,0 +1,18 @@
+//! The thread `members`: finds control daemons by seeds and keeps what they tell.
+//!
+//! Control daemons send the table of routes and what upstreams report. The thread puts
+//! both into one [`RoutedView`], which the serving thread reads.
+
+mod events;
+mod thread;
+mod view;
+
+pub(crate) use thread::{
+    me,
+    MembersSetup,
+    MembersThread, //
+};
+pub use view::{
+    RoutedReplica,
+    RoutedView, //
+};
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -27,6 +27,7 @@
     routing::RoutingSnapshot, //
 };
 use cicadabend_daemon::{
+    duty,
     metrics::Metrics,
     peers::{
         Incoming,
@@ -40,6 +41,7 @@
         Process, //
     },
     ring,
+    seeds::SeedWatch,
     settings::{
         EntrySettings,
         PeerRole, //
@@ -59,10 +61,21 @@
         DomainContext,
         DomainError, //
     },
+    edge::CallerEdge,
+    members::{
+        self,
+        MembersSetup,
+        MembersThread,
+        RoutedView, //
+    },
     serve::{
         self,
         ClaimLink,
-        DomainLink, //
+        DomainLink,
+        routed::{
+            self,
+            RoutedSetup, //
+        },
     },
 };
 
@@ -87,6 +100,8 @@
         /// What the operating system says.
         source: io::Error,
     },
+    /// the settings name no seeds, without which no routes can be had
+    NoSeeds,
     /// cannot run a thread: {0}
     Thread(#[from] io::Error),
     /// the thread {thread} has ended by itself
@@ -161,6 +176,76 @@
     Ok(())
 }
 
+/// Runs a daemon that finds the others by seeds, until it is asked to stop.
+///
+/// It serves requests by the table of routes that control daemons send it, as `edge`
+/// translates them.
+///
+/// # Errors
+///
+/// Returns [`ProcessError`] if a state chart is faulty, a listener or a thread cannot be
+/// set up, a thread panicked, or the settings name no seeds.
+pub fn run_with_edge(
+    settings: EntrySettings,
+    process: Process,
+    edge: Arc<dyn CallerEdge>,
+) -> Result<(), ProcessError> {
+    chart::validate_all_charts()?;
+    let Some(membership) = settings.membership.clone() else {
+        return Err(ProcessError::NoSeeds);
+    };
+    let listener = listen(settings.callers.listen)?;
+    let ready_listener = settings.callers.ready_listen.map(listen).transpose()?;
+    let boot = draw_boot();
+    let (peers, inbox) = start_peers(&settings, boot)?;
+    let view = Arc::new(ArcSwap::from_pointee(RoutedView::default()));
+    let setup = MembersSetup {
+        me: members::me(
+            settings.daemon.clone(),
+            settings.peer_listen,
+            settings.failure_domain.clone(),
+        ),
+        hello_every: Duration::from_millis(membership.hello_interval_ms),
+        seeds: SeedWatch::new(process.settings_path.clone(), membership),
+        peers: peers.sender(),
+        view: Arc::clone(&view),
+        clock: process.clock,
+    };
+    let (stop_members, members_stopped) = watch::channel(false);
+    let membership = duty::spawn("members", move || {
+        MembersThread::new(setup).run(inbox, members_stopped)
+    })?;
+    let (stop, stopped) = watch::channel(false);
+    let setup = RoutedSetup {
+        settings,
+        listener,
+        ready_listener,
+        view,
+        edge,
+        clock: process.clock,
+        metrics: process.metrics,
+        boot,
+    };
+    let serving = routed::start(setup, stopped)?;
+    let mut threads = vec![membership, serving];
+    wait_for_stop(process.stop, &threads)?;
+    let serving = threads.pop();
+    // The receivers are gone only if the thread has ended already.
+    let _ = stop.send(true);
+    serving.map_or(Ok(()), program::join)?;
+    // Membership lasts until the last request has ended, since resumes depend on it.
+    let _ = stop_members.send(true);
+    for thread in threads {
+        program::join(thread)?;
+    }
+    drop(peers);
+    Ok(())
+}
+
+fn listen(address: Address) -> Result<TcpListener, ProcessError> {
+    TcpListener::bind(address).map_err(|source| ProcessError::Listen { address, source })
+}
+
 /// What joins the serving thread to the others.
 struct Links {
     context: DomainContext,
--- a/entry/src/serve/mod.rs
+++ b/entry/src/serve/mod.rs
@@ -33,6 +33,7 @@
 mod replay;
 mod request_ids;
 mod resume;
+pub(crate) mod routed;
 mod run;
 mod server;
 mod spec;
--- /dev/null
+++ b/entry/src/serve/routed/body.rs
@@ -0,0 +1,76 @@
+//! The bodies of answers to routed requests.
+
+use std::{
+    pin::Pin,
+    task::{
+        Context,
+        Poll, //
+    },
+};
+
+use bytes::Bytes;
+use http_body::{
+    Body,
+    Frame,
+    SizeHint, //
+};
+
+use super::{
+    super::body::BodyError,
+    stream::{
+        PassedBody,
+        StreamBody, //
+    },
+};
+
+/// A body on its way to a caller.
+pub(super) enum RoutedBody {
+    /// All of it is here.
+    Whole(Option<Bytes>),
+    /// It passes through as the upstream sends it.
+    Passed(Box<PassedBody>),
+    /// It is a stream of events.
+    Stream(Box<StreamBody>),
+}
+
+impl RoutedBody {
+    pub(super) fn whole(bytes: Bytes) -> Self {
+        RoutedBody::Whole(Some(bytes).filter(|bytes| !bytes.is_empty()))
+    }
+}
+
+impl Body for RoutedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self.get_mut() {
+            RoutedBody::Whole(bytes) => {
+                Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
+            }
+            RoutedBody::Passed(body) => body.poll_frame(context),
+            RoutedBody::Stream(body) => body.poll_frame(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            RoutedBody::Whole(bytes) => bytes.is_none(),
+            // The end must be polled, so that the request's life ends with it.
+            RoutedBody::Passed(_) | RoutedBody::Stream(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            RoutedBody::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            RoutedBody::Passed(body) => body.size_hint(),
+            RoutedBody::Stream(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/serve/routed/events.rs
@@ -0,0 +1,68 @@
+//! The log events of routed requests (CB1780 to CB1799).
+
+cicadabend_daemon::events! {
+    /// A routed request has ended; the line holds what decided where it went.
+    1780 Info RequestEnded {
+        request: String,
+        route: String,
+        team: String,
+        replica: String,
+        outcome: &'static str,
+        attempts: u32,
+        expected_ms: u64,
+        outstanding: u64,
+        first_ms: u64,
+        took_ms: u64,
+        routes: u64,
+    } "request ended";
+    /// A request got an answer of the daemon's own; `may_have_run` says what it promises.
+    1781 Warn RequestRefused {
+        request: String,
+        route: String,
+        reason: String,
+        status: u16,
+        may_have_run: bool,
+        attempts: u32,
+        took_ms: u64,
+        routes: u64,
+        why: String,
+    } "request refused";
+    /// An attempt failed; what follows says the next line of the same request.
+    1782 Info AttemptFailed {
+        request: String,
+        replica: String,
+        attempt: u32,
+        may_have_run: bool,
+        age_ms: u64,
+        why: String,
+    } "attempt failed";
+    /// A request is sent once more.
+    1783 Info SentAgain {
+        request: String,
+        replica: String,
+        attempt: u32,
+        reason: String,
+    } "sent again";
+    /// A stream broke off and is asked for elsewhere from the event after this one.
+    1784 Info StreamBroke {
+        request: String,
+        replica: String,
+        after_event: u64,
+        why: String,
+    } "stream broke off";
+    /// A stream goes on at another replica.
+    1785 Info StreamResumed { request: String, replica: String, after_event: u64 } "stream resumed";
+    /// A stream is lost; the caller sees that it is not whole.
+    1786 Warn StreamLost {
+        request: String,
+        replica: String,
+        after_event: u64,
+        attempts: u32,
+        took_ms: u64,
+        why: String,
+    } "stream lost";
+    /// A caller left before its answer was whole; the upstream is let go.
+    1787 Info CallerLeft { request: String, replica: String, took_ms: u64 } "caller left";
+    /// Lines on requests were left out because there were more than the bound in a second.
+    1788 Warn RequestLinesLeftOut { lines: u64 } "lines on requests left out";
+}
--- /dev/null
+++ b/entry/src/serve/routed/mod.rs
@@ -0,0 +1,75 @@
+//! Requests that go by the table of routes.
+//!
+//! From top to bottom, each file calling only those below it:
+//!
+//! - `listener`: accepts connections and drains them.
+//! - `handler`: from one HTTP request to one answer.
+//! - `run`: the request's life: choices, attempts, repeats.
+//! - `stream`: a streamed answer, resumed elsewhere if it breaks off.
+//! - `exchange`: one attempt up to the first part of its answer.
+//! - `plan`: the request in the form in which it can be sent, also twice.
+//! - `server`: what all requests share.
+
+mod body;
+mod counts;
+mod events;
+mod exchange;
+mod handler;
+mod listener;
+mod plan;
+mod run;
+mod server;
+mod stream;
+
+use std::{
+    io,
+    net::TcpListener,
+    sync::Arc,
+    thread::JoinHandle, //
+};
+
+use arc_swap::ArcSwap;
+use cicadabend::prelude::*;
+use cicadabend_daemon::{
+    clock::Clock,
+    duty,
+    metrics::Metrics,
+    settings::EntrySettings, //
+};
+use tokio::sync::watch;
+
+use crate::{
+    edge::CallerEdge,
+    members::RoutedView, //
+};
+use server::Server;
+
+/// What the serving thread is given.
+pub(crate) struct RoutedSetup {
+    pub(crate) settings: EntrySettings,
+    pub(crate) listener: TcpListener,
+    /// Where the balancer asks, if not on the callers' listener.
+    pub(crate) ready_listener: Option<TcpListener>,
+    pub(crate) view: Arc<ArcSwap<RoutedView>>,
+    pub(crate) edge: Arc<dyn CallerEdge>,
+    pub(crate) clock: Clock,
+    pub(crate) metrics: Metrics,
+    pub(crate) boot: BootId,
+}
+
+/// Starts the serving thread; it drains and ends once `stopped` turns true.
+pub(crate) fn start(
+    setup: RoutedSetup,
+    stopped: watch::Receiver<bool>,
+) -> io::Result<JoinHandle<()>> {
+    setup.listener.set_nonblocking(true)?;
+    if let Some(listener) = &setup.ready_listener {
+        listener.set_nonblocking(true)?;
+    }
+    duty::spawn("serve", move || listener::run(setup, stopped))
+}
+
+/// Makes the state that requests share.
+fn server(setup: &RoutedSetup) -> std::rc::Rc<Server> {
+    Server::start(setup)
+}
--- /dev/null
+++ b/entry/src/serve/routed/plan.rs
@@ -0,0 +1,118 @@
+//! One request in the form in which it can be sent, also twice.
+
+use bytes::Bytes;
+use cicadabend::{
+    prelude::*,
+    routes::Route, //
+};
+use http::{
+    HeaderValue,
+    Request,
+    Uri,
+    header,
+    request::Parts, //
+};
+use tokio::time::Instant;
+
+use super::super::{
+    body::RequestBody,
+    headers, //
+};
+use crate::{
+    edge::{
+        CallerEdge,
+        CallerWords,
+        UpstreamWords, //
+    },
+    members::RoutedReplica,
+};
+
+/// The request and the terms it is served on.
+pub(super) struct Plan {
+    pub(super) route: Route,
+    pub(super) service: ServiceName,
+    pub(super) words: CallerWords,
+    pub(super) team: Option<TeamName>,
+    pub(super) urgency: u8,
+    pub(super) arrived: Instant,
+    pub(super) deadline: Instant,
+    /// The version of the table it is served by.
+    pub(super) routes: u64,
+    head: Parts,
+    body: Bytes,
+}
+
+impl Plan {
+    /// Puts a request together; `head` is as the caller sent it.
+    #[expect(clippy::too_many_arguments, reason = "each is a field of its own")]
+    pub(super) fn new(
+        route: Route,
+        service: ServiceName,
+        words: CallerWords,
+        team: Option<TeamName>,
+        urgency: u8,
+        arrived: Instant,
+        deadline: Instant,
+        routes: u64,
+        mut head: Parts,
+        body: Bytes,
+    ) -> Self {
+        let path = head.uri.path_and_query().cloned();
+        head.uri = path.map(Uri::from).unwrap_or_default();
+        headers::remove_hop_by_hop(&mut head.headers);
+        // The body follows without waiting, so nothing may be awaited.
+        head.headers.remove(header::EXPECT);
+        head.headers.remove(header::CONTENT_LENGTH);
+        Self {
+            route,
+            service,
+            words,
+            team,
+            urgency,
+            arrived,
+            deadline,
+            routes,
+            head,
+            body,
+        }
+    }
+
+    /// Returns the request's id for logs.
+    pub(super) fn id(&self) -> &str {
+        self.words.request_id.as_deref().unwrap_or_default()
+    }
+
+    /// Returns the tokens of the prompt, zero if the caller does not say.
+    pub(super) fn prompt_tokens(&self) -> u64 {
+        self.words.prompt_tokens.unwrap_or(0)
+    }
+
+    /// Returns the request as a replica gets it; `last_event` asks for the rest of a stream.
+    pub(super) fn request_to(
+        &self,
+        edge: &dyn CallerEdge,
+        replica: &RoutedReplica,
+        last_event: Option<u64>,
+    ) -> Request<RequestBody> {
+        let mut request = Request::new(RequestBody::whole(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self.head.uri.clone();
+        *request.headers_mut() = self.head.headers.clone();
+        let map = request.headers_mut();
+        // A body of no bytes is told too where the method usually has one.
+        if !self.body.is_empty() || self.head.method == http::Method::POST {
+            map.insert(header::CONTENT_LENGTH, HeaderValue::from(self.body.len()));
+        }
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let deadline_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        let words = UpstreamWords {
+            deadline_ms: deadline_ms.max(1),
+            instance: &replica.id,
+            team: self.team.as_ref().map(TeamName::as_str),
+            urgency: self.urgency,
+            last_event: last_event.or(self.words.last_event),
+        };
+        edge.write_upstream(map, &words);
+        request
+    }
+}
--- /dev/null
+++ b/entry/src/serve/routed/server.rs
@@ -0,0 +1,126 @@
+//! What all requests of the serving thread share.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::HashMap,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use cicadabend::{
+    dispatch::{
+        BudgetSettings,
+        Loads,
+        WindowBudget, //
+    },
+    prelude::*,
+};
+use cicadabend_daemon::{
+    clock::Clock,
+    settings::EntrySettings, //
+};
+use rand::{
+    RngCore,
+    SeedableRng,
+    rngs::SmallRng, //
+};
+
+use super::{
+    super::upstream::Pool,
+    RoutedSetup,
+    counts::Counts, //
+};
+use crate::{
+    edge::CallerEdge,
+    members::RoutedView, //
+};
+
+/// How often what is known of vanished upstreams is dropped.
+const SWEEP: Duration = Duration::from_secs(2);
+
+/// The serving thread's state; it never leaves the thread.
+pub(super) struct Server {
+    pub(super) settings: EntrySettings,
+    pub(super) view: Arc<ArcSwap<RoutedView>>,
+    pub(super) edge: Arc<dyn CallerEdge>,
+    pub(super) clock: Clock,
+    pub(super) counts: Counts,
+    pub(super) pool: Pool,
+    pub(super) loads: RefCell<Loads>,
+    pub(super) draining: Cell<bool>,
+    budgets: RefCell<HashMap<ServiceName, WindowBudget>>,
+    random: RefCell<SmallRng>,
+}
+
+impl Server {
+    pub(super) fn start(setup: &RoutedSetup) -> Rc<Self> {
+        let connect_timeout_ms = setup.settings.upstreams.connect_timeout_ms;
+        let server = Rc::new(Self {
+            settings: setup.settings.clone(),
+            view: Arc::clone(&setup.view),
+            edge: Arc::clone(&setup.edge),
+            clock: setup.clock,
+            counts: Counts::new(setup.metrics.clone()),
+            pool: Pool::new(connect_timeout_ms),
+            loads: RefCell::default(),
+            draining: Cell::new(false),
+            budgets: RefCell::default(),
+            random: RefCell::new(SmallRng::seed_from_u64(setup.boot.0)),
+        });
+        tokio::task::spawn_local(sweep(Rc::clone(&server)));
+        server
+    }
+
+    /// Returns whether the balancer should send callers here.
+    pub(super) fn is_ready(&self) -> bool {
+        !self.draining.get() && self.view.load().is_ready()
+    }
+
+    /// Draws an evenly spread number.
+    pub(super) fn random(&self) -> u64 {
+        self.random.borrow_mut().next_u64()
+    }
+
+    /// Counts a caller's request for the budget of repeats.
+    pub(super) fn note_request(&self, service: &ServiceName) {
+        self.with_budget(service, |budget| budget.note_request(self.clock.now()));
+    }
+
+    /// Pays for a repeat, if the budget allows it.
+    pub(super) fn withdraw_repeat(&self, service: &ServiceName) -> bool {
+        let entries = self.view.load().entries;
+        self.with_budget(service, |budget| {
+            budget.withdraw(entries, self.clock.now())
+        })
+    }
+
+    fn with_budget<T>(&self, service: &ServiceName, act: impl FnOnce(&mut WindowBudget) -> T) -> T {
+        let retries = &self.settings.retries;
+        let settings = BudgetSettings {
+            ratio: retries.budget_ratio,
+            slack: retries.budget_slack,
+            window: Duration::from_millis(retries.window_ms),
+        };
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone());
+        act(budget.or_insert_with(|| WindowBudget::new(settings)))
+    }
+}
+
+async fn sweep(server: Rc<Server>) {
+    loop {
+        tokio::time::sleep(SWEEP).await;
+        let view = server.view.load_full();
+        let is_kept = |id: &cicadabend::registry::InstanceId| {
+            let mut all = view.replicas.values().flatten();
+            all.any(|replica| replica.id == *id)
+        };
+        server.loads.borrow_mut().forget(is_kept);
+        server.pool.close_expired();
+    }
+}
--- a/entry/src/serve/upstream.rs
+++ b/entry/src/serve/upstream.rs
@@ -44,13 +44,20 @@
     },
     net::TcpStream,
     task::AbortHandle,
-    time::timeout,
+    time::{
+        Instant,
+        timeout, //
+    },
 };
 
 use super::body::RequestBody;
 
 /// How many connections to one upstream are kept for later requests.
 const IDLE_LIMIT: usize = 64;
+/// How long a connection is kept if nothing is known of how long its upstream keeps it.
+const KEPT_UNLESS_SAID: Duration = Duration::from_secs(60);
+/// A connection is young for one part in so many of the time for which it is kept.
+const YOUNG_PART: u32 = 3;
 
 /// Why an attempt got no answer; the variants differ in what the upstream can have seen.
 #[derive(Debug, Display, Error)]
@@ -159,6 +166,21 @@
     sender: SendRequest<RequestBody>,
     wire: Rc<Wire>,
     task: AbortHandle,
+    /// Since when it has waited for a request, and until when it may be used.
+    idle: (Instant, Instant),
+}
+
+impl Connection {
+    /// Returns whether its upstream keeps it open for sure.
+    fn is_kept(&self, now: Instant) -> bool {
+        now < self.idle.1 && self.sender.is_ready()
+    }
+
+    /// Returns whether it was used so lately that its upstream cannot be about to close it.
+    fn is_young(&self, now: Instant) -> bool {
+        let (since, until) = self.idle;
+        now.duration_since(since) * YOUNG_PART <= until.duration_since(since)
+    }
 }
 
 impl Drop for Connection {
@@ -217,6 +239,29 @@
         }
     }
 
+    /// Takes a connection that was used just before, or opens one.
+    ///
+    /// For what may run only once: a connection that its upstream closes at the moment
+    /// at which the request is written leaves nobody who can tell whether it was read.
+    pub(super) async fn lease_young(&self, address: Address) -> Result<Lease, AttemptError> {
+        let now = Instant::now();
+        let taken = self.take_idle(address);
+        match taken.filter(|connection| connection.is_young(now)) {
+            Some(connection) => Ok(self.lease_of(address, connection, true)),
+            None => self.lease_new(address).await,
+        }
+    }
+
+    /// Closes connections that have waited for longer than their upstream keeps them.
+    pub(super) fn close_expired(&self) {
+        let now = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        for connections in idle.values_mut() {
+            connections.retain(|connection| connection.is_kept(now));
+        }
+        idle.retain(|_, connections| !connections.is_empty());
+    }
+
     /// Opens a connection.
     pub(super) async fn lease_new(&self, address: Address) -> Result<Lease, AttemptError> {
         let connection = self.connect(address).await?;
@@ -235,8 +280,9 @@
     fn take_idle(&self, address: Address) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
+        let now = Instant::now();
         while let Some(connection) = connections.pop() {
-            if connection.sender.is_ready() {
+            if connection.is_kept(now) {
                 return Some(connection);
             }
         }
@@ -268,6 +314,7 @@
             sender,
             wire,
             task: task.abort_handle(),
+            idle: (Instant::now(), Instant::now()),
         })
     }
 }
@@ -326,6 +373,11 @@
 
     /// Keeps the connection for a later request, once its task is done with this one.
     pub(super) fn give_back(self) {
+        self.give_back_for(KEPT_UNLESS_SAID);
+    }
+
+    /// Keeps the connection for a later request that comes within a time.
+    pub(super) fn give_back_for(self, keep_for: Duration) {
         tokio::task::spawn_local(async move {
             let Lease {
                 address,
@@ -336,6 +388,8 @@
             if connection.sender.ready().await.is_err() {
                 return;
             }
+            let now = Instant::now();
+            connection.idle = (now, now + keep_for);
             let mut idle = idle.borrow_mut();
             let connections = idle.entry(address).or_default();
             if connections.len() < IDLE_LIMIT {
--- a/lib/src/agreement/founding.rs
+++ b/lib/src/agreement/founding.rs
@@ -37,9 +37,23 @@
     /// Drawn for this run, so that answers to an earlier run do not count.
     nonce: u64,
     new_nodes: BTreeMap<DaemonId, Voter>,
+    /// Whether this node may take part in a founding.
+    is_allowed: bool,
 }
 
 impl Founding {
+    /// Starts for a node without state that must wait to be taken in by others.
+    ///
+    /// A disk that was lost is as empty as one of a new fleet. Where the settings say
+    /// which of the two it is, a node that is not of a new fleet neither invites nor
+    /// tells a founder that it is new.
+    pub fn not_allowed(me: Voter) -> Self {
+        Self {
+            is_allowed: false,
+            ..Self::new(me, [], 0)
+        }
+    }
+
     /// Starts for a node without state; `control_daemons` are all that the settings name.
     pub fn new(me: Voter, control_daemons: impl IntoIterator<Item = DaemonId>, nonce: u64) -> Self {
         let mut others: BTreeSet<DaemonId> = control_daemons.into_iter().collect();
@@ -49,12 +63,13 @@
             others,
             nonce,
             new_nodes: BTreeMap::new(),
+            is_allowed: true,
         }
     }
 
     /// Returns whether this node is the one that invites.
     pub fn is_founder(&self) -> bool {
-        self.others.iter().all(|other| self.me.daemon < *other)
+        self.is_allowed && self.others.iter().all(|other| self.me.daemon < *other)
     }
 
     /// Returns the invitations to send now; they are repeated until all have answered.
@@ -91,6 +106,9 @@
 
     /// Answers an invitation, or takes note of an answer; only while the node is new.
     pub fn receive(&mut self, message: &Message) -> Option<Message> {
+        if !self.is_allowed {
+            return None;
+        }
         match message.body {
             MessageBody::Invite { nonce } => Some(Message {
                 from: self.me.clone(),
--- /dev/null
+++ b/lib/src/dispatch/budget.rs
@@ -0,0 +1,95 @@
+//! A budget of repeats over a sliding window, shared without a call for each request.
+//!
+//! Each daemon allows repeats by the share of its own requests, and its part of what is
+//! free for all daemons together. The sum over daemons then keeps the bound, however
+//! the requests are spread over them.
+
+use std::{
+    collections::VecDeque,
+    time::Duration, //
+};
+
+use crate::time::Timestamp;
+
+/// Into how many parts the window is divided.
+const PARTS: u64 = 10;
+/// What of the bound is used: arrivals are counted elsewhere, at slightly other times.
+const USED_SHARE: f64 = 0.8;
+
+/// The bound.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetSettings {
+    /// Repeats for each request of the window.
+    pub ratio: f64,
+    /// Repeats that are free in the window, for all daemons together.
+    pub slack: u32,
+    /// The window.
+    pub window: Duration,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Part {
+    number: u64,
+    requests: u32,
+    repeats: u32,
+}
+
+/// One service's budget at one daemon.
+#[derive(Clone, Debug)]
+pub struct WindowBudget {
+    settings: BudgetSettings,
+    parts: VecDeque<Part>,
+}
+
+impl WindowBudget {
+    /// Starts with nothing counted.
+    pub fn new(settings: BudgetSettings) -> Self {
+        Self {
+            settings,
+            parts: VecDeque::new(),
+        }
+    }
+
+    /// Counts a request of a caller.
+    pub fn note_request(&mut self, now: Timestamp) {
+        if let Some(part) = self.part(now) {
+            part.requests += 1;
+        }
+    }
+
+    /// Counts a repeat if the bound allows it; `daemons` share what is free.
+    pub fn withdraw(&mut self, daemons: u32, now: Timestamp) -> bool {
+        let share = f64::from(self.settings.slack) / f64::from(daemons.max(1));
+        let ratio = self.settings.ratio;
+        self.part(now);
+        let requests: u32 = self.parts.iter().map(|part| part.requests).sum();
+        let repeats: u32 = self.parts.iter().map(|part| part.repeats).sum();
+        let allowed = (f64::from(requests) * ratio + share) * USED_SHARE;
+        if f64::from(repeats + 1) > allowed {
+            return false;
+        }
+        if let Some(part) = self.part(now) {
+            part.repeats += 1;
+        }
+        true
+    }
+
+    fn part(&mut self, now: Timestamp) -> Option<&mut Part> {
+        let window_ms = u64::try_from(self.settings.window.as_millis()).unwrap_or(u64::MAX);
+        let number = now.0 / (window_ms / PARTS).max(1);
+        while self
+            .parts
+            .front()
+            .is_some_and(|part| part.number + PARTS <= number)
+        {
+            self.parts.pop_front();
+        }
+        if self.parts.back().is_none_or(|part| part.number != number) {
+            self.parts.push_back(Part {
+                number,
+                ..Part::default()
+            });
+        }
+        self.parts.back_mut()
+    }
+}
--- /dev/null
+++ b/lib/src/dispatch/choose.rs
@@ -0,0 +1,132 @@
+//! The upstream with the lowest expected time to its first event.
+
+use crate::{
+    prelude::*,
+    registry::InstanceId,
+    routes::{
+        ModelTraits,
+        Timing, //
+    },
+};
+
+use super::loads::Loads;
+
+/// What a plain upstream is expected to take for a request, in milliseconds.
+const PLAIN_MS: f64 = 20.0;
+/// A suspect is used only if it is better by this, in milliseconds.
+const SUSPECT_MS: f64 = 4_000.0;
+/// What an upstream that is left alone is worse by, in milliseconds.
+const PAUSED_MS: f64 = 20_000.0;
+/// Differences below this share are decided at random, so that daemons which see the
+/// same loads do not all choose the same upstream.
+const NEAR_SHARE: f64 = 0.08;
+
+/// An upstream that could take the request.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// Which run.
+    pub id: &'a InstanceId,
+    /// Where it is.
+    pub failure_domain: &'a FailureDomain,
+    /// How many requests it runs side by side.
+    pub slots: u32,
+    /// The model of its group, if it is the head of one.
+    pub model: Option<&'a ModelTraits>,
+    /// Whether there is doubt that it is whole.
+    pub is_suspect: bool,
+}
+
+/// What the request needs.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// Where it was taken in.
+    pub home: &'a FailureDomain,
+    /// The tokens of its prompt.
+    pub prompt_tokens: u64,
+    /// How long engines' work takes, if engines run it.
+    pub timing: Option<&'a Timing>,
+}
+
+/// The choice and what it is expected to take.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Chosen {
+    /// The place among the candidates.
+    pub place: usize,
+    /// The expected time to the first event, in milliseconds, without any penalty.
+    pub expected_ms: f64,
+    /// The requests believed to be there.
+    pub outstanding: f64,
+}
+
+/// Returns the best candidate; `random` decides between those that are nearly as good.
+pub fn choose(
+    candidates: &[Candidate<'_>],
+    wanted: &Wanted<'_>,
+    loads: &Loads,
+    now: Timestamp,
+    random: u64,
+) -> Option<Chosen> {
+    let costs: Vec<(f64, f64)> = candidates
+        .iter()
+        .map(|candidate| {
+            let expected = expected_ms(candidate, wanted, loads, now);
+            (expected + penalty_ms(candidate, loads, now), expected)
+        })
+        .collect();
+    let best = costs.iter().map(|(cost, _)| *cost).reduce(f64::min)?;
+    let limit = best * (1.0 + NEAR_SHARE) + 1.0;
+    let near: Vec<usize> = (0..costs.len())
+        .filter(|place| costs[*place].0 <= limit)
+        .collect();
+    let drawn = random.checked_rem(near.len() as u64)?;
+    let place = near.get(usize::try_from(drawn).ok()?).copied()?;
+    Some(Chosen {
+        place,
+        expected_ms: costs[place].1,
+        outstanding: loads.outstanding(candidates[place].id, now),
+    })
+}
+
+fn penalty_ms(candidate: &Candidate<'_>, loads: &Loads, now: Timestamp) -> f64 {
+    let mut penalty = 0.0;
+    if loads.is_paused(candidate.id, now) {
+        penalty += PAUSED_MS;
+    }
+    if candidate.is_suspect {
+        penalty += SUSPECT_MS;
+    }
+    penalty
+}
+
+fn expected_ms(
+    candidate: &Candidate<'_>,
+    wanted: &Wanted<'_>,
+    loads: &Loads,
+    now: Timestamp,
+) -> f64 {
+    let outstanding = loads.outstanding(candidate.id, now);
+    let slots = f64::from(candidate.slots.max(1));
+    let slowness = loads.slowness(candidate.id);
+    let Some(timing) = wanted.timing else {
+        let rounds = (outstanding + 1.0) / slots;
+        return PLAIN_MS * rounds.max(0.3) * slowness;
+    };
+    let delay = 2.0 * timing.delay_ms(wanted.home, candidate.failure_domain);
+    let pace = candidate.model.map_or(1.0, |model| model.pace);
+    let unread = loads.unread_tokens(candidate.id) as f64;
+    // Of what others have there some part is still to be read, too.
+    let own = f64::from(loads.in_flight(candidate.id));
+    let others = (outstanding - own).max(0.0);
+    let read_ms = timing.read_ms(timing.usual_prompt_tokens);
+    let context = timing.usual_prompt_tokens + timing.usual_answer_tokens / 2.0;
+    let step = timing.step_beside_ms(outstanding.min(slots), context);
+    let answer_ms = timing.usual_answer_tokens * step;
+    let unread_share = read_ms / (read_ms + answer_ms).max(1.0);
+    let reading = timing.read_ms(wanted.prompt_tokens as f64)
+        + unread / timing.read_tokens_per_s.max(1.0) * 1_000.0
+        + others * unread_share * read_ms;
+    // A pass with writers takes several steps before the next prompt is read.
+    let passes = f64::from(timing.steps_per_pass.max(1)) * step;
+    let waiting = (outstanding + 1.0 - slots).max(0.0) * answer_ms / slots;
+    delay + slowness * pace * (reading + passes + waiting)
+}
--- /dev/null
+++ b/lib/src/dispatch/loads.rs
@@ -0,0 +1,197 @@
+//! What one daemon knows of each upstream's load, speed and failures.
+
+use std::{
+    collections::HashMap,
+    time::Duration, //
+};
+
+use crate::{
+    registry::InstanceId,
+    time::Timestamp, //
+};
+
+/// How fast what other daemons were seen to have there is forgotten.
+const OTHERS_HALF_LIFE_MS: f64 = 1_500.0;
+/// Weight of a new measurement of speed.
+const SPEED_WEIGHT: f64 = 0.25;
+/// Weight of a new outcome in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.2;
+/// A share of failures above this takes an upstream out of use.
+const FAILING_SHARE: f64 = 0.55;
+/// The first pause of an upstream that cannot be used; it doubles with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(400);
+/// The longest pause.
+const LONGEST_PAUSE: Duration = Duration::from_millis(6_400);
+/// How long an upstream that is full is left alone.
+const FULL_PAUSE: Duration = Duration::from_millis(120);
+
+/// An upstream's own word on its load.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LoadReport {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+}
+
+/// How an attempt ended, as far as it tells of the upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// It answered.
+    Answered,
+    /// It refused because it is full.
+    Full,
+    /// It answered with a failure of its own.
+    Failed,
+    /// It could not be reached, or its answer broke off.
+    Broken,
+}
+
+#[derive(Clone, Debug, Default)]
+struct One {
+    in_flight: u32,
+    /// Prompt tokens of own requests that have no first event yet.
+    unread_tokens: u64,
+    others: f64,
+    others_at: Timestamp,
+    /// How much slower than expected it is.
+    slowness: Option<f64>,
+    failing: f64,
+    paused_until: Timestamp,
+    pause: Duration,
+    answered_at: Option<Timestamp>,
+}
+
+/// All upstreams that were used.
+#[derive(Clone, Debug, Default)]
+pub struct Loads {
+    by_instance: HashMap<InstanceId, One>,
+}
+
+impl Loads {
+    /// Notes a request that is sent.
+    pub fn started(&mut self, id: &InstanceId, prompt_tokens: u64) {
+        let one = self.entry(id);
+        one.in_flight += 1;
+        one.unread_tokens += prompt_tokens;
+    }
+
+    /// Notes that the first event of a request has come.
+    pub fn read(&mut self, id: &InstanceId, prompt_tokens: u64) {
+        let one = self.entry(id);
+        one.unread_tokens = one.unread_tokens.saturating_sub(prompt_tokens);
+    }
+
+    /// Notes the end of a request, once for each that started.
+    pub fn ended(&mut self, id: &InstanceId) {
+        let one = self.entry(id);
+        one.in_flight = one.in_flight.saturating_sub(1);
+    }
+
+    /// Takes in an upstream's own word; own requests are taken off, the rest are others'.
+    pub fn reported(&mut self, id: &InstanceId, report: LoadReport, now: Timestamp) {
+        let one = self.entry(id);
+        let all = report.running + report.waiting;
+        one.others = f64::from(all.saturating_sub(one.in_flight));
+        one.others_at = now;
+    }
+
+    /// Notes how long a first event took against what was expected.
+    pub fn measured(&mut self, id: &InstanceId, took_ms: f64, expected_ms: f64) {
+        let ratio = (took_ms / expected_ms.max(1.0)).clamp(0.3, 20.0);
+        let one = self.entry(id);
+        one.slowness = Some(match one.slowness {
+            None => ratio,
+            Some(before) => before + (ratio - before) * SPEED_WEIGHT,
+        });
+    }
+
+    /// Notes how an attempt ended.
+    pub fn outcome(&mut self, id: &InstanceId, outcome: Outcome, now: Timestamp) {
+        let one = self.entry(id);
+        match outcome {
+            Outcome::Answered => {
+                one.failing *= 1.0 - FAILURE_WEIGHT;
+                one.pause = Duration::ZERO;
+                one.answered_at = Some(now);
+            }
+            Outcome::Full => one.paused_until = one.paused_until.max(now + FULL_PAUSE),
+            Outcome::Failed => {
+                one.failing += (1.0 - one.failing) * FAILURE_WEIGHT;
+                one.answered_at = Some(now);
+                if one.failing > FAILING_SHARE {
+                    pause(one, now);
+                }
+            }
+            Outcome::Broken => {
+                one.failing += (1.0 - one.failing) * FAILURE_WEIGHT;
+                pause(one, now);
+            }
+        }
+    }
+
+    /// Returns how many requests of this daemon are there.
+    pub fn in_flight(&self, id: &InstanceId) -> u32 {
+        self.by_instance.get(id).map_or(0, |one| one.in_flight)
+    }
+
+    /// Returns how many requests are believed to be there.
+    pub fn outstanding(&self, id: &InstanceId, now: Timestamp) -> f64 {
+        let Some(one) = self.by_instance.get(id) else {
+            return 0.0;
+        };
+        let age_ms = now.since(one.others_at).as_millis() as f64;
+        let others = one.others * 0.5_f64.powf(age_ms / OTHERS_HALF_LIFE_MS);
+        f64::from(one.in_flight) + others
+    }
+
+    /// Returns the prompt tokens of own requests that are still to be read there.
+    pub fn unread_tokens(&self, id: &InstanceId) -> u64 {
+        self.by_instance.get(id).map_or(0, |one| one.unread_tokens)
+    }
+
+    /// Returns how much slower than expected an upstream was lately.
+    pub fn slowness(&self, id: &InstanceId) -> f64 {
+        let one = self.by_instance.get(id);
+        one.and_then(|one| one.slowness).unwrap_or(1.0)
+    }
+
+    /// Returns whether an upstream is left alone for now.
+    pub fn is_paused(&self, id: &InstanceId, now: Timestamp) -> bool {
+        self.by_instance
+            .get(id)
+            .is_some_and(|one| now < one.paused_until)
+    }
+
+    /// Returns when an upstream last answered this daemon.
+    pub fn answered_at(&self, id: &InstanceId) -> Option<Timestamp> {
+        self.by_instance.get(id)?.answered_at
+    }
+
+    /// Drops upstreams that are not kept and have no request.
+    pub fn forget(&mut self, is_kept: impl Fn(&InstanceId) -> bool) {
+        self.by_instance
+            .retain(|id, one| one.in_flight > 0 || is_kept(id));
+    }
+
+    fn entry(&mut self, id: &InstanceId) -> &mut One {
+        if !self.by_instance.contains_key(id) {
+            self.by_instance.insert(id.clone(), One::default());
+        }
+        // PANIC: it was put in just above.
+        #[expect(clippy::expect_used, reason = "it was put in just above")]
+        self.by_instance.get_mut(id).expect("an entry")
+    }
+}
+
+fn pause(one: &mut One, now: Timestamp) {
+    // Failures of requests that were sent together count once.
+    if now < one.paused_until {
+        return;
+    }
+    one.pause = match one.pause.is_zero() {
+        true => FIRST_PAUSE,
+        false => (one.pause * 2).min(LONGEST_PAUSE),
+    };
+    one.paused_until = now + one.pause;
+}
--- /dev/null
+++ b/lib/src/dispatch/mod.rs
@@ -0,0 +1,25 @@
+//! Which upstream a routed request goes to, and whether it may go to a second one.
+//!
+//! - [`Loads`]: what this daemon knows of each upstream's load, speed and failures.
+//! - [`choose`]: the upstream with the lowest expected time to its first event.
+//! - [`WindowBudget`]: how many requests may be sent once more.
+
+mod budget;
+mod choose;
+mod loads;
+
+pub use budget::{
+    BudgetSettings,
+    WindowBudget, //
+};
+pub use choose::{
+    Candidate,
+    Chosen,
+    Wanted,
+    choose, //
+};
+pub use loads::{
+    LoadReport,
+    Loads,
+    Outcome, //
+};
--- a/lib/src/fleet/state.rs
+++ b/lib/src/fleet/state.rs
@@ -3,10 +3,13 @@
 //! [`FleetState::apply`] is deterministic: every control daemon that applies the
 //! same commands in the same order holds the same state and gives the same answers.
 
-use std::collections::{
-    BTreeMap,
-    BTreeSet,
-    VecDeque, //
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet,
+        VecDeque, //
+    },
+    sync::Arc,
 };
 
 use displaydoc::Display;
@@ -36,6 +39,10 @@
         PlanChange, //
     },
     prelude::*,
+    routes::{
+        RouteDocument,
+        RouteVersion, //
+    },
 };
 
 /// How many plans are kept; the oldest goes first.
@@ -61,6 +68,8 @@
         /// The new set.
         voters: BTreeSet<Voter>,
     },
+    /// Replaces the table of routes if the given one has a higher version.
+    ReplaceRoutes(Box<RouteDocument>),
 }
 
 /// An operator's yes to a plan, as it stands in the log.
@@ -96,6 +105,11 @@
     VotersChanged,
     /// The set of voters may change by one daemon at a time; nothing was changed.
     VotersRefused,
+    /// The table of routes in force has this version or is the one given.
+    RoutesHeld {
+        /// The version in force.
+        version: RouteVersion,
+    },
 }
 
 /// Why a snapshot cannot be taken or read.
@@ -132,6 +146,8 @@
     answers_by_age: VecDeque<AnswerKey>,
     history: VecDeque<HistoryEntry>,
     voters: BTreeSet<Voter>,
+    /// Shared, because every other change publishes a copy of the state.
+    routes: Option<Arc<RouteDocument>>,
 }
 
 impl FleetState {
@@ -160,6 +176,11 @@
         self.history.iter().rev()
     }
 
+    /// Returns the table of routes in force, as the operator sent it.
+    pub fn routes(&self) -> Option<&Arc<RouteDocument>> {
+        self.routes.as_ref()
+    }
+
     /// Returns the control daemons that vote.
     pub fn voters(&self) -> &BTreeSet<Voter> {
         &self.voters
@@ -173,6 +194,7 @@
                 FleetAnswer::Confirmed(self.confirm(confirmation))
             }
             FleetCommand::ChangeVoters { voters } => self.change_voters(voters),
+            FleetCommand::ReplaceRoutes(document) => self.replace_routes(*document),
         }
     }
 
@@ -195,6 +217,18 @@
         postcard::from_bytes(bytes).map_err(SnapshotError::Decode)
     }
 
+    /// The highest version wins; what is not higher changes nothing, also if it differs.
+    fn replace_routes(&mut self, document: RouteDocument) -> FleetAnswer {
+        let held = self.routes.as_ref().map(|held| held.version);
+        if held.is_none_or(|held| held < document.version) {
+            self.routes = Some(Arc::new(document));
+        }
+        let version = self.routes.as_ref().map(|held| held.version);
+        FleetAnswer::RoutesHeld {
+            version: version.unwrap_or_default(),
+        }
+    }
+
     fn store_plan(&mut self, draft: PlanDraft) -> FleetAnswer {
         // The leader may have computed the draft while another revision was being
         // accepted; its changes would then be told relative to the wrong one.
--- /dev/null
+++ b/lib/src/grouping/leader.rs
@@ -0,0 +1,848 @@
+//! The leader's view of all groups, and what it orders next.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet,
+        VecDeque, //
+    },
+    time::Duration,
+};
+
+use super::{
+    group::{
+        Group,
+        Member,
+        Phase,
+        Sent, //
+    },
+    order::{
+        CloseMode,
+        Order,
+        OrderKind,
+        OrderOutcome, //
+    },
+    placement::{
+        FreeEngine,
+        ModelStanding,
+        NewGroup,
+        next_group, //
+    },
+};
+use crate::{
+    prelude::*,
+    registry::{
+        Ended,
+        GroupStanding,
+        InstanceId,
+        Known,
+        MemberState,
+        Registry, //
+    },
+    routes::{
+        EngineTraits,
+        RouteTable, //
+    },
+};
+
+/// A leader's epochs begin at its term times this.
+const EPOCHS_PER_TERM: u64 = 1 << 20;
+/// The span over which starts of loads are counted.
+const LOAD_WINDOW: Duration = Duration::from_secs(5);
+
+/// The times that the decisions go by.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct GroupingSettings {
+    /// How long a new leader listens before its first order.
+    pub settle: Duration,
+    /// How long a head goes on without a member before it is broken.
+    pub stall: Duration,
+    /// How long an unanswered order waits before it is given again.
+    pub repeat_unanswered: Duration,
+    /// How long an order that was taken may show no effect before it is given again.
+    pub repeat_taken: Duration,
+    /// How long a member may be silent and still be put into a new group.
+    pub silent_for_new: Duration,
+    /// How long a head may be silent before its group is given up.
+    pub silent_head: Duration,
+    /// How long a head may finish what it has before it is cut off.
+    pub close_wait: Duration,
+    /// How long a free engine waits for a partner before it loads other weights.
+    pub wait_before_load: Duration,
+    /// How long an engine that cannot be reached counts as dead after a refused connection.
+    pub refused_is_dead: Duration,
+}
+
+impl Default for GroupingSettings {
+    fn default() -> Self {
+        Self {
+            settle: Duration::from_millis(1_600),
+            stall: Duration::from_millis(5_000),
+            repeat_unanswered: Duration::from_millis(800),
+            repeat_taken: Duration::from_millis(3_000),
+            silent_for_new: Duration::from_millis(2_800),
+            silent_head: Duration::from_millis(9_000),
+            close_wait: Duration::from_millis(9_000),
+            wait_before_load: Duration::from_millis(6_000),
+            refused_is_dead: Duration::from_millis(700),
+        }
+    }
+}
+
+/// What a decision looks at.
+#[derive(Clone, Copy)]
+pub struct GroupingView<'a> {
+    /// The table in force.
+    pub table: &'a RouteTable,
+    /// What engines report.
+    pub registry: &'a Registry,
+    /// The time.
+    pub now: Timestamp,
+}
+
+/// All groups, as one leader of one term sees them.
+#[derive(Clone, Debug)]
+pub struct Grouping {
+    settings: GroupingSettings,
+    started_at: Timestamp,
+    epoch: u64,
+    groups: BTreeMap<GroupId, Group>,
+    /// Groups that were taken apart; members may go on reporting them.
+    finished: BTreeMap<GroupId, Timestamp>,
+    free_since: BTreeMap<InstanceId, Timestamp>,
+    loads: VecDeque<Timestamp>,
+    refused: BTreeMap<InstanceId, (Timestamp, Timestamp)>,
+    dead: BTreeSet<InstanceId>,
+}
+
+impl Grouping {
+    /// Starts for a term, which must be higher than that of any earlier leader.
+    pub fn new(settings: GroupingSettings, term: u64, now: Timestamp) -> Self {
+        Self {
+            settings,
+            started_at: now,
+            epoch: term.saturating_mul(EPOCHS_PER_TERM),
+            groups: BTreeMap::new(),
+            finished: BTreeMap::new(),
+            free_since: BTreeMap::new(),
+            loads: VecDeque::new(),
+            refused: BTreeMap::new(),
+            dead: BTreeSet::new(),
+        }
+    }
+
+    /// Returns what is to be ordered now.
+    pub fn tick(&mut self, view: GroupingView<'_>) -> Vec<Order> {
+        self.note_epochs(view);
+        let is_settled = view.now.since(self.started_at) >= self.settings.settle;
+        // Before anything was ever formed there is nothing that could be overlooked.
+        let is_new = view.registry.iter().all(|(_, known)| is_untouched(known));
+        if !is_settled && !is_new {
+            return Vec::new();
+        }
+        self.adopt(view);
+        let mut orders = Vec::new();
+        let ids: Vec<GroupId> = self.groups.keys().cloned().collect();
+        for id in ids {
+            self.step(&id, view, &mut orders);
+        }
+        self.place(view, &mut orders);
+        self.forget(view);
+        orders
+    }
+
+    /// Takes note of the answer to an order.
+    pub fn answered(&mut self, order: &Order, outcome: OrderOutcome, now: Timestamp) {
+        match outcome {
+            OrderOutcome::OtherRun => {
+                self.dead.insert(order.to.clone());
+            }
+            OrderOutcome::Refused => {
+                let entry = self.refused.entry(order.to.clone());
+                let (first, last) = entry.or_insert((now, now));
+                if now.since(*last) > self.settings.stall {
+                    *first = now;
+                }
+                *last = now;
+                if now.since(*first) >= self.settings.refused_is_dead {
+                    self.dead.insert(order.to.clone());
+                }
+            }
+            _ => {
+                self.refused.remove(&order.to);
+            }
+        }
+        let Some(group) = self.groups.get_mut(&order.group) else {
+            return;
+        };
+        let member = group.members.iter_mut().find(|m| m.id == order.to);
+        if let Some(sent) = member.and_then(|member| member.last.as_mut())
+            && sent.order == order.kind.name()
+        {
+            sent.outcome = Some(outcome);
+        }
+        match (&order.kind, outcome) {
+            (OrderKind::Join { .. }, OrderOutcome::Outdated) => {
+                // Somebody has given a higher number; the next one must be above it.
+                self.epoch = self.epoch.saturating_add(EPOCHS_PER_TERM / 64);
+                if group.phase == Phase::Joining {
+                    group.enter(Phase::Leaving, now);
+                }
+            }
+            (OrderKind::Leave, OrderOutcome::Done) if group.phase == Phase::Leaving => {
+                self.finish(&order.group, now);
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns a line for each group, for logs.
+    pub fn groups(&self) -> impl Iterator<Item = (&GroupId, u64, &ModelName, &'static str)> {
+        self.groups
+            .iter()
+            .map(|(id, group)| (id, group.epoch, &group.model, group.phase.name()))
+    }
+
+    /// Returns how many groups take requests, as far as this leader knows.
+    pub fn open_groups(&self) -> usize {
+        let open = self.groups.values().filter(|g| g.phase == Phase::Open);
+        open.count()
+    }
+
+    /// Epochs that engines tell may come from a leader whose term is unknown here.
+    fn note_epochs(&mut self, view: GroupingView<'_>) {
+        for (_, known) in view.registry.iter() {
+            if let Some(standing) = group_of(known) {
+                self.epoch = self.epoch.max(standing.epoch);
+            }
+        }
+    }
+
+    fn next_epoch(&mut self) -> u64 {
+        self.epoch += 1;
+        self.epoch
+    }
+
+    /// Takes over groups that engines report and this leader has not formed.
+    fn adopt(&mut self, view: GroupingView<'_>) {
+        let mut found: BTreeMap<GroupId, Vec<(&Known, &GroupStanding)>> = BTreeMap::new();
+        for (_, known) in view.registry.iter() {
+            let Some(standing) = group_of(known) else {
+                continue;
+            };
+            // A head that serves although its group was given up must be closed again.
+            let is_over = self.finished.contains_key(&standing.group) && !serves(standing);
+            if !self.groups.contains_key(&standing.group) && !is_over {
+                let members = found.entry(standing.group.clone()).or_default();
+                members.push((known, standing));
+            }
+        }
+        for (id, reports) in found {
+            if let Some(group) = adopted(reports, view) {
+                self.groups.insert(id, group);
+            }
+        }
+    }
+
+    fn step(&mut self, id: &GroupId, view: GroupingView<'_>, orders: &mut Vec<Order>) {
+        let Some(mut group) = self.groups.remove(id) else {
+            return;
+        };
+        let mut is_over = false;
+        // A phase may end at once, so a few are looked at in one go.
+        for _ in 0..4 {
+            let before = group.phase;
+            is_over = self.advance(id, &mut group, view);
+            if is_over || group.phase == before {
+                break;
+            }
+        }
+        if is_over {
+            self.finished.insert(id.clone(), view.now);
+            return;
+        }
+        self.order(id, &mut group, view, orders);
+        self.groups.insert(id.clone(), group);
+    }
+
+    /// Moves a group on by what is known now; returns whether its members are free.
+    fn advance(&self, id: &GroupId, group: &mut Group, view: GroupingView<'_>) -> bool {
+        let now = view.now;
+        match group.phase {
+            Phase::Joining => return self.advance_joining(id, group, view),
+            Phase::Opening => return self.advance_opening(id, group, view),
+            Phase::Open => return self.advance_open(id, group, view),
+            Phase::Closing { is_cut } => {
+                let Some(head) = group.head() else {
+                    group.enter(Phase::Breaking { left_at: None }, now);
+                    return false;
+                };
+                match self.head_standing(id, group, head, view) {
+                    HeadStanding::Harmless => return true,
+                    HeadStanding::Stopped => group.enter(Phase::Leaving, now),
+                    HeadStanding::Silent => group.enter(Phase::Breaking { left_at: None }, now),
+                    HeadStanding::Serving => {
+                        let is_late = now.since(group.since) >= self.settings.close_wait;
+                        if is_late && !is_cut {
+                            group.enter(Phase::Closing { is_cut: true }, now);
+                        }
+                    }
+                }
+            }
+            Phase::Leaving => {
+                let Some(head) = group.head() else {
+                    group.enter(Phase::Breaking { left_at: None }, now);
+                    return false;
+                };
+                match self.head_standing(id, group, head, view) {
+                    HeadStanding::Harmless => return true,
+                    HeadStanding::Silent => group.enter(Phase::Breaking { left_at: None }, now),
+                    // An `open` that came late: close it again first.
+                    HeadStanding::Serving => group.enter(Phase::Closing { is_cut: false }, now),
+                    HeadStanding::Stopped => {}
+                }
+            }
+            Phase::Breaking { left_at } => return self.advance_breaking(id, group, left_at, view),
+        }
+        false
+    }
+
+    fn advance_joining(&self, id: &GroupId, group: &mut Group, view: GroupingView<'_>) -> bool {
+        let now = view.now;
+        let is_lost = |member: &Member| match view.registry.get(&member.id) {
+            None => true,
+            Some(known) => {
+                !known.is_ready()
+                    || known.silent_for(now) > self.settings.silent_for_new
+                    || self.dead.contains(&member.id)
+                    || has_moved_on(known, group.epoch)
+            }
+        };
+        if !group.is_whole() || group.members.iter().any(is_lost) {
+            group.enter(Phase::Leaving, now);
+            return false;
+        }
+        let is_ready = |member: &Member| {
+            let standing = view.registry.get(&member.id).and_then(group_of);
+            standing.is_some_and(|standing| {
+                is_member(standing, id, group.epoch, member.rank)
+                    && matches!(standing.state, MemberState::Ready | MemberState::Open)
+            })
+        };
+        if group.members.iter().all(is_ready) {
+            group.enter(Phase::Opening, now);
+        }
+        false
+    }
+
+    fn advance_opening(&self, id: &GroupId, group: &mut Group, view: GroupingView<'_>) -> bool {
+        if self.has_lost_member(id, group, view) {
+            group.enter(Phase::Closing { is_cut: true }, view.now);
+            return false;
+        }
+        let head = group.head().and_then(|head| view.registry.get(&head.id));
+        let state = head.and_then(group_of).map(|standing| standing.state);
+        match state {
+            Some(MemberState::Open) => group.enter(Phase::Open, view.now),
+            Some(MemberState::Joining) => group.enter(Phase::Joining, view.now),
+            Some(MemberState::Broken) => group.enter(Phase::Leaving, view.now),
+            Some(MemberState::Ready | MemberState::Closing) | None => {}
+        }
+        false
+    }
+
+    fn advance_open(&self, id: &GroupId, group: &mut Group, view: GroupingView<'_>) -> bool {
+        let now = view.now;
+        let Some(head) = group.head() else {
+            group.enter(Phase::Breaking { left_at: None }, now);
+            return false;
+        };
+        match self.head_standing(id, group, head, view) {
+            HeadStanding::Harmless => return true,
+            HeadStanding::Silent => {
+                group.enter(Phase::Breaking { left_at: None }, now);
+                return false;
+            }
+            HeadStanding::Stopped => {
+                group.enter(Phase::Leaving, now);
+                return false;
+            }
+            HeadStanding::Serving => {}
+        }
+        if !group.is_whole() || self.has_lost_member(id, group, view) {
+            group.enter(Phase::Closing { is_cut: true }, now);
+        } else if self.has_leaving_member(group, view) {
+            group.enter(Phase::Closing { is_cut: false }, now);
+        }
+        false
+    }
+
+    /// Waits until the head, which cannot be reached, must have broken.
+    fn advance_breaking(
+        &self,
+        id: &GroupId,
+        group: &mut Group,
+        left_at: Option<Timestamp>,
+        view: GroupingView<'_>,
+    ) -> bool {
+        if let Some(head) = group.head() {
+            match self.head_standing(id, group, head, view) {
+                HeadStanding::Harmless => return true,
+                HeadStanding::Serving => {
+                    group.enter(Phase::Closing { is_cut: true }, view.now);
+                    return false;
+                }
+                HeadStanding::Stopped => {
+                    group.enter(Phase::Leaving, view.now);
+                    return false;
+                }
+                HeadStanding::Silent => {}
+            }
+        }
+        if let Some(at) = left_at {
+            // One member that left is enough to break it; a margin covers slow clocks.
+            return view.now.since(at) >= self.settings.stall + self.settings.stall / 4;
+        }
+        let has_left = |member: &Member| {
+            self.is_dead(&member.id, view)
+                || view.registry.get(&member.id).is_some_and(|known| {
+                    group_of(known).is_none_or(|standing| {
+                        standing.group != *id || standing.epoch != group.epoch
+                    })
+                })
+        };
+        // One member less breaks the group; the others stay its members until then.
+        let mut others = group.members.iter().filter(|member| member.rank != 0);
+        if others.any(has_left) {
+            let left_at = Some(view.now);
+            group.phase = Phase::Breaking { left_at };
+        }
+        false
+    }
+
+    fn is_dead(&self, id: &InstanceId, view: GroupingView<'_>) -> bool {
+        self.dead.contains(id) || view.registry.ended(id) == Some(Ended::Dead)
+    }
+
+    /// Returns whether a member is certainly gone, so that the group cannot work.
+    fn has_lost_member(&self, id: &GroupId, group: &Group, view: GroupingView<'_>) -> bool {
+        group.members.iter().any(|member| {
+            let moved = view.registry.get(&member.id).is_some_and(|known| {
+                let standing = group_of(known);
+                standing.is_none_or(|standing| {
+                    !is_member(standing, id, group.epoch, member.rank)
+                })
+            });
+            moved || self.is_dead(&member.id, view)
+        })
+    }
+
+    fn has_leaving_member(&self, group: &Group, view: GroupingView<'_>) -> bool {
+        group.members.iter().any(|member| {
+            let known = view.registry.get(&member.id);
+            known.is_some_and(|known| !known.is_ready())
+                || view.registry.ended(&member.id) == Some(Ended::Left)
+        })
+    }
+
+    fn head_standing(
+        &self,
+        id: &GroupId,
+        group: &Group,
+        head: &Member,
+        view: GroupingView<'_>,
+    ) -> HeadStanding {
+        if self.is_dead(&head.id, view) {
+            return HeadStanding::Harmless;
+        }
+        let Some(known) = view.registry.get(&head.id) else {
+            return match view.registry.ended(&head.id) {
+                // It works off what it has, and may be told to stop.
+                Some(Ended::Left) => match group.phase {
+                    Phase::Leaving => HeadStanding::Stopped,
+                    Phase::Closing { .. } if self.was_done(head, "close") => HeadStanding::Stopped,
+                    _ => HeadStanding::Serving,
+                },
+                _ => HeadStanding::Silent,
+            };
+        };
+        if known.silent_for(view.now) > self.settings.silent_head {
+            return HeadStanding::Silent;
+        }
+        match group_of(known) {
+            Some(standing) if standing.group == *id && standing.epoch == group.epoch => {
+                match standing.state {
+                    MemberState::Open | MemberState::Closing => HeadStanding::Serving,
+                    MemberState::Joining | MemberState::Ready | MemberState::Broken => {
+                        HeadStanding::Stopped
+                    }
+                }
+            }
+            // Before its join is seen, a head reports what it was in before.
+            _ if group.phase == Phase::Joining => HeadStanding::Stopped,
+            _ => HeadStanding::Harmless,
+        }
+    }
+
+    fn was_done(&self, member: &Member, order: &str) -> bool {
+        member.last.is_some_and(|sent| {
+            sent.order == order && sent.outcome == Some(OrderOutcome::Done)
+        })
+    }
+
+    /// Gives the orders that a group's phase asks for.
+    fn order(
+        &self,
+        id: &GroupId,
+        group: &mut Group,
+        view: GroupingView<'_>,
+        orders: &mut Vec<Order>,
+    ) {
+        let wanted: Vec<(usize, OrderKind)> = match group.phase {
+            Phase::Joining => self.joins(id, group, view),
+            Phase::Opening => vec![(0, OrderKind::Open)],
+            Phase::Open => Vec::new(),
+            Phase::Closing { is_cut } => {
+                let mode = match is_cut {
+                    true => CloseMode::Cut,
+                    false => CloseMode::Wait,
+                };
+                vec![(0, OrderKind::Close(mode))]
+            }
+            Phase::Leaving => vec![(0, OrderKind::Leave)],
+            Phase::Breaking { left_at: None } => self.departures(id, group, view),
+            Phase::Breaking { .. } => Vec::new(),
+        };
+        let epoch = group.epoch;
+        for (place, kind) in wanted {
+            let Some(member) = group.members.get_mut(place) else {
+                continue;
+            };
+            if !self.is_due(member, &kind, view.now) {
+                continue;
+            }
+            member.last = Some(Sent {
+                order: kind.name(),
+                at: view.now,
+                outcome: None,
+            });
+            orders.push(Order {
+                to: member.id.clone(),
+                address: member.address,
+                group: id.clone(),
+                epoch,
+                kind,
+            });
+        }
+    }
+
+    fn joins(
+        &self,
+        id: &GroupId,
+        group: &Group,
+        view: GroupingView<'_>,
+    ) -> Vec<(usize, OrderKind)> {
+        let members: Vec<InstanceId> = group.members.iter().map(|m| m.id.clone()).collect();
+        let is_in = |member: &Member| {
+            let standing = view.registry.get(&member.id).and_then(group_of);
+            standing.is_some_and(|standing| is_member(standing, id, group.epoch, member.rank))
+        };
+        let missing = group.members.iter().enumerate();
+        let missing = missing.filter(|(_, member)| !is_in(member));
+        missing
+            .map(|(place, _)| {
+                let kind = OrderKind::Join {
+                    model: group.model.clone(),
+                    members: members.clone(),
+                };
+                (place, kind)
+            })
+            .collect()
+    }
+
+    fn departures(
+        &self,
+        id: &GroupId,
+        group: &Group,
+        view: GroupingView<'_>,
+    ) -> Vec<(usize, OrderKind)> {
+        let others = group.members.iter().enumerate();
+        let others = others.filter(|(_, member)| {
+            let known = view.registry.get(&member.id);
+            let standing = known.and_then(group_of);
+            member.rank != 0
+                && standing.is_some_and(|s| s.group == *id && s.epoch == group.epoch)
+        });
+        others.map(|(place, _)| (place, OrderKind::Leave)).collect()
+    }
+
+    fn is_due(&self, member: &Member, kind: &OrderKind, now: Timestamp) -> bool {
+        let Some(sent) = member.last.filter(|sent| sent.order == kind.name()) else {
+            return true;
+        };
+        let pause = match sent.outcome {
+            None
+            | Some(
+                OrderOutcome::Begun
+                | OrderOutcome::Done
+                | OrderOutcome::Unfit
+                | OrderOutcome::Outdated,
+            ) => self.settings.repeat_taken,
+            Some(OrderOutcome::Unanswered) => self.settings.repeat_unanswered,
+            Some(OrderOutcome::Refused | OrderOutcome::OtherRun) => {
+                self.settings.refused_is_dead
+            }
+        };
+        now.since(sent.at) >= pause
+    }
+
+    /// Forms new groups from engines that no group needs.
+    fn place(&mut self, view: GroupingView<'_>, orders: &mut Vec<Order>) {
+        let services: Vec<(&ServiceName, &EngineTraits)> = view
+            .table
+            .services
+            .iter()
+            .filter_map(|(name, service)| Some((name, service.engine.as_ref()?)))
+            .collect();
+        for (service, traits) in services {
+            let mut free = self.free_engines(service, view);
+            while let Some(new) = self.choose(service, traits, &free, view) {
+                free.retain(|engine| new.members.iter().all(|member| member.id != engine.id));
+                self.form(service, traits, new, view, orders);
+            }
+        }
+    }
+
+    fn choose(
+        &mut self,
+        service: &ServiceName,
+        traits: &EngineTraits,
+        free: &[FreeEngine],
+        view: GroupingView<'_>,
+    ) -> Option<NewGroup> {
+        let standings = self.standings(service, view);
+        // On hosts without any weights everything must be loaded, so nothing is gained
+        // by waiting.
+        let all_empty = view.registry.iter().all(|(_, known)| is_untouched(known));
+        let room = self.load_room(traits, view.now);
+        let now = view.now;
+        let wait = self.settings.wait_before_load;
+        let may_load = |engine: &FreeEngine| {
+            all_empty || engine.staged.is_empty() || now.since(engine.free_since) >= wait
+        };
+        let shares = BTreeMap::new();
+        let new = next_group(traits, &shares, free, &standings, may_load)?;
+        (all_empty || new.loads <= room).then_some(new)
+    }
+
+    fn form(
+        &mut self,
+        service: &ServiceName,
+        traits: &EngineTraits,
+        new: NewGroup,
+        view: GroupingView<'_>,
+        orders: &mut Vec<Order>,
+    ) {
+        let epoch = self.next_epoch();
+        let Ok(id) = format!("g{epoch}").parse::<GroupId>() else {
+            return;
+        };
+        if !view.registry.iter().all(|(_, known)| is_untouched(known)) {
+            for _ in 0..new.loads {
+                self.loads.push_back(view.now);
+            }
+        }
+        let size = traits.model(&new.model).map_or(0, |model| model.size);
+        let members = (0..).zip(new.members).map(|(rank, engine)| Member {
+            id: engine.id,
+            address: engine.address,
+            rank,
+            last: None,
+        });
+        let mut group = Group {
+            epoch,
+            service: service.clone(),
+            model: new.model,
+            size,
+            members: members.collect(),
+            phase: Phase::Joining,
+            since: view.now,
+        };
+        self.order(&id, &mut group, view, orders);
+        self.groups.insert(id, group);
+    }
+
+    /// Returns how many loads may start now.
+    fn load_room(&mut self, traits: &EngineTraits, now: Timestamp) -> u32 {
+        if traits.loads_per_s <= 0.0 {
+            return u32::MAX;
+        }
+        while self
+            .loads
+            .front()
+            .is_some_and(|at| now.since(*at) >= LOAD_WINDOW)
+        {
+            self.loads.pop_front();
+        }
+        let limit = (traits.loads_per_s * LOAD_WINDOW.as_secs_f64()).floor() as usize;
+        u32::try_from(limit.saturating_sub(self.loads.len())).unwrap_or(u32::MAX)
+    }
+
+    fn standings(
+        &self,
+        service: &ServiceName,
+        view: GroupingView<'_>,
+    ) -> BTreeMap<ModelName, ModelStanding> {
+        let mut standings: BTreeMap<ModelName, ModelStanding> = BTreeMap::new();
+        let useful = self.groups.values().filter(|group| {
+            let counts = matches!(group.phase, Phase::Joining | Phase::Opening | Phase::Open);
+            counts && group.service == *service
+        });
+        for group in useful {
+            let standing = standings.entry(group.model.clone()).or_default();
+            standing.engines += group.size;
+            let head = group.head().and_then(|head| view.registry.get(&head.id));
+            if let Some(head) = head {
+                let domain = head.registration.failure_domain.clone();
+                *standing.groups.entry(domain).or_default() += 1;
+            }
+        }
+        standings
+    }
+
+    fn free_engines(&mut self, service: &ServiceName, view: GroupingView<'_>) -> Vec<FreeEngine> {
+        let taken: BTreeSet<&InstanceId> = self
+            .groups
+            .values()
+            .flat_map(|group| group.members.iter().map(|member| &member.id))
+            .collect();
+        let mut free = Vec::new();
+        for (id, known) in view.registry.iter() {
+            let registration = &known.registration;
+            let Some(engine) = &registration.engine else {
+                continue;
+            };
+            if registration.service != *service || taken.contains(id) {
+                self.free_since.remove(id);
+                continue;
+            }
+            let is_usable = known.is_ready()
+                && known.silent_for(view.now) <= self.settings.silent_for_new
+                && !self.dead.contains(id)
+                && !group_of(known).is_some_and(serves);
+            if !is_usable {
+                continue;
+            }
+            let since = *self.free_since.entry(id.clone()).or_insert(view.now);
+            let of_zone = || registration.failure_domain.as_str().parse().ok();
+            let Some(fabric_domain) = engine.fabric_domain.clone().or_else(of_zone) else {
+                continue;
+            };
+            free.push(FreeEngine {
+                id: id.clone(),
+                address: registration.address,
+                fabric_domain,
+                failure_domain: registration.failure_domain.clone(),
+                staged: engine.staged.clone(),
+                free_since: since,
+            });
+        }
+        free
+    }
+
+    fn finish(&mut self, id: &GroupId, now: Timestamp) {
+        if self.groups.remove(id).is_some() {
+            self.finished.insert(id.clone(), now);
+        }
+    }
+
+    /// Forgets what nobody reports any more.
+    fn forget(&mut self, view: GroupingView<'_>) {
+        let reported: BTreeSet<&GroupId> = view
+            .registry
+            .iter()
+            .filter_map(|(_, known)| group_of(known).map(|standing| &standing.group))
+            .collect();
+        self.finished.retain(|id, at| {
+            reported.contains(id) || view.now.since(*at) < Duration::from_secs(60)
+        });
+        let registry = view.registry;
+        self.free_since.retain(|id, _| registry.get(id).is_some());
+        self.refused
+            .retain(|_, (_, last)| view.now.since(*last) < Duration::from_secs(60));
+    }
+}
+
+/// What a group's head can still do.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum HeadStanding {
+    /// It can never take a request for this group again.
+    Harmless,
+    /// It takes none now, but a late order could open it.
+    Stopped,
+    /// It takes requests, or works on some.
+    Serving,
+    /// Nothing is known.
+    Silent,
+}
+
+fn group_of(known: &Known) -> Option<&GroupStanding> {
+    known.registration.engine.as_ref()?.group.as_ref()
+}
+
+/// Whether an engine, by its own word, takes requests as a head or works on some.
+fn serves(standing: &GroupStanding) -> bool {
+    matches!(standing.state, MemberState::Open | MemberState::Closing)
+}
+
+fn is_untouched(known: &Known) -> bool {
+    let engine = known.registration.engine.as_ref();
+    engine.is_none_or(|engine| engine.group.is_none() && engine.staged.is_empty())
+}
+
+fn is_member(standing: &GroupStanding, id: &GroupId, epoch: u64, rank: u32) -> bool {
+    standing.group == *id && standing.epoch == epoch && standing.rank == rank
+}
+
+/// Whether an engine has taken an order of a later group.
+fn has_moved_on(known: &Known, epoch: u64) -> bool {
+    group_of(known).is_some_and(|standing| standing.epoch > epoch)
+}
+
+/// Makes a group from what its members report.
+fn adopted(
+    mut reports: Vec<(&Known, &GroupStanding)>,
+    view: GroupingView<'_>,
+) -> Option<Group> {
+    let epoch = reports.iter().map(|(_, standing)| standing.epoch).max()?;
+    reports.retain(|(_, standing)| standing.epoch == epoch);
+    reports.sort_by_key(|(_, standing)| standing.rank);
+    let (known, first) = reports.first()?;
+    let service = known.registration.service.clone();
+    let engine = known.registration.engine.as_ref()?;
+    let model = engine.model.clone()?;
+    let traits = view.table.engine(&service)?;
+    let size = traits.model(&model)?.size;
+    let phase = match first.state {
+        _ if first.rank != 0 => Phase::Breaking { left_at: None },
+        MemberState::Open => Phase::Open,
+        MemberState::Closing => Phase::Closing { is_cut: false },
+        MemberState::Broken => Phase::Leaving,
+        MemberState::Joining | MemberState::Ready => Phase::Joining,
+    };
+    let members = reports.iter().map(|(known, standing)| Member {
+        id: known.registration.id.clone(),
+        address: known.registration.address,
+        rank: standing.rank,
+        last: None,
+    });
+    Some(Group {
+        epoch,
+        service,
+        model,
+        size,
+        members: members.collect(),
+        phase,
+        since: view.now,
+    })
+}
--- /dev/null
+++ b/lib/src/grouping/order.rs
@@ -0,0 +1,95 @@
+//! Orders to engines and their answers.
+
+use crate::{
+    ids::Address,
+    prelude::*,
+    registry::InstanceId, //
+};
+
+/// One order to one engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Order {
+    /// The run it is meant for; another one at the address must not take it.
+    pub to: InstanceId,
+    /// Where that run takes orders.
+    pub address: Address,
+    /// The group it concerns.
+    pub group: GroupId,
+    /// The group's number; engines refuse lower ones than they have seen.
+    pub epoch: u64,
+    /// What to do.
+    pub kind: OrderKind,
+}
+
+/// What an engine is to do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum OrderKind {
+    /// Get ready as a member.
+    Join {
+        /// The model to run.
+        model: ModelName,
+        /// All members in order; the first is the head.
+        members: Vec<InstanceId>,
+    },
+    /// As the head, take requests.
+    Open,
+    /// As the head, take no more requests.
+    Close(CloseMode),
+    /// Be in the group no longer.
+    Leave,
+}
+
+impl OrderKind {
+    /// Returns the order's name for logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            OrderKind::Join { .. } => "join",
+            OrderKind::Open => "open",
+            OrderKind::Close(_) => "close",
+            OrderKind::Leave => "leave",
+        }
+    }
+}
+
+/// What becomes of the requests that a closing head has.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CloseMode {
+    /// They end first.
+    Wait,
+    /// They are cut off.
+    Cut,
+}
+
+/// What came back.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OrderOutcome {
+    /// The engine has begun to carry it out.
+    Begun,
+    /// It is done, or was so before.
+    Done,
+    /// It does not fit the engine's state.
+    Unfit,
+    /// The engine has seen a higher epoch.
+    Outdated,
+    /// Another run has the address.
+    OtherRun,
+    /// Nothing listens at the address.
+    Refused,
+    /// Nobody knows whether it was, or will be, carried out.
+    Unanswered,
+}
+
+impl OrderOutcome {
+    /// Returns the outcome's name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            OrderOutcome::Begun => "begun",
+            OrderOutcome::Done => "done",
+            OrderOutcome::Unfit => "unfit",
+            OrderOutcome::Outdated => "outdated",
+            OrderOutcome::OtherRun => "other_run",
+            OrderOutcome::Refused => "refused",
+            OrderOutcome::Unanswered => "unanswered",
+        }
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -10,6 +10,9 @@
 //! - [`agreement`]: the replicated log among control daemons.
 //! - [`chart`]: state charts that stand in files.
 //! - [`domain`]: what the daemons of one failure domain decide together.
+//! - [`routes`], [`registry`], [`grouping`], [`roster`]: tables of routes, upstreams that
+//!   report to any daemon, groups formed from them by one leader, membership by seeds.
+//! - [`dispatch`]: which upstream a routed request goes to.
 //! - [`routing`], [`admission`], [`claims`], [`request`]: the life of one request.
 //! - [`upstream_api`], [`peer_api`], [`operator_api`], [`caller_api`]: the messages
 //!   between processes.
@@ -19,13 +22,18 @@
 pub mod caller_api;
 pub mod chart;
 pub mod claims;
+pub mod dispatch;
 pub mod domain;
 pub mod fleet;
+pub mod grouping;
 pub mod ids;
 pub mod operator_api;
 pub mod peer_api;
 pub mod prelude;
+pub mod registry;
 pub mod request;
+pub mod roster;
+pub mod routes;
 pub mod routing;
 pub mod time;
 pub mod units;
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -21,6 +21,16 @@
     },
     ids::Address,
     prelude::*,
+    registry::{
+        Alive,
+        Ended,
+        InstanceId,
+        Registration, //
+    },
+    routes::{
+        RouteTable,
+        RouteVersion, //
+    },
     upstream_api::{
         Announcement,
         LoadReport, //
@@ -28,7 +38,73 @@
 };
 
 /// The version of this protocol; a process drops messages of another one and counts them.
-pub const PROTOCOL_VERSION: u16 = 1;
+pub const PROTOCOL_VERSION: u16 = 2;
+
+/// A daemon's role, as members that find each other by seeds tell it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DaemonRole {
+    /// It keeps the agreed state.
+    Control,
+    /// It takes callers' requests.
+    Entry,
+}
+
+/// A daemon and where it hears its peers.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct MemberAddress {
+    /// Its name.
+    pub daemon: DaemonId,
+    /// Where it hears peers.
+    pub address: Address,
+    /// Its role.
+    pub role: DaemonRole,
+    /// Its failure domain.
+    pub failure_domain: FailureDomain,
+    /// Where a control daemon takes operators' requests.
+    pub operators: Option<Address>,
+    /// The number of a control daemon's disk.
+    pub disk: Option<u64>,
+}
+
+/// A daemon's sign of life.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Hello {
+    /// Who it is.
+    pub member: MemberAddress,
+    /// The table of routes it serves by.
+    pub routes: RouteVersion,
+    /// Whether the receiver is asked to pass on what upstreams report.
+    pub subscribes: bool,
+    /// Whether it lacks something, so that only all reports help.
+    pub wants_all: bool,
+}
+
+/// What a control daemon knows of the membership.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RosterNews {
+    /// The control daemons it hears, itself included.
+    pub controls: Vec<MemberAddress>,
+    /// How many entry daemons it hears.
+    pub entries: u32,
+    /// The newest table of routes it has applied.
+    pub routes: RouteVersion,
+    /// Whether it is in touch with a leader, so that `routes` is the newest but for moments.
+    pub is_in_touch: bool,
+}
+
+/// Reports of upstreams on their way between daemons.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct UpstreamNews {
+    /// New or changed reports, with their age in milliseconds.
+    pub reports: Vec<(Registration, u32)>,
+    /// Signs of life, with their age in milliseconds.
+    pub alive: Vec<(Alive, u32)>,
+    /// Runs that have ended.
+    pub ended: Vec<(InstanceId, Ended)>,
+    /// Whether `reports` holds all that the sender knows.
+    pub is_all: bool,
+}
 
 /// What surrounds every message.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -41,6 +117,10 @@
     pub from: DaemonId,
     /// The sender's run.
     pub boot: BootId,
+    /// The number of this message among those from the sender to the receiver.
+    pub number: u64,
+    /// The highest number of a message that the sender has heard from the receiver's run.
+    pub heard: u64,
     /// The message.
     pub message: PeerMessage,
 }
@@ -90,6 +170,14 @@
     Heard(BTreeSet<VmId>),
     /// Domain leader to daemon: relay these upstreams' announcements to these daemons.
     RelayOrder(BTreeMap<VmId, BTreeSet<DaemonId>>),
+    /// Any daemon to control daemons, where members find each other by seeds.
+    Hello(Box<Hello>),
+    /// Control to whoever said hello: who is there, and what is in force.
+    Roster(Box<RosterNews>),
+    /// Control to entry: the table of routes.
+    Routes(Box<RouteTable>),
+    /// Control to control and entry: what upstreams report.
+    Upstreams(Box<UpstreamNews>),
 }
 
 /// A control daemon's sign of life to the other control daemons.
--- /dev/null
+++ b/lib/src/registry/registration.rs
@@ -0,0 +1,120 @@
+//! One report.
+
+use std::{
+    fmt,
+    str::FromStr, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    ids::{
+        Address,
+        IdError, //
+    },
+    prelude::*,
+};
+
+/// One run of an upstream; a restart makes another one.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct InstanceId(VmId);
+
+impl InstanceId {
+    /// Returns the id as text.
+    pub fn as_str(&self) -> &str {
+        self.0.as_str()
+    }
+}
+
+impl fmt::Display for InstanceId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for InstanceId {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        text.parse().map(Self)
+    }
+}
+
+/// What an upstream says of itself.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Registration {
+    /// Which run of which upstream.
+    pub id: InstanceId,
+    /// What it serves.
+    pub service: ServiceName,
+    /// Where it takes requests.
+    pub address: Address,
+    /// Where it is.
+    pub failure_domain: FailureDomain,
+    /// How many requests it runs side by side.
+    pub slots: Slots,
+    /// Whether it takes new work.
+    pub state: UpstreamState,
+    /// Grows with each report of a run.
+    pub sequence: u64,
+    /// What only engines have.
+    pub engine: Option<EngineStanding>,
+}
+
+/// Whether an upstream takes new work.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum UpstreamState {
+    /// It does.
+    Ready,
+    /// It ends soon and must get nothing new.
+    Draining,
+    /// It has said that it leaves, or has been replaced; it must get nothing new.
+    Gone,
+}
+
+/// What an engine says of its groups and weights.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EngineStanding {
+    /// The part of the fabric it is in.
+    pub fabric_domain: Option<FabricDomain>,
+    /// The models on its host.
+    pub staged: Vec<ModelName>,
+    /// The model it runs.
+    pub model: Option<ModelName>,
+    /// The group it is in.
+    pub group: Option<GroupStanding>,
+}
+
+/// An engine's place in a group.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct GroupStanding {
+    /// The group.
+    pub group: GroupId,
+    /// The number of the order that formed it; orders with lower numbers are refused.
+    pub epoch: u64,
+    /// Its place in the list of members; 0 is the head, which takes the requests.
+    pub rank: u32,
+    /// How far it is.
+    pub state: MemberState,
+}
+
+/// How far a member is.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MemberState {
+    /// It gets ready.
+    Joining,
+    /// It is ready; a head does not take requests yet.
+    Ready,
+    /// A head that takes requests.
+    Open,
+    /// A head that finishes what it has.
+    Closing,
+    /// A head that has lost a member.
+    Broken,
+}
--- /dev/null
+++ b/lib/src/registry/table.rs
@@ -0,0 +1,266 @@
+//! The newest report of each run.
+
+use std::{
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
+    time::Duration,
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::{
+    InstanceId,
+    Registration,
+    UpstreamState, //
+};
+use crate::{
+    ids::Address,
+    prelude::*, //
+};
+
+/// How long a run that has ended is remembered, so that its late reports are recognised.
+const REMEMBERED: Duration = Duration::from_secs(120);
+/// A run whose first heard report has at most this number has just begun.
+const FIRST_REPORTS: u64 = 2;
+/// A run that reported within this time holds its address against an older stranger.
+const HOLDS_ADDRESS: Duration = Duration::from_secs(4);
+/// How long a silent run is kept; long after it was taken out of use.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
+
+/// A report on its way between daemons.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Heard {
+    /// What was reported.
+    pub registration: Registration,
+    /// How long ago a daemon received it from the upstream itself.
+    pub age: Duration,
+}
+
+/// A sign of life of a run whose last change was told before.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Alive {
+    /// The run.
+    pub id: InstanceId,
+    /// The number of the report that changed something last.
+    pub changed_by: u64,
+}
+
+/// What is known of one run.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Known {
+    /// Its newest report.
+    pub registration: Registration,
+    /// When that report, or a later sign of life, was received by some daemon.
+    pub heard_at: Timestamp,
+    /// The number of the report that last changed something besides the time.
+    pub changed_by: u64,
+}
+
+impl Known {
+    /// Returns whether it takes new work, by its own word.
+    pub fn is_ready(&self) -> bool {
+        self.registration.state == UpstreamState::Ready
+    }
+
+    /// Returns how long it has been silent.
+    pub fn silent_for(&self, now: Timestamp) -> Duration {
+        now.since(self.heard_at)
+    }
+}
+
+/// Why a run has ended.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Ended {
+    /// It has said that it leaves; it may still work off what it has.
+    Left,
+    /// Another run has its address, or nothing listens there: it does nothing any more.
+    Dead,
+    /// Nothing was heard for long.
+    Silent,
+}
+
+/// What taking a report in has changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Taken {
+    /// The run was unknown.
+    New,
+    /// Something besides the time has changed.
+    Changed,
+    /// It only shows that the run still lives.
+    Refreshed,
+    /// It is older than what is known, or of a run that has ended.
+    Stale,
+}
+
+/// All runs that are known.
+#[derive(Clone, Debug, Default)]
+pub struct Registry {
+    known: BTreeMap<InstanceId, Known>,
+    by_address: HashMap<Address, InstanceId>,
+    ended: HashMap<InstanceId, (Timestamp, Ended)>,
+    /// Strangers at an address that another run holds, and the number of their report.
+    strangers: HashMap<InstanceId, u64>,
+}
+
+impl Registry {
+    /// Takes a report in.
+    pub fn take(&mut self, heard: Heard, now: Timestamp) -> Taken {
+        let Heard { registration, age } = heard;
+        let heard_at = Timestamp(now.0.saturating_sub(millis(age)));
+        let id = registration.id.clone();
+        if self.ended.contains_key(&id) {
+            return Taken::Stale;
+        }
+        if let Some(known) = self.known.get_mut(&id) {
+            return renew(known, registration, heard_at);
+        }
+        if !self.may_take_address(&registration, now) {
+            return Taken::Stale;
+        }
+        let address = registration.address;
+        if let Some(before) = self.by_address.insert(address, id.clone()) {
+            self.end(&before, Ended::Dead, now);
+            self.by_address.insert(address, id.clone());
+        }
+        self.strangers.remove(&id);
+        let known = Known {
+            changed_by: registration.sequence,
+            registration,
+            heard_at,
+        };
+        self.known.insert(id, known);
+        Taken::New
+    }
+
+    /// A report that a cut has delayed may come after the address has a new run.
+    ///
+    /// A new run begins to count from the start; a delayed report does not. If the
+    /// holder is silent, or the stranger reports again, it is the stranger's address.
+    fn may_take_address(&mut self, registration: &Registration, now: Timestamp) -> bool {
+        let Some(holder) = self.by_address.get(&registration.address) else {
+            return true;
+        };
+        let holder = self.known.get(holder);
+        let holds = holder.is_some_and(|known| known.silent_for(now) < HOLDS_ADDRESS);
+        if !holds || registration.sequence <= FIRST_REPORTS {
+            return true;
+        }
+        let id = registration.id.clone();
+        let before = self.strangers.insert(id, registration.sequence);
+        before.is_some_and(|before| before < registration.sequence)
+    }
+
+    /// Notes that a run has ended; returns whether that is news.
+    pub fn end(&mut self, id: &InstanceId, how: Ended, now: Timestamp) -> bool {
+        let before = self.ended.insert(id.clone(), (now, how));
+        if let Some((at, Ended::Dead)) = before {
+            // What is dead stays so, whatever a late message says.
+            self.ended.insert(id.clone(), (at, Ended::Dead));
+        }
+        let Some(known) = self.known.remove(id) else {
+            return false;
+        };
+        let address = known.registration.address;
+        if self.by_address.get(&address) == Some(id) {
+            self.by_address.remove(&address);
+        }
+        true
+    }
+
+    /// Returns how a run has ended, if it has.
+    pub fn ended(&self, id: &InstanceId) -> Option<Ended> {
+        self.ended.get(id).map(|(_, how)| *how)
+    }
+
+    /// Notes a sign of life; returns whether all that it stands for is known here.
+    pub fn touch(&mut self, alive: &Alive, age: Duration, now: Timestamp) -> bool {
+        let heard_at = Timestamp(now.0.saturating_sub(millis(age)));
+        if self.ended.contains_key(&alive.id) {
+            return true;
+        }
+        let Some(known) = self.known.get_mut(&alive.id) else {
+            return false;
+        };
+        known.heard_at = known.heard_at.max(heard_at);
+        known.changed_by >= alive.changed_by
+    }
+
+    /// Changes a report by what the run itself has answered to an order.
+    pub fn amend(&mut self, id: &InstanceId, change: impl FnOnce(&mut Registration)) {
+        if let Some(known) = self.known.get_mut(id) {
+            change(&mut known.registration);
+        }
+    }
+
+    /// Returns what is known of a run.
+    pub fn get(&self, id: &InstanceId) -> Option<&Known> {
+        self.known.get(id)
+    }
+
+    /// Returns all runs, by id.
+    pub fn iter(&self) -> impl Iterator<Item = (&InstanceId, &Known)> {
+        self.known.iter()
+    }
+
+    /// Returns the runs that have ended lately.
+    pub fn all_ended(&self) -> impl Iterator<Item = (&InstanceId, Ended)> {
+        self.ended.iter().map(|(id, (_, how))| (id, *how))
+    }
+
+    /// Drops what is too old to matter.
+    pub fn forget_old(&mut self, now: Timestamp) -> Vec<InstanceId> {
+        self.ended.retain(|_, (at, _)| now.since(*at) < REMEMBERED);
+        if self.strangers.len() > self.known.len() + 64 {
+            self.strangers.clear();
+        }
+        let silent = self.known.iter();
+        let silent = silent.filter(|(_, known)| known.silent_for(now) > FORGOTTEN_AFTER);
+        let silent: Vec<InstanceId> = silent.map(|(id, _)| id.clone()).collect();
+        for id in &silent {
+            self.end(id, Ended::Silent, now);
+        }
+        silent
+    }
+}
+
+fn renew(known: &mut Known, registration: Registration, heard_at: Timestamp) -> Taken {
+    if registration.sequence < known.registration.sequence {
+        return Taken::Stale;
+    }
+    known.heard_at = known.heard_at.max(heard_at);
+    // A run that has said that it leaves never takes work again; a report that says
+    // otherwise was overtaken on its way.
+    let leaves = known.registration.state != UpstreamState::Ready;
+    if registration.sequence == known.registration.sequence {
+        return Taken::Refreshed;
+    }
+    let sequence = registration.sequence;
+    let state = match leaves {
+        true => known.registration.state.max(registration.state),
+        false => registration.state,
+    };
+    let next = Registration {
+        state,
+        ..registration
+    };
+    let is_same = Registration {
+        sequence: known.registration.sequence,
+        ..next.clone()
+    } == known.registration;
+    if is_same {
+        known.registration.sequence = sequence;
+        return Taken::Refreshed;
+    }
+    known.registration = next;
+    known.changed_by = sequence;
+    Taken::Changed
+}
+
+fn millis(length: Duration) -> u64 {
+    u64::try_from(length.as_millis()).unwrap_or(u64::MAX)
+}
