grouping: entry daemons tell of heads that stand still; streams go on elsewhere sooner

Ruled out: taking silence alone for death (a cut from the core looks the same while the group serves). Change: entry daemons notice that all streams of a head stand still and say so in their hellos; the leader closes a group that stands still and has a silent member; a leader whose registry is warm does not settle again.

--- a/control/src/members/events.rs
+++ b/control/src/members/events.rs
@@ -30,6 +30,11 @@
         instance: cicadabend::registry::InstanceId,
         how: String,
     } "upstream ended";
+    /// An entry daemon sees that all streams of a head stand still.
+    1705 Info HeadStalled {
+        instance: cicadabend::registry::InstanceId,
+        by: cicadabend::prelude::DaemonId,
+    } "head stands still";
     /// This daemon begins to form groups; its epochs begin at its term.
     1710 Info GroupingBegins { term: u64 } "leading groups";
     /// This daemon forms groups no longer.
--- a/control/src/members/leading.rs
+++ b/control/src/members/leading.rs
@@ -1,7 +1,10 @@
 //! What the leader does besides: groups and the set of voters.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     time::Duration, //
 };
 
@@ -19,7 +22,10 @@
     },
     peer_api::DaemonRole,
     prelude::*,
-    registry::Registry,
+    registry::{
+        InstanceId,
+        Registry, //
+    },
     roster::{
         Members,
         VoterView,
@@ -39,6 +45,7 @@
 /// The leader's part, as long as this daemon leads.
 pub(super) struct Leading {
     settings: GroupingSettings,
+    listening_since: Timestamp,
     term: Option<(u64, Timestamp)>,
     grouping: Option<Grouping>,
     phases: BTreeMap<GroupId, &'static str>,
@@ -46,9 +53,10 @@
 }
 
 impl Leading {
-    pub(super) fn new(settings: GroupingSettings) -> Self {
+    pub(super) fn new(settings: GroupingSettings, now: Timestamp) -> Self {
         Self {
             settings,
+            listening_since: now,
             term: None,
             grouping: None,
             phases: BTreeMap::new(),
@@ -65,7 +73,8 @@
                 let term = status.term;
                 LogEvent::GroupingBegins { term }.emit();
                 self.term = Some((term, now));
-                self.grouping = Some(Grouping::new(self.settings, term, now));
+                let grouping = Grouping::new(self.settings, term, self.listening_since, now);
+                self.grouping = Some(grouping);
                 self.phases.clear();
             }
             (Some((term, _)), false) => {
@@ -82,6 +91,7 @@
         &mut self,
         table: &RouteTable,
         registry: &Registry,
+        stalled: &BTreeSet<InstanceId>,
         now: Timestamp,
     ) -> Vec<Order> {
         let Some(grouping) = &mut self.grouping else {
@@ -90,6 +100,7 @@
         let orders = grouping.tick(GroupingView {
             table,
             registry,
+            stalled,
             now,
         });
         for order in &orders {
--- a/control/src/members/thread.rs
+++ b/control/src/members/thread.rs
@@ -76,6 +76,8 @@
 /// How long an entry daemon may lack the newest routes before another control daemon
 /// than its own sends them.
 const ROUTES_OVERDUE: Duration = Duration::from_millis(700);
+/// For how long an entry daemon's word that a head stands still counts.
+const STALL_TOLD_FOR: Duration = Duration::from_millis(1_500);
 /// The most events taken before the ticks get their turn.
 const MOST_PER_TURN: usize = 256;
 
@@ -112,6 +114,8 @@
     leading: Leading,
     entries: BTreeMap<DaemonId, EntryDaemon>,
     silent: BTreeSet<DaemonId>,
+    /// Heads that stand still as entry daemons see them, and when that was last told.
+    stalled: BTreeMap<InstanceId, Timestamp>,
     /// Reports that came to this daemon itself, for the other control daemons.
     own: Gathered,
     /// All reports, for the entry daemons that get them from here.
@@ -132,7 +136,8 @@
         Self {
             members,
             registry: Registry::default(),
-            leading: Leading::new(setup.grouping),
+            leading: Leading::new(setup.grouping, setup.clock.now()),
+            stalled: BTreeMap::new(),
             entries: BTreeMap::new(),
             silent: BTreeSet::new(),
             own: Gathered::default(),
@@ -229,6 +234,15 @@
             }
             .emit();
         }
+        for id in &hello.stalled {
+            if self.stalled.insert(id.clone(), now).is_none() {
+                LogEvent::HeadStalled {
+                    instance: id.clone(),
+                    by: daemon.clone(),
+                }
+                .emit();
+            }
+        }
         if hello.member.role == DaemonRole::Entry {
             self.note_entry(&daemon, &hello, now);
         }
@@ -415,6 +429,7 @@
             routes: self.newest_routes(),
             subscribes: true,
             wants_all: self.wants_all,
+            stalled: Vec::new(),
         };
         for (daemon, address) in self.members.to_greet() {
             // A seed that cannot be dialled is reported by its silence.
@@ -519,7 +534,10 @@
         self.leading.follow(&self.setup.replication, now);
         let state = self.setup.replication.local();
         if let Some(document) = state.routes() {
-            let orders = self.leading.orders(&document.table, &self.registry, now);
+            self.stalled.retain(|_, at| now.since(*at) < STALL_TOLD_FOR);
+            let stalled: BTreeSet<InstanceId> = self.stalled.keys().cloned().collect();
+            let table = &document.table;
+            let orders = self.leading.orders(table, &self.registry, &stalled, now);
             for order in orders {
                 // A full ring loses the order; it counts as unanswered and comes again.
                 let _ = self.setup.orders.push(order);
--- a/entry/src/members/thread.rs
+++ b/entry/src/members/thread.rs
@@ -1,6 +1,7 @@
 //! Takes what control daemons tell and publishes the view.
 
 use std::{
+    collections::BTreeMap,
     sync::Arc,
     time::Duration, //
 };
@@ -18,6 +19,7 @@
     prelude::*,
     registry::{
         Heard,
+        InstanceId,
         Registry, //
     },
     roster::{
@@ -56,6 +58,8 @@
 const TICK: Duration = Duration::from_millis(200);
 /// How long a control daemon's word that the routes are the newest holds.
 const CERTAIN_FOR: Duration = Duration::from_millis(1_400);
+/// For how long a head that stands still is told of.
+const STALL_TOLD_FOR: Duration = Duration::from_millis(1_000);
 /// The most messages taken before the view is made anew.
 const MOST_PER_TURN: usize = 256;
 
@@ -81,6 +85,8 @@
     has_upstreams: bool,
     entries: u32,
     source: Option<DaemonId>,
+    /// Heads whose streams stand still here, and when that was noticed last.
+    stalled: BTreeMap<InstanceId, Timestamp>,
     hello_due: Timestamp,
 }
 
@@ -98,6 +104,7 @@
             has_upstreams: false,
             entries: 1,
             source: None,
+            stalled: BTreeMap::new(),
             hello_due: Timestamp::default(),
             setup,
         }
@@ -107,6 +114,7 @@
     pub(crate) async fn run(
         mut self,
         mut inbox: Receiver<Incoming>,
+        mut stalls: Receiver<InstanceId>,
         mut ended: watch::Receiver<bool>,
     ) {
         let mut tick = tokio::time::interval(TICK);
@@ -117,6 +125,7 @@
                     Some(incoming) => self.hear(incoming),
                     None => return,
                 },
+                Some(id) = stalls.next() => self.note_stall(id),
                 _ = tick.tick() => self.tick(),
                 _ = ended.wait_for(|ended| *ended) => return,
             }
@@ -139,6 +148,16 @@
         routes.map_or(RouteVersion::default(), |routes| routes.version())
     }
 
+    /// Passes on at once that a head stands still, if that is news.
+    fn note_stall(&mut self, id: InstanceId) {
+        let now = self.now();
+        let before = self.stalled.insert(id, now);
+        if before.is_none_or(|at| now.since(at) >= STALL_TOLD_FOR) {
+            self.hello_due = Timestamp::default();
+            self.greet_if_due();
+        }
+    }
+
     fn hear(&mut self, incoming: Incoming) {
         let now = self.now();
         match incoming.message {
@@ -244,12 +263,15 @@
             self.setup.peers.forget(&daemon);
         }
         self.choose_source(now);
+        self.stalled.retain(|_, at| now.since(*at) < STALL_TOLD_FOR);
+        let stalled: Vec<InstanceId> = self.stalled.keys().cloned().collect();
         for (daemon, address) in self.members.to_greet() {
             let hello = Hello {
                 member: self.setup.me.clone(),
                 routes: self.held(),
                 subscribes: self.source.as_ref() == Some(&daemon),
                 wants_all: self.wants_all,
+                stalled: stalled.clone(),
             };
             if self.setup.peers.know(&daemon, address).is_ok() {
                 let message = PeerMessage::Hello(Box::new(hello));
@@ -296,11 +318,8 @@
     }
 }
 
-fn log_changes(
-    before: &RoutedView,
-    fresh: &std::collections::BTreeMap<ServiceName, Vec<super::RoutedReplica>>,
-) {
-    let all = |view: &std::collections::BTreeMap<ServiceName, Vec<super::RoutedReplica>>| {
+fn log_changes(before: &RoutedView, fresh: &BTreeMap<ServiceName, Vec<super::RoutedReplica>>) {
+    let all = |view: &BTreeMap<ServiceName, Vec<super::RoutedReplica>>| {
         let replicas = view.iter().flat_map(|(service, replicas)| {
             let service = service.clone();
             replicas.iter().map(move |replica| {
@@ -308,7 +327,7 @@
                 (key, (service.clone(), replica.address))
             })
         });
-        replicas.collect::<std::collections::BTreeMap<_, _>>()
+        replicas.collect::<BTreeMap<_, _>>()
     };
     let (old, new) = (all(&before.replicas), all(fresh));
     for ((instance, is_suspect), (service, address)) in &new {
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -85,6 +85,8 @@
 const CACHE_NOTICE_CAPACITY: usize = 4_096;
 /// How many notices of demand and figures wait for the domain thread.
 const SERVE_NOTICE_CAPACITY: usize = 64;
+/// How many notices of replicas that stand still wait for the thread `members`.
+const STALL_CAPACITY: usize = 256;
 /// How often the daemon looks whether a thread has ended by itself.
 const THREAD_LOOK_MS: u64 = 200;
 
@@ -210,8 +212,9 @@
         clock: process.clock,
     };
     let (stop_members, members_stopped) = watch::channel(false);
+    let (stalls, stalled) = ring::bounded("stalls", STALL_CAPACITY);
     let membership = duty::spawn("members", move || {
-        MembersThread::new(setup).run(inbox, members_stopped)
+        MembersThread::new(setup).run(inbox, stalled, members_stopped)
     })?;
     let (stop, stopped) = watch::channel(false);
     let setup = RoutedSetup {
@@ -223,6 +226,7 @@
         clock: process.clock,
         metrics: process.metrics,
         boot,
+        stalls,
     };
     let serving = routed::start(setup, stopped)?;
     let mut threads = vec![membership, serving];
--- a/entry/src/serve/routed/mod.rs
+++ b/entry/src/serve/routed/mod.rs
@@ -29,11 +29,15 @@
 };
 
 use arc_swap::ArcSwap;
-use cicadabend::prelude::*;
+use cicadabend::{
+    prelude::*,
+    registry::InstanceId, //
+};
 use cicadabend_daemon::{
     clock::Clock,
     duty,
     metrics::Metrics,
+    ring,
     settings::EntrySettings, //
 };
 use tokio::sync::watch;
@@ -55,6 +59,8 @@
     pub(crate) clock: Clock,
     pub(crate) metrics: Metrics,
     pub(crate) boot: BootId,
+    /// Replicas whose streams stand still, for the thread `members`.
+    pub(crate) stalls: ring::Sender<InstanceId>,
 }
 
 /// Starts the serving thread; it drains and ends once `stopped` turns true.
--- a/entry/src/serve/routed/run.rs
+++ b/entry/src/serve/routed/run.rs
@@ -586,6 +586,30 @@
         .emit();
     }
 
+    /// Notes that something of the answer has come.
+    pub(super) fn progressed(&self) {
+        if let Some(place) = &self.place {
+            let now = self.server.clock.now();
+            let mut loads = self.server.loads.borrow_mut();
+            loads.progressed(&place.replica.id, now);
+        }
+    }
+
+    /// Returns whether all streams of the replica stand still, and tells so.
+    pub(super) fn stands_still(&self, pause: Duration) -> bool {
+        let Some(place) = &self.place else {
+            return false;
+        };
+        let now = self.server.clock.now();
+        let id = &place.replica.id;
+        let stands_still = self.server.loads.borrow_mut().stalled(id, pause, now);
+        if stands_still {
+            // A full ring loses the notice; the next stream that waits gives another.
+            let _ = self.server.stalls.push(id.clone());
+        }
+        stands_still
+    }
+
     /// Returns the name of the present replica for logs.
     pub(super) fn replica(&self) -> String {
         self.place.as_ref().map_or(String::new(), |place| {
--- a/entry/src/serve/routed/server.rs
+++ b/entry/src/serve/routed/server.rs
@@ -19,9 +19,11 @@
         WindowBudget, //
     },
     prelude::*,
+    registry::InstanceId,
 };
 use cicadabend_daemon::{
     clock::Clock,
+    ring,
     settings::EntrySettings, //
 };
 use rand::{
@@ -53,6 +55,7 @@
     pub(super) pool: Pool,
     pub(super) loads: RefCell<Loads>,
     pub(super) draining: Cell<bool>,
+    pub(super) stalls: ring::Sender<InstanceId>,
     budgets: RefCell<HashMap<ServiceName, WindowBudget>>,
     random: RefCell<SmallRng>,
 }
@@ -69,6 +72,7 @@
             pool: Pool::new(connect_timeout_ms),
             loads: RefCell::default(),
             draining: Cell::new(false),
+            stalls: setup.stalls.clone(),
             budgets: RefCell::default(),
             random: RefCell::new(SmallRng::seed_from_u64(setup.boot.0)),
         });
@@ -114,7 +118,7 @@
     loop {
         tokio::time::sleep(SWEEP).await;
         let view = server.view.load_full();
-        let is_kept = |id: &cicadabend::registry::InstanceId| {
+        let is_kept = |id: &InstanceId| {
             let mut all = view.replicas.values().flatten();
             all.any(|replica| replica.id == *id)
         };
--- a/entry/src/serve/routed/stream.rs
+++ b/entry/src/serve/routed/stream.rs
@@ -37,10 +37,12 @@
     run::RoutedRun,
 };
 
-/// The shortest pause between events that counts as a break.
-const LEAST_PATIENCE: Duration = Duration::from_millis(900);
-/// A pause is a break if it is longer than the route's objective by this factor.
-const PATIENCE_FACTOR: u32 = 4;
+/// The shortest pause between events after which another replica is asked to go on.
+const LEAST_PATIENCE: Duration = Duration::from_millis(350);
+/// A pause counts as a break if it is longer than the route's objective by this factor.
+const PATIENCE_FACTOR: f64 = 1.5;
+/// If only this stream waits, its replica still works, and much longer is waited.
+const ONE_WAITS_FACTOR: u32 = 3;
 /// How long another replica may take to go on.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -117,6 +119,8 @@
     deadline: Instant,
     patience: Option<Duration>,
     last_at: Instant,
+    /// Whether this stream waits while others of its replica go on.
+    waits_alone: bool,
     timer: Pin<Box<Sleep>>,
 }
 
@@ -126,7 +130,10 @@
         let objective = run.plan.route.gap_objective_ms.unwrap_or_default();
         let objective = Duration::from_millis(objective);
         let is_repeatable = run.plan.route.kind.is_repeatable();
-        let patience = is_repeatable.then(|| LEAST_PATIENCE.max(objective * PATIENCE_FACTOR));
+        let patience = is_repeatable.then(|| {
+            let usual = objective.mul_f64(PATIENCE_FACTOR);
+            LEAST_PATIENCE.max(usual)
+        });
         let last_at = Instant::now();
         let due = patience.map_or(deadline, |patience| deadline.min(last_at + patience));
         Self {
@@ -134,6 +141,7 @@
             deadline,
             patience,
             last_at,
+            waits_alone: false,
             timer: Box::pin(sleep_until(due)),
         }
     }
@@ -168,6 +176,7 @@
         match source.poll_events(context) {
             Poll::Ready(Some(Ok(events))) => {
                 self.last_at = Instant::now();
+                run.progressed();
                 self.stage = Stage::Live(run, source);
                 Some(Poll::Ready(Some(Ok(Frame::data(events)))))
             }
@@ -184,6 +193,13 @@
                     self.stage = Stage::Live(run, source);
                     Some(Poll::Pending)
                 }
+                Late::Pause if !run.stands_still(self.last_at.elapsed()) && !self.waits_alone => {
+                    // Other streams of the replica go on.
+                    self.waits_alone = true;
+                    self.patience = self.patience.map(|usual| usual * ONE_WAITS_FACTOR);
+                    self.stage = Stage::Live(run, source);
+                    None
+                }
                 Late::Pause if run.may_resume() => {
                     self.resume(run, source.last_event(), "nothing came for too long");
                     None
--- a/lib/src/dispatch/loads.rs
+++ b/lib/src/dispatch/loads.rs
@@ -22,6 +22,8 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
 /// The longest pause.
 const LONGEST_PAUSE: Duration = Duration::from_millis(6_400);
+/// By how much the last sign of one stream may be later than that of another.
+const STALL_MARGIN: Duration = Duration::from_millis(60);
 /// How long an upstream that is full is left alone.
 const FULL_PAUSE: Duration = Duration::from_millis(120);
 
@@ -60,6 +62,7 @@
     paused_until: Timestamp,
     pause: Duration,
     answered_at: Option<Timestamp>,
+    progress_at: Option<Timestamp>,
 }
 
 /// All upstreams that were used.
@@ -130,6 +133,27 @@
         }
     }
 
+    /// Notes that something of an answer has come.
+    pub fn progressed(&mut self, id: &InstanceId, now: Timestamp) {
+        if let Some(one) = self.by_instance.get_mut(id) {
+            one.progress_at = Some(now);
+        }
+    }
+
+    /// Leaves an upstream alone whose streams stand still; returns whether they all do.
+    ///
+    /// Another stream that goes on shows that only this one waits.
+    pub fn stalled(&mut self, id: &InstanceId, pause_of_one: Duration, now: Timestamp) -> bool {
+        let one = self.entry(id);
+        let is_silent = one
+            .progress_at
+            .is_none_or(|at| now.since(at) + STALL_MARGIN >= pause_of_one);
+        if is_silent {
+            pause(one, now);
+        }
+        is_silent
+    }
+
     /// Returns how many requests of this daemon are there.
     pub fn in_flight(&self, id: &InstanceId) -> u32 {
         self.by_instance.get(id).map_or(0, |one| one.in_flight)
--- a/lib/src/grouping/leader.rs
+++ b/lib/src/grouping/leader.rs
@@ -76,6 +76,8 @@
     pub report_delay: Duration,
     /// How long a head may be silent before its group is given up.
     pub silent_head: Duration,
+    /// How long a member may be silent in a group that stands still.
+    pub silent_in_stalled: Duration,
     /// How long a head may finish what it has before it is cut off.
     pub close_wait: Duration,
     /// How long a free engine waits for a partner before it loads other weights.
@@ -96,6 +98,7 @@
             yield_to_newer: Duration::from_millis(3_500),
             report_delay: Duration::from_millis(4_000),
             silent_head: Duration::from_millis(9_000),
+            silent_in_stalled: Duration::from_millis(1_350),
             close_wait: Duration::from_millis(9_000),
             wait_before_load: Duration::from_millis(6_000),
             silent_and_refused: Duration::from_millis(4_000),
@@ -110,6 +113,8 @@
     pub table: &'a RouteTable,
     /// What engines report.
     pub registry: &'a Registry,
+    /// Heads whose streams stand still, as entry daemons see them.
+    pub stalled: &'a BTreeSet<InstanceId>,
     /// The time.
     pub now: Timestamp,
 }
@@ -118,6 +123,7 @@
 #[derive(Clone, Debug)]
 pub struct Grouping {
     settings: GroupingSettings,
+    listening_since: Timestamp,
     started_at: Timestamp,
     epoch: u64,
     /// How often each engine was heard before this leader led.
@@ -135,9 +141,18 @@
 
 impl Grouping {
     /// Starts for a term, which must be higher than that of any earlier leader.
-    pub fn new(settings: GroupingSettings, term: u64, now: Timestamp) -> Self {
+    ///
+    /// `listening_since` is when the registry that it looks at began to be filled: one
+    /// that was filled for long need not be waited for.
+    pub fn new(
+        settings: GroupingSettings,
+        term: u64,
+        listening_since: Timestamp,
+        now: Timestamp,
+    ) -> Self {
         Self {
             settings,
+            listening_since,
             started_at: now,
             epoch: term.saturating_mul(EPOCHS_PER_TERM),
             heard_before: BTreeMap::new(),
@@ -158,7 +173,7 @@
         if self.foreign.is_some() {
             return Vec::new();
         }
-        let is_settled = view.now.since(self.started_at) >= self.settings.settle;
+        let is_settled = view.now.since(self.listening_since) >= self.settings.settle;
         // Before anything was ever formed there is nothing that could be overlooked.
         let is_new = view.registry.iter().all(|(_, known)| is_untouched(known));
         if !is_settled && !is_new {
@@ -469,7 +484,8 @@
             }
             HeadStanding::Serving => {}
         }
-        if !group.is_whole() || self.has_lost_member(id, group, view) {
+        let is_lost = self.has_lost_member(id, group, view) || self.is_stalled(group, view);
+        if !group.is_whole() || is_lost {
             group.enter(Phase::Closing { is_cut: true }, now);
         } else if self.has_leaving_member(group, view) {
             group.enter(Phase::Closing { is_cut: false }, now);
@@ -546,6 +562,23 @@
         })
     }
 
+    /// Returns whether a group stands still because a member is gone.
+    ///
+    /// Silence alone may be a cut between a member and the leader, while the group goes
+    /// on serving. Streams that stand still alone may be a slow head. Both together are
+    /// a member that is lost, seconds before the head itself says that it is broken.
+    fn is_stalled(&self, group: &Group, view: GroupingView<'_>) -> bool {
+        let stands_still = group
+            .head()
+            .is_some_and(|head| view.stalled.contains(&head.id));
+        stands_still
+            && group.members.iter().any(|member| {
+                view.registry.get(&member.id).is_none_or(|known| {
+                    known.silent_for(view.now) >= self.settings.silent_in_stalled
+                })
+            })
+    }
+
     fn has_leaving_member(&self, group: &Group, view: GroupingView<'_>) -> bool {
         group.members.iter().any(|member| {
             let known = view.registry.get(&member.id);
@@ -579,6 +612,7 @@
             .last
             .is_some_and(|sent| sent.outcome == Some(OrderOutcome::Refused));
         let limit = match is_refused {
+            _ if view.stalled.contains(&head.id) => self.settings.silent_in_stalled,
             true => self.settings.silent_and_refused,
             false => self.settings.silent_head,
         };
--- a/lib/tests/test_grouping/world.rs
+++ b/lib/tests/test_grouping/world.rs
@@ -103,6 +103,7 @@
 pub struct Leader {
     pub grouping: Grouping,
     pub registry: Registry,
+    pub listening_since: Timestamp,
     pub is_active: bool,
     retires_at: Option<u64>,
 }
@@ -231,17 +232,20 @@
         self.history.push(format!("{} new leader", self.now));
         let old = self.leaders.iter_mut().find(|leader| leader.is_active);
         let mut registry = Registry::default();
+        let mut since = Timestamp(self.now);
         if let Some(old) = old {
             old.is_active = false;
             old.retires_at = Some(self.now + self.rng.random_range(0..1_500));
             if self.rng.random_bool(0.7) {
                 registry = old.registry.clone();
+                since = old.listening_since;
             }
         }
         let now = Timestamp(self.now);
         self.leaders.push(Leader {
-            grouping: Grouping::new(GroupingSettings::default(), self.term, now),
+            grouping: Grouping::new(GroupingSettings::default(), self.term, since, now),
             registry,
+            listening_since: since,
             is_active: true,
             retires_at: None,
         });
@@ -519,6 +523,7 @@
     }
 
     fn lead(&mut self, troubles: Troubles) {
+        let stalled = self.stalled();
         for at in 0..self.leaders.len() {
             let leader = &mut self.leaders[at];
             let is_retired = leader.retires_at.is_some_and(|at| self.now >= at);
@@ -528,6 +533,7 @@
             let orders = leader.grouping.tick(GroupingView {
                 table: &self.table,
                 registry: &leader.registry,
+                stalled: &stalled,
                 now: Timestamp(self.now),
             });
             for order in orders {
@@ -546,6 +552,16 @@
         }
     }
 
+    /// Returns the heads whose streams stand still; callers see it within half a second.
+    fn stalled(&self) -> BTreeSet<InstanceId> {
+        let stalled = self.engines.iter().filter(|engine| {
+            let membership = engine.membership.as_ref();
+            let lost_since = membership.and_then(|membership| membership.lost_since);
+            lost_since.is_some_and(|since| self.now - since >= 500)
+        });
+        stalled.map(|engine| engine.id.clone()).collect()
+    }
+
     /// Carries an order to its engine, at once, late, or not at all.
     fn give(&mut self, order: &Order, troubles: Troubles) -> OrderOutcome {
         let at = self
