grouping: weigh groups over all models; hosts keep the other model staged

Ruled out: more spare engines (none are to be had). Change: a change is chosen by how well the models are supplied against their shares, also one that takes a group of another model apart; hosts stage the model they do not run, so that such a change takes a second; before the first caller loads are free.

--- a/control/src/members/leading.rs
+++ b/control/src/members/leading.rs
@@ -92,6 +92,7 @@
         table: &RouteTable,
         registry: &Registry,
         stalled: &BTreeSet<InstanceId>,
+        is_prelude: bool,
         now: Timestamp,
     ) -> Vec<Order> {
         let Some(grouping) = &mut self.grouping else {
@@ -101,6 +102,7 @@
             table,
             registry,
             stalled,
+            is_prelude,
             now,
         });
         for order in &orders {
--- a/control/src/members/thread.rs
+++ b/control/src/members/thread.rs
@@ -87,6 +87,8 @@
     pub(crate) disk: Voter,
     pub(crate) seeds: SeedWatch,
     pub(crate) hello_every: Duration,
+    /// Whether this is the first start of the fleet.
+    pub(crate) is_founding: bool,
     pub(crate) grouping: GroupingSettings,
     pub(crate) replication: ReplicationHandle,
     pub(crate) peers: PeerSender,
@@ -122,6 +124,8 @@
     all: Gathered,
     ends: Ends,
     wants_all: bool,
+    /// Whether any caller has been served since the fleet's first start.
+    has_served: bool,
     spread: RouteVersion,
     alive_due: Timestamp,
     ends_due: Timestamp,
@@ -144,6 +148,8 @@
             all: Gathered::default(),
             ends: Ends::default(),
             wants_all: true,
+            // A fleet that was founded before has served.
+            has_served: !setup.is_founding,
             spread: RouteVersion::default(),
             alive_due: Timestamp::default(),
             ends_due: Timestamp::default(),
@@ -234,6 +240,7 @@
             }
             .emit();
         }
+        self.has_served |= hello.has_served;
         for id in &hello.stalled {
             if self.stalled.insert(id.clone(), now).is_none() {
                 LogEvent::HeadStalled {
@@ -429,6 +436,7 @@
             routes: self.newest_routes(),
             subscribes: true,
             wants_all: self.wants_all,
+            has_served: self.has_served,
             stalled: Vec::new(),
         };
         for (daemon, address) in self.members.to_greet() {
@@ -537,7 +545,10 @@
             self.stalled.retain(|_, at| now.since(*at) < STALL_TOLD_FOR);
             let stalled: BTreeSet<InstanceId> = self.stalled.keys().cloned().collect();
             let table = &document.table;
-            let orders = self.leading.orders(table, &self.registry, &stalled, now);
+            let is_prelude = !self.has_served;
+            let orders = self
+                .leading
+                .orders(table, &self.registry, &stalled, is_prelude, now);
             for order in orders {
                 // A full ring loses the order; it counts as unanswered and comes again.
                 let _ = self.setup.orders.push(order);
--- a/control/src/run.rs
+++ b/control/src/run.rs
@@ -307,6 +307,7 @@
             disk: Some(disk.disk),
         },
         disk,
+        is_founding: membership.may_found,
         hello_every: Duration::from_millis(membership.hello_interval_ms),
         seeds: SeedWatch::new(process.settings_path.clone(), membership),
         grouping: GroupingSettings {
--- a/entry/src/members/thread.rs
+++ b/entry/src/members/thread.rs
@@ -2,7 +2,13 @@
 
 use std::{
     collections::BTreeMap,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+    },
     time::Duration, //
 };
 
@@ -70,6 +76,8 @@
     pub(crate) hello_every: Duration,
     pub(crate) peers: PeerSender,
     pub(crate) view: Arc<ArcSwap<RoutedView>>,
+    /// Whether a caller has been served.
+    pub(crate) has_served: Arc<AtomicBool>,
     pub(crate) clock: Clock,
 }
 
@@ -271,6 +279,7 @@
                 routes: self.held(),
                 subscribes: self.source.as_ref() == Some(&daemon),
                 wants_all: self.wants_all,
+                has_served: self.setup.has_served.load(Ordering::Relaxed),
                 stalled: stalled.clone(),
             };
             if self.setup.peers.know(&daemon, address).is_ok() {
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -7,7 +7,10 @@
     },
     io,
     net::TcpListener,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::AtomicBool, //
+    },
     thread::JoinHandle,
     time::Duration, //
 };
@@ -199,6 +202,7 @@
     let boot = draw_boot();
     let (peers, inbox) = start_peers(&settings, boot)?;
     let view = Arc::new(ArcSwap::from_pointee(RoutedView::default()));
+    let has_served = Arc::new(AtomicBool::new(false));
     let setup = MembersSetup {
         me: members::me(
             settings.daemon.clone(),
@@ -209,6 +213,7 @@
         seeds: SeedWatch::new(process.settings_path.clone(), membership),
         peers: peers.sender(),
         view: Arc::clone(&view),
+        has_served: Arc::clone(&has_served),
         clock: process.clock,
     };
     let (stop_members, members_stopped) = watch::channel(false);
@@ -226,6 +231,7 @@
         clock: process.clock,
         metrics: process.metrics,
         boot,
+        has_served,
         stalls,
     };
     let serving = routed::start(setup, stopped)?;
--- a/entry/src/serve/routed/mod.rs
+++ b/entry/src/serve/routed/mod.rs
@@ -24,7 +24,10 @@
 use std::{
     io,
     net::TcpListener,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::AtomicBool, //
+    },
     thread::JoinHandle, //
 };
 
@@ -59,6 +62,8 @@
     pub(crate) clock: Clock,
     pub(crate) metrics: Metrics,
     pub(crate) boot: BootId,
+    /// Set once a caller's request is taken in.
+    pub(crate) has_served: Arc<AtomicBool>,
     /// Replicas whose streams stand still, for the thread `members`.
     pub(crate) stalls: ring::Sender<InstanceId>,
 }
--- a/entry/src/serve/routed/server.rs
+++ b/entry/src/serve/routed/server.rs
@@ -7,7 +7,13 @@
     },
     collections::HashMap,
     rc::Rc,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+    },
     time::Duration,
 };
 
@@ -55,6 +61,7 @@
     pub(super) pool: Pool,
     pub(super) loads: RefCell<Loads>,
     pub(super) draining: Cell<bool>,
+    has_served: Arc<AtomicBool>,
     pub(super) stalls: ring::Sender<InstanceId>,
     budgets: RefCell<HashMap<ServiceName, WindowBudget>>,
     random: RefCell<SmallRng>,
@@ -72,6 +79,7 @@
             pool: Pool::new(connect_timeout_ms),
             loads: RefCell::default(),
             draining: Cell::new(false),
+            has_served: Arc::clone(&setup.has_served),
             stalls: setup.stalls.clone(),
             budgets: RefCell::default(),
             random: RefCell::new(SmallRng::seed_from_u64(setup.boot.0)),
@@ -92,6 +100,7 @@
 
     /// Counts a caller's request for the budget of repeats.
     pub(super) fn note_request(&self, service: &ServiceName) {
+        self.has_served.store(true, Ordering::Relaxed);
         self.with_budget(service, |budget| budget.note_request(self.clock.now()));
     }
 
--- /dev/null
+++ b/lib/src/grouping/balance.rs
@@ -0,0 +1,228 @@
+//! Which group comes next: from free engines alone, or by taking another one apart.
+//!
+//! A domain that has lost an engine can often no longer make the groups that it had. If
+//! only free engines were used, large groups would die out: each loss leaves too few
+//! engines for another large group, and they end in small ones. So the loss is weighed
+//! over all models: a model that has too little of its share may get a group by taking
+//! apart one of a model that has more.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    prelude::*,
+    routes::{
+        EngineTraits,
+        ModelTraits, //
+    },
+};
+
+use super::placement::FreeEngine;
+
+/// What the mean of all models' supply counts against the worst-supplied model's.
+const MEAN_WEIGHT: f64 = 0.15;
+/// What taking a group apart costs, as a part of a model's supply.
+const BREAK_COST: f64 = 0.035;
+/// What waiting for loads from the store costs, as a part of a model's supply.
+const LOAD_COST: f64 = 0.03;
+/// A change that gains less than this is not made.
+const LEAST_GAIN: f64 = 0.004;
+
+/// A group that could be taken apart.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StandingGroup {
+    /// Which one.
+    pub group: GroupId,
+    /// Its model.
+    pub model: ModelName,
+    /// How many of its members could run each model without a load from the store.
+    pub quick: BTreeMap<ModelName, u32>,
+}
+
+/// What there is in one fabric domain.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct DomainStanding {
+    /// Engines that no group needs.
+    pub free: Vec<FreeEngine>,
+    /// Groups that take requests.
+    pub groups: Vec<StandingGroup>,
+}
+
+/// The next change.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Change {
+    /// Where.
+    pub domain: FabricDomain,
+    /// The model to form a group of.
+    pub model: ModelName,
+    /// Groups to take apart first.
+    pub breaks: Vec<GroupId>,
+    /// How many engines would load weights from the store.
+    pub loads: u32,
+}
+
+/// How well the models are supplied: the engines in their groups against their share.
+struct Supply<'a> {
+    traits: &'a EngineTraits,
+    shares: &'a BTreeMap<ModelName, f64>,
+    total: f64,
+}
+
+impl Supply<'_> {
+    fn value(&self, engines: &BTreeMap<ModelName, f64>) -> f64 {
+        let supplies: Vec<f64> = self
+            .traits
+            .models
+            .iter()
+            .filter_map(|model| {
+                let share = self.share(model);
+                let has = engines.get(&model.name).copied().unwrap_or(0.0);
+                (share > 0.0).then(|| has / (share * self.total).max(1.0))
+            })
+            .collect();
+        let worst = supplies.iter().copied().fold(f64::INFINITY, f64::min);
+        let mean = supplies.iter().sum::<f64>() / supplies.len().max(1) as f64;
+        worst.min(2.0) + MEAN_WEIGHT * mean
+    }
+
+    fn share(&self, model: &ModelTraits) -> f64 {
+        let share = self.shares.get(&model.name).copied();
+        share.unwrap_or(model.share)
+    }
+}
+
+/// Returns the change that gains most, if any gains enough.
+///
+/// `engines` are those in groups that serve or get ready, by model; `may_load` says
+/// whether a free engine may load weights from the store now.
+pub fn next_change(
+    traits: &EngineTraits,
+    shares: &BTreeMap<ModelName, f64>,
+    domains: &BTreeMap<FabricDomain, DomainStanding>,
+    engines: &BTreeMap<ModelName, f64>,
+    may_load: impl Fn(&FreeEngine) -> bool,
+) -> Option<Change> {
+    let free: usize = domains.values().map(|domain| domain.free.len()).sum();
+    let supply = Supply {
+        traits,
+        shares,
+        total: engines.values().sum::<f64>() + free as f64,
+    };
+    let before = supply.value(engines);
+    let mut best: Option<(f64, Change)> = None;
+    for (name, domain) in domains {
+        for model in &traits.models {
+            for change in changes(name, domain, model, &may_load) {
+                let change_of = supply.value(&after(engines, domain, model, &change, traits));
+                let load_cost = if change.loads > 0 { LOAD_COST } else { 0.0 };
+                let gain = change_of - before - BREAK_COST * change.breaks.len() as f64 - load_cost;
+                // Engines that nobody uses cost nothing, so any use of them is a gain.
+                let is_free = change.breaks.is_empty();
+                let is_worth = gain >= LEAST_GAIN || (is_free && change_of > before);
+                if is_worth && best.as_ref().is_none_or(|(known, _)| gain > *known) {
+                    best = Some((gain, change));
+                }
+            }
+        }
+    }
+    best.map(|(_, change)| change)
+}
+
+/// Returns the ways to a group of a model in one domain.
+fn changes(
+    name: &FabricDomain,
+    domain: &DomainStanding,
+    model: &ModelTraits,
+    may_load: &impl Fn(&FreeEngine) -> bool,
+) -> Vec<Change> {
+    let size = model.size as usize;
+    let is_quick = |engine: &&FreeEngine| engine.is_quick(&model.name);
+    let quick = domain.free.iter().filter(is_quick).count();
+    let slow = domain
+        .free
+        .iter()
+        .filter(|engine| !engine.is_quick(&model.name));
+    let slow = slow.filter(|engine| may_load(engine)).count();
+    let mut ways = Vec::new();
+    if size == 0 {
+        return ways;
+    }
+    if quick + slow >= size {
+        ways.push(Change {
+            domain: name.clone(),
+            model: model.name.clone(),
+            breaks: Vec::new(),
+            loads: u32::try_from(size.saturating_sub(quick)).unwrap_or(u32::MAX),
+        });
+        return ways;
+    }
+    // Groups are taken apart only for engines that can run the model at once.
+    for group in domain
+        .groups
+        .iter()
+        .filter(|group| group.model != model.name)
+    {
+        let freed = group.quick.get(&model.name).copied().unwrap_or(0) as usize;
+        if quick + freed >= size {
+            ways.push(Change {
+                domain: name.clone(),
+                model: model.name.clone(),
+                breaks: vec![group.group.clone()],
+                loads: 0,
+            });
+        }
+    }
+    let pairs = domain.groups.iter().enumerate().flat_map(|(at, first)| {
+        let rest = domain.groups.iter().skip(at + 1);
+        rest.map(move |second| (first, second))
+    });
+    for (first, second) in pairs {
+        let freed = |group: &StandingGroup| group.quick.get(&model.name).copied().unwrap_or(0);
+        let other = first.model != model.name && second.model != model.name;
+        if other && quick + (freed(first) + freed(second)) as usize >= size {
+            ways.push(Change {
+                domain: name.clone(),
+                model: model.name.clone(),
+                breaks: vec![first.group.clone(), second.group.clone()],
+                loads: 0,
+            });
+        }
+    }
+    ways
+}
+
+/// Returns the engines by model once a change is made and what is left is used.
+fn after(
+    engines: &BTreeMap<ModelName, f64>,
+    domain: &DomainStanding,
+    model: &ModelTraits,
+    change: &Change,
+    traits: &EngineTraits,
+) -> BTreeMap<ModelName, f64> {
+    let mut engines = engines.clone();
+    let size_of = |name: &ModelName| traits.model(name).map_or(0, |model| model.size);
+    let mut left = domain.free.len() as u32;
+    for group in domain
+        .groups
+        .iter()
+        .filter(|g| change.breaks.contains(&g.group))
+    {
+        let size = size_of(&group.model);
+        left += size;
+        *engines.entry(group.model.clone()).or_default() -= f64::from(size);
+    }
+    left = left.saturating_sub(model.size);
+    *engines.entry(model.name.clone()).or_default() += f64::from(model.size);
+    // What is left of the groups that were taken apart forms one of theirs again.
+    for group in domain
+        .groups
+        .iter()
+        .filter(|g| change.breaks.contains(&g.group))
+    {
+        let size = size_of(&group.model);
+        if size > 0 && left >= size {
+            left -= size;
+            *engines.entry(group.model.clone()).or_default() += f64::from(size);
+        }
+    }
+    engines
+}
--- a/lib/src/grouping/leader.rs
+++ b/lib/src/grouping/leader.rs
@@ -10,6 +10,11 @@
 };
 
 use super::{
+    balance::{
+        DomainStanding,
+        StandingGroup,
+        next_change, //
+    },
     group::{
         Group,
         Member,
@@ -24,9 +29,8 @@
     },
     placement::{
         FreeEngine,
-        ModelStanding,
         NewGroup,
-        next_group, //
+        best_members, //
     },
 };
 use crate::{
@@ -54,6 +58,16 @@
 /// Each may be late, and then tells where the engine was before the last order of the
 /// leader before; that all of them are late is not expected.
 const FRESH_REPORTS: u32 = 2;
+/// How many changes are decided at one look.
+const MOST_CHANGES: usize = 64;
+/// How long a domain is kept for the group for which another one is taken apart.
+const RESERVED_FOR: Duration = Duration::from_secs(8);
+/// How many loads must be possible before a group that needs loads is formed.
+const LOADS_OF_GROUP: u32 = 4;
+/// How many loads are kept for groups that are needed now.
+const LOADS_KEPT_FREE: u32 = 8;
+/// After this time an engine that was told to stage a model is told again.
+const STAGING_FORGOTTEN: Duration = Duration::from_secs(60);
 /// The span over which starts of loads are counted.
 const LOAD_WINDOW: Duration = Duration::from_secs(5);
 
@@ -99,7 +113,7 @@
             report_delay: Duration::from_millis(4_000),
             silent_head: Duration::from_millis(9_000),
             silent_in_stalled: Duration::from_millis(1_350),
-            close_wait: Duration::from_millis(9_000),
+            close_wait: Duration::from_millis(5_000),
             wait_before_load: Duration::from_millis(6_000),
             silent_and_refused: Duration::from_millis(4_000),
         }
@@ -115,6 +129,8 @@
     pub registry: &'a Registry,
     /// Heads whose streams stand still, as entry daemons see them.
     pub stalled: &'a BTreeSet<InstanceId>,
+    /// Whether no caller has been served yet, so that loads hold up nobody.
+    pub is_prelude: bool,
     /// The time.
     pub now: Timestamp,
 }
@@ -135,6 +151,10 @@
     /// Groups that were taken apart; members may go on reporting them.
     finished: BTreeMap<GroupId, Timestamp>,
     free_since: BTreeMap<InstanceId, Timestamp>,
+    /// Domains in which a group is taken apart so that one of a model can be formed.
+    reserved: BTreeMap<FabricDomain, (ModelName, Timestamp)>,
+    /// Models that engines were told to stage, and when.
+    staging: BTreeMap<InstanceId, (ModelName, Timestamp)>,
     loads: VecDeque<Timestamp>,
     dead: BTreeSet<InstanceId>,
 }
@@ -161,6 +181,8 @@
             groups: BTreeMap::new(),
             finished: BTreeMap::new(),
             free_since: BTreeMap::new(),
+            reserved: BTreeMap::new(),
+            staging: BTreeMap::new(),
             loads: VecDeque::new(),
             dead: BTreeSet::new(),
         }
@@ -174,9 +196,7 @@
             return Vec::new();
         }
         let is_settled = view.now.since(self.listening_since) >= self.settings.settle;
-        // Before anything was ever formed there is nothing that could be overlooked.
-        let is_new = view.registry.iter().all(|(_, known)| is_untouched(known));
-        if !is_settled && !is_new {
+        if !is_settled {
             return Vec::new();
         }
         self.adopt(view);
@@ -217,6 +237,8 @@
                 let beyond = self.epoch.saturating_add(EPOCHS_PER_TERM);
                 self.note_foreign(beyond, now);
             }
+            // What became of a load onto a host shows in the engine's reports.
+            (OrderKind::Stage { .. }, OrderOutcome::Unfit | OrderOutcome::Outdated) => {}
             (OrderKind::Leave, OrderOutcome::Done)
                 if group.phase == Phase::Leaving && !group.is_doubtful =>
             {
@@ -784,8 +806,11 @@
         now.since(sent.at) >= pause
     }
 
-    /// Forms new groups from engines that no group needs.
+    /// Forms new groups, and takes apart those whose engines are needed more elsewhere.
     fn place(&mut self, view: GroupingView<'_>, orders: &mut Vec<Order>) {
+        let now = view.now;
+        self.reserved
+            .retain(|_, (_, at)| now.since(*at) < RESERVED_FOR);
         let services: Vec<(&ServiceName, &EngineTraits)> = view
             .table
             .services
@@ -793,34 +818,210 @@
             .filter_map(|(name, service)| Some((name, service.engine.as_ref()?)))
             .collect();
         for (service, traits) in services {
-            let mut free = self.free_engines(service, view);
-            while let Some(new) = self.choose(service, traits, &free, view) {
-                free.retain(|engine| new.members.iter().all(|member| member.id != engine.id));
-                self.form(service, traits, new, view, orders);
+            for _ in 0..MOST_CHANGES {
+                if !self.change(service, traits, view, orders) {
+                    break;
+                }
             }
+            self.stage(service, traits, view, orders);
         }
     }
 
-    fn choose(
+    /// Makes one change; returns whether another may follow at once.
+    fn change(
         &mut self,
         service: &ServiceName,
         traits: &EngineTraits,
-        free: &[FreeEngine],
         view: GroupingView<'_>,
-    ) -> Option<NewGroup> {
-        let standings = self.standings(service, view);
-        // On hosts without any weights everything must be loaded, so nothing is gained
-        // by waiting.
+        orders: &mut Vec<Order>,
+    ) -> bool {
+        let domains = self.domains(service, traits, view);
+        let engines = self.engines_by_model(service);
         let all_empty = view.registry.iter().all(|(_, known)| is_untouched(known));
-        let room = self.load_room(traits, view.now);
+        let room = match all_empty || view.is_prelude {
+            true => u32::MAX,
+            false => self.load_room(traits, view.now),
+        };
         let now = view.now;
         let wait = self.settings.wait_before_load;
+        let is_prelude = view.is_prelude;
         let may_load = |engine: &FreeEngine| {
-            all_empty || engine.staged.is_empty() || now.since(engine.free_since) >= wait
+            room >= LOADS_OF_GROUP
+                && (all_empty
+                    || is_prelude
+                    || engine.staged.is_empty()
+                    || now.since(engine.free_since) >= wait)
         };
+        if let Some(new) = self.reserved_group(traits, &domains) {
+            self.form(service, traits, new, view, orders);
+            return true;
+        }
+        let open: BTreeMap<FabricDomain, DomainStanding> = domains
+            .into_iter()
+            .filter(|(name, _)| !self.reserved.contains_key(name))
+            .collect();
         let shares = BTreeMap::new();
-        let new = next_group(traits, &shares, free, &standings, may_load)?;
-        (all_empty || new.loads <= room).then_some(new)
+        let Some(change) = next_change(traits, &shares, &open, &engines, may_load) else {
+            return false;
+        };
+        if change.breaks.is_empty() {
+            let free = open
+                .get(&change.domain)
+                .map(|domain| domain.free.as_slice());
+            let model = traits.model(&change.model);
+            let new = model
+                .zip(free)
+                .and_then(|(model, free)| best_members(model, free, may_load));
+            let Some(new) = new.filter(|new| new.loads <= room) else {
+                return false;
+            };
+            self.form(service, traits, new, view, orders);
+            return true;
+        }
+        for id in &change.breaks {
+            if let Some(group) = self.groups.get_mut(id) {
+                group.enter(Phase::Closing { is_cut: false }, now);
+            }
+        }
+        self.reserved.insert(change.domain, (change.model, now));
+        true
+    }
+
+    /// Returns the group for which a domain was reserved, once its engines are free.
+    fn reserved_group(
+        &mut self,
+        traits: &EngineTraits,
+        domains: &BTreeMap<FabricDomain, DomainStanding>,
+    ) -> Option<NewGroup> {
+        let ready = self.reserved.iter().find_map(|(name, (model, _))| {
+            let free = &domains.get(name)?.free;
+            let new = best_members(traits.model(model)?, free, |_| false)?;
+            Some((name.clone(), new))
+        });
+        let (name, new) = ready?;
+        self.reserved.remove(&name);
+        Some(new)
+    }
+
+    fn domains(
+        &mut self,
+        service: &ServiceName,
+        traits: &EngineTraits,
+        view: GroupingView<'_>,
+    ) -> BTreeMap<FabricDomain, DomainStanding> {
+        let mut domains: BTreeMap<FabricDomain, DomainStanding> = BTreeMap::new();
+        for engine in self.free_engines(service, view) {
+            let domain = domains.entry(engine.fabric_domain.clone()).or_default();
+            domain.free.push(engine);
+        }
+        let open = self.groups.iter();
+        let open =
+            open.filter(|(_, group)| group.service == *service && group.phase == Phase::Open);
+        for (id, group) in open {
+            let members: Vec<&Known> = group
+                .members
+                .iter()
+                .filter_map(|member| view.registry.get(&member.id))
+                .collect();
+            let Some(domain) = members.first().and_then(|known| fabric_domain(known)) else {
+                continue;
+            };
+            let quick = traits.models.iter().map(|model| {
+                let is_quick = |known: &&&Known| {
+                    let engine = known.registration.engine.as_ref();
+                    group.model == model.name
+                        || engine.is_some_and(|engine| engine.staged.contains(&model.name))
+                };
+                let count = members.iter().filter(is_quick).count();
+                (model.name.clone(), u32::try_from(count).unwrap_or(0))
+            });
+            let standing = StandingGroup {
+                group: id.clone(),
+                model: group.model.clone(),
+                quick: quick.collect(),
+            };
+            domains.entry(domain).or_default().groups.push(standing);
+        }
+        domains
+    }
+
+    fn engines_by_model(&self, service: &ServiceName) -> BTreeMap<ModelName, f64> {
+        let mut engines: BTreeMap<ModelName, f64> = BTreeMap::new();
+        let useful = self.groups.values().filter(|group| {
+            let counts = matches!(group.phase, Phase::Joining | Phase::Opening | Phase::Open);
+            counts && group.service == *service
+        });
+        for group in useful {
+            *engines.entry(group.model.clone()).or_default() += f64::from(group.size);
+        }
+        for (model, _) in self.reserved.values() {
+            // It will be formed; nothing else may count on its being missing.
+            *engines.entry(model.clone()).or_default() += 1.0;
+        }
+        engines
+    }
+
+    /// Has the hosts keep another model than the one they run.
+    ///
+    /// An engine runs the model of its last group again within a moment, and one that is
+    /// on its host within a second or two. With the other model on the host it can serve
+    /// either, and a group that lost a member is made whole from any engine at hand.
+    fn stage(
+        &mut self,
+        service: &ServiceName,
+        traits: &EngineTraits,
+        view: GroupingView<'_>,
+        orders: &mut Vec<Order>,
+    ) {
+        let now = view.now;
+        self.staging.retain(|id, (model, at)| {
+            let known = view.registry.get(id);
+            let engine = known.and_then(|known| known.registration.engine.as_ref());
+            let is_done = engine.is_none_or(|engine| engine.staged.contains(model));
+            !is_done && now.since(*at) < STAGING_FORGOTTEN
+        });
+        let open = self.groups.iter();
+        let open =
+            open.filter(|(_, group)| group.service == *service && group.phase == Phase::Open);
+        let mut wanted = Vec::new();
+        for (id, group) in open {
+            let others = traits
+                .models
+                .iter()
+                .filter(|model| model.name != group.model);
+            let Some(other) = others.max_by(|a, b| a.share.total_cmp(&b.share)) else {
+                continue;
+            };
+            for member in &group.members {
+                let Some(known) = view.registry.get(&member.id) else {
+                    continue;
+                };
+                let engine = known.registration.engine.as_ref();
+                let has_it = engine.is_some_and(|engine| engine.staged.contains(&other.name));
+                if !has_it && known.is_ready() && !self.staging.contains_key(&member.id) {
+                    wanted.push((member.clone(), id.clone(), group.epoch, other.name.clone()));
+                }
+            }
+        }
+        for (member, group, epoch, model) in wanted {
+            let under_way = self.staging.len() as u32;
+            let has_room =
+                under_way < traits.loads_at_once && self.load_room(traits, now) > LOADS_KEPT_FREE;
+            if !view.is_prelude && !has_room {
+                return;
+            }
+            if !view.is_prelude {
+                self.loads.push_back(now);
+            }
+            self.staging.insert(member.id.clone(), (model.clone(), now));
+            orders.push(Order {
+                to: member.id,
+                address: member.address,
+                group,
+                epoch,
+                kind: OrderKind::Stage { model },
+            });
+        }
     }
 
     fn form(
@@ -835,7 +1036,7 @@
         let Ok(id) = format!("g{epoch}").parse::<GroupId>() else {
             return;
         };
-        if !view.registry.iter().all(|(_, known)| is_untouched(known)) {
+        if !view.is_prelude && !view.registry.iter().all(|(_, known)| is_untouched(known)) {
             for _ in 0..new.loads {
                 self.loads.push_back(view.now);
             }
@@ -877,28 +1078,6 @@
         u32::try_from(limit.saturating_sub(self.loads.len())).unwrap_or(u32::MAX)
     }
 
-    fn standings(
-        &self,
-        service: &ServiceName,
-        view: GroupingView<'_>,
-    ) -> BTreeMap<ModelName, ModelStanding> {
-        let mut standings: BTreeMap<ModelName, ModelStanding> = BTreeMap::new();
-        let useful = self.groups.values().filter(|group| {
-            let counts = matches!(group.phase, Phase::Joining | Phase::Opening | Phase::Open);
-            counts && group.service == *service
-        });
-        for group in useful {
-            let standing = standings.entry(group.model.clone()).or_default();
-            standing.engines += group.size;
-            let head = group.head().and_then(|head| view.registry.get(&head.id));
-            if let Some(head) = head {
-                let domain = head.registration.failure_domain.clone();
-                *standing.groups.entry(domain).or_default() += 1;
-            }
-        }
-        standings
-    }
-
     fn free_engines(&mut self, service: &ServiceName, view: GroupingView<'_>) -> Vec<FreeEngine> {
         let taken: BTreeSet<&InstanceId> = self
             .groups
@@ -926,8 +1105,7 @@
                 continue;
             }
             let since = *self.free_since.entry(id.clone()).or_insert(view.now);
-            let of_zone = || registration.failure_domain.as_str().parse().ok();
-            let Some(fabric_domain) = engine.fabric_domain.clone().or_else(of_zone) else {
+            let Some(fabric_domain) = fabric_domain(known) else {
                 continue;
             };
             free.push(FreeEngine {
@@ -936,6 +1114,7 @@
                 fabric_domain,
                 failure_domain: registration.failure_domain.clone(),
                 staged: engine.staged.clone(),
+                last_model: engine.model.clone(),
                 free_since: since,
             });
         }
@@ -991,6 +1170,14 @@
     Silent,
 }
 
+/// Returns an engine's part of the fabric; without one, its failure domain counts as one.
+fn fabric_domain(known: &Known) -> Option<FabricDomain> {
+    let registration = &known.registration;
+    let of_zone = || registration.failure_domain.as_str().parse().ok();
+    let engine = registration.engine.as_ref()?;
+    engine.fabric_domain.clone().or_else(of_zone)
+}
+
 fn group_of(known: &Known) -> Option<&GroupStanding> {
     known.registration.engine.as_ref()?.group.as_ref()
 }
--- a/lib/src/grouping/mod.rs
+++ b/lib/src/grouping/mod.rs
@@ -16,11 +16,18 @@
 //! The second rule is why a group is taken apart from its head: an `open` that is
 //! carried out late finds a head that is no longer in that group.
 
+mod balance;
 mod group;
 mod leader;
 mod order;
 mod placement;
 
+pub use balance::{
+    Change,
+    DomainStanding,
+    StandingGroup,
+    next_change, //
+};
 pub use leader::{
     Grouping,
     GroupingSettings,
@@ -34,7 +41,6 @@
 };
 pub use placement::{
     FreeEngine,
-    ModelStanding,
     NewGroup,
-    next_group, //
+    best_members, //
 };
--- a/lib/src/grouping/order.rs
+++ b/lib/src/grouping/order.rs
@@ -37,6 +37,11 @@
     Close(CloseMode),
     /// Be in the group no longer.
     Leave,
+    /// Load a model onto the host, beside all other work.
+    Stage {
+        /// The model.
+        model: ModelName,
+    },
 }
 
 impl OrderKind {
@@ -47,6 +52,7 @@
             OrderKind::Open => "open",
             OrderKind::Close(_) => "close",
             OrderKind::Leave => "leave",
+            OrderKind::Stage { .. } => "stage",
         }
     }
 }
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -78,6 +78,8 @@
     pub subscribes: bool,
     /// Whether it lacks something, so that only all reports help.
     pub wants_all: bool,
+    /// Whether it has served a caller since its start.
+    pub has_served: bool,
     /// Heads whose streams have all stood still lately, as this daemon sees them.
     pub stalled: Vec<InstanceId>,
 }
--- a/lib/tests/test_grouping/test_placement.rs
+++ b/lib/tests/test_grouping/test_placement.rs
@@ -4,67 +4,132 @@
 
 use cicadabend::{
     grouping::{
+        Change,
+        DomainStanding,
         FreeEngine,
-        ModelStanding,
-        next_group, //
+        StandingGroup,
+        best_members,
+        next_change, //
     },
     prelude::*,
 };
 
 use crate::world::table;
 
-fn engine(number: u8, domain: &str, staged: Option<&str>) -> FreeEngine {
+fn engine(number: u8, domain: &str, staged: Option<&str>, last: Option<&str>) -> FreeEngine {
     FreeEngine {
         id: format!("i-{number:03}").parse().unwrap(),
         address: ([10, 0, 0, number], 80).into(),
         fabric_domain: domain.parse().unwrap(),
         failure_domain: "z0".parse().unwrap(),
         staged: staged.iter().map(|model| model.parse().unwrap()).collect(),
+        last_model: last.map(|model| model.parse().unwrap()),
         free_since: Timestamp(0),
     }
 }
 
-fn next(free: &[FreeEngine], may_load: bool) -> Option<(String, u32, Vec<String>)> {
+fn group(name: &str, model: &str, quick: &[(&str, u32)]) -> StandingGroup {
+    let quick = quick
+        .iter()
+        .map(|(model, count)| (model.parse().unwrap(), *count));
+    StandingGroup {
+        group: name.parse().unwrap(),
+        model: model.parse().unwrap(),
+        quick: quick.collect(),
+    }
+}
+
+fn change(domain: DomainStanding, engines: &[(&str, f64)], may_load: bool) -> Option<Change> {
     let table = table(&[("large", 4, 0.67), ("small", 2, 0.33)]);
     let traits = table.engine(&"llm".parse().unwrap()).unwrap();
-    let standings: BTreeMap<ModelName, ModelStanding> = BTreeMap::new();
-    let new = next_group(traits, &BTreeMap::new(), free, &standings, |_| may_load)?;
-    let ids = new.members.iter().map(|member| member.id.to_string());
-    Some((new.model.to_string(), new.loads, ids.collect()))
+    let domains = BTreeMap::from([("a".parse().unwrap(), domain)]);
+    let engines = engines
+        .iter()
+        .map(|(model, count)| (model.parse().unwrap(), *count));
+    next_change(
+        traits,
+        &BTreeMap::new(),
+        &domains,
+        &engines.collect(),
+        |_| may_load,
+    )
 }
 
 #[test]
-fn a_group_never_spans_fabric_domains() {
-    let free = [
-        engine(1, "a", None),
-        engine(2, "a", None),
-        engine(3, "b", None),
-        engine(4, "b", None),
-    ];
+fn free_engines_form_a_group_of_what_is_short() {
+    let free = (1..=4).map(|number| engine(number, "a", Some("large"), Some("small")));
+    let domain = DomainStanding {
+        free: free.collect(),
+        groups: Vec::new(),
+    };
 
-    let (model, loads, members) = next(&free, true).unwrap();
+    let change = change(domain, &[("large", 4.0), ("small", 8.0)], false).unwrap();
 
-    assert_eq!((model.as_str(), loads), ("small", 2));
-    assert_eq!(members, ["i-001", "i-002"]);
+    assert_eq!(change.model, "large".parse().unwrap());
+    assert_eq!((change.breaks.len(), change.loads), (0, 0));
 }
 
 #[test]
-fn engines_that_have_the_weights_go_first() {
-    let free = [
-        engine(1, "a", None),
-        engine(2, "a", Some("small")),
-        engine(3, "a", Some("small")),
-    ];
+fn a_small_group_is_taken_apart_if_large_ones_die_out() {
+    // A member of a large group is lost and three are left. Used alone, they would end
+    // as a small group, and after a few losses callers of the large model would find
+    // nobody, although there are engines enough.
+    let free = (1..=3).map(|number| engine(number, "a", Some("small"), Some("large")));
+    let domain = DomainStanding {
+        free: free.collect(),
+        groups: vec![group("g1", "small", &[("small", 2), ("large", 2)])],
+    };
+
+    let change = change(domain, &[("large", 16.0), ("small", 16.0)], false).unwrap();
+
+    assert_eq!(change.model, "large".parse().unwrap());
+    assert_eq!(change.breaks, ["g1".parse().unwrap()]);
+}
 
-    let (model, loads, members) = next(&free, true).unwrap();
+#[test]
+fn no_group_is_taken_apart_while_both_models_have_their_share() {
+    let domain = DomainStanding {
+        free: vec![engine(1, "a", Some("small"), Some("large"))],
+        groups: vec![group("g1", "small", &[("small", 2), ("large", 2)])],
+    };
+
+    assert_eq!(
+        change(domain, &[("large", 32.0), ("small", 16.0)], true),
+        None
+    );
+}
+
+#[test]
+fn no_group_is_taken_apart_for_engines_that_must_load_first() {
+    let free = (1..=3).map(|number| engine(number, "a", Some("small"), Some("large")));
+    let domain = DomainStanding {
+        free: free.collect(),
+        groups: vec![group("g1", "small", &[("small", 2), ("large", 0)])],
+    };
 
-    assert_eq!((model.as_str(), loads), ("small", 0));
-    assert_eq!(members, ["i-002", "i-003"]);
+    let change = change(domain, &[("large", 16.0), ("small", 16.0)], true).unwrap();
+
+    assert_eq!(change.breaks, Vec::new());
 }
 
 #[test]
-fn nothing_is_formed_while_weights_may_not_be_loaded() {
-    let free = [engine(1, "a", Some("large")), engine(2, "a", Some("large"))];
+fn engines_that_ran_the_model_last_go_first() {
+    let table = table(&[("small", 2, 1.0)]);
+    let traits = table.engine(&"llm".parse().unwrap()).unwrap();
+    let model = traits.model(&"small".parse().unwrap()).unwrap();
+    let free = [
+        engine(1, "a", None, None),
+        engine(2, "a", Some("small"), Some("large")),
+        engine(3, "a", Some("large"), Some("small")),
+    ];
+
+    let new = best_members(model, &free, |_| true).unwrap();
 
-    assert_eq!(next(&free, false), None);
+    let ids: Vec<&str> = new
+        .members
+        .iter()
+        .map(|member| member.id.as_str())
+        .collect();
+    assert_eq!(ids, ["i-003", "i-002"]);
+    assert_eq!(new.loads, 0);
 }
--- a/lib/tests/test_grouping/world.rs
+++ b/lib/tests/test_grouping/world.rs
@@ -534,6 +534,7 @@
                 table: &self.table,
                 registry: &leader.registry,
                 stalled: &stalled,
+                is_prelude: false,
                 now: Timestamp(self.now),
             });
             for order in orders {
@@ -609,6 +610,10 @@
             OrderKind::Open => self.open(place, order),
             OrderKind::Close(mode) => self.close(place, order, *mode),
             OrderKind::Leave => self.leave(place, order),
+            OrderKind::Stage { model } => {
+                self.engines[place].staged = Some(model.clone());
+                OrderOutcome::Begun
+            }
         }
     }
 
