--- a/lib/src/grouping/balance.rs
+++ b/lib/src/grouping/balance.rs
@@ -21,7 +21,7 @@
 /// What the mean of all models' supply counts against the worst-supplied model's.
 const MEAN_WEIGHT: f64 = 0.15;
 /// What taking a group apart costs, as a part of a model's supply.
-const BREAK_COST: f64 = 0.035;
+const BREAK_COST: f64 = 0.05;
 /// What waiting for loads from the store costs, as a part of a model's supply.
 const LOAD_COST: f64 = 0.03;
 /// A change that gains less than this is not made.
--- a/lib/src/grouping/leader.rs
+++ b/lib/src/grouping/leader.rs
@@ -60,6 +60,11 @@
 const FRESH_REPORTS: u32 = 2;
 /// How many changes are decided at one look.
 const MOST_CHANGES: usize = 64;
+/// How long after a group was taken apart the next one may be.
+///
+/// What is taken apart is missing until the new group serves; deciding again meanwhile
+/// would take apart others to make up for it.
+const BREAKS_APART: Duration = Duration::from_secs(4);
 /// How long a domain is kept for the group for which another one is taken apart.
 const RESERVED_FOR: Duration = Duration::from_secs(8);
 /// How many loads must be possible before a group that needs loads is formed.
@@ -153,6 +158,8 @@
     free_since: BTreeMap<InstanceId, Timestamp>,
     /// Domains in which a group is taken apart so that one of a model can be formed.
     reserved: BTreeMap<FabricDomain, (ModelName, Timestamp)>,
+    /// When a group was last taken apart for another one.
+    broken_at: Option<Timestamp>,
     /// Models that engines were told to stage, and when.
     staging: BTreeMap<InstanceId, (ModelName, Timestamp)>,
     loads: VecDeque<Timestamp>,
@@ -182,6 +189,7 @@
             finished: BTreeMap::new(),
             free_since: BTreeMap::new(),
             reserved: BTreeMap::new(),
+            broken_at: None,
             staging: BTreeMap::new(),
             loads: VecDeque::new(),
             dead: BTreeSet::new(),
@@ -836,7 +844,7 @@
         orders: &mut Vec<Order>,
     ) -> bool {
         let domains = self.domains(service, traits, view);
-        let engines = self.engines_by_model(service);
+        let engines = self.engines_by_model(service, traits);
         let all_empty = view.registry.iter().all(|(_, known)| is_untouched(known));
         let room = match all_empty || view.is_prelude {
             true => u32::MAX,
@@ -864,6 +872,13 @@
         let Some(change) = next_change(traits, &shares, &open, &engines, may_load) else {
             return false;
         };
+        let is_calm = self
+            .broken_at
+            .is_none_or(|at| now.since(at) >= BREAKS_APART)
+            && self.reserved.is_empty();
+        if !change.breaks.is_empty() && !is_calm {
+            return false;
+        }
         if change.breaks.is_empty() {
             let free = open
                 .get(&change.domain)
@@ -883,6 +898,7 @@
                 group.enter(Phase::Closing { is_cut: false }, now);
             }
         }
+        self.broken_at = Some(now);
         self.reserved.insert(change.domain, (change.model, now));
         true
     }
@@ -945,7 +961,11 @@
         domains
     }
 
-    fn engines_by_model(&self, service: &ServiceName) -> BTreeMap<ModelName, f64> {
+    fn engines_by_model(
+        &self,
+        service: &ServiceName,
+        traits: &EngineTraits,
+    ) -> BTreeMap<ModelName, f64> {
         let mut engines: BTreeMap<ModelName, f64> = BTreeMap::new();
         let useful = self.groups.values().filter(|group| {
             let counts = matches!(group.phase, Phase::Joining | Phase::Opening | Phase::Open);
@@ -955,8 +975,9 @@
             *engines.entry(group.model.clone()).or_default() += f64::from(group.size);
         }
         for (model, _) in self.reserved.values() {
-            // It will be formed; nothing else may count on its being missing.
-            *engines.entry(model.clone()).or_default() += 1.0;
+            // It will be formed; nothing else may be done because it is still missing.
+            let size = traits.model(model).map_or(0, |model| model.size);
+            *engines.entry(model.clone()).or_default() += f64::from(size);
         }
         engines
     }
