--- a/lib/src/grouping/leader.rs
+++ b/lib/src/grouping/leader.rs
@@ -89,10 +89,16 @@
     pub repeat_taken: Duration,
     /// How long a member may be silent and still be put into a new group.
     pub silent_for_new: Duration,
+    /// How long no new engine must have come before the very first groups are formed.
+    pub arrivals_apart: Duration,
+    /// How long the very first groups wait for engines at the most.
+    pub arrivals_limit: Duration,
     /// How long a leader that sees a higher epoch than its own gives no orders.
     pub yield_to_newer: Duration,
     /// How long a report may be on its way.
     pub report_delay: Duration,
+    /// How long a member may be silent before a group that is being formed is given up.
+    pub silent_while_joining: Duration,
     /// How long a head may be silent before its group is given up.
     pub silent_head: Duration,
     /// How long a member may be silent in a group that stands still.
@@ -113,9 +119,12 @@
             stall: Duration::from_millis(5_000),
             repeat_unanswered: Duration::from_millis(800),
             repeat_taken: Duration::from_millis(3_000),
-            silent_for_new: Duration::from_millis(2_800),
+            silent_for_new: Duration::from_millis(1_700),
+            arrivals_apart: Duration::from_millis(1_000),
+            arrivals_limit: Duration::from_millis(4_000),
             yield_to_newer: Duration::from_millis(3_500),
             report_delay: Duration::from_millis(4_000),
+            silent_while_joining: Duration::from_millis(2_600),
             silent_head: Duration::from_millis(9_000),
             silent_in_stalled: Duration::from_millis(1_350),
             close_wait: Duration::from_millis(5_000),
@@ -150,6 +159,8 @@
     /// How often each engine was heard before this leader led.
     heard_before: BTreeMap<InstanceId, u32>,
     has_looked: bool,
+    /// How many upstreams were known, and since when that has been so.
+    engines_known: (usize, Timestamp),
     /// An epoch above all of this term, and when it was first seen.
     foreign: Option<(u64, Timestamp)>,
     groups: BTreeMap<GroupId, Group>,
@@ -184,6 +195,7 @@
             epoch: term.saturating_mul(EPOCHS_PER_TERM),
             heard_before: BTreeMap::new(),
             has_looked: false,
+            engines_known: (0, now),
             foreign: None,
             groups: BTreeMap::new(),
             finished: BTreeMap::new(),
@@ -204,7 +216,7 @@
             return Vec::new();
         }
         let is_settled = view.now.since(self.listening_since) >= self.settings.settle;
-        if !is_settled {
+        if !is_settled || self.waits_for_engines(view) {
             return Vec::new();
         }
         self.adopt(view);
@@ -269,6 +281,22 @@
         open.count()
     }
 
+    /// Returns whether, before anything was ever formed, more engines are still coming.
+    ///
+    /// Groups of the first few that have reported would have to be taken apart again.
+    fn waits_for_engines(&mut self, view: GroupingView<'_>) -> bool {
+        if !view.is_prelude || !self.groups.is_empty() {
+            return false;
+        }
+        let known = view.registry.iter().count();
+        if known != self.engines_known.0 {
+            self.engines_known = (known, view.now);
+        }
+        let (_, since) = self.engines_known;
+        view.now.since(since) < self.settings.arrivals_apart
+            && view.now.since(self.listening_since) < self.settings.arrivals_limit
+    }
+
     /// Notes, at the first look, what was heard before this leader led.
     fn note_heard(&mut self, view: GroupingView<'_>) {
         if !std::mem::replace(&mut self.has_looked, true) {
@@ -447,7 +475,7 @@
             None => true,
             Some(known) => {
                 !known.is_ready()
-                    || known.silent_for(now) > self.settings.silent_for_new
+                    || known.silent_for(now) > self.settings.silent_while_joining
                     || self.dead.contains(&member.id)
                     || has_moved_on(known, group.epoch)
             }
@@ -531,7 +559,15 @@
         left_at: Option<Timestamp>,
         view: GroupingView<'_>,
     ) -> bool {
-        if let Some(head) = group.head() {
+        // Only a head that is heard again is more than silent, whatever the limit was.
+        let is_heard = |head: &Member| {
+            let known = view.registry.get(&head.id);
+            known.is_none_or(|known| known.heard_at > group.since)
+        };
+        if let Some(head) = group
+            .head()
+            .filter(|head| is_heard(head) || self.is_dead(&head.id, view))
+        {
             match self.head_standing(id, group, head, view) {
                 HeadStanding::Harmless => return true,
                 HeadStanding::Serving => {
@@ -1121,7 +1157,7 @@
                 && known.silent_for(view.now) <= self.settings.silent_for_new
                 && !self.dead.contains(id)
                 && !group_of(known).is_some_and(serves)
-                && (is_new || self.is_confirmed(known, leads_for));
+                && (is_new || view.is_prelude || self.is_confirmed(known, leads_for));
             if !is_usable {
                 continue;
             }
