grouping: a doubtful head is asked how many orders it has begun; staging gives way

Change: the head is asked first and refuses the join if it has begun anything since (the engines' own expected count). Staging waits while a group waits for loads.

--- a/control/src/edge.rs
+++ b/control/src/edge.rs
@@ -72,5 +72,5 @@
     fn order(&self, order: &Order) -> Request<Bytes>;
 
     /// Reads what an engine answered to an order.
-    fn outcome(&self, status: StatusCode) -> OrderOutcome;
+    fn outcome(&self, order: &Order, status: StatusCode, body: &[u8]) -> OrderOutcome;
 }
--- a/control/src/orders.rs
+++ b/control/src/orders.rs
@@ -74,10 +74,12 @@
             Err(error) if is_refused(&error) => return OrderOutcome::Refused,
             Err(_) => return OrderOutcome::Unanswered,
         };
-        let outcome = edge.outcome(response.status());
-        // The body is read so that the connection can be used again.
-        let _ = response.into_body().collect().await;
-        outcome
+        let status = response.status();
+        // The body is read in any case, so that the connection can be used again.
+        match response.into_body().collect().await {
+            Ok(body) => edge.outcome(order, status, &body.to_bytes()),
+            Err(_) => OrderOutcome::Unanswered,
+        }
     };
     match tokio::time::timeout(ORDER_TIMEOUT, answered).await {
         Ok(outcome) => outcome,
--- a/lib/src/grouping/balance.rs
+++ b/lib/src/grouping/balance.rs
@@ -21,9 +21,12 @@
 /// What the mean of all models' supply counts against the worst-supplied model's.
 const MEAN_WEIGHT: f64 = 0.15;
 /// What taking a group apart costs, as a part of a model's supply.
-const BREAK_COST: f64 = 0.05;
+const BREAK_COST: f64 = 0.04;
 /// What waiting for loads from the store costs, as a part of a model's supply.
-const LOAD_COST: f64 = 0.03;
+const LOAD_COST: f64 = 0.06;
+/// What an engine costs that gives up the model it ran: its host must load that again
+/// before it can go back.
+const SWITCH_COST: f64 = 0.006;
 /// A change that gains less than this is not made.
 const LEAST_GAIN: f64 = 0.004;
 
@@ -58,6 +61,8 @@
     pub breaks: Vec<GroupId>,
     /// How many engines would load weights from the store.
     pub loads: u32,
+    /// How many engines would give up the model that they ran last.
+    pub switches: u32,
 }
 
 /// How well the models are supplied: the engines in their groups against their share.
@@ -114,7 +119,11 @@
             for change in changes(name, domain, model, &may_load) {
                 let change_of = supply.value(&after(engines, domain, model, &change, traits));
                 let load_cost = if change.loads > 0 { LOAD_COST } else { 0.0 };
-                let gain = change_of - before - BREAK_COST * change.breaks.len() as f64 - load_cost;
+                let gain = change_of
+                    - before
+                    - BREAK_COST * change.breaks.len() as f64
+                    - SWITCH_COST * f64::from(change.switches)
+                    - load_cost;
                 // Engines that nobody uses cost nothing, so any use of them is a gain.
                 let is_free = change.breaks.is_empty();
                 let is_worth = gain >= LEAST_GAIN || (is_free && change_of > before);
@@ -142,6 +151,9 @@
         .iter()
         .filter(|engine| !engine.is_quick(&model.name));
     let slow = slow.filter(|engine| may_load(engine)).count();
+    let ran_it = |engine: &&FreeEngine| engine.last_model.as_ref() == Some(&model.name);
+    let runners = domain.free.iter().filter(ran_it).count();
+    let switches = u32::try_from(size.saturating_sub(runners)).unwrap_or(u32::MAX);
     let mut ways = Vec::new();
     if size == 0 {
         return ways;
@@ -152,6 +164,7 @@
             model: model.name.clone(),
             breaks: Vec::new(),
             loads: u32::try_from(size.saturating_sub(quick)).unwrap_or(u32::MAX),
+            switches,
         });
         return ways;
     }
@@ -168,6 +181,7 @@
                 model: model.name.clone(),
                 breaks: vec![group.group.clone()],
                 loads: 0,
+                switches,
             });
         }
     }
@@ -184,6 +198,7 @@
                 model: model.name.clone(),
                 breaks: vec![first.group.clone(), second.group.clone()],
                 loads: 0,
+                switches,
             });
         }
     }
--- a/lib/src/grouping/group.rs
+++ b/lib/src/grouping/group.rs
@@ -83,6 +83,8 @@
     pub since: Timestamp,
     /// Whether a copy of an order to the head may still be carried out late.
     pub is_doubtful: bool,
+    /// How many orders the head had begun when it was asked last.
+    pub head_orders: Option<u64>,
 }
 
 impl Group {
--- a/lib/src/grouping/leader.rs
+++ b/lib/src/grouping/leader.rs
@@ -257,6 +257,9 @@
                 let beyond = self.epoch.saturating_add(EPOCHS_PER_TERM);
                 self.note_foreign(beyond, now);
             }
+            (OrderKind::Look, OrderOutcome::BegunOrders(count)) => {
+                group.head_orders = Some(count);
+            }
             // What became of a load onto a host shows in the engine's reports.
             (OrderKind::Stage { .. }, OrderOutcome::Unfit | OrderOutcome::Outdated) => {}
             (OrderKind::Leave, OrderOutcome::Done)
@@ -726,7 +729,7 @@
                 vec![(0, OrderKind::Close(mode))]
             }
             Phase::Retiring => {
-                self.retire_head(group, view.now, orders);
+                self.retire_head(id, group, view.now, orders);
                 Vec::new()
             }
             Phase::Leaving => vec![(0, OrderKind::Leave)],
@@ -752,6 +755,7 @@
                 group: id.clone(),
                 epoch,
                 kind,
+                expected_orders: None,
             });
         }
     }
@@ -761,34 +765,55 @@
     /// A head that only leaves can be brought back: a copy of its `join` that is carried
     /// out late puts it into the group again, and a late `open` opens it, while the other
     /// members serve elsewhere. An engine that has seen a higher epoch refuses both.
-    fn retire_head(&mut self, group: &mut Group, now: Timestamp, orders: &mut Vec<Order>) {
+    fn retire_head(
+        &mut self,
+        id: &GroupId,
+        group: &mut Group,
+        now: Timestamp,
+        orders: &mut Vec<Order>,
+    ) {
         let Some(head) = group.members.first().filter(|member| member.rank == 0) else {
             return;
         };
-        let kind = OrderKind::Join {
+        let join = OrderKind::Join {
             model: group.model.clone(),
             members: vec![head.id.clone()],
         };
+        // The join itself may be carried out late, after a late copy of another order has
+        // opened the head once more. So the head is asked first, and refuses the join if
+        // it has begun anything since.
+        let (kind, expected_orders) = match group.head_orders {
+            None => (OrderKind::Look, None),
+            Some(count) => (join, Some(count)),
+        };
         if !self.is_due(head, &kind, now) {
             return;
         }
         let epoch = self.next_epoch();
-        let Ok(retired) = format!("{RETIRED_PREFIX}{epoch}").parse() else {
+        let retired = match kind {
+            OrderKind::Look => Some(id.clone()),
+            _ => format!("{RETIRED_PREFIX}{epoch}").parse().ok(),
+        };
+        let Some(retired) = retired else {
             return;
         };
+        let sent = Sent {
+            order: kind.name(),
+            at: now,
+            outcome: Some(OrderOutcome::Unanswered),
+        };
         orders.push(Order {
             to: head.id.clone(),
             address: head.address,
             group: retired,
             epoch,
             kind,
+            expected_orders,
         });
+        // Whatever becomes of the join, the head is asked again before the next one.
+        group.head_orders = None;
         if let Some(head) = group.members.first_mut() {
-            head.last = Some(Sent {
-                order: "join",
-                at: now,
-                outcome: Some(OrderOutcome::Unanswered),
-            });
+            head.last = Some(sent);
         }
     }
 
@@ -840,6 +865,7 @@
             | Some(
                 OrderOutcome::Begun
                 | OrderOutcome::Done
+                | OrderOutcome::BegunOrders(_)
                 | OrderOutcome::Unfit
                 | OrderOutcome::Outdated,
             ) => self.settings.repeat_taken,
@@ -1040,6 +1066,11 @@
         let open = self.groups.iter();
         let open =
             open.filter(|(_, group)| group.service == *service && group.phase == Phase::Open);
+        // Loads beside each other are slower, and groups that wait for one go first.
+        let is_waited_for = |group: &Group| group.phase == Phase::Joining;
+        if !view.is_prelude && self.groups.values().any(is_waited_for) {
+            return;
+        }
         let mut wanted = Vec::new();
         for (id, group) in open {
             let others = traits
@@ -1077,6 +1108,7 @@
                 group,
                 epoch,
                 kind: OrderKind::Stage { model },
+                expected_orders: None,
             });
         }
     }
@@ -1114,6 +1146,7 @@
             phase: Phase::Joining,
             since: view.now,
             is_doubtful: false,
+            head_orders: None,
         };
         self.order(&id, &mut group, view, orders);
         self.groups.insert(id, group);
@@ -1300,5 +1333,6 @@
         since: view.now,
         // Nobody knows what the leader before has ordered without an answer.
         is_doubtful: true,
+        head_orders: None,
     })
 }
--- a/lib/src/grouping/order.rs
+++ b/lib/src/grouping/order.rs
@@ -19,6 +19,8 @@
     pub epoch: u64,
     /// What to do.
     pub kind: OrderKind,
+    /// How many orders the engine must have begun so far, or it refuses this one.
+    pub expected_orders: Option<u64>,
 }
 
 /// What an engine is to do.
@@ -37,6 +39,8 @@
     Close(CloseMode),
     /// Be in the group no longer.
     Leave,
+    /// Tell how many orders were begun so far; changes nothing.
+    Look,
     /// Load a model onto the host, beside all other work.
     Stage {
         /// The model.
@@ -52,6 +56,7 @@
             OrderKind::Open => "open",
             OrderKind::Close(_) => "close",
             OrderKind::Leave => "leave",
+            OrderKind::Look => "look",
             OrderKind::Stage { .. } => "stage",
         }
     }
@@ -73,6 +78,8 @@
     Begun,
     /// It is done, or was so before.
     Done,
+    /// So many orders were begun so far.
+    BegunOrders(u64),
     /// It does not fit the engine's state.
     Unfit,
     /// The engine has seen a higher epoch.
@@ -91,6 +98,7 @@
         match self {
             OrderOutcome::Begun => "begun",
             OrderOutcome::Done => "done",
+            OrderOutcome::BegunOrders(_) => "seen",
             OrderOutcome::Unfit => "unfit",
             OrderOutcome::Outdated => "outdated",
             OrderOutcome::OtherRun => "other_run",
--- a/lib/tests/test_grouping/world.rs
+++ b/lib/tests/test_grouping/world.rs
@@ -81,6 +81,7 @@
     staged: Option<ModelName>,
     last_model: Option<ModelName>,
     seen_epoch: u64,
+    orders: u64,
     sequence: u64,
     beat_due: u64,
     returns_at: Option<u64>,
@@ -217,6 +218,7 @@
             staged: None,
             last_model: None,
             seen_epoch: 0,
+            orders: 0,
             sequence: 0,
             beat_due: self.now + self.rng.random_range(0..BEAT_MS),
             returns_at: None,
@@ -605,7 +607,26 @@
         if self.engines[place].id != order.to {
             return OrderOutcome::OtherRun;
         }
+        let begun = self.engines[place].orders;
+        if order
+            .expected_orders
+            .is_some_and(|expected| expected != begun)
+        {
+            return OrderOutcome::Unfit;
+        }
+        if order.kind == OrderKind::Look {
+            return OrderOutcome::BegunOrders(begun);
+        }
+        let outcome = self.obey(place, order);
+        if outcome == OrderOutcome::Begun || order.kind == OrderKind::Leave {
+            self.engines[place].orders += 1;
+        }
+        outcome
+    }
+
+    fn obey(&mut self, place: usize, order: &Order) -> OrderOutcome {
         match &order.kind {
+            OrderKind::Look => OrderOutcome::Done,
             OrderKind::Join { model, members } => self.join(place, order, model, members),
             OrderKind::Open => self.open(place, order),
             OrderKind::Close(mode) => self.close(place, order, *mode),
