--- a/control/src/members/events.rs
+++ b/control/src/members/events.rs
@@ -59,6 +59,8 @@
         model: cicadabend::prelude::ModelName,
         phase: String,
     } "group moved on";
+    /// A change of groups was chosen; the text holds what was weighed.
+    1717 Info GroupsWeighed { decision: String } "groups weighed";
     /// A change of the set of voters is proposed, because of who is there.
     1715 Info VotersWanted { voters: String } "voters to change";
     /// A newer table of routes is sent to the entry daemons that get it from here.
--- a/control/src/members/leading.rs
+++ b/control/src/members/leading.rs
@@ -105,6 +105,9 @@
             is_prelude,
             now,
         });
+        for decision in grouping.take_decisions() {
+            LogEvent::GroupsWeighed { decision }.emit();
+        }
         for order in &orders {
             LogEvent::OrderGiven {
                 order: order.kind.name(),
--- a/lib/src/grouping/balance.rs
+++ b/lib/src/grouping/balance.rs
@@ -63,6 +63,8 @@
     pub loads: u32,
     /// How many engines would give up the model that they ran last.
     pub switches: u32,
+    /// How well the models are supplied before and after, in thousandths, for logs.
+    pub supply_before_after: (u32, u32),
 }
 
 /// How well the models are supplied: the engines in their groups against their share.
@@ -95,17 +97,33 @@
     }
 }
 
+/// What changes are weighed by.
+#[derive(Clone, Copy, Debug)]
+pub struct Weighing<'a> {
+    /// The service's models.
+    pub traits: &'a EngineTraits,
+    /// The models' shares, where they differ from those at the start.
+    pub shares: &'a BTreeMap<ModelName, f64>,
+    /// Engines in groups that serve or get ready, by model.
+    pub engines: &'a BTreeMap<ModelName, f64>,
+    /// Whether groups may be taken apart.
+    pub may_break: bool,
+}
+
 /// Returns the change that gains most, if any gains enough.
 ///
-/// `engines` are those in groups that serve or get ready, by model; `may_load` says
-/// whether a free engine may load weights from the store now.
+/// `may_load` says whether a free engine may load weights from the store now.
 pub fn next_change(
-    traits: &EngineTraits,
-    shares: &BTreeMap<ModelName, f64>,
+    weighing: &Weighing<'_>,
     domains: &BTreeMap<FabricDomain, DomainStanding>,
-    engines: &BTreeMap<ModelName, f64>,
     may_load: impl Fn(&FreeEngine) -> bool,
 ) -> Option<Change> {
+    let Weighing {
+        traits,
+        shares,
+        engines,
+        may_break,
+    } = *weighing;
     let free: usize = domains.values().map(|domain| domain.free.len()).sum();
     let supply = Supply {
         traits,
@@ -116,7 +134,11 @@
     let mut best: Option<(f64, Change)> = None;
     for (name, domain) in domains {
         for model in &traits.models {
-            for change in changes(name, domain, model, &may_load) {
+            let ways = changes(name, domain, model, &may_load);
+            for change in ways
+                .into_iter()
+                .filter(|way| may_break || way.breaks.is_empty())
+            {
                 let change_of = supply.value(&after(engines, domain, model, &change, traits));
                 let load_cost = if change.loads > 0 { LOAD_COST } else { 0.0 };
                 let gain = change_of
@@ -133,7 +155,16 @@
             }
         }
     }
-    best.map(|(_, change)| change)
+    let (_, mut change) = best?;
+    let model = traits.model(&change.model)?;
+    let domain = domains.get(&change.domain)?;
+    let value = supply.value(&after(engines, domain, model, &change, traits));
+    change.supply_before_after = (thousandths(before), thousandths(value));
+    Some(change)
+}
+
+fn thousandths(value: f64) -> u32 {
+    (value * 1_000.0) as u32
 }
 
 /// Returns the ways to a group of a model in one domain.
@@ -165,6 +196,7 @@
             breaks: Vec::new(),
             loads: u32::try_from(size.saturating_sub(quick)).unwrap_or(u32::MAX),
             switches,
+            supply_before_after: (0, 0),
         });
         return ways;
     }
@@ -182,6 +214,7 @@
                 breaks: vec![group.group.clone()],
                 loads: 0,
                 switches,
+                supply_before_after: (0, 0),
             });
         }
     }
@@ -199,6 +232,7 @@
                 breaks: vec![first.group.clone(), second.group.clone()],
                 loads: 0,
                 switches,
+                supply_before_after: (0, 0),
             });
         }
     }
--- a/lib/src/grouping/group.rs
+++ b/lib/src/grouping/group.rs
@@ -81,6 +81,8 @@
     pub members: Vec<Member>,
     pub phase: Phase,
     pub since: Timestamp,
+    /// Members that may be what made the group stand still.
+    pub suspects: Vec<InstanceId>,
     /// Whether a copy of an order to the head may still be carried out late.
     pub is_doubtful: bool,
     /// How many orders the head had begun when it was asked last.
--- a/lib/src/grouping/leader.rs
+++ b/lib/src/grouping/leader.rs
@@ -13,6 +13,7 @@
     balance::{
         DomainStanding,
         StandingGroup,
+        Weighing,
         next_change, //
     },
     group::{
@@ -169,6 +170,10 @@
     free_since: BTreeMap<InstanceId, Timestamp>,
     /// Domains in which a group is taken apart so that one of a model can be formed.
     reserved: BTreeMap<FabricDomain, (ModelName, Timestamp)>,
+    /// Silent members of groups that stood still, until they are heard again.
+    suspects: BTreeMap<InstanceId, Timestamp>,
+    /// What was decided since it was last asked for.
+    decisions: Vec<String>,
     /// When a group was last taken apart for another one.
     broken_at: Option<Timestamp>,
     /// Models that engines were told to stage, and when.
@@ -201,6 +206,8 @@
             finished: BTreeMap::new(),
             free_since: BTreeMap::new(),
             reserved: BTreeMap::new(),
+            suspects: BTreeMap::new(),
+            decisions: Vec::new(),
             broken_at: None,
             staging: BTreeMap::new(),
             loads: VecDeque::new(),
@@ -396,6 +403,9 @@
                 break;
             }
         }
+        for suspect in std::mem::take(&mut group.suspects) {
+            self.suspects.insert(suspect, view.now);
+        }
         if is_over {
             self.finished.insert(id.clone(), view.now);
             return;
@@ -545,7 +555,11 @@
             }
             HeadStanding::Serving => {}
         }
-        let is_lost = self.has_lost_member(id, group, view) || self.is_stalled(group, view);
+        let is_stalled = self.is_stalled(group, view);
+        if is_stalled {
+            group.suspects = self.silent_members(group, view);
+        }
+        let is_lost = is_stalled || self.has_lost_member(id, group, view);
         if !group.is_whole() || is_lost {
             group.enter(Phase::Closing { is_cut: true }, now);
         } else if self.has_leaving_member(group, view) {
@@ -648,6 +662,17 @@
             })
     }
 
+    /// Returns the members of a group that stands still which may be what it has lost.
+    fn silent_members(&self, group: &Group, view: GroupingView<'_>) -> Vec<InstanceId> {
+        let limit = self.settings.silent_in_stalled;
+        let is_silent = |member: &&Member| {
+            let known = view.registry.get(&member.id);
+            known.is_none_or(|known| known.silent_for(view.now) >= limit)
+        };
+        let silent = group.members.iter().filter(is_silent);
+        silent.map(|member| member.id.clone()).collect()
+    }
+
     fn has_leaving_member(&self, group: &Group, view: GroupingView<'_>) -> bool {
         group.members.iter().any(|member| {
             let known = view.registry.get(&member.id);
@@ -931,16 +956,20 @@
             .filter(|(name, _)| !self.reserved.contains_key(name))
             .collect();
         let shares = BTreeMap::new();
-        let Some(change) = next_change(traits, &shares, &open, &engines, may_load) else {
-            return false;
-        };
+        // What is being taken apart is missing until the new group serves.
         let is_calm = self
             .broken_at
             .is_none_or(|at| now.since(at) >= BREAKS_APART)
             && self.reserved.is_empty();
-        if !change.breaks.is_empty() && !is_calm {
+        let weighing = Weighing {
+            traits,
+            shares: &shares,
+            engines: &engines,
+            may_break: is_calm,
+        };
+        let Some(change) = next_change(&weighing, &open, may_load) else {
             return false;
-        }
+        };
         if change.breaks.is_empty() {
             let free = open
                 .get(&change.domain)
@@ -952,9 +981,11 @@
             let Some(new) = new.filter(|new| new.loads <= room) else {
                 return false;
             };
+            self.note_decision(&change, &engines);
             self.form(service, traits, new, view, orders);
             return true;
         }
+        self.note_decision(&change, &engines);
         for id in &change.breaks {
             if let Some(group) = self.groups.get_mut(id) {
                 group.enter(Phase::Closing { is_cut: false }, now);
@@ -965,6 +996,33 @@
         true
     }
 
+    fn note_decision(
+        &mut self,
+        change: &super::balance::Change,
+        engines: &BTreeMap<ModelName, f64>,
+    ) {
+        let (before, after) = change.supply_before_after;
+        let engines: Vec<String> = engines
+            .iter()
+            .map(|(model, count)| format!("{model} {count}"))
+            .collect();
+        let text = format!(
+            "form {} in {} breaking {} loading {} switching {}; supply {before} to {after}; engines {}",
+            change.model,
+            change.domain,
+            change.breaks.len(),
+            change.loads,
+            change.switches,
+            engines.join(", "),
+        );
+        self.decisions.push(text);
+    }
+
+    /// Returns what was decided since the last call and what decided it, for logs.
+    pub fn take_decisions(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.decisions)
+    }
+
     /// Returns the group for which a domain was reserved, once its engines are free.
     fn reserved_group(
         &mut self,
@@ -1145,6 +1203,7 @@
             members: members.collect(),
             phase: Phase::Joining,
             since: view.now,
+            suspects: Vec::new(),
             is_doubtful: false,
             head_orders: None,
         };
@@ -1189,6 +1248,10 @@
             let is_usable = known.is_ready()
                 && known.silent_for(view.now) <= self.settings.silent_for_new
                 && !self.dead.contains(id)
+                && self
+                    .suspects
+                    .get(id)
+                    .is_none_or(|since| known.heard_at > *since)
                 && !group_of(known).is_some_and(serves)
                 && (is_new || view.is_prelude || self.is_confirmed(known, leads_for));
             if !is_usable {
@@ -1244,6 +1307,7 @@
         });
         let registry = view.registry;
         self.free_since.retain(|id, _| registry.get(id).is_some());
+        self.suspects.retain(|id, _| registry.get(id).is_some());
     }
 }
 
@@ -1332,6 +1396,7 @@
         phase,
         since: view.now,
         // Nobody knows what the leader before has ordered without an answer.
+        suspects: Vec::new(),
         is_doubtful: true,
         head_orders: None,
     })
--- a/lib/src/grouping/mod.rs
+++ b/lib/src/grouping/mod.rs
@@ -26,6 +26,7 @@
     Change,
     DomainStanding,
     StandingGroup,
+    Weighing,
     next_change, //
 };
 pub use leader::{
--- a/lib/tests/test_grouping/test_placement.rs
+++ b/lib/tests/test_grouping/test_placement.rs
@@ -8,6 +8,7 @@
         DomainStanding,
         FreeEngine,
         StandingGroup,
+        Weighing,
         best_members,
         next_change, //
     },
@@ -46,13 +47,13 @@
     let engines = engines
         .iter()
         .map(|(model, count)| (model.parse().unwrap(), *count));
-    next_change(
+    let weighing = Weighing {
         traits,
-        &BTreeMap::new(),
-        &domains,
-        &engines.collect(),
-        |_| may_load,
-    )
+        shares: &BTreeMap::new(),
+        engines: &engines.collect(),
+        may_break: true,
+    };
+    next_change(&weighing, &domains, |_| may_load)
 }
 
 #[test]
