dispatch: full heads refuse at once; callers come back after a third of their time

Change: a request is refused when the best head has 1.1 requests for each slot, and told to come back within a third of its time, spread.

--- a/entry/src/serve/routed/counts.rs
+++ b/entry/src/serve/routed/counts.rs
@@ -41,6 +41,8 @@
         BodyIncomplete,
         /// No upstream can take it now.
         NoReplica,
+        /// Every upstream is full.
+        NoRoom,
         /// Every upstream that was asked said that it did not run it.
         NotStarted,
         /// No upstream could be reached.
--- a/entry/src/serve/routed/run.rs
+++ b/entry/src/serve/routed/run.rs
@@ -73,10 +73,14 @@
 const MOST_CONNECTS: u32 = 4;
 /// A repeat with less time than this could not be answered.
 const LEAST_LEFT: Duration = Duration::from_millis(30);
-/// When to come back if nothing can take the request now.
-const RETRY_NO_REPLICA: Duration = Duration::from_millis(400);
-/// When to come back if every upstream that was asked is full.
-const RETRY_FULL: Duration = Duration::from_millis(250);
+/// When to come back to a daemon that has no routes yet.
+const RETRY_NO_ROUTES: Duration = Duration::from_millis(400);
+/// The part of the time left after which a refused caller should come back.
+const RETRY_SHARE: f64 = 0.33;
+/// By what part of that the time varies between callers.
+const RETRY_SPREAD: f64 = 0.5;
+/// The soonest that a refused caller should come back.
+const RETRY_LEAST: Duration = Duration::from_millis(60);
 /// The shortest time after which a first event counts as unusually late.
 const LEAST_PATIENCE: Duration = Duration::from_millis(900);
 /// The same for an answer that is no stream.
@@ -96,6 +100,7 @@
     connects: u32,
     expected_ms: f64,
     outstanding: f64,
+    is_full: bool,
     slowness: f64,
     first_part: Option<Duration>,
     /// Whether the next attempt has been paid for.
@@ -126,6 +131,7 @@
             connects: 0,
             expected_ms: 0.0,
             outstanding: 0.0,
+            is_full: false,
             slowness: 1.0,
             first_part: None,
             is_paid: false,
@@ -139,6 +145,12 @@
         if !self.choose() {
             return self.refuse(RoutedRefusal::NoReplica, "no replica can take it now");
         }
+        // Where all are full, a request would make every other one late as well. Those
+        // that are let in are answered in time, and this one can come back.
+        if self.is_full {
+            self.place = None;
+            return self.refuse(RoutedRefusal::NoRoom, "all replicas are full");
+        }
         self.life.apply(RequestEvent::Admitted, |_| false);
         loop {
             let sent = Rc::new(SentBytes::default());
@@ -166,6 +178,7 @@
         self.slowness = self.server.loads.borrow().slowness(&id);
         self.expected_ms = chosen.expected_ms;
         self.outstanding = chosen.outstanding;
+        self.is_full = chosen.is_full;
         self.tried.push(id);
         let tokens = self.plan.prompt_tokens();
         self.place = Some(Place::take(&self.server, replica, tokens));
@@ -352,6 +365,7 @@
             connects: self.connects,
             expected_ms: self.expected_ms,
             outstanding: self.outstanding,
+            is_full: self.is_full,
             slowness: self.slowness,
             first_part: self.first_part,
             is_paid: false,
@@ -470,10 +484,13 @@
     /// Answers with an answer of the daemon's own.
     fn refuse(mut self, reason: RoutedRefusal, why: &str) -> Response<RoutedBody> {
         let (status, retry_after) = match reason {
-            RoutedRefusal::NoReplica | RoutedRefusal::NotConnected => {
-                (StatusCode::SERVICE_UNAVAILABLE, Some(RETRY_NO_REPLICA))
-            }
-            RoutedRefusal::NotStarted => (StatusCode::SERVICE_UNAVAILABLE, Some(RETRY_FULL)),
+            RoutedRefusal::NoReplica
+            | RoutedRefusal::NotConnected
+            | RoutedRefusal::NoRoom
+            | RoutedRefusal::NotStarted => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                Some(self.come_back_after()),
+            ),
             RoutedRefusal::TooLate => (StatusCode::SERVICE_UNAVAILABLE, None),
             RoutedRefusal::TimedOut => (StatusCode::GATEWAY_TIMEOUT, None),
             _ => (StatusCode::BAD_GATEWAY, None),
@@ -506,6 +523,17 @@
         self.server.edge.own_answer(&answer).map(RoutedBody::whole)
     }
 
+    /// Returns when the caller should come back.
+    ///
+    /// A caller comes back a few times at the most, so each time should find room: it is
+    /// told to use the time that it has, spread so that not all come back at once.
+    fn come_back_after(&self) -> Duration {
+        let left = self.plan.deadline.saturating_duration_since(Instant::now());
+        let spread = (self.server.random() % 1_000) as f64 / 1_000.0;
+        let share = RETRY_SHARE * (1.0 - RETRY_SPREAD * spread);
+        left.mul_f64(share).max(RETRY_LEAST)
+    }
+
     /// Notes that the whole answer was passed on.
     pub(super) fn ended(&mut self, outcome: &'static str) {
         if std::mem::replace(&mut self.is_over, true) {
@@ -705,7 +733,7 @@
     let answer = OwnAnswer {
         status,
         request_id,
-        retry_after: (status == StatusCode::SERVICE_UNAVAILABLE).then_some(RETRY_NO_REPLICA),
+        retry_after: (status == StatusCode::SERVICE_UNAVAILABLE).then_some(RETRY_NO_ROUTES),
         code: "not_run",
         message,
     };
--- a/lib/src/dispatch/choose.rs
+++ b/lib/src/dispatch/choose.rs
@@ -11,6 +11,10 @@
 
 use super::loads::Loads;
 
+/// An engine is full with so many requests for each of its slots.
+///
+/// Others' requests are seen late, so a little more than the slots is let through.
+const FULL_FACTOR: f64 = 1.1;
 /// What a plain upstream is expected to take for a request, in milliseconds.
 const PLAIN_MS: f64 = 20.0;
 /// A suspect is used only if it is better by this, in milliseconds.
@@ -56,6 +60,8 @@
     pub expected_ms: f64,
     /// The requests believed to be there.
     pub outstanding: f64,
+    /// Whether it has no room, so that the request would wait behind others.
+    pub is_full: bool,
 }
 
 /// Returns the best candidate; `random` decides between those that are nearly as good.
@@ -80,7 +86,10 @@
         .collect();
     let drawn = random.checked_rem(near.len() as u64)?;
     let place = near.get(usize::try_from(drawn).ok()?).copied()?;
+    let chosen = &candidates[place];
+    let room = f64::from(chosen.slots) * FULL_FACTOR;
     Some(Chosen {
+        is_full: wanted.timing.is_some() && loads.outstanding(chosen.id, now) >= room,
         place,
         expected_ms: costs[place].1,
         outstanding: loads.outstanding(candidates[place].id, now),
