grouping: models' shares follow their load

Change: entry daemons tell how many requests each model has at hand or had to refuse; half of a model's share follows it, smoothed over two seconds.

--- a/control/src/members/leading.rs
+++ b/control/src/members/leading.rs
@@ -92,6 +92,7 @@
         table: &RouteTable,
         registry: &Registry,
         stalled: &BTreeSet<InstanceId>,
+        demand: &BTreeMap<(ServiceName, ModelName), f64>,
         is_prelude: bool,
         now: Timestamp,
     ) -> Vec<Order> {
@@ -102,6 +103,7 @@
             table,
             registry,
             stalled,
+            demand,
             is_prelude,
             now,
         });
--- a/control/src/members/thread.rs
+++ b/control/src/members/thread.rs
@@ -76,6 +76,10 @@
 /// How long an entry daemon may lack the newest routes before another control daemon
 /// than its own sends them.
 const ROUTES_OVERDUE: Duration = Duration::from_millis(700);
+/// How often the load of all entry daemons is summed.
+const DEMAND_EVERY: Duration = Duration::from_millis(400);
+/// What a new sum counts against the smoothed one; half is new after two seconds.
+const DEMAND_NEW_WEIGHT: f64 = 0.13;
 /// For how long an entry daemon's word that a head stands still counts.
 const STALL_TOLD_FOR: Duration = Duration::from_millis(1_500);
 /// The most events taken before the ticks get their turn.
@@ -102,6 +106,7 @@
     routes: RouteVersion,
     subscribes: bool,
     heard_at: Timestamp,
+    demand: Vec<(ServiceName, ModelName, u32)>,
     /// The table that was sent last, and when.
     sent: Option<(RouteVersion, Timestamp)>,
     /// Since when it has lacked the newest table.
@@ -126,6 +131,9 @@
     wants_all: bool,
     /// Whether any caller has been served since the fleet's first start.
     has_served: bool,
+    /// How many requests each model has at all entry daemons, smoothed.
+    demand: BTreeMap<(ServiceName, ModelName), f64>,
+    demand_due: Timestamp,
     spread: RouteVersion,
     alive_due: Timestamp,
     ends_due: Timestamp,
@@ -150,6 +158,8 @@
             wants_all: true,
             // A fleet that was founded before has served.
             has_served: !setup.is_founding,
+            demand: BTreeMap::new(),
+            demand_due: Timestamp::default(),
             spread: RouteVersion::default(),
             alive_due: Timestamp::default(),
             ends_due: Timestamp::default(),
@@ -269,6 +279,7 @@
             routes: hello.routes,
             subscribes: hello.subscribes,
             heard_at: now,
+            demand: Vec::new(),
             sent: None,
             behind_since: None,
         });
@@ -279,6 +290,7 @@
         known.routes = hello.routes;
         known.subscribes = hello.subscribes;
         known.heard_at = now;
+        known.demand.clone_from(&hello.demand);
         match hello.routes < newest {
             true => {
                 known.behind_since.get_or_insert(now);
@@ -422,11 +434,38 @@
             self.greet(now);
             self.housekeep(now);
         }
+        self.weigh_demand(now);
         self.pass_on(now);
         self.spread_routes(now);
         self.lead(now);
     }
 
+    /// Sums what the entry daemons tell of their models' load, and smooths it.
+    fn weigh_demand(&mut self, now: Timestamp) {
+        if now < self.demand_due {
+            return;
+        }
+        self.demand_due = now + DEMAND_EVERY;
+        let limit = MembersSettings::default().silent_limit;
+        let mut sum: BTreeMap<(ServiceName, ModelName), f64> = BTreeMap::new();
+        let entries = self.entries.values();
+        for entry in entries.filter(|entry| now.since(entry.heard_at) <= limit) {
+            for (service, model, requests) in &entry.demand {
+                let key = (service.clone(), model.clone());
+                *sum.entry(key).or_default() += f64::from(*requests);
+            }
+        }
+        for (key, requests) in &sum {
+            let smooth = self.demand.entry(key.clone()).or_insert(*requests);
+            *smooth += (requests - *smooth) * DEMAND_NEW_WEIGHT;
+        }
+        for (key, smooth) in &mut self.demand {
+            if !sum.contains_key(key) {
+                *smooth *= 1.0 - DEMAND_NEW_WEIGHT;
+            }
+        }
+    }
+
     fn greet(&mut self, now: Timestamp) {
         if let Some(seeds) = self.setup.seeds.changed(now) {
             self.members.set_seeds(seeds);
@@ -437,6 +476,7 @@
             subscribes: true,
             wants_all: self.wants_all,
             has_served: self.has_served,
+            demand: Vec::new(),
             stalled: Vec::new(),
         };
         for (daemon, address) in self.members.to_greet() {
@@ -546,9 +586,14 @@
             let stalled: BTreeSet<InstanceId> = self.stalled.keys().cloned().collect();
             let table = &document.table;
             let is_prelude = !self.has_served;
-            let orders = self
-                .leading
-                .orders(table, &self.registry, &stalled, is_prelude, now);
+            let orders = self.leading.orders(
+                table,
+                &self.registry,
+                &stalled,
+                &self.demand,
+                is_prelude,
+                now,
+            );
             for order in orders {
                 // A full ring loses the order; it counts as unanswered and comes again.
                 let _ = self.setup.orders.push(order);
--- a/entry/src/members/mod.rs
+++ b/entry/src/members/mod.rs
@@ -3,10 +3,15 @@
 //! Control daemons send the table of routes and what upstreams report. The thread puts
 //! both into one [`RoutedView`], which the serving thread reads.
 
+mod demand;
 mod events;
 mod thread;
 mod view;
 
+pub(crate) use demand::{
+    Demand,
+    Demanded, //
+};
 pub(crate) use thread::{
     MembersSetup,
     MembersThread, //
--- a/entry/src/members/thread.rs
+++ b/entry/src/members/thread.rs
@@ -53,6 +53,7 @@
 };
 
 use super::{
+    demand::Demand,
     events::LogEvent,
     view::{
         RoutedView,
@@ -76,6 +77,8 @@
     pub(crate) hello_every: Duration,
     pub(crate) peers: PeerSender,
     pub(crate) view: Arc<ArcSwap<RoutedView>>,
+    /// How many requests each model has here.
+    pub(crate) demand: Demand,
     /// Whether a caller has been served.
     pub(crate) has_served: Arc<AtomicBool>,
     pub(crate) clock: Clock,
@@ -273,6 +276,7 @@
         self.choose_source(now);
         self.stalled.retain(|_, at| now.since(*at) < STALL_TOLD_FOR);
         let stalled: Vec<InstanceId> = self.stalled.keys().cloned().collect();
+        let demand = self.setup.demand.read();
         for (daemon, address) in self.members.to_greet() {
             let hello = Hello {
                 member: self.setup.me.clone(),
@@ -280,6 +284,7 @@
                 subscribes: self.source.as_ref() == Some(&daemon),
                 wants_all: self.wants_all,
                 has_served: self.setup.has_served.load(Ordering::Relaxed),
+                demand: demand.clone(),
                 stalled: stalled.clone(),
             };
             if self.setup.peers.know(&daemon, address).is_ok() {
--- a/entry/src/members/view.rs
+++ b/entry/src/members/view.rs
@@ -42,6 +42,8 @@
 pub struct RoutedReplica {
     /// The run of the upstream; for a group, that of its head.
     pub id: InstanceId,
+    /// What it serves.
+    pub service: ServiceName,
     /// Where it takes requests.
     pub address: Address,
     /// Where it is.
@@ -155,6 +157,7 @@
     let registration = &known.registration;
     RoutedReplica {
         id: registration.id.clone(),
+        service: registration.service.clone(),
         address: registration.address,
         failure_domain: registration.failure_domain.clone(),
         slots: registration.slots.0,
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -67,6 +67,7 @@
     edge::CallerEdge,
     members::{
         self,
+        Demand,
         MembersSetup,
         MembersThread,
         RoutedView, //
@@ -202,6 +203,7 @@
     let boot = draw_boot();
     let (peers, inbox) = start_peers(&settings, boot)?;
     let view = Arc::new(ArcSwap::from_pointee(RoutedView::default()));
+    let demand = Demand::default();
     let has_served = Arc::new(AtomicBool::new(false));
     let setup = MembersSetup {
         me: members::me(
@@ -213,6 +215,7 @@
         seeds: SeedWatch::new(process.settings_path.clone(), membership),
         peers: peers.sender(),
         view: Arc::clone(&view),
+        demand: demand.clone(),
         has_served: Arc::clone(&has_served),
         clock: process.clock,
     };
@@ -231,6 +234,7 @@
         clock: process.clock,
         metrics: process.metrics,
         boot,
+        demand,
         has_served,
         stalls,
     };
--- a/entry/src/serve/routed/exchange.rs
+++ b/entry/src/serve/routed/exchange.rs
@@ -42,7 +42,10 @@
 };
 use crate::{
     edge::AnswerWords,
-    members::RoutedReplica, //
+    members::{
+        Demanded,
+        RoutedReplica, //
+    },
 };
 
 /// The largest answer that is read whole before any of it is passed on.
@@ -127,6 +130,7 @@
     pub(super) replica: RoutedReplica,
     prompt_tokens: u64,
     is_read: bool,
+    _demanded: Option<Demanded>,
 }
 
 impl Place {
@@ -135,7 +139,10 @@
             .loads
             .borrow_mut()
             .started(&replica.id, prompt_tokens);
+        let model = replica.model.as_ref();
+        let demanded = model.map(|model| server.demand.count(&replica.service, model));
         Self {
+            _demanded: demanded,
             server: Rc::clone(server),
             replica,
             prompt_tokens,
--- a/entry/src/serve/routed/mod.rs
+++ b/entry/src/serve/routed/mod.rs
@@ -47,7 +47,10 @@
 
 use crate::{
     edge::CallerEdge,
-    members::RoutedView, //
+    members::{
+        Demand,
+        RoutedView, //
+    },
 };
 use server::Server;
 
@@ -62,6 +65,8 @@
     pub(crate) clock: Clock,
     pub(crate) metrics: Metrics,
     pub(crate) boot: BootId,
+    /// How many requests each model has here.
+    pub(crate) demand: Demand,
     /// Set once a caller's request is taken in.
     pub(crate) has_served: Arc<AtomicBool>,
     /// Replicas whose streams stand still, for the thread `members`.
--- a/entry/src/serve/routed/run.rs
+++ b/entry/src/serve/routed/run.rs
@@ -148,7 +148,12 @@
         // Where all are full, a request would make every other one late as well. Those
         // that are let in are answered in time, and this one can come back.
         if self.is_full {
-            self.place = None;
+            if let Some(place) = self.place.take()
+                && let Some(model) = &place.replica.model
+            {
+                let demand = &self.server.demand;
+                demand.refused(&place.replica.service, model);
+            }
             return self.refuse(RoutedRefusal::NoRoom, "all replicas are full");
         }
         self.life.apply(RequestEvent::Admitted, |_| false);
--- a/entry/src/serve/routed/server.rs
+++ b/entry/src/serve/routed/server.rs
@@ -45,7 +45,10 @@
 };
 use crate::{
     edge::CallerEdge,
-    members::RoutedView, //
+    members::{
+        Demand,
+        RoutedView, //
+    },
 };
 
 /// How often what is known of vanished upstreams is dropped.
@@ -61,6 +64,7 @@
     pub(super) pool: Pool,
     pub(super) loads: RefCell<Loads>,
     pub(super) draining: Cell<bool>,
+    pub(super) demand: Demand,
     has_served: Arc<AtomicBool>,
     pub(super) stalls: ring::Sender<InstanceId>,
     budgets: RefCell<HashMap<ServiceName, WindowBudget>>,
@@ -79,6 +83,7 @@
             pool: Pool::new(connect_timeout_ms),
             loads: RefCell::default(),
             draining: Cell::new(false),
+            demand: setup.demand.clone(),
             has_served: Arc::clone(&setup.has_served),
             stalls: setup.stalls.clone(),
             budgets: RefCell::default(),
--- a/lib/src/grouping/leader.rs
+++ b/lib/src/grouping/leader.rs
@@ -46,6 +46,7 @@
     },
     routes::{
         EngineTraits,
+        ModelTraits,
         RouteTable, //
     },
 };
@@ -66,6 +67,10 @@
 /// What is taken apart is missing until the new group serves; deciding again meanwhile
 /// would take apart others to make up for it.
 const BREAKS_APART: Duration = Duration::from_secs(4);
+/// What the present load counts against the shares at the start.
+const DEMAND_WEIGHT: f64 = 0.5;
+/// Less load than this, in requests times engines, tells nothing.
+const LEAST_DEMAND: f64 = 40.0;
 /// How long a domain is kept for the group for which another one is taken apart.
 const RESERVED_FOR: Duration = Duration::from_secs(8);
 /// How many loads must be possible before a group that needs loads is formed.
@@ -144,6 +149,8 @@
     pub registry: &'a Registry,
     /// Heads whose streams stand still, as entry daemons see them.
     pub stalled: &'a BTreeSet<InstanceId>,
+    /// How many requests each model has at all entry daemons; empty if nobody tells.
+    pub demand: &'a BTreeMap<(ServiceName, ModelName), f64>,
     /// Whether no caller has been served yet, so that loads hold up nobody.
     pub is_prelude: bool,
     /// The time.
@@ -955,7 +962,7 @@
             .into_iter()
             .filter(|(name, _)| !self.reserved.contains_key(name))
             .collect();
-        let shares = BTreeMap::new();
+        let shares = shares(service, traits, view.demand);
         // What is being taken apart is missing until the new group serves.
         let is_calm = self
             .broken_at
@@ -1324,6 +1331,32 @@
     Silent,
 }
 
+/// Returns the models' shares of the engines, as their load asks for.
+///
+/// Requests gather where engines are short, so what a model has at hand, times the size
+/// of its groups, tells its part. The shares at the start are what is known before any
+/// load; they keep half of the weight, so that a short burst does not turn everything.
+fn shares(
+    service: &ServiceName,
+    traits: &EngineTraits,
+    demand: &BTreeMap<(ServiceName, ModelName), f64>,
+) -> BTreeMap<ModelName, f64> {
+    let load = |model: &ModelTraits| {
+        let requests = demand.get(&(service.clone(), model.name.clone()));
+        requests.copied().unwrap_or(0.0) * f64::from(model.size)
+    };
+    let total: f64 = traits.models.iter().map(load).sum();
+    if total < LEAST_DEMAND {
+        return BTreeMap::new();
+    }
+    let share = |model: &ModelTraits| {
+        let now = load(model) / total;
+        let mixed = model.share * (1.0 - DEMAND_WEIGHT) + now * DEMAND_WEIGHT;
+        (model.name.clone(), mixed)
+    };
+    traits.models.iter().map(share).collect()
+}
+
 /// Returns an engine's part of the fabric; without one, its failure domain counts as one.
 fn fabric_domain(known: &Known) -> Option<FabricDomain> {
     let registration = &known.registration;
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -80,6 +80,9 @@
     pub wants_all: bool,
     /// Whether it has served a caller since its start.
     pub has_served: bool,
+    /// How much of its requests each model has, by service: those that run, wait or were
+    /// refused lately for want of room.
+    pub demand: Vec<(ServiceName, ModelName, u32)>,
     /// Heads whose streams have all stood still lately, as this daemon sees them.
     pub stalled: Vec<InstanceId>,
 }
--- a/lib/tests/test_grouping/world.rs
+++ b/lib/tests/test_grouping/world.rs
@@ -536,6 +536,7 @@
                 table: &self.table,
                 registry: &leader.registry,
                 stalled: &stalled,
+                demand: &BTreeMap::new(),
                 is_prelude: false,
                 now: Timestamp(self.now),
             });
