grouping: a model that has its share changes no engine; the shortest goes first

Change: a model that is not the shortest waits 1.2 s for further engines; one that has its share takes engines from another model only after 6 s of idleness; staging goes on, one at a time, beside groups that load.

--- a/lib/src/grouping/balance.rs
+++ b/lib/src/grouping/balance.rs
@@ -6,7 +6,10 @@
 //! over all models: a model that has too little of its share may get a group by taking
 //! apart one of a model that has more.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
 
 use crate::{
     prelude::*,
@@ -27,6 +30,10 @@
 /// What an engine costs that gives up the model it ran: its host must load that again
 /// before it can go back.
 const SWITCH_COST: f64 = 0.006;
+/// How long a model that is not the shortest waits for further engines of a domain.
+const ARRIVALS_APART: Duration = Duration::from_millis(1_200);
+/// How long engines are kept for a model that is short before any use of them is better.
+const IDLE_LIMIT: Duration = Duration::from_secs(6);
 /// A change that gains less than this is not made.
 const LEAST_GAIN: f64 = 0.004;
 
@@ -75,6 +82,12 @@
 }
 
 impl Supply<'_> {
+    /// Returns a model's engines against its share.
+    fn of(&self, model: &ModelTraits, engines: &BTreeMap<ModelName, f64>) -> f64 {
+        let has = engines.get(&model.name).copied().unwrap_or(0.0);
+        has / (self.share(model) * self.total).max(1.0)
+    }
+
     fn value(&self, engines: &BTreeMap<ModelName, f64>) -> f64 {
         let supplies: Vec<f64> = self
             .traits
@@ -82,8 +95,7 @@
             .iter()
             .filter_map(|model| {
                 let share = self.share(model);
-                let has = engines.get(&model.name).copied().unwrap_or(0.0);
-                (share > 0.0).then(|| has / (share * self.total).max(1.0))
+                (share > 0.0).then(|| self.of(model, engines))
             })
             .collect();
         let worst = supplies.iter().copied().fold(f64::INFINITY, f64::min);
@@ -108,6 +120,8 @@
     pub engines: &'a BTreeMap<ModelName, f64>,
     /// Whether groups may be taken apart.
     pub may_break: bool,
+    /// The time.
+    pub now: Timestamp,
 }
 
 /// Returns the change that gains most, if any gains enough.
@@ -123,6 +137,7 @@
         shares,
         engines,
         may_break,
+        now,
     } = *weighing;
     let free: usize = domains.values().map(|domain| domain.free.len()).sum();
     let supply = Supply {
@@ -131,14 +146,34 @@
         total: engines.values().sum::<f64>() + free as f64,
     };
     let before = supply.value(engines);
+    let supplies = traits.models.iter().map(|model| supply.of(model, engines));
+    let worst = supplies.fold(f64::INFINITY, f64::min);
     let mut best: Option<(f64, Change)> = None;
     for (name, domain) in domains {
         for model in &traits.models {
-            let ways = changes(name, domain, model, &may_load);
+            let has = supply.of(model, engines);
+            // Engines that come one after the other would end in pairs of whatever is
+            // small; a model that is not the shortest waits for those that follow.
+            let waits = if has > worst {
+                ARRIVALS_APART
+            } else {
+                Duration::ZERO
+            };
+            let may_use = |engine: &FreeEngine| now.since(engine.free_since) >= waits;
+            let ways = changes(name, domain, model, &may_load, &may_use);
             for change in ways
                 .into_iter()
                 .filter(|way| may_break || way.breaks.is_empty())
             {
+                // A model that has its share gets no more if an engine must change for it:
+                // the engine is of more use to a model that is short, as soon as another
+                // one is free beside it.
+                let changes_engines = change.switches > 0 || change.loads > 0;
+                let for_long = |engine: &&FreeEngine| now.since(engine.free_since) >= IDLE_LIMIT;
+                let idle = domain.free.iter().filter(for_long).count();
+                if has >= 1.0 && changes_engines && idle < model.size as usize {
+                    continue;
+                }
                 let change_of = supply.value(&after(engines, domain, model, &change, traits));
                 let load_cost = if change.loads > 0 { LOAD_COST } else { 0.0 };
                 let gain = change_of
@@ -173,17 +208,15 @@
     domain: &DomainStanding,
     model: &ModelTraits,
     may_load: &impl Fn(&FreeEngine) -> bool,
+    may_use: &impl Fn(&FreeEngine) -> bool,
 ) -> Vec<Change> {
     let size = model.size as usize;
-    let is_quick = |engine: &&FreeEngine| engine.is_quick(&model.name);
-    let quick = domain.free.iter().filter(is_quick).count();
-    let slow = domain
-        .free
-        .iter()
-        .filter(|engine| !engine.is_quick(&model.name));
+    let free = || domain.free.iter().filter(|engine| may_use(engine));
+    let quick = free().filter(|engine| engine.is_quick(&model.name)).count();
+    let slow = free().filter(|engine| !engine.is_quick(&model.name));
     let slow = slow.filter(|engine| may_load(engine)).count();
     let ran_it = |engine: &&FreeEngine| engine.last_model.as_ref() == Some(&model.name);
-    let runners = domain.free.iter().filter(ran_it).count();
+    let runners = free().filter(ran_it).count();
     let switches = u32::try_from(size.saturating_sub(runners)).unwrap_or(u32::MAX);
     let mut ways = Vec::new();
     if size == 0 {
--- a/lib/src/grouping/leader.rs
+++ b/lib/src/grouping/leader.rs
@@ -973,6 +973,7 @@
             shares: &shares,
             engines: &engines,
             may_break: is_calm,
+            now,
         };
         let Some(change) = next_change(&weighing, &open, may_load) else {
             return false;
@@ -1133,9 +1134,10 @@
             open.filter(|(_, group)| group.service == *service && group.phase == Phase::Open);
         // Loads beside each other are slower, and groups that wait for one go first.
         let is_waited_for = |group: &Group| group.phase == Phase::Joining;
-        if !view.is_prelude && self.groups.values().any(is_waited_for) {
-            return;
-        }
+        let at_once = match self.groups.values().any(is_waited_for) {
+            true => 1,
+            false => traits.loads_at_once / 2,
+        };
         let mut wanted = Vec::new();
         for (id, group) in open {
             let others = traits
@@ -1158,8 +1160,7 @@
         }
         for (member, group, epoch, model) in wanted {
             let under_way = self.staging.len() as u32;
-            let has_room =
-                under_way < traits.loads_at_once && self.load_room(traits, now) > LOADS_KEPT_FREE;
+            let has_room = under_way < at_once && self.load_room(traits, now) > LOADS_KEPT_FREE;
             if !view.is_prelude && !has_room {
                 return;
             }
--- a/lib/tests/test_grouping/test_placement.rs
+++ b/lib/tests/test_grouping/test_placement.rs
@@ -52,6 +52,7 @@
         shares: &BTreeMap::new(),
         engines: &engines.collect(),
         may_break: true,
+        now: Timestamp(60_000),
     };
     next_change(&weighing, &domains, |_| may_load)
 }
