--- a/control/src/members/events.rs
+++ b/control/src/members/events.rs
@@ -1,68 +1,68 @@
-//! The log events of the thread `members` (CB1700 to CB1749).
+//! The log events of the thread `members` (CB1600 to CB1649).
 
 cicadabend_daemon::events! {
     /// A daemon was heard for the first time, or again after a silence.
-    1700 Info DaemonFound {
+    1600 Info DaemonFound {
         daemon: cicadabend::prelude::DaemonId,
         role: &'static str,
     } "daemon found";
     /// A daemon was not heard for longer than the limit.
-    1701 Warn DaemonSilent {
+    1601 Warn DaemonSilent {
         daemon: cicadabend::prelude::DaemonId,
         silent_ms: u128,
     } "daemon silent";
     /// An upstream was heard for the first time.
-    1702 Info UpstreamFound {
+    1602 Info UpstreamFound {
         instance: cicadabend::registry::InstanceId,
         service: cicadabend::prelude::ServiceName,
         address: cicadabend::ids::Address,
         sequence: u64,
     } "upstream found";
     /// What an upstream says of itself has changed.
-    1703 Info UpstreamChanged {
+    1603 Info UpstreamChanged {
         instance: cicadabend::registry::InstanceId,
         sequence: u64,
         state: String,
         group: String,
     } "upstream changed";
     /// An upstream has ended, by its own word or because its address has another run.
-    1704 Info UpstreamEnded {
+    1604 Info UpstreamEnded {
         instance: cicadabend::registry::InstanceId,
         how: String,
     } "upstream ended";
     /// An entry daemon sees that all streams of a head stand still.
-    1705 Info HeadStalled {
+    1605 Info HeadStalled {
         instance: cicadabend::registry::InstanceId,
         by: cicadabend::prelude::DaemonId,
     } "head stands still";
     /// This daemon begins to form groups; its epochs begin at its term.
-    1710 Info GroupingBegins { term: u64 } "leading groups";
+    1610 Info GroupingBegins { term: u64 } "leading groups";
     /// This daemon forms groups no longer.
-    1711 Info GroupingEnds { term: u64 } "leading groups no longer";
+    1611 Info GroupingEnds { term: u64 } "leading groups no longer";
     /// An order was given to an engine.
-    1712 Info OrderGiven {
+    1612 Info OrderGiven {
         order: &'static str,
         instance: cicadabend::registry::InstanceId,
         group: cicadabend::prelude::GroupId,
         epoch: u64,
     } "order given";
     /// An engine has answered an order; an unanswered one is given again.
-    1713 Info OrderAnswered {
+    1613 Info OrderAnswered {
         order: &'static str,
         instance: cicadabend::registry::InstanceId,
         group: cicadabend::prelude::GroupId,
         outcome: &'static str,
     } "order answered";
     /// A group has come to another phase.
-    1714 Info GroupMoved {
+    1614 Info GroupMoved {
         group: cicadabend::prelude::GroupId,
         model: cicadabend::prelude::ModelName,
         phase: String,
     } "group moved on";
     /// A change of groups was chosen; the text holds what was weighed.
-    1717 Info GroupsWeighed { decision: String } "groups weighed";
+    1617 Info GroupsWeighed { decision: String } "groups weighed";
     /// A change of the set of voters is proposed, because of who is there.
-    1715 Info VotersWanted { voters: String } "voters to change";
+    1615 Info VotersWanted { voters: String } "voters to change";
     /// A newer table of routes is sent to the entry daemons that get it from here.
-    1716 Info RoutesSpreading { version: u64, daemons: usize } "spreading routes";
+    1616 Info RoutesSpreading { version: u64, daemons: usize } "spreading routes";
 }
--- a/entry/src/members/events.rs
+++ b/entry/src/members/events.rs
@@ -1,20 +1,20 @@
-//! The log events of the thread `members` (CB1750 to CB1779).
+//! The log events of the thread `members` (CB1400 to CB1419).
 
 cicadabend_daemon::events! {
     /// A newer table of routes is in force at this daemon.
-    1750 Info RoutesInForce { version: u64, before: u64, from: cicadabend::prelude::DaemonId } "routes in force";
+    1400 Info RoutesInForce { version: u64, before: u64, from: cicadabend::prelude::DaemonId } "routes in force";
     /// A table that is not newer than the one in force was dropped.
-    1751 Info RoutesStale { version: u64, held: u64, from: cicadabend::prelude::DaemonId } "older routes dropped";
+    1401 Info RoutesStale { version: u64, held: u64, from: cicadabend::prelude::DaemonId } "older routes dropped";
     /// A control daemon was heard for the first time, or again after a silence.
-    1752 Info ControlFound { daemon: cicadabend::prelude::DaemonId } "control daemon found";
+    1402 Info ControlFound { daemon: cicadabend::prelude::DaemonId } "control daemon found";
     /// No control daemon has confirmed lately that the routes in force are the newest.
-    1753 Warn RoutesUncertain { version: u64 } "routes may be old";
+    1403 Warn RoutesUncertain { version: u64 } "routes may be old";
     /// A control daemon confirms that the routes in force are the newest.
-    1754 Info RoutesCertain { version: u64, by: cicadabend::prelude::DaemonId } "routes are the newest";
+    1404 Info RoutesCertain { version: u64, by: cicadabend::prelude::DaemonId } "routes are the newest";
     /// Reports of upstreams come from this control daemon from now on.
-    1755 Info SourceChanged { daemon: String } "source of reports changed";
+    1405 Info SourceChanged { daemon: String } "source of reports changed";
     /// A head takes requests, or no longer; why says what decided it.
-    1756 Info ReplicaChanged {
+    1406 Info ReplicaChanged {
         instance: cicadabend::registry::InstanceId,
         service: cicadabend::prelude::ServiceName,
         address: cicadabend::ids::Address,
--- a/entry/src/serve/routed/events.rs
+++ b/entry/src/serve/routed/events.rs
@@ -1,8 +1,8 @@
-//! The log events of routed requests (CB1780 to CB1799).
+//! The log events of routed requests (CB1420 to CB1439).
 
 cicadabend_daemon::events! {
     /// A routed request has ended; the line holds what decided where it went.
-    1780 Info RequestEnded {
+    1420 Info RequestEnded {
         request: String,
         route: String,
         team: String,
@@ -16,7 +16,7 @@
         routes: u64,
     } "request ended";
     /// A request got an answer of the daemon's own; `may_have_run` says what it promises.
-    1781 Warn RequestRefused {
+    1421 Warn RequestRefused {
         request: String,
         route: String,
         reason: String,
@@ -28,7 +28,7 @@
         why: String,
     } "request refused";
     /// An attempt failed; what follows says the next line of the same request.
-    1782 Info AttemptFailed {
+    1422 Info AttemptFailed {
         request: String,
         replica: String,
         attempt: u32,
@@ -37,23 +37,23 @@
         why: String,
     } "attempt failed";
     /// A request is sent once more.
-    1783 Info SentAgain {
+    1423 Info SentAgain {
         request: String,
         replica: String,
         attempt: u32,
         reason: String,
     } "sent again";
     /// A stream broke off and is asked for elsewhere from the event after this one.
-    1784 Info StreamBroke {
+    1424 Info StreamBroke {
         request: String,
         replica: String,
         after_event: u64,
         why: String,
     } "stream broke off";
     /// A stream goes on at another replica.
-    1785 Info StreamResumed { request: String, replica: String, after_event: u64 } "stream resumed";
+    1425 Info StreamResumed { request: String, replica: String, after_event: u64 } "stream resumed";
     /// A stream is lost; the caller sees that it is not whole.
-    1786 Warn StreamLost {
+    1426 Warn StreamLost {
         request: String,
         replica: String,
         after_event: u64,
@@ -62,7 +62,7 @@
         why: String,
     } "stream lost";
     /// A caller left before its answer was whole; the upstream is let go.
-    1787 Info CallerLeft { request: String, replica: String, took_ms: u64 } "caller left";
+    1427 Info CallerLeft { request: String, replica: String, took_ms: u64 } "caller left";
     /// Lines on requests were left out because there were more than the bound in a second.
-    1788 Warn RequestLinesLeftOut { lines: u64 } "lines on requests left out";
+    1428 Warn RequestLinesLeftOut { lines: u64 } "lines on requests left out";
 }
