--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -57,6 +57,7 @@
 };
 
 mod listener;
+mod text;
 
 pub use listener::{
     FLUSH_INTERVAL,
@@ -71,6 +72,12 @@
     }
 }
 
+/// The upper ends of the timers' buckets, in milliseconds.
+pub const BUCKETS_MS: [f64; 14] = [
+    1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 300.0, 500.0, 1_000.0, 2_000.0, 5_000.0,
+    10_000.0,
+];
+
 /// How many metrics wait for the sending thread before further ones are dropped.
 const QUEUE_CAPACITY: usize = 8_192;
 
@@ -122,6 +129,8 @@
     pub sum_ms: f64,
     /// The longest.
     pub max_ms: f64,
+    /// How many took at most each of [`BUCKETS_MS`]; each count holds those before it.
+    pub buckets: [u64; BUCKETS_MS.len()],
 }
 
 /// Counts; clones count into the same registry.
@@ -208,6 +217,9 @@
             timer.count += 1;
             timer.sum_ms += length_ms;
             timer.max_ms = timer.max_ms.max(length_ms);
+            for (count, limit_ms) in timer.buckets.iter_mut().zip(BUCKETS_MS) {
+                *count += u64::from(length_ms <= limit_ms);
+            }
         }
         self.send(|client| client.time(name, length).map(drop));
     }
--- a/daemon/src/metrics/listener.rs
+++ b/daemon/src/metrics/listener.rs
@@ -30,11 +30,16 @@
     TcpStream, //
 };
 
-use super::Metrics;
+use super::{
+    Metrics,
+    text, //
+};
 use crate::duty;
 
-/// Where the figures are.
+/// Where the figures are, as JSON.
 const PATH_METRICS: &str = "/metrics";
+/// Where they are in the text format that Prometheus reads.
+const PATH_TEXT: &str = "/metrics/text";
 
 /// The pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -94,7 +99,18 @@
 }
 
 fn respond(request: &Request<Incoming>, metrics: &Metrics) -> Response<Full<Bytes>> {
-    if request.method() != Method::GET || request.uri().path() != PATH_METRICS {
+    if request.method() != Method::GET {
+        return with_status(StatusCode::NOT_FOUND, Vec::new());
+    }
+    if request.uri().path() == PATH_TEXT {
+        let (text, kind) = text::encode(&metrics.report());
+        let mut response = with_status(StatusCode::OK, text);
+        if let Ok(kind) = http::HeaderValue::from_str(&kind) {
+            response.headers_mut().insert(CONTENT_TYPE, kind);
+        }
+        return response;
+    }
+    if request.uri().path() != PATH_METRICS {
         return with_status(StatusCode::NOT_FOUND, Vec::new());
     }
     match serde_json::to_vec(&metrics.report()) {
--- a/daemon/tests/test_observing.rs
+++ b/daemon/tests/test_observing.rs
@@ -181,6 +181,7 @@
         count: 2,
         sum_ms: 10.0,
         max_ms: 8.0,
+        buckets: [0, 1, 1, 2, 2, 2, 2, 2, 2, 2, 2, 2, 2, 2],
     };
     assert_eq!(report.timers["first_token"], expected);
 }
--- a/entry/src/serve/routed/mod.rs
+++ b/entry/src/serve/routed/mod.rs
@@ -15,6 +15,7 @@
 mod events;
 mod exchange;
 mod handler;
+mod lines;
 mod listener;
 mod plan;
 mod run;
--- a/entry/src/serve/routed/run.rs
+++ b/entry/src/serve/routed/run.rs
@@ -180,7 +180,8 @@
             return false;
         };
         let id = replica.id.clone();
-        self.slowness = self.server.loads.borrow().slowness(&id);
+        let now = self.server.clock.now();
+        self.slowness = self.server.loads.borrow().slowness(&id, now);
         self.expected_ms = chosen.expected_ms;
         self.outstanding = chosen.outstanding;
         self.is_full = chosen.is_full;
@@ -298,7 +299,7 @@
         let usual_ms = self.expected_ms / self.slowness.max(0.01);
         let id = place.replica.id.clone();
         let mut loads = self.server.loads.borrow_mut();
-        loads.measured(&id, took_ms, usual_ms);
+        loads.measured(&id, took_ms, usual_ms, self.server.clock.now());
     }
 
     /// Turns an upstream's answer into the caller's, unless another attempt is better.
@@ -503,7 +504,7 @@
         self.is_over = true;
         self.server.counts.refusal(reason);
         let promises = status == StatusCode::SERVICE_UNAVAILABLE;
-        LogEvent::RequestRefused {
+        self.server.log(&LogEvent::RequestRefused {
             request: self.plan.id().to_owned(),
             route: self.plan.route.name.clone(),
             reason: format!("{reason:?}"),
@@ -513,8 +514,7 @@
             took_ms: self.took_ms(),
             routes: self.plan.routes,
             why: why.to_owned(),
-        }
-        .emit();
+        });
         let answer = OwnAnswer {
             status,
             request_id: self.plan.words.request_id.as_deref(),
@@ -547,7 +547,7 @@
         self.life.apply(RequestEvent::AnswerEnded, |_| false);
         self.server.counts.whole(self.plan.arrived.elapsed());
         let first_ms = self.first_part.unwrap_or_default().as_millis();
-        LogEvent::RequestEnded {
+        self.server.log(&LogEvent::RequestEnded {
             request: self.plan.id().to_owned(),
             route: self.plan.route.name.clone(),
             team: self
@@ -563,8 +563,7 @@
             first_ms: u64::try_from(first_ms).unwrap_or(u64::MAX),
             took_ms: self.took_ms(),
             routes: self.plan.routes,
-        }
-        .emit();
+        });
         self.place = None;
     }
 
@@ -575,15 +574,14 @@
         }
         self.life.apply(RequestEvent::AnswerBroke, |_| false);
         self.server.counts.refusal(RoutedRefusal::StreamBroken);
-        LogEvent::StreamLost {
+        self.server.log(&LogEvent::StreamLost {
             request: self.plan.id().to_owned(),
             replica: self.replica(),
             after_event: after_event.unwrap_or_default(),
             attempts: self.attempts,
             took_ms: self.took_ms(),
             why: why.to_owned(),
-        }
-        .emit();
+        });
         self.place = None;
     }
 
@@ -594,13 +592,12 @@
         if let Some(place) = &self.place {
             place.outcome(Outcome::Broken);
         }
-        LogEvent::StreamBroke {
+        self.server.log(&LogEvent::StreamBroke {
             request: self.plan.id().to_owned(),
             replica: self.replica(),
             after_event: after_event.unwrap_or_default(),
             why: why.to_owned(),
-        }
-        .emit();
+        });
         self.place = None;
     }
 
@@ -611,12 +608,11 @@
         if let Some(place) = &mut self.place {
             place.read();
         }
-        LogEvent::StreamResumed {
+        self.server.log(&LogEvent::StreamResumed {
             request: self.plan.id().to_owned(),
             replica: self.replica(),
             after_event: after_event.unwrap_or_default(),
-        }
-        .emit();
+        });
     }
 
     /// Notes that something of the answer has come.
@@ -655,15 +651,14 @@
     }
 
     fn log_failure(&self, failure: &Failure) {
-        LogEvent::AttemptFailed {
+        self.server.log(&LogEvent::AttemptFailed {
             request: self.plan.id().to_owned(),
             replica: self.replica(),
             attempt: self.attempts + 1,
             may_have_run: failure.may_have_run(),
             age_ms: self.took_ms(),
             why: failure.to_string(),
-        }
-        .emit();
+        });
     }
 
     fn log_again(&self, failure: &Failure) {
@@ -674,13 +669,12 @@
             _ => RoutedRetry::Failed,
         };
         self.server.counts.retry(reason);
-        LogEvent::SentAgain {
+        self.server.log(&LogEvent::SentAgain {
             request: self.plan.id().to_owned(),
             replica: self.replica(),
             attempt: self.attempts + 1,
             reason: format!("{reason:?}"),
-        }
-        .emit();
+        });
     }
 }
 
@@ -691,12 +685,11 @@
             return;
         }
         self.server.counts.count(Routed::CallersLeft);
-        LogEvent::CallerLeft {
+        self.server.log(&LogEvent::CallerLeft {
             request: self.plan.id().to_owned(),
             replica: self.replica(),
             took_ms: self.took_ms(),
-        }
-        .emit();
+        });
     }
 }
 
@@ -718,7 +711,7 @@
     message: &str,
 ) -> Response<RoutedBody> {
     server.counts.refusal(reason);
-    LogEvent::RequestRefused {
+    server.log(&LogEvent::RequestRefused {
         request: request_id.unwrap_or_default().to_owned(),
         route: String::new(),
         reason: format!("{reason:?}"),
@@ -733,8 +726,7 @@
             .as_ref()
             .map_or(0, |routes| routes.version().0),
         why: message.to_owned(),
-    }
-    .emit();
+    });
     let answer = OwnAnswer {
         status,
         request_id,
--- a/entry/src/serve/routed/server.rs
+++ b/entry/src/serve/routed/server.rs
@@ -41,7 +41,9 @@
 use super::{
     super::upstream::Pool,
     RoutedSetup,
-    counts::Counts, //
+    counts::Counts,
+    events::LogEvent,
+    lines::LineBudget, //
 };
 use crate::{
     edge::CallerEdge,
@@ -64,6 +66,7 @@
     pub(super) pool: Pool,
     pub(super) loads: RefCell<Loads>,
     pub(super) draining: Cell<bool>,
+    lines: LineBudget,
     pub(super) demand: Demand,
     has_served: Arc<AtomicBool>,
     pub(super) stalls: ring::Sender<InstanceId>,
@@ -83,6 +86,7 @@
             pool: Pool::new(connect_timeout_ms),
             loads: RefCell::default(),
             draining: Cell::new(false),
+            lines: LineBudget::default(),
             demand: setup.demand.clone(),
             has_served: Arc::clone(&setup.has_served),
             stalls: setup.stalls.clone(),
@@ -98,6 +102,11 @@
         !self.draining.get() && self.view.load().is_ready()
     }
 
+    /// Writes a line on a request, within the bound on such lines.
+    pub(super) fn log(&self, event: &LogEvent) {
+        self.lines.log(self.clock.now(), event);
+    }
+
     /// Draws an evenly spread number.
     pub(super) fn random(&self) -> u64 {
         self.random.borrow_mut().next_u64()
--- a/lib/src/dispatch/choose.rs
+++ b/lib/src/dispatch/choose.rs
@@ -115,7 +115,7 @@
 ) -> f64 {
     let outstanding = loads.outstanding(candidate.id, now);
     let slots = f64::from(candidate.slots.max(1));
-    let slowness = loads.slowness(candidate.id);
+    let slowness = loads.slowness(candidate.id, now);
     let Some(timing) = wanted.timing else {
         let rounds = (outstanding + 1.0) / slots;
         return PLAIN_MS * rounds.max(0.3) * slowness;
--- a/lib/src/dispatch/loads.rs
+++ b/lib/src/dispatch/loads.rs
@@ -14,6 +14,12 @@
 const OTHERS_HALF_LIFE_MS: f64 = 1_500.0;
 /// Weight of a new measurement of speed.
 const SPEED_WEIGHT: f64 = 0.25;
+/// The bounds of what one measurement says. Upstreams that were used little must not
+/// look worse than those that were measured to be fast.
+const LEAST_SLOWNESS: f64 = 0.8;
+const MOST_SLOWNESS: f64 = 20.0;
+/// How fast slowness is forgotten.
+const SLOWNESS_HALF_LIFE_MS: f64 = 3_000.0;
 /// Weight of a new outcome in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.2;
 /// A share of failures above this takes an upstream out of use.
@@ -57,7 +63,7 @@
     others: f64,
     others_at: Timestamp,
     /// How much slower than expected it is.
-    slowness: Option<f64>,
+    slowness: Option<(f64, Timestamp)>,
     failing: f64,
     paused_until: Timestamp,
     pause: Duration,
@@ -100,13 +106,11 @@
     }
 
     /// Notes how long a first event took against what was expected.
-    pub fn measured(&mut self, id: &InstanceId, took_ms: f64, expected_ms: f64) {
-        let ratio = (took_ms / expected_ms.max(1.0)).clamp(0.3, 20.0);
+    pub fn measured(&mut self, id: &InstanceId, took_ms: f64, expected_ms: f64, now: Timestamp) {
+        let ratio = (took_ms / expected_ms.max(1.0)).clamp(LEAST_SLOWNESS, MOST_SLOWNESS);
+        let before = self.slowness(id, now);
         let one = self.entry(id);
-        one.slowness = Some(match one.slowness {
-            None => ratio,
-            Some(before) => before + (ratio - before) * SPEED_WEIGHT,
-        });
+        one.slowness = Some((before + (ratio - before) * SPEED_WEIGHT, now));
     }
 
     /// Notes how an attempt ended.
@@ -175,9 +179,16 @@
     }
 
     /// Returns how much slower than expected an upstream was lately.
-    pub fn slowness(&self, id: &InstanceId) -> f64 {
+    ///
+    /// It is forgotten with time: one that was slow once would otherwise get no request
+    /// any more, and so never show that it has become fast again.
+    pub fn slowness(&self, id: &InstanceId, now: Timestamp) -> f64 {
         let one = self.by_instance.get(id);
-        one.and_then(|one| one.slowness).unwrap_or(1.0)
+        let Some((slowness, at)) = one.and_then(|one| one.slowness) else {
+            return 1.0;
+        };
+        let age_ms = now.since(at).as_millis() as f64;
+        1.0 + (slowness - 1.0) * 0.5_f64.powf(age_ms / SLOWNESS_HALF_LIFE_MS)
     }
 
     /// Returns whether an upstream is left alone for now.
