--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod config;
 mod confirm;
 mod drain;
+mod explain;
 mod history;
 mod init;
 mod planning;
@@ -33,7 +34,7 @@
 }
 
 /// Returns the command lines of all commands.
-pub fn all() -> [Command; 10] {
+pub fn all() -> [Command; 11] {
     [
         apply::command(),
         confirm::command(),
@@ -45,6 +46,7 @@
         policies::command(),
         init::command(),
         verify_data::command(),
+        explain::command(),
     ]
 }
 
@@ -57,6 +59,7 @@
     match matches.subcommand() {
         Some((init::NAME, arguments)) => init::run(arguments, output),
         Some((verify_data::NAME, arguments)) => verify_data::run(arguments, output),
+        Some((explain::NAME, arguments)) => explain::run(arguments, output),
         Some((name, arguments)) => run_connected(name, arguments, output),
         // The command line requires a command.
         None => Ok(()),
