--- /dev/null
+++ b/lib/tests/test_dispatch.rs
@@ -0,0 +1,174 @@
+//! Which upstream a request goes to, and how many may be sent once more.
+
+#![expect(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
+use std::time::Duration;
+
+use cicadabend::{
+    dispatch::{
+        BudgetSettings,
+        Candidate,
+        LoadReport,
+        Loads,
+        Outcome,
+        Wanted,
+        WindowBudget,
+        choose, //
+    },
+    prelude::*,
+    registry::InstanceId,
+    routes::Timing,
+};
+
+const SETTINGS: BudgetSettings = BudgetSettings {
+    ratio: 0.2,
+    slack: 90,
+    window: Duration::from_secs(10),
+};
+
+#[test]
+fn all_daemons_together_keep_the_bound_on_repeats() {
+    // Nine daemons share the traffic unevenly and repeat whatever they may. In each
+    // window the sum of repeats must stay within the share of all requests and the slack.
+    let mut budgets: Vec<WindowBudget> = (0..9).map(|_| WindowBudget::new(SETTINGS)).collect();
+    let (mut requests, mut repeats) = (0, 0);
+
+    for ms in (0..10_000).step_by(20) {
+        for (daemon, budget) in budgets.iter_mut().enumerate() {
+            if ms % (20 * (daemon + 1) as u64) == 0 {
+                budget.note_request(Timestamp(ms));
+                requests += 1;
+            }
+            repeats += u32::from(budget.withdraw(9, Timestamp(ms)));
+        }
+    }
+
+    assert!(repeats > 0);
+    assert!(f64::from(repeats) <= 0.2 * f64::from(requests) + 90.0);
+}
+
+#[test]
+fn the_budget_forgets_what_is_older_than_the_window() {
+    let mut budget = WindowBudget::new(BudgetSettings {
+        slack: 10,
+        ..SETTINGS
+    });
+    while budget.withdraw(1, Timestamp(0)) {}
+
+    assert!(!budget.withdraw(1, Timestamp(9_000)));
+    assert!(budget.withdraw(1, Timestamp(10_000)));
+}
+
+fn timing() -> Timing {
+    Timing {
+        step_ms: 6.0,
+        per_request_ms: 0.25,
+        read_tokens_per_s: 46_000.0,
+        chunk_tokens: 2_048,
+        steps_per_pass: 5,
+        usual_prompt_tokens: 1_000.0,
+        usual_answer_tokens: 120.0,
+        ..Timing::default()
+    }
+}
+
+fn chosen(ids: &[InstanceId], suspect: Option<usize>, loads: &Loads, now: u64) -> (usize, bool) {
+    let home: FailureDomain = "a".parse().unwrap();
+    let timing = timing();
+    let candidates: Vec<Candidate<'_>> = (0..ids.len())
+        .map(|place| Candidate {
+            id: &ids[place],
+            failure_domain: &home,
+            slots: 8,
+            model: None,
+            is_suspect: suspect == Some(place),
+        })
+        .collect();
+    let wanted = Wanted {
+        home: &home,
+        prompt_tokens: 1_000,
+        timing: Some(&timing),
+    };
+    let chosen = choose(&candidates, &wanted, loads, Timestamp(now), 7).unwrap();
+    (chosen.place, chosen.is_full)
+}
+
+fn ids() -> [InstanceId; 2] {
+    ["i-1".parse().unwrap(), "i-2".parse().unwrap()]
+}
+
+#[test]
+fn prompts_that_are_not_read_yet_make_an_upstream_wait() {
+    let ids = ids();
+    let mut loads = Loads::default();
+    loads.started(&ids[0], 20_000);
+
+    assert_eq!(chosen(&ids, None, &loads, 0).0, 1);
+}
+
+#[test]
+fn a_suspect_is_used_only_if_all_others_are_far_worse() {
+    let ids = ids();
+    let mut loads = Loads::default();
+    assert_eq!(chosen(&ids, Some(0), &loads, 0).0, 1);
+
+    loads.outcome(&ids[1], Outcome::Broken, Timestamp(0));
+
+    assert_eq!(chosen(&ids, Some(0), &loads, 0).0, 0);
+}
+
+#[test]
+fn an_upstream_that_broke_is_left_alone_for_a_while_and_tried_again() {
+    let ids = ids();
+    let mut loads = Loads::default();
+    loads.outcome(&ids[0], Outcome::Broken, Timestamp(0));
+    assert!(loads.is_paused(&ids[0], Timestamp(300)));
+
+    loads.outcome(&ids[0], Outcome::Broken, Timestamp(500));
+
+    assert!(
+        loads.is_paused(&ids[0], Timestamp(1_200)),
+        "the pause grows"
+    );
+    assert!(!loads.is_paused(&ids[0], Timestamp(1_400)));
+}
+
+#[test]
+fn slowness_is_forgotten_so_that_a_slow_upstream_is_tried_again() {
+    // One measurement is bad. Without forgetting, the upstream would get no request any
+    // more and could never show that it is fast again.
+    let ids = ids();
+    let mut loads = Loads::default();
+    loads.measured(&ids[0], 4_000.0, 100.0, Timestamp(0));
+    assert_eq!(chosen(&ids, None, &loads, 0).0, 1);
+
+    assert!(loads.slowness(&ids[0], Timestamp(30_000)) < 1.01);
+}
+
+#[test]
+fn what_others_have_at_an_upstream_counts_until_it_is_old() {
+    let ids = ids();
+    let mut loads = Loads::default();
+    let report = LoadReport {
+        running: 8,
+        waiting: 3,
+    };
+    for id in &ids {
+        loads.reported(id, report, Timestamp(0));
+    }
+
+    assert!(chosen(&ids, None, &loads, 0).1, "both are full");
+    assert!(!chosen(&ids, None, &loads, 6_000).1);
+}
+
+#[test]
+fn a_stream_that_waits_while_others_go_on_does_not_stall_its_head() {
+    let ids = ids();
+    let mut loads = Loads::default();
+    let pause = Duration::from_millis(400);
+    loads.started(&ids[0], 10);
+    loads.progressed(&ids[0], Timestamp(1_000));
+
+    assert!(!loads.stalled(&ids[0], pause, Timestamp(1_100)));
+    assert!(loads.stalled(&ids[0], pause, Timestamp(1_400)));
+}
--- /dev/null
+++ b/lib/tests/test_registry.rs
@@ -0,0 +1,134 @@
+//! Reports of upstreams that are late, doubled or of runs that have ended.
+
+#![expect(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
+use std::time::Duration;
+
+use cicadabend::{
+    prelude::*,
+    registry::{
+        Alive,
+        Ended,
+        Heard,
+        InstanceId,
+        Registration,
+        Registry,
+        Taken,
+        UpstreamState, //
+    },
+};
+
+fn id(name: &str) -> InstanceId {
+    name.parse().unwrap()
+}
+
+fn report(name: &str, last_byte: u8, sequence: u64, state: UpstreamState) -> Heard {
+    Heard {
+        registration: Registration {
+            id: id(name),
+            service: "portal".parse().unwrap(),
+            address: ([10, 0, 0, last_byte], 80).into(),
+            failure_domain: "a".parse().unwrap(),
+            slots: Slots(4),
+            state,
+            sequence,
+            engine: None,
+        },
+        age: Duration::ZERO,
+    }
+}
+
+fn ready(name: &str, last_byte: u8, sequence: u64) -> Heard {
+    report(name, last_byte, sequence, UpstreamState::Ready)
+}
+
+#[test]
+fn a_report_that_was_overtaken_changes_nothing() {
+    // The upstream says that it leaves; its report before that comes late. Taking it
+    // would send new work to an upstream that ends.
+    let mut registry = Registry::default();
+    registry.take(ready("i-1", 1, 4), Timestamp(0));
+    registry.take(report("i-1", 1, 6, UpstreamState::Draining), Timestamp(10));
+
+    let late = registry.take(ready("i-1", 1, 5), Timestamp(20));
+
+    assert_eq!(late, Taken::Stale);
+    assert!(!registry.get(&id("i-1")).unwrap().is_ready());
+}
+
+#[test]
+fn one_that_said_it_leaves_never_takes_work_again() {
+    let mut registry = Registry::default();
+    registry.take(report("i-1", 1, 6, UpstreamState::Draining), Timestamp(0));
+
+    registry.take(ready("i-1", 1, 7), Timestamp(10));
+
+    assert!(!registry.get(&id("i-1")).unwrap().is_ready());
+}
+
+#[test]
+fn a_report_of_one_that_has_left_does_not_bring_it_back() {
+    let mut registry = Registry::default();
+    registry.take(ready("i-1", 1, 4), Timestamp(0));
+    registry.end(&id("i-1"), Ended::Left, Timestamp(10));
+
+    let late = registry.take(ready("i-1", 1, 5), Timestamp(20));
+
+    assert_eq!(late, Taken::Stale);
+    assert!(registry.get(&id("i-1")).is_none());
+}
+
+#[test]
+fn a_delayed_report_of_an_earlier_run_does_not_take_the_address() {
+    // The engine was started anew at its address and serves as a group's head. A report
+    // of its earlier run comes late. Believing it would call the present run dead, and
+    // its group's members would be joined elsewhere while it serves.
+    let mut registry = Registry::default();
+    registry.take(ready("i-new", 1, 1), Timestamp(0));
+    registry.take(ready("i-new", 1, 2), Timestamp(1_200));
+
+    let late = registry.take(ready("i-old", 1, 1), Timestamp(1_500));
+    registry.take(ready("i-new", 1, 3), Timestamp(2_400));
+    let later = registry.take(ready("i-old", 1, 2), Timestamp(2_500));
+
+    assert_eq!((late, later), (Taken::Stale, Taken::Stale));
+    assert!(registry.get(&id("i-new")).is_some());
+    assert_eq!(registry.ended(&id("i-new")), None);
+}
+
+#[test]
+fn a_new_run_gets_the_address_by_two_reports_without_one_of_the_old_between() {
+    let mut registry = Registry::default();
+    registry.take(ready("i-old", 1, 9), Timestamp(0));
+
+    let first = registry.take(ready("i-new", 1, 1), Timestamp(500));
+    let second = registry.take(ready("i-new", 1, 2), Timestamp(1_700));
+
+    assert_eq!((first, second), (Taken::Stale, Taken::New));
+    assert_eq!(registry.ended(&id("i-old")), Some(Ended::Dead));
+}
+
+#[test]
+fn a_new_run_gets_the_address_of_a_silent_one_at_once() {
+    let mut registry = Registry::default();
+    registry.take(ready("i-old", 1, 9), Timestamp(0));
+
+    let taken = registry.take(ready("i-new", 1, 1), Timestamp(3_000));
+
+    assert_eq!(taken, Taken::New);
+}
+
+#[test]
+fn a_sign_of_life_shows_a_change_that_was_missed() {
+    // A message with a change is lost. The next sign of life names a later change than
+    // the one known, so the daemon asks for all reports.
+    let mut registry = Registry::default();
+    registry.take(ready("i-1", 1, 4), Timestamp(0));
+    let sign = |changed_by| Alive {
+        id: id("i-1"),
+        changed_by,
+    };
+
+    assert!(registry.touch(&sign(4), Duration::ZERO, Timestamp(10)));
+    assert!(!registry.touch(&sign(6), Duration::ZERO, Timestamp(20)));
+}
