--- a/entry/src/serve/routed/run.rs
+++ b/entry/src/serve/routed/run.rs
@@ -82,11 +82,11 @@
 /// The soonest that a refused caller should come back.
 const RETRY_LEAST: Duration = Duration::from_millis(60);
 /// The shortest time after which a first event counts as unusually late.
-const LEAST_PATIENCE: Duration = Duration::from_millis(400);
+const LEAST_PATIENCE: Duration = Duration::from_millis(900);
 /// The same for an answer that is no stream.
 const LEAST_PATIENCE_WHOLE: Duration = Duration::from_millis(150);
 /// How much more than expected a first event may take before it is unusually late.
-const PATIENCE_FACTOR: f64 = 3.0;
+const PATIENCE_FACTOR: f64 = 4.0;
 
 /// A request from its arrival to its end; dropping it earlier means that its caller left.
 pub(super) struct RoutedRun {
--- a/entry/src/serve/routed/stream.rs
+++ b/entry/src/serve/routed/stream.rs
@@ -38,9 +38,9 @@
 };
 
 /// The shortest pause between events after which another replica is asked to go on.
-const LEAST_PATIENCE: Duration = Duration::from_millis(180);
+const LEAST_PATIENCE: Duration = Duration::from_millis(600);
 /// A pause counts as a break if it is longer than the route's objective by this factor.
-const PATIENCE_FACTOR: f64 = 0.8;
+const PATIENCE_FACTOR: f64 = 2.0;
 /// If only this stream waits, its replica still works, and much longer is waited.
 const ONE_WAITS_FACTOR: u32 = 3;
 /// How long another replica may take to go on.
