members: entries greet at once while lost; peers are dialled every 200 ms at most

Entries were up at 44.4, control daemons at 44.9, yet they found each other only at 45.4-45.5: the pause before a lost connection is dialled again had doubled to 800 ms by then, and the next hello came up to 400 ms later.

Ruled out: loading of the routes from disk (done 40 ms after start).

Change: the pause ends at 200 ms; an entry without routes or source greets every 200 ms and at once when a control daemon is found.

--- a/daemon/src/peers.rs
+++ b/daemon/src/peers.rs
@@ -58,7 +58,10 @@
 /// First pause before a lost connection is dialled again.
 const RECONNECT_MIN_MS: u64 = 50;
 /// Longest pause before a lost connection is dialled again.
-const RECONNECT_MAX_MS: u64 = 1_000;
+///
+/// After a start of the whole fleet it is what callers wait for, so it stays well under the
+/// time callers give a request.
+const RECONNECT_MAX_MS: u64 = 200;
 /// A peer that acknowledges nothing for so long is dialled again; hellos come thrice as often.
 const MUTE_LIMIT: Duration = Duration::from_millis(1_300);
 
--- a/entry/src/members/thread.rs
+++ b/entry/src/members/thread.rs
@@ -63,6 +63,8 @@
 
 /// How often the view is made anew although nothing has come: silence changes it, too.
 const TICK: Duration = Duration::from_millis(200);
+/// The longest pause between greetings while this daemon has no routes or nobody to ask.
+const HELLO_WHILE_LOST: Duration = TICK;
 /// How long a control daemon's word that the routes are the newest holds.
 const CERTAIN_FOR: Duration = Duration::from_millis(1_400);
 /// For how long a head that stands still is told of.
@@ -154,6 +156,11 @@
         self.setup.clock.now()
     }
 
+    /// Whether callers are refused because nobody has told the routes yet.
+    fn is_lost(&self) -> bool {
+        self.routes.is_none() || self.source.is_none()
+    }
+
     fn held(&self) -> RouteVersion {
         let routes = self.routes.as_ref();
         routes.map_or(RouteVersion::default(), |routes| routes.version())
@@ -187,6 +194,9 @@
         {
             let daemon = from.clone();
             LogEvent::ControlFound { daemon }.emit();
+            if self.is_lost() {
+                self.hello_due = Timestamp::default();
+            }
         }
         self.members.take_roster(news, now);
         self.entries = news.entries.max(1);
@@ -194,6 +204,7 @@
             // What cannot be dialled is left out; its own hello will tell another address.
             let _ = self.setup.peers.know(&control.daemon, control.address);
         }
+        self.greet_if_due();
         if news.is_in_touch && self.routes.is_some() && news.routes <= self.held() {
             self.certain_until = now + CERTAIN_FOR;
             if !self.was_certain {
@@ -266,7 +277,12 @@
         if now < self.hello_due {
             return;
         }
-        self.hello_due = now + self.setup.hello_every;
+        let pause = self.setup.hello_every;
+        self.hello_due = now
+            + match self.is_lost() {
+                true => pause.min(HELLO_WHILE_LOST),
+                false => pause,
+            };
         if let Some(seeds) = self.setup.seeds.changed(now) {
             self.members.set_seeds(seeds);
         }
