--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -2,14 +2,14 @@
 //!
 //! Threads, joined by bounded rings:
 //!
-//! - `operators`: the operators' HTTP listener ([`operators`]); where an [`edge`] is given
-//!   also the calls of operators and upstreams that the edge translates ([`calls`]).
-//! - `agreement`: the replicated log and the fleet's state ([`replication`]).
-//! - `inbox`: sorts messages from other processes by who handles them ([`inbox`]).
-//! - `spread`: sends the configuration and takes in what domains report ([`spread`]).
+//! - `operators`: the operators' HTTP listener (module `operators`); where an [`edge`] is given
+//!   also the calls of operators and upstreams that the edge translates (module `calls`).
+//! - `agreement`: the replicated log and the fleet's state (module `replication`).
+//! - `inbox`: sorts messages from other processes by who handles them (module `inbox`).
+//! - `spread`: sends the configuration and takes in what domains report (module `spread`).
 //! - `members`: where daemons find each other by seeds: who is there, what upstreams
-//!   report, and, on the leader, which groups there are ([`members`]).
-//! - `orders`: gives orders to engines ([`orders`]).
+//!   report, and, on the leader, which groups there are (module `members`).
+//! - `orders`: gives orders to engines (module `orders`).
 //! - `peers`: hears other processes.
 
 mod calls;
