serve: both listeners share accepting and counting; whole bodies are the library's

Cause: the routed listener had been written beside the older one: the count of open connections with its guard, the accept loop, the pause after a failed accept and the read buffer's size stood twice (three times for the accept). Three bodies each wrote out a body that is already here, which `http_body_util::Full` is.

Ruled out: one function for the whole drain; what must end before it differs (detached requests and claims on the older path), and so would have come back as parameters.

Change: `serve/connections.rs` (`OpenConnections::accept_all`, `accept`, `header_buffer`) serves both; `Full` and `poll_whole` serve the three bodies. Behaviour as before.

The routed listener still counts no refused connection; that stood before and is left, as behaviour stays.

--- a/entry/src/serve/body.rs
+++ b/entry/src/serve/body.rs
@@ -18,6 +18,7 @@
     Frame,
     SizeHint, //
 };
+use http_body_util::Full;
 use hyper::body::Incoming;
 use thiserror::Error;
 use tokio::{
@@ -102,17 +103,26 @@
     }
 }
 
+/// Polls a body that is here already, which cannot fail.
+pub(super) fn poll_whole(
+    whole: &mut Full<Bytes>,
+    context: &mut Context<'_>,
+) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    let polled = Pin::new(whole).poll_frame(context);
+    polled.map_err(|never| match never {})
+}
+
 /// A body on its way to an upstream.
 pub(super) enum RequestBody {
     /// All of it is here.
-    Whole(Option<Bytes>),
+    Whole(Full<Bytes>),
     /// It passes through as the caller sends it.
     Replayed(ReplayReader),
 }
 
 impl RequestBody {
     pub(super) fn whole(bytes: Bytes) -> Self {
-        RequestBody::Whole(Some(bytes).filter(|b| !b.is_empty()))
+        RequestBody::Whole(Full::new(bytes))
     }
 }
 
@@ -125,23 +135,21 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
-            RequestBody::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            RequestBody::Whole(whole) => poll_whole(whole, context),
             RequestBody::Replayed(reader) => Pin::new(reader).poll_frame(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
-            RequestBody::Whole(bytes) => bytes.is_none(),
+            RequestBody::Whole(whole) => whole.is_end_stream(),
             RequestBody::Replayed(reader) => reader.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            RequestBody::Whole(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
-            }
+            RequestBody::Whole(whole) => whole.size_hint(),
             RequestBody::Replayed(reader) => reader.size_hint(),
         }
     }
@@ -150,7 +158,7 @@
 /// A body on its way to a caller.
 pub(super) enum AnswerBody {
     /// All of it is here.
-    Whole(Option<Bytes>),
+    Whole(Full<Bytes>),
     /// It passes through as the upstream sends it.
     Passed(Box<PassedBody>),
     /// It is a stream of events, each of which is checked.
@@ -161,7 +169,7 @@
 
 impl AnswerBody {
     pub(super) fn whole(bytes: Bytes) -> Self {
-        AnswerBody::Whole(Some(bytes).filter(|b| !b.is_empty()))
+        AnswerBody::Whole(Full::new(bytes))
     }
 }
 
@@ -174,7 +182,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
-            AnswerBody::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            AnswerBody::Whole(whole) => poll_whole(whole, context),
             AnswerBody::Passed(body) => body.poll_frame(context),
             AnswerBody::Events(body) => body.poll_frame(context),
             AnswerBody::Relayed(frames) => frames.poll_recv(context),
@@ -183,7 +191,7 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            AnswerBody::Whole(bytes) => bytes.is_none(),
+            AnswerBody::Whole(whole) => whole.is_end_stream(),
             // The end must be polled, so that the request's life ends with it.
             AnswerBody::Passed(_) | AnswerBody::Events(_) | AnswerBody::Relayed(_) => false,
         }
@@ -191,9 +199,7 @@
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            AnswerBody::Whole(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
-            }
+            AnswerBody::Whole(whole) => whole.size_hint(),
             AnswerBody::Passed(body) => body.size_hint(),
             AnswerBody::Events(_) | AnswerBody::Relayed(_) => SizeHint::default(),
         }
--- a/entry/src/serve/listener.rs
+++ b/entry/src/serve/listener.rs
@@ -25,10 +25,7 @@
         TcpListener,
         TcpStream, //
     },
-    sync::{
-        Notify,
-        watch, //
-    },
+    sync::watch,
     time::{
         sleep,
         timeout, //
@@ -37,20 +34,18 @@
 
 use super::{
     caller_stream::CallerStream,
+    connections::{
+        OpenConnections,
+        header_buffer, //
+    },
     counts::Serving,
     events::LogEvent,
     handler,
     server::Server, //
 };
 
-/// Pause after a failed accept, which is nearly always a lack of file descriptors.
-const ACCEPT_RETRY_MS: u64 = 10;
 /// How often an HTTP/2 connection is checked for a caller that vanished.
 const HTTP2_PING_MS: u64 = 10_000;
-/// Headers up to this many times the limit still get an error in our own form.
-const HEADER_BUFFER_FACTOR: usize = 2;
-/// The smallest read buffer that hyper accepts.
-const MIN_BUFFER_BYTES: usize = 8_192;
 
 /// Runs hyper's tasks on this thread.
 #[derive(Clone, Copy)]
@@ -65,37 +60,6 @@
     }
 }
 
-/// Counts open connections and tells when the last one has closed.
-#[derive(Default)]
-struct OpenConnections {
-    count: Cell<u32>,
-    closed: Notify,
-}
-
-struct OpenConnection(Rc<OpenConnections>);
-
-impl OpenConnection {
-    fn open(all: &Rc<OpenConnections>) -> Self {
-        all.count.set(all.count.get() + 1);
-        Self(Rc::clone(all))
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.count.set(self.0.count.get() - 1);
-        self.0.closed.notify_one();
-    }
-}
-
-impl OpenConnections {
-    async fn all_closed(&self) {
-        while self.count.get() > 0 {
-            self.closed.notified().await;
-        }
-    }
-}
-
 /// Accepts until told to stop, then drains.
 ///
 /// Order of a planned stop: readiness goes; the listener stays open until the
@@ -115,8 +79,14 @@
         LogEvent::Draining {}.emit();
         sleep(Duration::from_millis(callers.drain_notice_ms)).await;
     };
+    let accepting = open.accept_all(
+        &listener,
+        callers.max_connections,
+        || server.counts.count(Serving::ConnectionsRefused),
+        |stream| serve_connection(stream, Rc::clone(&server), draining.clone()),
+    );
     tokio::select! {
-        () = accept_all(&listener, &server, &open, &draining) => {}
+        () = accepting => {}
         () = notice => {}
     }
     drop(listener);
@@ -128,37 +98,12 @@
         server.claims.all_recorded().await;
     };
     if timeout(limit, all_done).await.is_err() {
-        let connections = open.count.get();
+        let connections = open.count();
         LogEvent::CutOff { connections }.emit();
     }
     LogEvent::Drained {}.emit();
 }
 
-async fn accept_all(
-    listener: &TcpListener,
-    server: &Rc<Server>,
-    open: &Rc<OpenConnections>,
-    draining: &watch::Receiver<bool>,
-) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
-            continue;
-        };
-        if open.count.get() >= server.settings.callers.max_connections {
-            server.counts.count(Serving::ConnectionsRefused);
-            // Dropping it costs the caller a reconnect; keeping it would cost every other caller.
-            continue;
-        }
-        let guard = OpenConnection::open(open);
-        let connection = serve_connection(stream, Rc::clone(server), draining.clone());
-        tokio::task::spawn_local(async move {
-            connection.await;
-            drop(guard);
-        });
-    }
-}
-
 async fn serve_connection(
     stream: TcpStream,
     server: Rc<Server>,
@@ -203,11 +148,7 @@
 }
 
 fn connection_builder(server: &Server, read_timeout: Duration) -> auto::Builder<LocalExecutor> {
-    let header_limit = usize::try_from(server.settings.callers.max_header_bytes.0);
-    let buffer = header_limit
-        .unwrap_or(MIN_BUFFER_BYTES)
-        .saturating_mul(HEADER_BUFFER_FACTOR)
-        .max(MIN_BUFFER_BYTES);
+    let buffer = header_buffer(server.settings.callers.max_header_bytes.0);
     let mut builder = auto::Builder::new(LocalExecutor);
     builder
         .http1()
--- a/entry/src/serve/mod.rs
+++ b/entry/src/serve/mod.rs
@@ -14,6 +14,7 @@
 mod caller_stream;
 mod claim_desk;
 mod completions;
+mod connections;
 mod counts;
 mod detached;
 mod drive;
--- a/entry/src/serve/routed/body.rs
+++ b/entry/src/serve/routed/body.rs
@@ -14,9 +14,10 @@
     Frame,
     SizeHint, //
 };
+use http_body_util::Full;
 
 use super::{
-    super::body::BodyError,
+    super::body::{BodyError, poll_whole},
     stream::{
         PassedBody,
         StreamBody, //
@@ -26,7 +27,7 @@
 /// A body on its way to a caller.
 pub(super) enum RoutedBody {
     /// All of it is here.
-    Whole(Option<Bytes>),
+    Whole(Full<Bytes>),
     /// It passes through as the upstream sends it.
     Passed(Box<PassedBody>),
     /// It is a stream of events.
@@ -35,7 +36,7 @@
 
 impl RoutedBody {
     pub(super) fn whole(bytes: Bytes) -> Self {
-        RoutedBody::Whole(Some(bytes).filter(|bytes| !bytes.is_empty()))
+        RoutedBody::Whole(Full::new(bytes))
     }
 }
 
@@ -48,9 +49,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
-            RoutedBody::Whole(bytes) => {
-                Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
-            }
+            RoutedBody::Whole(whole) => poll_whole(whole, context),
             RoutedBody::Passed(body) => body.poll_frame(context),
             RoutedBody::Stream(body) => body.poll_frame(context),
         }
@@ -58,7 +57,7 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            RoutedBody::Whole(bytes) => bytes.is_none(),
+            RoutedBody::Whole(whole) => whole.is_end_stream(),
             // The end must be polled, so that the request's life ends with it.
             RoutedBody::Passed(_) | RoutedBody::Stream(_) => false,
         }
@@ -66,9 +65,7 @@
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            RoutedBody::Whole(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
-            }
+            RoutedBody::Whole(whole) => whole.size_hint(),
             RoutedBody::Passed(body) => body.size_hint(),
             RoutedBody::Stream(_) => SizeHint::default(),
         }
--- a/entry/src/serve/routed/listener.rs
+++ b/entry/src/serve/routed/listener.rs
@@ -1,7 +1,6 @@
 //! Accepts callers' connections, and drains them when the daemon stops.
 
 use std::{
-    cell::Cell,
     convert::Infallible,
     pin::pin,
     rc::Rc,
@@ -21,10 +20,7 @@
         TcpListener,
         TcpStream, //
     },
-    sync::{
-        Notify,
-        watch, //
-    },
+    sync::watch,
     time::{
         sleep,
         timeout, //
@@ -34,35 +30,17 @@
 use super::{
     super::{
         caller_stream::CallerStream,
+        connections::{
+            OpenConnections,
+            accept,
+            header_buffer, //
+        },
         events::LogEvent, //
     },
     RoutedSetup, handler,
     server::Server,
 };
 
-/// Pause after a failed accept, which is nearly always a lack of file descriptors.
-const ACCEPT_RETRY_MS: u64 = 10;
-/// The smallest read buffer that hyper accepts.
-const MIN_BUFFER_BYTES: usize = 8_192;
-/// Headers up to this many times the limit still get an answer.
-const HEADER_BUFFER_FACTOR: usize = 2;
-
-/// Counts open connections and tells when the last one has closed.
-#[derive(Default)]
-struct Open {
-    count: Cell<u32>,
-    closed: Notify,
-}
-
-struct OpenGuard(Rc<Open>);
-
-impl Drop for OpenGuard {
-    fn drop(&mut self) {
-        self.0.count.set(self.0.count.get().saturating_sub(1));
-        self.0.closed.notify_one();
-    }
-}
-
 /// Accepts until told to stop, then drains.
 ///
 /// Order of a planned stop: readiness goes; the listener stays open until the balancer
@@ -89,7 +67,7 @@
     if let Some(Ok(ready)) = ready_listener.map(TcpListener::from_std) {
         tokio::task::spawn_local(answer_balancer(ready, Rc::clone(&server)));
     }
-    let open = Rc::new(Open::default());
+    let open = Rc::new(OpenConnections::default());
     let (drain, draining) = watch::channel(false);
     let callers = server.settings.callers.clone();
     let notice = async {
@@ -99,50 +77,26 @@
         LogEvent::Draining {}.emit();
         sleep(Duration::from_millis(callers.drain_notice_ms)).await;
     };
+    let accepting = open.accept_all(
+        &listener,
+        callers.max_connections,
+        || {},
+        |stream| converse(stream, Rc::clone(&server), draining.clone()),
+    );
     tokio::select! {
-        () = accept_all(&listener, &server, &open, &draining) => {}
+        () = accepting => {}
         () = notice => {}
     }
     drop(listener);
     let _ = drain.send(true);
-    let all_closed = async {
-        while open.count.get() > 0 {
-            open.closed.notified().await;
-        }
-    };
     let limit = Duration::from_millis(callers.drain_timeout_ms);
-    if timeout(limit, all_closed).await.is_err() {
-        let connections = open.count.get();
+    if timeout(limit, open.all_closed()).await.is_err() {
+        let connections = open.count();
         LogEvent::CutOff { connections }.emit();
     }
     LogEvent::Drained {}.emit();
 }
 
-async fn accept_all(
-    listener: &TcpListener,
-    server: &Rc<Server>,
-    open: &Rc<Open>,
-    draining: &watch::Receiver<bool>,
-) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
-            continue;
-        };
-        if open.count.get() >= server.settings.callers.max_connections {
-            // Dropping it costs the caller a reconnect; keeping it would cost every other one.
-            continue;
-        }
-        open.count.set(open.count.get() + 1);
-        let guard = OpenGuard(Rc::clone(open));
-        let connection = converse(stream, Rc::clone(server), draining.clone());
-        tokio::task::spawn_local(async move {
-            connection.await;
-            drop(guard);
-        });
-    }
-}
-
 async fn converse(stream: TcpStream, server: Rc<Server>, mut draining: watch::Receiver<bool>) {
     // Events are small and must not wait for one another.
     let _ = stream.set_nodelay(true);
@@ -181,10 +135,7 @@
     };
     let own_bytes = server.settings.callers.max_header_bytes.0;
     let limit_bytes = limits.header_bytes.unwrap_or(own_bytes);
-    let buffer = usize::try_from(limit_bytes)
-        .unwrap_or(MIN_BUFFER_BYTES)
-        .saturating_mul(HEADER_BUFFER_FACTOR)
-        .max(MIN_BUFFER_BYTES);
+    let buffer = header_buffer(limit_bytes);
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
@@ -196,10 +147,7 @@
 /// Tells the balancer on a listener of its own whether to send callers here.
 async fn answer_balancer(listener: TcpListener, server: Rc<Server>) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
-            continue;
-        };
+        let stream = accept(&listener).await;
         let server = Rc::clone(&server);
         tokio::task::spawn_local(async move {
             let service = service_fn(|_| {
