peers: connections of our own in place of nng

Cause: nng's push socket keeps a pipe that is already torn down on its list of ready ones; a send at that moment ends the process (SIGABRT, panic: pthread_mutex_lock: Invalid argument).

--- a/control/examples/measure_claims.rs
+++ b/control/examples/measure_claims.rs
@@ -82,7 +82,7 @@
     Ok(())
 }
 
-/// Prints how many bytes the messages about one request have, without nng's own 8.
+/// Prints how many bytes the messages about one request have, without the 4 of their length.
 fn print_sizes() -> Result<(), Box<dyn Error>> {
     let voter = Voter {
         daemon: "control-cumbaya".parse()?,
--- a/control/examples/measure_commits.rs
+++ b/control/examples/measure_commits.rs
@@ -3,7 +3,7 @@
 //! `cargo run --release -p cicadabend-control --example measure_commits [FOLDER]`
 //!
 //! Three control daemons' `agreement` and `storage` threads run in this process, with
-//! a data folder each on the same disk and nng over loopback between them. Latencies
+//! a data folder each on the same disk and connections over loopback between them. Latencies
 //! are told as multiples of one sync of one small record, measured in the same run.
 
 use std::{
--- a/control/src/members/thread.rs
+++ b/control/src/members/thread.rs
@@ -234,10 +234,7 @@
     fn hear_hello(&mut self, hello: Hello, now: Timestamp) {
         let member = hello.member.clone();
         let daemon = member.daemon.clone();
-        // An address that cannot be dialled is the sender's fault; it is not answered.
-        if self.setup.peers.know(&daemon, member.address).is_err() {
-            return;
-        }
+        self.setup.peers.know(&daemon, member.address);
         let role = match member.role {
             DaemonRole::Control => "control",
             DaemonRole::Entry => "entry",
@@ -350,8 +347,7 @@
     fn hear_roster(&mut self, news: &RosterNews, now: Timestamp) {
         self.members.take_roster(news, now);
         for control in &news.controls {
-            // What cannot be dialled is left out; its own hello will tell another address.
-            let _ = self.setup.peers.know(&control.daemon, control.address);
+            self.setup.peers.know(&control.daemon, control.address);
         }
     }
 
@@ -480,10 +476,8 @@
             stalled: Vec::new(),
         };
         for (daemon, address) in self.members.to_greet() {
-            // A seed that cannot be dialled is reported by its silence.
-            if self.setup.peers.know(&daemon, address).is_ok() {
-                self.send(&daemon, PeerMessage::Hello(Box::new(hello.clone())));
-            }
+            self.setup.peers.know(&daemon, address);
+            self.send(&daemon, PeerMessage::Hello(Box::new(hello.clone())));
         }
     }
 
--- a/control/src/run.rs
+++ b/control/src/run.rs
@@ -160,8 +160,7 @@
     )
     .map_err(RunError::Peers)?;
     for (daemon, address) in seeds(&settings) {
-        let known = peers.sender().know(&daemon, address);
-        known.map_err(RunError::Peers)?;
+        peers.sender().know(&daemon, address);
     }
     let (agreement_in, agreement_out) = ring::bounded("agreement", AGREEMENT_CAPACITY);
     let (spread_in, spread_out) = ring::bounded("spread", SPREAD_CAPACITY);
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -6,7 +6,7 @@
 //! - [`settings`]: JSON settings, validated before anything starts.
 //! - [`ring`]: the bounded rings that join a process's threads.
 //! - [`duty`]: one named thread with its own single-threaded runtime for each duty.
-//! - [`peers`]: messages between the cluster's own processes, over nng.
+//! - [`peers`]: messages between the cluster's own processes, over TCP.
 //! - [`storage`]: the data folder, its journals and the disk's identity.
 //! - [`clock`]: the process's monotonic clock.
 
--- a/daemon/src/ring.rs
+++ b/daemon/src/ring.rs
@@ -119,6 +119,13 @@
         }
     }
 
+    /// Waits until all senders are gone; items may still be in the ring.
+    pub async fn closed(&mut self) {
+        while self.shared.senders.load(Ordering::Acquire) > 0 {
+            self.shared.filled.notified().await;
+        }
+    }
+
     /// Takes the oldest item if there is one.
     pub fn try_next(&mut self) -> Option<T> {
         self.shared.queue.pop()
--- a/entry/src/members/thread.rs
+++ b/entry/src/members/thread.rs
@@ -201,8 +201,7 @@
         self.members.take_roster(news, now);
         self.entries = news.entries.max(1);
         for control in &news.controls {
-            // What cannot be dialled is left out; its own hello will tell another address.
-            let _ = self.setup.peers.know(&control.daemon, control.address);
+            self.setup.peers.know(&control.daemon, control.address);
         }
         self.greet_if_due();
         if news.is_in_touch && self.routes.is_some() && news.routes <= self.held() {
@@ -303,10 +302,9 @@
                 demand: demand.clone(),
                 stalled: stalled.clone(),
             };
-            if self.setup.peers.know(&daemon, address).is_ok() {
-                let message = PeerMessage::Hello(Box::new(hello));
-                self.setup.peers.send(&daemon, message);
-            }
+            self.setup.peers.know(&daemon, address);
+            let message = PeerMessage::Hello(Box::new(hello));
+            self.setup.peers.send(&daemon, message);
         }
     }
 
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -1,4 +1,4 @@
-//! Messages between cicadabend's own processes; postcard over nng push/pull sockets.
+//! Messages between cicadabend's own processes; postcard over TCP connections.
 //!
 //! Every message is one-way and may be lost, doubled or reordered; what needs an
 //! answer says so in its own fields.
