grouping: a head that late orders brought back is closed before it joins elsewhere

Cause: a head that has left is looked at, which tells how many orders it has begun, and then joins a group of its own unless it has begun anything since.

Ruled out: that the count was too old; the look and the join were 50 ms apart.

Change: the look also tells whether the engine stands in the group. If so, the count is not used; its report then brings it through closing and leaving.

--- a/lib/src/grouping/leader.rs
+++ b/lib/src/grouping/leader.rs
@@ -271,8 +271,11 @@
                 let beyond = self.epoch.saturating_add(EPOCHS_PER_TERM);
                 self.note_foreign(beyond, now);
             }
-            (OrderKind::Look, OrderOutcome::BegunOrders(count)) => {
-                group.head_orders = Some(count);
+            // Late orders that the engine has begun already are in the count, so one that
+            // they brought back, and perhaps opened, would take the join: it is closed and
+            // leaves first, as soon as its report tells.
+            (OrderKind::Look, OrderOutcome::Seen { begun, is_in_group }) => {
+                group.head_orders = (!is_in_group).then_some(begun);
             }
             // What became of a load onto a host shows in the engine's reports.
             (OrderKind::Stage { .. }, OrderOutcome::Unfit | OrderOutcome::Outdated) => {}
@@ -897,7 +900,7 @@
             | Some(
                 OrderOutcome::Begun
                 | OrderOutcome::Done
-                | OrderOutcome::BegunOrders(_)
+                | OrderOutcome::Seen { .. }
                 | OrderOutcome::Unfit
                 | OrderOutcome::Outdated,
             ) => self.settings.repeat_taken,
--- a/lib/src/grouping/order.rs
+++ b/lib/src/grouping/order.rs
@@ -39,7 +39,8 @@
     Close(CloseMode),
     /// Be in the group no longer.
     Leave,
-    /// Tell how many orders were begun so far; changes nothing.
+    /// Tell how many orders were begun so far, and whether it is in the group; changes
+    /// nothing.
     Look,
     /// Load a model onto the host, beside all other work.
     Stage {
@@ -78,8 +79,13 @@
     Begun,
     /// It is done, or was so before.
     Done,
-    /// So many orders were begun so far.
-    BegunOrders(u64),
+    /// What an engine that was looked at has told.
+    Seen {
+        /// How many orders it has begun so far.
+        begun: u64,
+        /// Whether it is in the order's group, however far.
+        is_in_group: bool,
+    },
     /// It does not fit the engine's state.
     Unfit,
     /// The engine has seen a higher epoch.
@@ -98,7 +104,7 @@
         match self {
             OrderOutcome::Begun => "begun",
             OrderOutcome::Done => "done",
-            OrderOutcome::BegunOrders(_) => "seen",
+            OrderOutcome::Seen { .. } => "seen",
             OrderOutcome::Unfit => "unfit",
             OrderOutcome::Outdated => "outdated",
             OrderOutcome::OtherRun => "other_run",
--- a/lib/tests/test_grouping/test_schedules.rs
+++ b/lib/tests/test_grouping/test_schedules.rs
@@ -83,15 +83,15 @@
 }
 
 #[test]
-fn known_red_seed_1555_joins_no_open_engine_elsewhere() {
-    // A member has left; a late join and a late open bring it back. The next leader looks
-    // at it, finds its orders begun, and joins it elsewhere while it is open: the engine
-    // would serve two groups.
+fn a_head_that_late_orders_brought_back_is_not_joined_elsewhere() {
+    // A head has left; a late join and a late open bring it back while it is cut off from
+    // the leader. The leader looks at it, finds the late orders among those begun, and
+    // would join it elsewhere while it is open: callers would be served by two groups.
     keeps_both_rules(1_555);
 }
 
 #[test]
-fn known_red_seed_149_serves_again_after_its_troubles() {
-    // 20 of 24 engines serve a minute after the last trouble, where 21 are asked for.
-    serves_again(149);
+fn known_red_seed_406_serves_again_after_its_troubles() {
+    // 16 of 21 engines serve a minute after the last trouble, where 18 are asked for.
+    serves_again(406);
 }
--- a/lib/tests/test_grouping/world.rs
+++ b/lib/tests/test_grouping/world.rs
@@ -616,7 +616,11 @@
             return OrderOutcome::Unfit;
         }
         if order.kind == OrderKind::Look {
-            return OrderOutcome::BegunOrders(begun);
+            let membership = self.engines[place].membership.as_ref();
+            return OrderOutcome::Seen {
+                begun,
+                is_in_group: membership.is_some_and(|theirs| theirs.group == order.group),
+            };
         }
         let outcome = self.obey(place, order);
         if outcome == OrderOutcome::Begun || order.kind == OrderKind::Leave {
