--- a/entry/src/serve/routed/stream.rs
+++ b/entry/src/serve/routed/stream.rs
@@ -105,8 +105,8 @@
     First(RoutedRun, Bytes, EventSource),
     /// A connection to a replica.
     Live(RoutedRun, EventSource),
-    /// Nowhere, until another replica goes on.
-    Resuming(Resuming),
+    /// Nowhere, until another replica goes on after the last event that was passed on.
+    Resuming(Resuming, Option<u64>),
     /// It has ended whole.
     Over,
     /// It has broken off.
@@ -154,7 +154,9 @@
                     Some(Poll::Ready(Some(Ok(Frame::data(first)))))
                 }
                 Stage::Live(run, source) => self.poll_live(run, source, context),
-                Stage::Resuming(resuming) => self.poll_resuming(resuming, context),
+                Stage::Resuming(resuming, last_event) => {
+                    self.poll_resuming(resuming, last_event, context)
+                }
                 Stage::Over => {
                     self.stage = Stage::Over;
                     Some(Poll::Ready(None))
@@ -254,17 +256,18 @@
 
     fn resume(&mut self, mut run: RoutedRun, last_event: Option<u64>, why: &str) {
         run.broke_off(last_event, why);
-        self.stage = Stage::Resuming(Box::pin(resume(run, last_event)));
+        self.stage = Stage::Resuming(Box::pin(resume(run, last_event)), last_event);
     }
 
     fn poll_resuming(
         &mut self,
         mut resuming: Resuming,
+        last_event: Option<u64>,
         context: &mut Context<'_>,
     ) -> Option<PolledFrame> {
         match resuming.as_mut().poll(context) {
             Poll::Pending => {
-                self.stage = Stage::Resuming(resuming);
+                self.stage = Stage::Resuming(resuming, last_event);
                 Some(Poll::Pending)
             }
             Poll::Ready((mut run, Ok((first, source)))) => {
@@ -281,10 +284,8 @@
                     }
                 }
             }
-            Poll::Ready((run, Err(why))) => {
-                let last_event = run.plan.words.last_event;
-                self.broke(run, last_event, &why)
-            }
+            // A third replica must not begin the stream anew: the caller has its beginning.
+            Poll::Ready((run, Err(why))) => self.broke(run, last_event, &why),
         }
     }
 }
