--- /dev/null
+++ b/lib/src/grouping/leader/ordering.rs
@@ -0,0 +1,212 @@
+//! The orders that a group's phase asks for.
+
+use std::time::Duration;
+
+use super::super::{
+    group::{
+        Group,
+        Member,
+        Phase,
+        Sent, //
+    },
+    order::{
+        CloseMode,
+        Order,
+        OrderKind,
+        OrderOutcome, //
+    },
+};
+use super::{
+    BACK_FOR,
+    Grouping,
+    GroupingView,
+    RETIRED_PREFIX,
+    group_of,
+    is_member, //
+};
+use crate::{
+    prelude::*,
+    registry::InstanceId, //
+};
+
+/// How long after a look that told of another group an engine is looked at again.
+const LOOK_AGAIN: Duration = Duration::from_millis(200);
+
+impl Grouping {
+    /// Gives the orders that a group's phase asks for.
+    pub(super) fn order(
+        &mut self,
+        id: &GroupId,
+        group: &mut Group,
+        view: GroupingView<'_>,
+        orders: &mut Vec<Order>,
+    ) {
+        let wanted: Vec<(usize, OrderKind)> = match group.phase {
+            Phase::Joining => self.joins(id, group, view),
+            Phase::Opening => vec![(0, OrderKind::Open)],
+            Phase::Open => Vec::new(),
+            Phase::Closing { is_cut } => {
+                let mode = match is_cut {
+                    true => CloseMode::Cut,
+                    false => CloseMode::Wait,
+                };
+                vec![(0, OrderKind::Close(mode))]
+            }
+            Phase::Retiring => {
+                self.retire_head(id, group, view.now, orders);
+                Vec::new()
+            }
+            Phase::Leaving => vec![(0, OrderKind::Leave)],
+            Phase::Breaking => self.departures(id, group, view),
+        };
+        let epoch = group.epoch;
+        for (place, kind) in wanted {
+            let Some(member) = group.members.get_mut(place) else {
+                continue;
+            };
+            if !self.is_due(member, &kind, view.now) {
+                continue;
+            }
+            member.last = Some(Sent {
+                order: kind.name(),
+                at: view.now,
+                outcome: None,
+            });
+            orders.push(Order {
+                to: member.id.clone(),
+                address: member.address,
+                group: id.clone(),
+                epoch,
+                expected_orders: match kind {
+                    OrderKind::Join { .. } => self.doubts.expected_orders(&member.id),
+                    _ => None,
+                },
+                kind,
+            });
+        }
+    }
+
+    /// Takes the head out of its group by a join of its own, under a higher epoch.
+    ///
+    /// A head that only leaves can be brought back: a copy of its `join` that is carried
+    /// out late puts it into the group again, and a late `open` opens it, while the other
+    /// members serve elsewhere. An engine that has seen a higher epoch refuses both.
+    fn retire_head(
+        &mut self,
+        id: &GroupId,
+        group: &mut Group,
+        now: Timestamp,
+        orders: &mut Vec<Order>,
+    ) {
+        let Some(head) = group.members.first().filter(|member| member.rank == 0) else {
+            return;
+        };
+        let join = OrderKind::Join {
+            model: group.model.clone(),
+            members: vec![head.id.clone()],
+        };
+        // The join itself may be carried out late, after a late copy of another order has
+        // opened the head once more. So the head is asked first, and refuses the join if
+        // it has begun anything since.
+        let (kind, expected_orders) = match group.head_orders {
+            None => (OrderKind::Look, None),
+            Some(count) => (join, Some(count)),
+        };
+        if !self.is_due(head, &kind, now) {
+            return;
+        }
+        let epoch = self.next_epoch();
+        let retired = match kind {
+            OrderKind::Look => Some(id.clone()),
+            _ => format!("{RETIRED_PREFIX}{epoch}").parse().ok(),
+        };
+        let Some(retired) = retired else {
+            return;
+        };
+        let sent = Sent {
+            order: kind.name(),
+            at: now,
+            outcome: Some(OrderOutcome::Unanswered),
+        };
+        orders.push(Order {
+            to: head.id.clone(),
+            address: head.address,
+            group: retired,
+            epoch,
+            kind,
+            expected_orders,
+        });
+        // Whatever becomes of the join, the head is asked again before the next one.
+        group.head_orders = None;
+        if let Some(head) = group.members.first_mut() {
+            head.last = Some(sent);
+        }
+    }
+
+    fn joins(
+        &self,
+        id: &GroupId,
+        group: &Group,
+        view: GroupingView<'_>,
+    ) -> Vec<(usize, OrderKind)> {
+        let members: Vec<InstanceId> = group.members.iter().map(|m| m.id.clone()).collect();
+        let is_in = |member: &Member| {
+            let standing = view.registry.get(&member.id).and_then(group_of);
+            standing.is_some_and(|standing| is_member(standing, id, group.epoch, member.rank))
+        };
+        let missing = group.members.iter().enumerate();
+        let missing = missing.filter(|(_, member)| !is_in(member));
+        missing
+            .map(|(place, member)| {
+                if self.doubts.must_look(&member.id) {
+                    return (place, OrderKind::Look);
+                }
+                let kind = OrderKind::Join {
+                    model: group.model.clone(),
+                    members: members.clone(),
+                };
+                (place, kind)
+            })
+            .collect()
+    }
+
+    fn departures(
+        &self,
+        id: &GroupId,
+        group: &Group,
+        view: GroupingView<'_>,
+    ) -> Vec<(usize, OrderKind)> {
+        let others = group.members.iter().enumerate();
+        let others = others.filter(|(_, member)| {
+            let known = view.registry.get(&member.id);
+            let standing = known.and_then(group_of);
+            // One that was cut off with its head may be heard a little before it.
+            member.rank != 0
+                && member.silence.is_heard_for(BACK_FOR, view.now)
+                && standing.is_some_and(|s| s.group == *id && s.epoch == group.epoch)
+        });
+        others.map(|(place, _)| (place, OrderKind::Leave)).collect()
+    }
+
+    fn is_due(&self, member: &Member, kind: &OrderKind, now: Timestamp) -> bool {
+        let last = member.last.as_ref();
+        let Some(sent) = last.filter(|sent| sent.order == kind.name()) else {
+            return true;
+        };
+        let pause = match &sent.outcome {
+            // A report may be some hundred milliseconds old.
+            Some(OrderOutcome::Seen { .. }) => LOOK_AGAIN,
+            None
+            | Some(
+                OrderOutcome::Begun
+                | OrderOutcome::Done
+                | OrderOutcome::Unfit
+                | OrderOutcome::Outdated,
+            ) => self.settings.repeat_taken,
+            Some(OrderOutcome::Unanswered | OrderOutcome::Refused | OrderOutcome::OtherRun) => {
+                self.settings.repeat_unanswered
+            }
+        };
+        now.since(sent.at) >= pause
+    }
+}
