grouping: dead code and checks that stood twice are gone

Cause, found on reading the whole change again: joins no longer load after the first caller, so the room for loads at forming and its count could never matter; the highest epoch of earlier leaders was kept beside what it is derived from; the test whether a report is of a group stood four times, the group that an engine reports six times in three crates, the silent members of a stalled group were looked for twice, free engines were sorted into domains twice, a member was made from its report twice; loads onto hosts were a tuple of five.

Ruled out as same: the supply by which hosts choose what to load leaves out the present demand, which balance.rs counts; one notion for both would change what is decided, so it stays.

Change: Registration::group, Member::reported, older_group, is_in, suspects_of, free_by_domain, open_groups_of and the struct Load in their place. No decision is meant to change.

--- a/control/src/members/thread.rs
+++ b/control/src/members/thread.rs
@@ -610,15 +610,11 @@
 }
 
 fn log_change(report: &Registration) {
-    let group = report
-        .engine
-        .as_ref()
-        .and_then(|engine| engine.group.as_ref());
     LogEvent::UpstreamChanged {
         instance: report.id.clone(),
         sequence: report.sequence,
         state: format!("{:?}", report.state),
-        group: match group {
+        group: match report.group() {
             Some(group) => format!(
                 "{} epoch {} rank {} {:?}",
                 group.group, group.epoch, group.rank, group.state
--- a/entry/src/members/view.rs
+++ b/entry/src/members/view.rs
@@ -112,8 +112,7 @@
 fn members(registry: &Registry) -> Members<'_> {
     let mut members: Members<'_> = BTreeMap::new();
     for (_, known) in registry.iter() {
-        let engine = known.registration.engine.as_ref();
-        if let Some(standing) = engine.and_then(|engine| engine.group.as_ref()) {
+        if let Some(standing) = known.group() {
             let key = (&standing.group, standing.epoch);
             members.entry(key).or_default().push((known, standing.rank));
         }
--- a/lib/src/grouping/doubts.rs
+++ b/lib/src/grouping/doubts.rs
@@ -7,7 +7,6 @@
 
 use crate::registry::{
     InstanceId,
-    Known,
     Registry, //
 };
 
@@ -26,24 +25,34 @@
 /// its group would then be back in it, and an open head would be whole again; a join to another
 /// group takes it away from that head. So the engine is looked at first, and the join is
 /// refused if the engine has begun anything since.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Doubts {
+    /// The highest epoch that a leader before this one can have given.
+    epoch_before: u64,
     by_engine: BTreeMap<InstanceId, Doubt>,
     met: BTreeSet<InstanceId>,
 }
 
 impl Doubts {
+    pub(super) fn new(epoch_before: u64) -> Self {
+        Self {
+            epoch_before,
+            by_engine: BTreeMap::new(),
+            met: BTreeSet::new(),
+        }
+    }
+
     /// Takes note of engines that are new to this leader, and of those that are past doubt.
     ///
     /// What an earlier leader has ordered without an answer is unknown, so each engine is
     /// doubtful until it has seen an epoch of this leader.
-    pub(super) fn observe(&mut self, registry: &Registry, epoch_before: u64) {
+    pub(super) fn observe(&mut self, registry: &Registry) {
         for (id, known) in registry.iter() {
             if self.met.insert(id.clone()) {
-                self.add(id, epoch_before);
+                self.add(id, self.epoch_before);
             }
-            if let Some(epoch) = epoch_of(known) {
-                self.clear_below(id, epoch);
+            if let Some(standing) = known.group() {
+                self.clear_below(id, standing.epoch);
             }
         }
         self.met.retain(|id| registry.get(id).is_some());
@@ -87,8 +96,3 @@
         self.by_engine.get(id).and_then(|doubt| doubt.begun)
     }
 }
-
-fn epoch_of(known: &Known) -> Option<u64> {
-    let engine = known.registration.engine.as_ref()?;
-    engine.group.as_ref().map(|standing| standing.epoch)
-}
--- a/lib/src/grouping/group.rs
+++ b/lib/src/grouping/group.rs
@@ -65,6 +65,22 @@
     pub silence: Silence,
 }
 
+impl Member {
+    /// Returns a member of a group that was not formed by this leader, as it reports itself.
+    pub(super) fn reported(known: &Known, standing: &GroupStanding) -> Self {
+        Self {
+            id: known.registration.id.clone(),
+            address: known.registration.address,
+            rank: standing.rank,
+            last: None,
+            // Nobody knows what the leader before has ordered without an answer.
+            is_doubtful: true,
+            stood_in: None,
+            silence: Silence::Never,
+        }
+    }
+}
+
 /// Whether a member of a group whose head cannot be reached is silent as well.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(super) enum Silence {
@@ -150,16 +166,7 @@
         if is_here || standing.epoch != self.epoch {
             return;
         }
-        self.members.push(Member {
-            id: known.registration.id.clone(),
-            address: known.registration.address,
-            rank: standing.rank,
-            last: None,
-            // It was not formed by this leader, so nobody knows what was ordered.
-            is_doubtful: true,
-            stood_in: None,
-            silence: Silence::Never,
-        });
+        self.members.push(Member::reported(known, standing));
         self.members.sort_by_key(|member| member.rank);
     }
 
--- a/lib/src/grouping/leader/mod.rs
+++ b/lib/src/grouping/leader/mod.rs
@@ -19,8 +19,7 @@
     group::{
         Group,
         Member,
-        Phase,
-        Silence, //
+        Phase, //
     },
     order::{
         Order,
@@ -150,8 +149,6 @@
     loads: VecDeque<Timestamp>,
     dead: BTreeSet<InstanceId>,
     doubts: Doubts,
-    /// The highest epoch that a leader before this one can have given.
-    epoch_before: u64,
 }
 
 impl Grouping {
@@ -165,11 +162,12 @@
         listening_since: Timestamp,
         now: Timestamp,
     ) -> Self {
+        let epoch = term.saturating_mul(EPOCHS_PER_TERM);
         Self {
             settings,
             listening_since,
             started_at: now,
-            epoch: term.saturating_mul(EPOCHS_PER_TERM),
+            epoch,
             heard_before: BTreeMap::new(),
             has_looked: false,
             engines_known: (0, now),
@@ -184,8 +182,7 @@
             staging: BTreeMap::new(),
             loads: VecDeque::new(),
             dead: BTreeSet::new(),
-            doubts: Doubts::default(),
-            epoch_before: term.saturating_mul(EPOCHS_PER_TERM),
+            doubts: Doubts::new(epoch),
         }
     }
 
@@ -193,7 +190,7 @@
     pub fn tick(&mut self, view: GroupingView<'_>) -> Vec<Order> {
         self.note_heard(view);
         self.note_epochs(view);
-        self.doubts.observe(view.registry, self.epoch_before);
+        self.doubts.observe(view.registry);
         if self.foreign.is_some() {
             return Vec::new();
         }
@@ -258,8 +255,6 @@
                     self.doubts.looked_at(&order.to, Some(*begun));
                 }
             }
-            // What became of a load onto a host shows in the engine's reports.
-            (OrderKind::Stage { .. }, OrderOutcome::Unfit | OrderOutcome::Outdated) => {}
             (OrderKind::Leave, OrderOutcome::Done)
                 if group.phase == Phase::Leaving && !group.has_doubtful_head() =>
             {
@@ -362,10 +357,7 @@
     /// leader falls silent first, for longer than an old leader can go on, and goes above
     /// the other's epochs only if it still leads then.
     fn note_epochs(&mut self, view: GroupingView<'_>) {
-        let standings = view
-            .registry
-            .iter()
-            .filter_map(|(_, known)| group_of(known));
+        let standings = view.registry.iter().filter_map(|(_, known)| known.group());
         if let Some(highest) = standings.map(|standing| standing.epoch).max() {
             self.note_foreign(highest, view.now);
         }
@@ -401,7 +393,7 @@
         });
         let placed: BTreeMap<InstanceId, u64> = members.collect();
         for (_, known) in view.registry.iter() {
-            let Some(standing) = group_of(known).filter(|s| !is_retired(&s.group)) else {
+            let Some(standing) = known.group().filter(|s| !is_retired(&s.group)) else {
                 continue;
             };
             // A head that serves although its group was given up must be closed again, and one
@@ -441,7 +433,7 @@
         let reported: BTreeSet<&GroupId> = view
             .registry
             .iter()
-            .filter_map(|(_, known)| group_of(known).map(|standing| &standing.group))
+            .filter_map(|(_, known)| Some(&known.group()?.group))
             .collect();
         self.finished.retain(|id, at| {
             reported.contains(id) || view.now.since(*at) < Duration::from_secs(60)
@@ -460,8 +452,9 @@
     engine.fabric_domain.clone().or_else(of_zone)
 }
 
-fn group_of(known: &Known) -> Option<&GroupStanding> {
-    known.registration.engine.as_ref()?.group.as_ref()
+/// Returns the group that an engine reports.
+fn standing_of<'a>(view: GroupingView<'a>, id: &InstanceId) -> Option<&'a GroupStanding> {
+    view.registry.get(id)?.group()
 }
 
 /// Whether a group is that of a head which was taken out of its group by itself.
@@ -474,18 +467,32 @@
     matches!(standing.state, MemberState::Open | MemberState::Closing)
 }
 
-fn is_untouched(known: &Known) -> bool {
-    let engine = known.registration.engine.as_ref();
-    engine.is_none_or(|engine| engine.group.is_none() && engine.staged.is_empty())
+/// Whether no engine has a group or a model at hand, as before the very first groups.
+fn are_all_untouched(registry: &Registry) -> bool {
+    registry.iter().all(|(_, known)| {
+        let engine = known.registration.engine.as_ref();
+        engine.is_none_or(|engine| engine.group.is_none() && engine.staged.is_empty())
+    })
+}
+
+fn is_in(standing: &GroupStanding, id: &GroupId, epoch: u64) -> bool {
+    standing.group == *id && standing.epoch == epoch
 }
 
 fn is_member(standing: &GroupStanding, id: &GroupId, epoch: u64, rank: u32) -> bool {
-    standing.group == *id && standing.epoch == epoch && standing.rank == rank
+    is_in(standing, id, epoch) && standing.rank == rank
 }
 
 /// Whether an engine has taken an order of a later group.
 fn has_moved_on(known: &Known, epoch: u64) -> bool {
-    group_of(known).is_some_and(|standing| standing.epoch > epoch)
+    known.group().is_some_and(|standing| standing.epoch > epoch)
+}
+
+/// Returns the group before this epoch that an engine is in, unless it was retired to it.
+fn older_group(known: &Known, epoch: u64) -> Option<&GroupId> {
+    let standing = known.group()?;
+    let is_older = standing.epoch < epoch && !is_retired(&standing.group);
+    is_older.then_some(&standing.group)
 }
 
 /// Makes a group from what its members report.
@@ -509,16 +516,8 @@
         // all of those, so what was not open yet is formed anew.
         MemberState::Joining | MemberState::Ready => Phase::Leaving,
     };
-    let members = reports.iter().map(|(known, standing)| Member {
-        id: known.registration.id.clone(),
-        address: known.registration.address,
-        rank: standing.rank,
-        last: None,
-        // Nobody knows what the leader before has ordered without an answer.
-        is_doubtful: true,
-        stood_in: None,
-        silence: Silence::Never,
-    });
+    let reports = reports.iter();
+    let members = reports.map(|(known, standing)| Member::reported(known, standing));
     Some(Group {
         epoch,
         service,
--- a/lib/src/grouping/leader/ordering.rs
+++ b/lib/src/grouping/leader/ordering.rs
@@ -21,8 +21,9 @@
     Grouping,
     GroupingView,
     RETIRED_PREFIX,
-    group_of,
-    is_member, //
+    is_in,
+    is_member,
+    standing_of, //
 };
 use crate::{
     prelude::*,
@@ -98,7 +99,7 @@
         now: Timestamp,
         orders: &mut Vec<Order>,
     ) {
-        let Some(head) = group.members.first().filter(|member| member.rank == 0) else {
+        let Some(head) = group.head() else {
             return;
         };
         let join = OrderKind::Join {
@@ -151,8 +152,8 @@
     ) -> Vec<(usize, OrderKind)> {
         let members: Vec<InstanceId> = group.members.iter().map(|m| m.id.clone()).collect();
         let is_in = |member: &Member| {
-            let standing = view.registry.get(&member.id).and_then(group_of);
-            standing.is_some_and(|standing| is_member(standing, id, group.epoch, member.rank))
+            standing_of(view, &member.id)
+                .is_some_and(|standing| is_member(standing, id, group.epoch, member.rank))
         };
         let missing = group.members.iter().enumerate();
         let missing = missing.filter(|(_, member)| !is_in(member));
@@ -178,12 +179,11 @@
     ) -> Vec<(usize, OrderKind)> {
         let others = group.members.iter().enumerate();
         let others = others.filter(|(_, member)| {
-            let known = view.registry.get(&member.id);
-            let standing = known.and_then(group_of);
+            let standing = standing_of(view, &member.id);
             // One that was cut off with its head may be heard a little before it.
             member.rank != 0
                 && member.silence.is_heard_for(BACK_FOR, view.now)
-                && standing.is_some_and(|s| s.group == *id && s.epoch == group.epoch)
+                && standing.is_some_and(|standing| is_in(standing, id, group.epoch))
         });
         others.map(|(place, _)| (place, OrderKind::Leave)).collect()
     }
--- a/lib/src/grouping/leader/phases.rs
+++ b/lib/src/grouping/leader/phases.rs
@@ -15,16 +15,16 @@
     BACK_FOR,
     Grouping,
     GroupingView,
-    group_of,
     has_moved_on,
+    is_in,
     is_member,
-    is_retired, //
+    older_group,
+    standing_of, //
 };
 use crate::{
     prelude::*,
     registry::{
         Ended,
-        GroupStanding,
         InstanceId,
         Known,
         MemberState, //
@@ -123,9 +123,7 @@
         let has_moved_on = known.is_none_or(|known| has_moved_on(known, group.epoch));
         // A late join has put it into an older group, which it cannot leave while this one
         // claims it; it is looked at before it joins any other.
-        let is_elsewhere = known
-            .and_then(group_of)
-            .is_some_and(|standing| standing.epoch < group.epoch && !is_retired(&standing.group));
+        let is_elsewhere = known.is_some_and(|known| older_group(known, group.epoch).is_some());
         // A join to a newer group is on its way and outbids the late copies as well.
         let is_placed = self.groups.values().any(|other| {
             let is_member = |member: &Member| member.id == head.id;
@@ -144,13 +142,8 @@
         // joined from there while that group's head may be open, so it has to leave first, and
         // it does that only once nothing newer claims it.
         let is_back_elsewhere = |member: &Member, known: &Known| {
-            let standing = group_of(known).filter(|standing| {
-                standing.group != *id
-                    && standing.epoch < group.epoch
-                    && !is_retired(&standing.group)
-                    && Some(&standing.group) != member.stood_in.as_ref()
-            });
-            standing.is_some() && known.heard_at > group.since
+            let older = older_group(known, group.epoch);
+            older.is_some() && older != member.stood_in.as_ref() && known.heard_at > group.since
         };
         let is_lost = |member: &Member| match view.registry.get(&member.id) {
             None => true,
@@ -167,8 +160,7 @@
             return false;
         }
         let is_ready = |member: &Member| {
-            let standing = view.registry.get(&member.id).and_then(group_of);
-            standing.is_some_and(|standing| {
+            standing_of(view, &member.id).is_some_and(|standing| {
                 is_member(standing, id, group.epoch, member.rank)
                     && matches!(standing.state, MemberState::Ready | MemberState::Open)
             })
@@ -195,8 +187,8 @@
             group.enter(Phase::Closing { is_cut: true }, view.now);
             return false;
         }
-        let head = group.head().and_then(|head| view.registry.get(&head.id));
-        let state = head.and_then(group_of).map(|standing| standing.state);
+        let head = group.head().and_then(|head| standing_of(view, &head.id));
+        let state = head.map(|standing| standing.state);
         match state {
             Some(MemberState::Open) => group.enter(Phase::Open, view.now),
             Some(MemberState::Joining) => group.enter(Phase::Joining, view.now),
@@ -224,11 +216,11 @@
             }
             HeadStanding::Serving => {}
         }
-        let is_stalled = self.is_stalled(group, view);
-        if is_stalled {
-            group.suspects = self.silent_members(group, view);
+        let suspects = self.suspects_of(group, view);
+        let is_lost = !suspects.is_empty() || self.has_lost_member(id, group, view);
+        if !suspects.is_empty() {
+            group.suspects = suspects;
         }
-        let is_lost = is_stalled || self.has_lost_member(id, group, view);
         if !group.is_whole() || is_lost {
             group.enter(Phase::Closing { is_cut: true }, now);
         } else if self.has_leaving_member(group, view) {
@@ -283,11 +275,10 @@
             }
         }
         let epoch = group.epoch;
-        let is_in = |standing: &GroupStanding| standing.group == *id && standing.epoch == epoch;
         let has_left = |member: &Member| {
             let known = view.registry.get(&member.id);
-            self.is_dead(&member.id, view)
-                || known.is_some_and(|known| !group_of(known).is_some_and(is_in))
+            let is_in_it = |known: &Known| known.group().is_some_and(|s| is_in(s, id, epoch));
+            self.is_dead(&member.id, view) || known.is_some_and(|known| !is_in_it(known))
         };
         group
             .members
@@ -302,7 +293,7 @@
         let is_in_place = |member: &Member| {
             let known = view.registry.get(&member.id);
             known.is_some_and(|known| {
-                let standing = group_of(known);
+                let standing = known.group();
                 let is_open = standing.is_some_and(|s| s.state == MemberState::Open);
                 known.is_ready()
                     && known.heard_at > group.since
@@ -322,32 +313,23 @@
     fn has_lost_member(&self, id: &GroupId, group: &Group, view: GroupingView<'_>) -> bool {
         group.members.iter().any(|member| {
             let moved = view.registry.get(&member.id).is_some_and(|known| {
-                let standing = group_of(known);
+                let standing = known.group();
                 standing.is_none_or(|standing| !is_member(standing, id, group.epoch, member.rank))
             });
             moved || self.is_dead(&member.id, view)
         })
     }
 
-    /// Returns whether a group stands still because a member is gone.
+    /// Returns the silent members of a group that stands still: one of them may be lost.
     ///
     /// Silence alone may be a cut between a member and the leader, while the group goes
     /// on serving. Streams that stand still alone may be a slow head. Both together are
     /// a member that is lost, seconds before the head itself says that it is broken.
-    fn is_stalled(&self, group: &Group, view: GroupingView<'_>) -> bool {
-        let stands_still = group
-            .head()
-            .is_some_and(|head| view.stalled.contains(&head.id));
-        stands_still
-            && group.members.iter().any(|member| {
-                view.registry.get(&member.id).is_none_or(|known| {
-                    known.silent_for(view.now) >= self.settings.silent_in_stalled
-                })
-            })
-    }
-
-    /// Returns the members of a group that stands still which may be what it has lost.
-    fn silent_members(&self, group: &Group, view: GroupingView<'_>) -> Vec<InstanceId> {
+    fn suspects_of(&self, group: &Group, view: GroupingView<'_>) -> Vec<InstanceId> {
+        let head = group.head();
+        if !head.is_some_and(|head| view.stalled.contains(&head.id)) {
+            return Vec::new();
+        }
         let limit = self.settings.silent_in_stalled;
         let is_silent = |member: &&Member| {
             let known = view.registry.get(&member.id);
@@ -398,15 +380,13 @@
         if known.silent_for(view.now) > limit {
             return HeadStanding::Silent;
         }
-        match group_of(known) {
-            Some(standing) if standing.group == *id && standing.epoch == group.epoch => {
-                match standing.state {
-                    MemberState::Open | MemberState::Closing => HeadStanding::Serving,
-                    MemberState::Joining | MemberState::Ready | MemberState::Broken => {
-                        HeadStanding::Stopped
-                    }
+        match known.group() {
+            Some(standing) if is_in(standing, id, group.epoch) => match standing.state {
+                MemberState::Open | MemberState::Closing => HeadStanding::Serving,
+                MemberState::Joining | MemberState::Ready | MemberState::Broken => {
+                    HeadStanding::Stopped
                 }
-            }
+            },
             // Before its join is seen, a head reports what it was in before.
             _ if group.phase == Phase::Joining => HeadStanding::Stopped,
             _ => HeadStanding::Harmless,
--- a/lib/src/grouping/leader/placing.rs
+++ b/lib/src/grouping/leader/placing.rs
@@ -36,11 +36,11 @@
 use super::{
     Grouping,
     GroupingView,
+    are_all_untouched,
     fabric_domain,
-    group_of,
     is_retired,
-    is_untouched,
-    serves, //
+    serves,
+    standing_of, //
 };
 use crate::{
     ids::Address,
@@ -80,8 +80,15 @@
 /// The span over which starts of loads are counted.
 const LOAD_WINDOW: Duration = Duration::from_secs(5);
 
-/// Which engine should load which model onto its host, and the group that it is in.
-type StageOrder = (InstanceId, Address, GroupId, u64, ModelName);
+/// A load onto an engine's host that would be of use.
+struct Load {
+    to: InstanceId,
+    address: Address,
+    /// The group that it is in.
+    group: GroupId,
+    epoch: u64,
+    model: ModelName,
+}
 
 impl Grouping {
     /// Forms new groups, and takes apart those whose engines are needed more elsewhere.
@@ -115,13 +122,10 @@
     ) -> bool {
         let domains = self.domains(service, traits, view);
         let engines = self.engines_by_model(service, traits);
-        let all_empty = view.registry.iter().all(|(_, known)| is_untouched(known));
-        let room = match all_empty || view.is_prelude {
-            true => u32::MAX,
-            false => self.load_room(traits, view.now),
-        };
         let now = view.now;
-        let may_load = |_: &FreeEngine| all_empty || view.is_prelude;
+        // Later, weights come onto hosts beside all other work; see `stage`.
+        let is_start = view.is_prelude || are_all_untouched(view.registry);
+        let may_load = |_: &FreeEngine| is_start;
         if let Some(new) = self.reserved_group(traits, &domains) {
             self.form(service, traits, new, view, orders);
             return true;
@@ -154,7 +158,7 @@
             let new = model
                 .zip(free)
                 .and_then(|(model, free)| best_members(model, free, may_load));
-            let Some(new) = new.filter(|new| new.loads <= room) else {
+            let Some(new) = new else {
                 return false;
             };
             self.note_decision(&change, &engines);
@@ -218,14 +222,10 @@
         view: GroupingView<'_>,
     ) -> BTreeMap<FabricDomain, DomainStanding> {
         let mut domains: BTreeMap<FabricDomain, DomainStanding> = BTreeMap::new();
-        for engine in self.free_engines(service, view) {
-            let domain = domains.entry(engine.fabric_domain.clone()).or_default();
-            domain.free.push(engine);
+        for (name, free) in self.free_by_domain(service, view) {
+            domains.entry(name).or_default().free = free;
         }
-        let open = self.groups.iter();
-        let open =
-            open.filter(|(_, group)| group.service == *service && group.phase == Phase::Open);
-        for (id, group) in open {
+        for (id, group) in self.open_groups_of(service) {
             let members: Vec<&Known> = group
                 .members
                 .iter()
@@ -253,6 +253,24 @@
         domains
     }
 
+    fn free_by_domain(
+        &mut self,
+        service: &ServiceName,
+        view: GroupingView<'_>,
+    ) -> BTreeMap<FabricDomain, Vec<FreeEngine>> {
+        let mut domains: BTreeMap<FabricDomain, Vec<FreeEngine>> = BTreeMap::new();
+        for engine in self.free_engines(service, view) {
+            let domain = domains.entry(engine.fabric_domain.clone()).or_default();
+            domain.push(engine);
+        }
+        domains
+    }
+
+    fn open_groups_of(&self, service: &ServiceName) -> impl Iterator<Item = (&GroupId, &Group)> {
+        let groups = self.groups.iter();
+        groups.filter(move |(_, group)| group.service == *service && group.phase == Phase::Open)
+    }
+
     fn engines_by_model(
         &self,
         service: &ServiceName,
@@ -302,8 +320,8 @@
         let members = members
             .into_iter()
             .map(|wanted| (wanted, at_once.div_ceil(2)));
-        for ((id, address, group, epoch, model), limit) in free.chain(members) {
-            if self.staging.contains_key(&id) {
+        for (load, limit) in free.chain(members) {
+            if self.staging.contains_key(&load.to) {
                 continue;
             }
             let under_way = self.staging.len() as u32;
@@ -314,13 +332,14 @@
             if !view.is_prelude {
                 self.loads.push_back(now);
             }
-            self.staging.insert(id.clone(), (model.clone(), now));
+            self.staging
+                .insert(load.to.clone(), (load.model.clone(), now));
             orders.push(Order {
-                to: id,
-                address,
-                group,
-                epoch,
-                kind: OrderKind::Stage { model },
+                to: load.to,
+                address: load.address,
+                group: load.group,
+                epoch: load.epoch,
+                kind: OrderKind::Stage { model: load.model },
                 expected_orders: None,
             });
         }
@@ -335,7 +354,7 @@
         service: &ServiceName,
         traits: &EngineTraits,
         view: GroupingView<'_>,
-    ) -> Vec<StageOrder> {
+    ) -> Vec<Load> {
         let Ok(no_group) = NO_GROUP.parse::<GroupId>() else {
             return Vec::new();
         };
@@ -346,11 +365,7 @@
         };
         let mut shortest_first: Vec<&ModelTraits> = traits.models.iter().collect();
         shortest_first.sort_by(|a, b| supply(a).total_cmp(&supply(b)));
-        let mut domains: BTreeMap<FabricDomain, Vec<FreeEngine>> = BTreeMap::new();
-        for engine in self.free_engines(service, view) {
-            let domain = domains.entry(engine.fabric_domain.clone()).or_default();
-            domain.push(engine);
-        }
+        let domains = self.free_by_domain(service, view);
         let is_loading = |engine: &FreeEngine, model: &ModelName| {
             let staging = self.staging.get(&engine.id);
             staging.is_some_and(|(loading, _)| loading == model)
@@ -359,8 +374,13 @@
         let loads =
             domains.flat_map(|free| next_loads(free, &shortest_first, is_loading, view.now));
         let epoch = self.epoch;
-        let wanted = loads
-            .map(|(engine, model)| (engine.id, engine.address, no_group.clone(), epoch, model));
+        let wanted = loads.map(|(engine, model)| Load {
+            to: engine.id,
+            address: engine.address,
+            group: no_group.clone(),
+            epoch,
+            model,
+        });
         wanted.collect()
     }
 
@@ -370,12 +390,9 @@
         service: &ServiceName,
         traits: &EngineTraits,
         view: GroupingView<'_>,
-    ) -> Vec<StageOrder> {
+    ) -> Vec<Load> {
         let mut wanted = Vec::new();
-        let open = self.groups.iter();
-        let open =
-            open.filter(|(_, group)| group.service == *service && group.phase == Phase::Open);
-        for (id, group) in open {
+        for (id, group) in self.open_groups_of(service) {
             let others = traits
                 .models
                 .iter()
@@ -390,8 +407,13 @@
                 let engine = known.registration.engine.as_ref();
                 let has_it = engine.is_some_and(|engine| engine.staged.contains(&other.name));
                 if !has_it && known.is_ready() {
-                    let (to, model) = (member.id.clone(), other.name.clone());
-                    wanted.push((to, member.address, id.clone(), group.epoch, model));
+                    wanted.push(Load {
+                        to: member.id.clone(),
+                        address: member.address,
+                        group: id.clone(),
+                        epoch: group.epoch,
+                        model: other.name.clone(),
+                    });
                 }
             }
         }
@@ -410,11 +432,6 @@
         let Ok(id) = format!("g{epoch}").parse::<GroupId>() else {
             return;
         };
-        if !view.is_prelude && !view.registry.iter().all(|(_, known)| is_untouched(known)) {
-            for _ in 0..new.loads {
-                self.loads.push_back(view.now);
-            }
-        }
         let size = traits.model(&new.model).map_or(0, |model| model.size);
         let members = (0..).zip(new.members).map(|(rank, engine)| Member {
             address: engine.address,
@@ -462,7 +479,7 @@
             .values()
             .flat_map(|group| group.members.iter().map(|member| &member.id))
             .collect();
-        let is_new = view.registry.iter().all(|(_, known)| is_untouched(known));
+        let is_start = view.is_prelude || are_all_untouched(view.registry);
         let leads_for = view.now.since(self.started_at);
         let mut free = Vec::new();
         for (id, known) in view.registry.iter() {
@@ -481,9 +498,9 @@
                     .suspects
                     .get(id)
                     .is_none_or(|since| known.heard_at > *since)
-                && !group_of(known).is_some_and(serves)
+                && !known.group().is_some_and(serves)
                 && self.is_out_of_its_group(known)
-                && (is_new || view.is_prelude || self.is_confirmed(known, leads_for));
+                && (is_start || self.is_confirmed(known, leads_for));
             if !is_usable {
                 continue;
             }
@@ -508,7 +525,7 @@
     ///
     /// Any other is taken over first, and the engine leaves it.
     fn is_out_of_its_group(&self, known: &Known) -> bool {
-        group_of(known).is_none_or(|standing| {
+        known.group().is_none_or(|standing| {
             is_retired(&standing.group) || self.finished.contains_key(&standing.group)
         })
     }
@@ -559,7 +576,7 @@
 ///
 /// A head could be opened again by a late order, after it was looked at.
 fn left_over_group(view: GroupingView<'_>, id: &InstanceId) -> Option<GroupId> {
-    let standing = view.registry.get(id).and_then(group_of)?;
+    let standing = standing_of(view, id)?;
     let is_harmless = standing.rank != 0 || is_retired(&standing.group);
     is_harmless.then(|| standing.group.clone())
 }
--- a/lib/src/registry/registration.rs
+++ b/lib/src/registry/registration.rs
@@ -90,6 +90,13 @@
     pub group: Option<GroupStanding>,
 }
 
+impl Registration {
+    /// Returns the group that it tells, if it is an engine in one.
+    pub fn group(&self) -> Option<&GroupStanding> {
+        self.engine.as_ref()?.group.as_ref()
+    }
+}
+
 /// An engine's place in a group.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct GroupStanding {
--- a/lib/src/registry/table.rs
+++ b/lib/src/registry/table.rs
@@ -14,6 +14,7 @@
 };
 
 use super::{
+    GroupStanding,
     InstanceId,
     Registration,
     UpstreamState, //
@@ -69,6 +70,11 @@
         self.registration.state == UpstreamState::Ready
     }
 
+    /// Returns the group that it reports, if it is an engine in one.
+    pub fn group(&self) -> Option<&GroupStanding> {
+        self.registration.group()
+    }
+
     /// Returns how long it has been silent.
     pub fn silent_for(&self, now: Timestamp) -> Duration {
         now.since(self.heard_at)
