entry, daemon: stopping and connecting are written once

Change: connections::serve_until_drained, process::run_until_stopped, PeerSender::connect, a fixture. Behaviour and the tests' assertions are as before.

The routed listener still counts no refused connection.

--- a/daemon/src/peers/mod.rs
+++ b/daemon/src/peers/mod.rs
@@ -49,10 +49,7 @@
     counters::add,
     dialler::hold,
     envelope::encode,
-    link::{
-        Link,
-        LinkEnd, //
-    },
+    link::Link,
     listener::{
         Hearing,
         accept_all, //
@@ -63,7 +60,8 @@
     settings::PeerAddress, //
 };
 
-type SharedLinks = Arc<Mutex<BTreeMap<DaemonId, Link>>>;
+type Links = BTreeMap<DaemonId, Link>;
+type SharedLinks = Arc<Mutex<Links>>;
 
 /// Why peers cannot be heard.
 #[derive(Debug, Display, Error)]
@@ -139,12 +137,9 @@
     /// connection to it is made anew.
     pub fn know(&self, peer: &DaemonId, address: Address) {
         let mut links = lock(&self.links);
-        if links.get(peer).is_some_and(|link| link.address == address) {
-            return;
+        if !links.get(peer).is_some_and(|link| link.address == address) {
+            self.connect(&mut links, peer, address, true);
         }
-        let (link, end) = Link::new(address, true);
-        links.insert(peer.clone(), link);
-        self.start(end);
     }
 
     /// Closes the connection to a peer that membership has forgotten.
@@ -162,7 +157,10 @@
         &self.identity
     }
 
-    fn start(&self, end: LinkEnd) {
+    /// Starts the task that holds the connection to a peer; an older one ends.
+    fn connect(&self, links: &mut Links, peer: &DaemonId, address: Address, is_watched: bool) {
+        let (link, end) = Link::new(address, is_watched);
+        links.insert(peer.clone(), link);
         self.runtime.spawn(hold(end, Arc::clone(&self.counters)));
     }
 
@@ -179,7 +177,7 @@
     }
 }
 
-fn lock(links: &Mutex<BTreeMap<DaemonId, Link>>) -> MutexGuard<'_, BTreeMap<DaemonId, Link>> {
+fn lock(links: &Mutex<Links>) -> MutexGuard<'_, Links> {
     // Nothing that holds the lock leaves a link half changed.
     links.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -220,9 +218,8 @@
             runtime: runtime.handle().clone(),
         };
         for peer in peers.iter().filter(|peer| peer.daemon != identity.daemon) {
-            let (link, end) = Link::new(peer.address, false);
-            lock(&sender.links).insert(peer.daemon.clone(), link);
-            sender.start(end);
+            let mut links = lock(&sender.links);
+            sender.connect(&mut links, &peer.daemon, peer.address, false);
         }
         let hearing = Hearing {
             identity,
--- a/daemon/tests/test_peers.rs
+++ b/daemon/tests/test_peers.rs
@@ -78,6 +78,13 @@
     process_at(name, unused_address())
 }
 
+/// Returns a process that knows a peer of this name and address.
+fn sender_to(name: &str, address: Address) -> Process {
+    let sender = process("sender");
+    sender.peers.sender().know(&daemon(name), address);
+    sender
+}
+
 /// A message that needs nothing else; which one it is does not matter here.
 fn message() -> PeerMessage {
     PeerMessage::Heard(BTreeSet::new())
@@ -103,11 +110,7 @@
 #[test]
 fn a_message_arrives_with_its_sender() {
     let mut receiver = process("receiver");
-    let sender = process("sender");
-    sender
-        .peers
-        .sender()
-        .know(&daemon("receiver"), receiver.address);
+    let sender = sender_to("receiver", receiver.address);
 
     let heard = send_until_heard(&sender, &daemon("receiver"), &mut receiver.inbox);
 
@@ -120,11 +123,7 @@
 fn a_peer_that_starts_again_is_reached_again() {
     let mut receiver = process("receiver");
     let at = receiver.address;
-    let sender = process("sender");
-    sender
-        .peers
-        .sender()
-        .know(&daemon("receiver"), receiver.address);
+    let sender = sender_to("receiver", receiver.address);
     send_until_heard(&sender, &daemon("receiver"), &mut receiver.inbox);
     drop(receiver);
 
@@ -140,9 +139,8 @@
 #[test]
 fn a_connection_that_goes_mute_is_made_anew() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let sender = process("sender");
     let mute = listener.local_addr().unwrap();
-    sender.peers.sender().know(&daemon("mute"), mute);
+    let sender = sender_to("mute", mute);
     let (first, _) = listener.accept().unwrap();
 
     listener.set_nonblocking(true).unwrap();
@@ -165,9 +163,8 @@
 #[test]
 fn sending_while_connections_close_ends_no_process() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let sender = process("sender");
     let dying = listener.local_addr().unwrap();
-    sender.peers.sender().know(&daemon("dying"), dying);
+    let sender = sender_to("dying", dying);
     let is_over = Arc::new(AtomicBool::new(false));
     let senders: Vec<_> = (0..4)
         .map(|_| {
@@ -200,11 +197,7 @@
 #[test]
 fn bytes_that_are_no_messages_are_dropped_with_their_connection() {
     let mut receiver = process("receiver");
-    let sender = process("sender");
-    sender
-        .peers
-        .sender()
-        .know(&daemon("receiver"), receiver.address);
+    let sender = sender_to("receiver", receiver.address);
     let at = receiver.address;
     let mut stranger = std::net::TcpStream::connect(at).unwrap();
     stranger.set_read_timeout(Some(LIMIT)).unwrap();
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -129,9 +129,7 @@
 /// cannot be set up, or a thread panicked.
 pub fn run(settings: EntrySettings, process: Process) -> Result<(), ProcessError> {
     chart::validate_all_charts()?;
-    let address = settings.callers.listen;
-    let listener =
-        TcpListener::bind(address).map_err(|source| ProcessError::Listen { address, source })?;
+    let listener = listen(settings.callers.listen)?;
     let snapshot = Arc::new(ArcSwap::from_pointee(RoutingSnapshot::default()));
     let clock = process.clock;
     let boot = draw_boot();
@@ -163,21 +161,14 @@
         boot,
     };
     let serving = serve::start(setup, stopped)?;
-    let mut threads = domain.threads;
-    threads.push(serving.thread);
-    wait_for_stop(process.stop, &threads)?;
-    let serving = threads.pop();
-    // The receivers are gone only if the thread has ended already.
-    let _ = stop.send(true);
-    serving.map_or(Ok(()), program::join)?;
     // The domain is coordinated until the last request has ended: its lease and its
     // view of upstreams are what running requests depend on.
-    let _ = stop_domain.send(true);
-    for thread in threads {
-        program::join(thread)?;
-    }
-    drop(peers);
-    Ok(())
+    run_until_stopped(
+        process.stop,
+        (serving.thread, stop),
+        (domain.threads, stop_domain),
+        peers,
+    )
 }
 
 /// Runs a daemon that finds the others by seeds, until it is asked to stop.
@@ -239,19 +230,13 @@
         stalls,
     };
     let serving = routed::start(setup, stopped)?;
-    let mut threads = vec![membership, serving];
-    wait_for_stop(process.stop, &threads)?;
-    let serving = threads.pop();
-    // The receivers are gone only if the thread has ended already.
-    let _ = stop.send(true);
-    serving.map_or(Ok(()), program::join)?;
     // Membership lasts until the last request has ended, since resumes depend on it.
-    let _ = stop_members.send(true);
-    for thread in threads {
-        program::join(thread)?;
-    }
-    drop(peers);
-    Ok(())
+    run_until_stopped(
+        process.stop,
+        (serving, stop),
+        (vec![membership], stop_members),
+        peers,
+    )
 }
 
 fn listen(address: Address) -> Result<TcpListener, ProcessError> {
@@ -328,6 +313,27 @@
     BootId(RandomState::new().hash_one(std::process::id()))
 }
 
+/// Waits for the stop, then ends the serving thread, then the others, then the peers.
+fn run_until_stopped(
+    asked: StopSignal,
+    (serving, stop_serving): (JoinHandle<()>, watch::Sender<bool>),
+    (mut threads, stop_others): (Vec<JoinHandle<()>>, watch::Sender<bool>),
+    peers: Peers,
+) -> Result<(), ProcessError> {
+    threads.push(serving);
+    wait_for_stop(asked, &threads)?;
+    let serving = threads.pop();
+    // The receivers are gone only if the thread has ended already.
+    let _ = stop_serving.send(true);
+    serving.map_or(Ok(()), program::join)?;
+    let _ = stop_others.send(true);
+    for thread in threads {
+        program::join(thread)?;
+    }
+    drop(peers);
+    Ok(())
+}
+
 /// Waits until a stop is asked for, or a thread has ended by itself.
 ///
 /// A daemon without one of its threads looks alive and serves nobody; ending the
--- a/entry/src/serve/connections.rs
+++ b/entry/src/serve/connections.rs
@@ -1,4 +1,5 @@
-//! The open connections of callers: how many there are, and when the last has closed.
+//! The open connections of callers: how many there are, when the last has closed, and how
+//! they end when the daemon stops.
 
 use std::{
     cell::Cell,
@@ -7,15 +8,24 @@
     time::Duration, //
 };
 
+use cicadabend_daemon::settings::CallerSettings;
 use tokio::{
     net::{
         TcpListener,
         TcpStream, //
     },
-    sync::Notify,
-    time::sleep,
+    sync::{
+        Notify,
+        watch, //
+    },
+    time::{
+        sleep,
+        timeout, //
+    },
 };
 
+use super::events::LogEvent;
+
 /// Pause after a failed accept, which is nearly always a lack of file descriptors.
 const ACCEPT_RETRY_MS: u64 = 10;
 /// Headers up to this many times the limit still get an error in our own form.
@@ -25,7 +35,7 @@
 
 /// Counts open connections and tells when the last one has closed.
 #[derive(Default)]
-pub(super) struct OpenConnections {
+struct OpenConnections {
     count: Cell<u32>,
     closed: Notify,
 }
@@ -48,12 +58,12 @@
 
 impl OpenConnections {
     /// Returns how many connections are open.
-    pub(super) fn count(&self) -> u32 {
+    fn count(&self) -> u32 {
         self.count.get()
     }
 
     /// Waits until no connection is open.
-    pub(super) async fn all_closed(&self) {
+    async fn all_closed(&self) {
         while self.count.get() > 0 {
             self.closed.notified().await;
         }
@@ -63,7 +73,7 @@
     ///
     /// One above the limit is dropped, which costs its caller a reconnect; keeping it would
     /// cost every other caller.
-    pub(super) async fn accept_all<F>(
+    async fn accept_all<F>(
         self: &Rc<Self>,
         listener: &TcpListener,
         max_connections: u32,
@@ -88,6 +98,52 @@
     }
 }
 
+/// Accepts until told to stop, then drains.
+///
+/// Order of a planned stop: readiness goes, which `stop_asked` does; the listener stays open
+/// until the balancer has seen that; then it closes, and running requests end, and with them
+/// `others_done`. Each connection is told of the drain by what it is given.
+pub(super) async fn serve_until_drained<F>(
+    listener: TcpListener,
+    callers: &CallerSettings,
+    mut stopped: watch::Receiver<bool>,
+    stop_asked: impl FnOnce(),
+    refused: impl FnMut(),
+    mut serve: impl FnMut(TcpStream, watch::Receiver<bool>) -> F,
+    others_done: impl Future<Output = ()>,
+) where
+    F: Future<Output = ()> + 'static,
+{
+    let open = Rc::new(OpenConnections::default());
+    let (drain, draining) = watch::channel(false);
+    let notice = async {
+        // An error means that the process has dropped the sender: stop as well.
+        let _ = stopped.wait_for(|stop| *stop).await;
+        stop_asked();
+        LogEvent::Draining {}.emit();
+        sleep(Duration::from_millis(callers.drain_notice_ms)).await;
+    };
+    let accepting = open.accept_all(&listener, callers.max_connections, refused, |stream| {
+        serve(stream, draining.clone())
+    });
+    tokio::select! {
+        () = accepting => {}
+        () = notice => {}
+    }
+    drop(listener);
+    let _ = drain.send(true);
+    let limit = Duration::from_millis(callers.drain_timeout_ms);
+    let all_done = async {
+        open.all_closed().await;
+        others_done.await;
+    };
+    if timeout(limit, all_done).await.is_err() {
+        let connections = open.count();
+        LogEvent::CutOff { connections }.emit();
+    }
+    LogEvent::Drained {}.emit();
+}
+
 /// Waits for the next connection, however often accepting fails.
 pub(super) async fn accept(listener: &TcpListener) -> TcpStream {
     loop {
--- a/entry/src/serve/listener.rs
+++ b/entry/src/serve/listener.rs
@@ -26,20 +26,16 @@
         TcpStream, //
     },
     sync::watch,
-    time::{
-        sleep,
-        timeout, //
-    },
+    time::sleep,
 };
 
 use super::{
     caller_stream::CallerStream,
     connections::{
-        OpenConnections,
-        header_buffer, //
+        header_buffer,
+        serve_until_drained, //
     },
     counts::Serving,
-    events::LogEvent,
     handler,
     server::Server, //
 };
@@ -61,47 +57,22 @@
 }
 
 /// Accepts until told to stop, then drains.
-///
-/// Order of a planned stop: readiness goes; the listener stays open until the
-/// balancer has seen that; then it closes and running requests end.
-pub(super) async fn run(
-    listener: TcpListener,
-    server: Rc<Server>,
-    mut stopped: watch::Receiver<bool>,
-) {
-    let open = Rc::new(OpenConnections::default());
-    let (drain, draining) = watch::channel(false);
+pub(super) async fn run(listener: TcpListener, server: Rc<Server>, stopped: watch::Receiver<bool>) {
     let callers = server.settings.callers.clone();
-    let notice = async {
-        // An error means that the process has dropped the sender: stop as well.
-        let _ = stopped.wait_for(|stop| *stop).await;
-        server.draining.set(true);
-        LogEvent::Draining {}.emit();
-        sleep(Duration::from_millis(callers.drain_notice_ms)).await;
-    };
-    let accepting = open.accept_all(
-        &listener,
-        callers.max_connections,
-        || server.counts.count(Serving::ConnectionsRefused),
-        |stream| serve_connection(stream, Rc::clone(&server), draining.clone()),
-    );
-    tokio::select! {
-        () = accepting => {}
-        () = notice => {}
-    }
-    drop(listener);
-    let _ = drain.send(true);
-    let limit = Duration::from_millis(callers.drain_timeout_ms);
-    let all_done = async {
-        open.all_closed().await;
+    let others_done = async {
         server.detached.all_ended().await;
         server.claims.all_recorded().await;
     };
-    if timeout(limit, all_done).await.is_err() {
-        let connections = open.count();
-        LogEvent::CutOff { connections }.emit();
-    }
-    LogEvent::Drained {}.emit();
+    serve_until_drained(
+        listener,
+        &callers,
+        stopped,
+        || server.draining.set(true),
+        || server.counts.count(Serving::ConnectionsRefused),
+        |stream, draining| serve_connection(stream, Rc::clone(&server), draining),
+        others_done,
+    )
+    .await;
 }
 
 async fn serve_connection(
--- a/entry/src/serve/routed/listener.rs
+++ b/entry/src/serve/routed/listener.rs
@@ -21,19 +21,15 @@
         TcpStream, //
     },
     sync::watch,
-    time::{
-        sleep,
-        timeout, //
-    },
 };
 
 use super::{
     super::{
         caller_stream::CallerStream,
         connections::{
-            OpenConnections,
             accept,
-            header_buffer, //
+            header_buffer,
+            serve_until_drained, //
         },
         events::LogEvent, //
     },
@@ -42,10 +38,7 @@
 };
 
 /// Accepts until told to stop, then drains.
-///
-/// Order of a planned stop: readiness goes; the listener stays open until the balancer
-/// has seen that; then it closes and running requests end.
-pub(super) async fn run(mut setup: RoutedSetup, mut stopped: watch::Receiver<bool>) {
+pub(super) async fn run(mut setup: RoutedSetup, stopped: watch::Receiver<bool>) {
     let ready_listener = setup.ready_listener.take();
     let listener = match setup.listener.try_clone() {
         Ok(listener) => TcpListener::from_std(listener),
@@ -67,34 +60,17 @@
     if let Some(Ok(ready)) = ready_listener.map(TcpListener::from_std) {
         tokio::task::spawn_local(answer_balancer(ready, Rc::clone(&server)));
     }
-    let open = Rc::new(OpenConnections::default());
-    let (drain, draining) = watch::channel(false);
     let callers = server.settings.callers.clone();
-    let notice = async {
-        // An error means that the process has dropped the sender: stop as well.
-        let _ = stopped.wait_for(|stop| *stop).await;
-        server.draining.set(true);
-        LogEvent::Draining {}.emit();
-        sleep(Duration::from_millis(callers.drain_notice_ms)).await;
-    };
-    let accepting = open.accept_all(
-        &listener,
-        callers.max_connections,
+    serve_until_drained(
+        listener,
+        &callers,
+        stopped,
+        || server.draining.set(true),
         || {},
-        |stream| converse(stream, Rc::clone(&server), draining.clone()),
-    );
-    tokio::select! {
-        () = accepting => {}
-        () = notice => {}
-    }
-    drop(listener);
-    let _ = drain.send(true);
-    let limit = Duration::from_millis(callers.drain_timeout_ms);
-    if timeout(limit, open.all_closed()).await.is_err() {
-        let connections = open.count();
-        LogEvent::CutOff { connections }.emit();
-    }
-    LogEvent::Drained {}.emit();
+        |stream, draining| converse(stream, Rc::clone(&server), draining),
+        async {},
+    )
+    .await;
 }
 
 async fn converse(stream: TcpStream, server: Rc<Server>, mut draining: watch::Receiver<bool>) {
