--- a/daemon/src/peers/mod.rs
+++ b/daemon/src/peers/mod.rs
@@ -137,7 +137,7 @@
     /// connection to it is made anew.
     pub fn know(&self, peer: &DaemonId, address: Address) {
         let mut links = lock(&self.links);
-        if !links.get(peer).is_some_and(|link| link.address == address) {
+        if links.get(peer).is_none_or(|link| link.address != address) {
             self.connect(&mut links, peer, address, true);
         }
     }
