grouping: engines are known by the model they ran last; the store's loads in order of use

Cause: an engine tells its model only while it is in a group. Loads went out domain by domain in order of name, so the few places of the store filled up with hosts that had no partners. Change: the registry keeps a run's last model; groups nobody names the model of are taken over; loads that complete a group go first over all domains, by engines brought back for the store's time.

--- a/lib/src/grouping/leader/mod.rs
+++ b/lib/src/grouping/leader/mod.rs
@@ -502,9 +502,14 @@
     reports.sort_by_key(|(_, standing)| standing.rank);
     let (known, first) = reports.first()?;
     let service = known.registration.service.clone();
-    let engine = known.registration.engine.as_ref()?;
-    let model = engine.model.clone()?;
     let traits = view.table.engine(&service)?;
+    // A member that gets ready tells no model, nor does a head that was lost before it was
+    // ready. Its group is taken over all the same, or its other members would wait for ever.
+    let told = reports.iter().find_map(|(known, _)| {
+        let engine = known.registration.engine.as_ref()?;
+        engine.model.clone()
+    });
+    let model = told.or_else(|| Some(traits.models.first()?.name.clone()))?;
     let size = traits.model(&model)?.size;
     let phase = match first.state {
         _ if first.rank != 0 => Phase::Breaking,
--- a/lib/src/grouping/leader/placing.rs
+++ b/lib/src/grouping/leader/placing.rs
@@ -22,6 +22,10 @@
         Phase,
         Silence, //
     },
+    loading::{
+        NeededModel,
+        next_loads, //
+    },
     order::{
         Order,
         OrderKind, //
@@ -29,8 +33,7 @@
     placement::{
         FreeEngine,
         NewGroup,
-        best_members,
-        next_loads, //
+        best_members, //
     },
 };
 use super::{
@@ -345,7 +348,7 @@
         }
     }
 
-    /// Returns what free engines should load: first the model that is shortest.
+    /// Returns what free engines should load.
     ///
     /// A group is only joined by engines that have its model at hand; if one of them had to
     /// load it, all others would idle until it has.
@@ -359,22 +362,25 @@
             return Vec::new();
         };
         let has = self.engines_by_model(service, traits);
-        let supply = |model: &ModelTraits| {
+        let shares = shares(service, traits, view.demand);
+        let need = |model: &ModelTraits| {
             let engines = has.get(&model.name).copied().unwrap_or(0.0);
-            engines / model.share.max(0.01)
+            let share = shares.get(&model.name).copied().unwrap_or(model.share);
+            share / engines.max(1.0)
         };
-        let mut shortest_first: Vec<&ModelTraits> = traits.models.iter().collect();
-        shortest_first.sort_by(|a, b| supply(a).total_cmp(&supply(b)));
+        let models = traits.models.iter().map(|model| NeededModel {
+            model,
+            need: need(model),
+        });
+        let models: Vec<NeededModel<'_>> = models.collect();
         let domains = self.free_by_domain(service, view);
         let is_loading = |engine: &FreeEngine, model: &ModelName| {
             let staging = self.staging.get(&engine.id);
             staging.is_some_and(|(loading, _)| loading == model)
         };
-        let domains = domains.values();
-        let loads =
-            domains.flat_map(|free| next_loads(free, &shortest_first, is_loading, view.now));
+        let loads = next_loads(&domains, &models, is_loading, view.now);
         let epoch = self.epoch;
-        let wanted = loads.map(|(engine, model)| Load {
+        let wanted = loads.into_iter().map(|(engine, model)| Load {
             to: engine.id,
             address: engine.address,
             group: no_group.clone(),
@@ -514,7 +520,7 @@
                 fabric_domain,
                 failure_domain: registration.failure_domain.clone(),
                 staged: engine.staged.clone(),
-                last_model: engine.model.clone(),
+                last_model: engine.last_model.clone(),
                 free_since: since,
             });
         }
--- /dev/null
+++ b/lib/src/grouping/loading.rs
@@ -0,0 +1,139 @@
+//! Which weights the store's few places carry next.
+//!
+//! The store loads at one rate however many loads run beside each other, so after many losses
+//! the engines that idle wait for it. Which loads go first decides how many serve: one load
+//! that completes a group of four brings three waiting engines back with it, while one onto a
+//! host whose domain has no partners brings back nothing for now.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    prelude::*,
+    routes::ModelTraits, //
+};
+
+use super::placement::FreeEngine;
+
+/// A model and how much one more engine of it is worth.
+#[derive(Clone, Copy, Debug)]
+pub struct NeededModel<'a> {
+    /// The model.
+    pub model: &'a ModelTraits,
+    /// What an engine of it is worth: the inverse of how well the model is supplied.
+    pub need: f64,
+}
+
+/// A group that a domain's free engines make once some of them have loaded its model.
+struct Completion {
+    loads: Vec<(FreeEngine, ModelName)>,
+    /// Engines that come into use for each second of the store's time, weighed by need.
+    gain: f64,
+}
+
+/// Returns which free engines should load which model onto their hosts, the best first.
+///
+/// First come loads that complete a group, the one that brings back most engines for the
+/// store's time first, then those onto empty hosts that are left over, so that they are of
+/// use when others become free. Over 24 paired days of losses, half of them in domains of
+/// ten engines, the worth rose by the figures in docs/design/decisions_under_load.md.
+pub fn next_loads(
+    domains: &BTreeMap<FabricDomain, Vec<FreeEngine>>,
+    models: &[NeededModel<'_>],
+    is_loading: impl Fn(&FreeEngine, &ModelName) -> bool,
+    now: Timestamp,
+) -> Vec<(FreeEngine, ModelName)> {
+    let mut completions: Vec<Completion> = Vec::new();
+    let mut left_over: Vec<(FreeEngine, ModelName)> = Vec::new();
+    for free in domains.values() {
+        let mut pool: Vec<&FreeEngine> = free.iter().collect();
+        while let Some(completion) = best_completion(&mut pool, models, &is_loading, now) {
+            completions.push(completion);
+        }
+        left_over.extend(
+            pool.into_iter()
+                .filter_map(|engine| onto_empty(engine, models)),
+        );
+    }
+    completions.sort_by(|a, b| b.gain.total_cmp(&a.gain));
+    let loads = completions
+        .into_iter()
+        .flat_map(|completion| completion.loads);
+    loads.chain(left_over).collect()
+}
+
+/// Takes the engines of the group that gains most out of the pool.
+///
+/// A group that has all it needs, or is loading it, gains most: it costs the store nothing more.
+fn best_completion(
+    pool: &mut Vec<&FreeEngine>,
+    models: &[NeededModel<'_>],
+    is_loading: &impl Fn(&FreeEngine, &ModelName) -> bool,
+    now: Timestamp,
+) -> Option<Completion> {
+    let found = models.iter().filter_map(|needed| {
+        let (members, loads) = members_of(pool, needed.model, is_loading, now)?;
+        let size = f64::from(needed.model.size);
+        let store_ms = needed.model.load_ms.max(1.0) * loads as f64;
+        let gain = match loads {
+            0 => f64::INFINITY,
+            _ => needed.need * size / store_ms,
+        };
+        Some((gain, needed, members))
+    });
+    let (gain, needed, members) = found.max_by(|a, b| a.0.total_cmp(&b.0))?;
+    let name = &needed.model.name;
+    let lacking = members
+        .iter()
+        .filter(|engine| !has(engine, name, is_loading));
+    let loads = lacking.map(|engine| ((*engine).clone(), name.clone()));
+    let completion = Completion {
+        loads: loads.collect(),
+        gain,
+    };
+    pool.retain(|engine| !members.iter().any(|member| member.id == engine.id));
+    Some(completion)
+}
+
+/// Returns the engines that make a group of a model with the fewest loads, and how many load.
+fn members_of<'a>(
+    pool: &[&'a FreeEngine],
+    model: &ModelTraits,
+    is_loading: &impl Fn(&FreeEngine, &ModelName) -> bool,
+    now: Timestamp,
+) -> Option<(Vec<&'a FreeEngine>, usize)> {
+    let size = model.size as usize;
+    let lacks = |engine: &&FreeEngine| !has(engine, &model.name, is_loading);
+    let usable = |engine: &&FreeEngine| !lacks(engine) || engine.may_give_up_host(now);
+    let mut members: Vec<&FreeEngine> = pool.iter().copied().filter(usable).collect();
+    members.sort_by_key(|engine| (lacks(engine), !engine.staged.is_empty(), engine.id.clone()));
+    if size == 0 || members.len() < size {
+        return None;
+    }
+    members.truncate(size);
+    let loads = members
+        .iter()
+        .copied()
+        .filter(|engine| lacks(engine))
+        .count();
+    Some((members, loads))
+}
+
+fn has(
+    engine: &FreeEngine,
+    model: &ModelName,
+    is_loading: &impl Fn(&FreeEngine, &ModelName) -> bool,
+) -> bool {
+    engine.is_quick(model) || is_loading(engine, model)
+}
+
+/// Returns what an engine that is left over loads: the neediest model, if its host is empty.
+fn onto_empty(engine: &FreeEngine, models: &[NeededModel<'_>]) -> Option<(FreeEngine, ModelName)> {
+    if !engine.staged.is_empty() {
+        return None;
+    }
+    let lacking = models
+        .iter()
+        .filter(|needed| !engine.is_quick(&needed.model.name));
+    let neediest = lacking.max_by(|a, b| a.need.total_cmp(&b.need))?;
+    Some((engine.clone(), neediest.model.name.clone()))
+}
--- a/lib/src/grouping/mod.rs
+++ b/lib/src/grouping/mod.rs
@@ -21,6 +21,7 @@
 mod doubts;
 mod group;
 mod leader;
+mod loading;
 mod order;
 mod placement;
 
@@ -40,6 +41,10 @@
     GroupingSettings,
     GroupingView, //
 };
+pub use loading::{
+    NeededModel,
+    next_loads, //
+};
 pub use order::{
     CloseMode,
     Order,
@@ -49,6 +54,5 @@
 pub use placement::{
     FreeEngine,
     NewGroup,
-    best_members,
-    next_loads, //
+    best_members, //
 };
--- a/lib/src/grouping/placement.rs
+++ b/lib/src/grouping/placement.rs
@@ -38,7 +38,7 @@
     }
 
     /// Returns whether what its host keeps may be given up for another model.
-    fn may_give_up_host(&self, now: Timestamp) -> bool {
+    pub(super) fn may_give_up_host(&self, now: Timestamp) -> bool {
         let ran_it = |staged: &ModelName| self.last_model.as_ref() == Some(staged);
         self.staged.iter().all(ran_it) || now.since(self.free_since) >= WAITS_FOR_PARTNERS
     }
@@ -85,39 +85,3 @@
         members: engines.into_iter().cloned().collect(),
     })
 }
-
-/// Returns which of one domain's free engines should load which model onto their hosts.
-///
-/// The shortest model that the domain's free engines are enough for is completed first.
-/// Engines with an empty host that are left over load the shortest model that they lack, so
-/// that they are of use when others become free.
-pub fn next_loads(
-    free: &[FreeEngine],
-    shortest_first: &[&ModelTraits],
-    is_loading: impl Fn(&FreeEngine, &ModelName) -> bool,
-    now: Timestamp,
-) -> Vec<(FreeEngine, ModelName)> {
-    let mut loads: Vec<(FreeEngine, ModelName)> = Vec::new();
-    let is_enough = |model: &&&ModelTraits| free.len() >= model.size as usize;
-    if let Some(model) = shortest_first.iter().find(is_enough) {
-        let has =
-            |engine: &&FreeEngine| engine.is_quick(&model.name) || is_loading(engine, &model.name);
-        let missing = (model.size as usize).saturating_sub(free.iter().filter(has).count());
-        let mut lacking: Vec<&FreeEngine> = free
-            .iter()
-            .filter(|engine| !has(engine) && engine.may_give_up_host(now))
-            .collect();
-        lacking.sort_by_key(|engine| !engine.staged.is_empty());
-        let chosen = lacking.into_iter().take(missing);
-        loads.extend(chosen.map(|engine| (engine.clone(), model.name.clone())));
-    }
-    for engine in free.iter().filter(|engine| engine.staged.is_empty()) {
-        let is_chosen = loads.iter().any(|(chosen, _)| chosen.id == engine.id);
-        let mut models = shortest_first.iter();
-        let lacks = models.find(|model| !engine.is_quick(&model.name));
-        if let Some(model) = lacks.filter(|_| !is_chosen) {
-            loads.push((engine.clone(), model.name.clone()));
-        }
-    }
-    loads
-}
--- a/lib/src/registry/registration.rs
+++ b/lib/src/registry/registration.rs
@@ -116,8 +116,12 @@
     pub fabric_domain: Option<FabricDomain>,
     /// The models on its host.
     pub staged: Vec<ModelName>,
-    /// The model it runs.
+    /// The model it runs; none while it is in no group.
     pub model: Option<ModelName>,
+    /// The model of the last group that this run was in; it runs that again at once.
+    ///
+    /// Engines tell the model only while they run it, so the registry keeps it.
+    pub last_model: Option<ModelName>,
     /// The group it is in.
     pub group: Option<GroupStanding>,
 }
@@ -127,6 +131,22 @@
     pub fn group(&self) -> Option<&GroupStanding> {
         self.engine.as_ref()?.group.as_ref()
     }
+
+    /// Keeps the last model that an earlier report of the same run told.
+    ///
+    /// Without it the survivors of a broken group, which have just left it, seem to have
+    /// nothing at hand but the other model on their host: they were put into groups of that
+    /// model while their own was short.
+    pub(super) fn keep_last_model(&mut self, earlier: &Self) {
+        let Some(engine) = &mut self.engine else {
+            return;
+        };
+        let earlier = earlier.engine.as_ref();
+        let earlier = earlier.and_then(|engine| engine.last_model.as_ref());
+        if engine.last_model.is_none() {
+            engine.last_model = earlier.cloned();
+        }
+    }
 }
 
 /// An engine's place in a group.
--- a/lib/src/registry/table.rs
+++ b/lib/src/registry/table.rs
@@ -302,10 +302,11 @@
         true => known.registration.state.max(registration.state),
         false => registration.state,
     };
-    let next = Registration {
+    let mut next = Registration {
         state,
         ..registration
     };
+    next.keep_last_model(&known.registration);
     let is_same = Registration {
         sequence: known.registration.sequence,
         ..next.clone()
--- a/lib/tests/test_registry.rs
+++ b/lib/tests/test_registry.rs
@@ -9,6 +9,7 @@
     registry::{
         Alive,
         Ended,
+        EngineStanding,
         Heard,
         InstanceId,
         Registration,
@@ -195,3 +196,38 @@
     assert_eq!(run.to_string().parse(), Ok(run));
     assert!("i-1@soon".parse::<InstanceId>().is_err());
 }
+
+#[test]
+fn an_engine_that_left_its_group_is_known_to_hold_that_groups_model() {
+    // A group loses a member and is taken apart. Its survivors tell no model any more, though
+    // they run theirs again at once; on their hosts is another one. Taken for engines of that
+    // one, they would be put into its groups while the model that lost a group is short.
+    let mut registry = Registry::default();
+    let engine = |sequence, model: Option<&str>| {
+        let mut heard = run("i-1", 100, sequence);
+        let model: Option<ModelName> = model.map(|name| name.parse().unwrap());
+        heard.registration.engine = Some(EngineStanding {
+            last_model: model.clone(),
+            model,
+            ..EngineStanding::default()
+        });
+        heard
+    };
+    let last_model = |registry: &Registry| {
+        let run = registry.run_of(&id("i-1")).unwrap();
+        let engine = registry.get(&run).unwrap().registration.engine.clone();
+        engine.unwrap().last_model
+    };
+    registry.take(engine(1, Some("large")), Timestamp(0));
+
+    registry.take(engine(2, None), Timestamp(10));
+    let kept = last_model(&registry);
+    registry.take(run("i-1", 900, 1), Timestamp(900));
+    let mut anew = engine(2, None);
+    anew.registration.id = id("i-1").born_at(900);
+    registry.take(anew, Timestamp(910));
+
+    assert_eq!(kept, Some("large".parse().unwrap()));
+    // Another run holds nothing of before.
+    assert_eq!(last_model(&registry), None);
+}
