--- a/lib/src/grouping/leader/mod.rs
+++ b/lib/src/grouping/leader/mod.rs
@@ -3,6 +3,7 @@
 mod ordering;
 mod phases;
 mod placing;
+mod staging;
 
 use std::{
     collections::{
--- a/lib/src/grouping/leader/placing.rs
+++ b/lib/src/grouping/leader/placing.rs
@@ -22,14 +22,7 @@
         Phase,
         Silence, //
     },
-    loading::{
-        NeededModel,
-        next_loads, //
-    },
-    order::{
-        Order,
-        OrderKind, //
-    },
+    order::Order,
     placement::{
         FreeEngine,
         NewGroup,
@@ -46,7 +39,6 @@
     standing_of, //
 };
 use crate::{
-    ids::Address,
     prelude::*,
     registry::{
         InstanceId,
@@ -76,22 +68,6 @@
 const LEAST_DEMAND: f64 = 40.0;
 /// How long a domain is kept for the group for which another one is taken apart.
 const RESERVED_FOR: Duration = Duration::from_secs(8);
-/// What stands for the group in an order to an engine that is in none.
-const NO_GROUP: &str = "none";
-/// After this time an engine that was told to stage a model is told again.
-const STAGING_FORGOTTEN: Duration = Duration::from_secs(60);
-/// The span over which starts of loads are counted.
-const LOAD_WINDOW: Duration = Duration::from_secs(5);
-
-/// A load onto an engine's host that would be of use.
-struct Load {
-    to: InstanceId,
-    address: Address,
-    /// The group that it is in.
-    group: GroupId,
-    epoch: u64,
-    model: ModelName,
-}
 
 impl Grouping {
     /// Forms new groups, and takes apart those whose engines are needed more elsewhere.
@@ -256,7 +232,7 @@
         domains
     }
 
-    fn free_by_domain(
+    pub(super) fn free_by_domain(
         &mut self,
         service: &ServiceName,
         view: GroupingView<'_>,
@@ -269,12 +245,15 @@
         domains
     }
 
-    fn open_groups_of(&self, service: &ServiceName) -> impl Iterator<Item = (&GroupId, &Group)> {
+    pub(super) fn open_groups_of(
+        &self,
+        service: &ServiceName,
+    ) -> impl Iterator<Item = (&GroupId, &Group)> {
         let groups = self.groups.iter();
         groups.filter(move |(_, group)| group.service == *service && group.phase == Phase::Open)
     }
 
-    fn engines_by_model(
+    pub(super) fn engines_by_model(
         &self,
         service: &ServiceName,
         traits: &EngineTraits,
@@ -295,137 +274,6 @@
         engines
     }
 
-    /// Has the hosts keep another model than the one they run.
-    ///
-    /// An engine runs the model of its last group again within a moment, and one that is
-    /// on its host within a second or two. With the other model on the host it can serve
-    /// either, and a group that lost a member is made whole from any engine at hand.
-    fn stage(
-        &mut self,
-        service: &ServiceName,
-        traits: &EngineTraits,
-        view: GroupingView<'_>,
-        orders: &mut Vec<Order>,
-    ) {
-        let now = view.now;
-        self.staging.retain(|id, (model, at)| {
-            let known = view.registry.get(id);
-            let engine = known.and_then(|known| known.registration.engine.as_ref());
-            let is_done = engine.is_none_or(|engine| engine.staged.contains(model));
-            !is_done && now.since(*at) < STAGING_FORGOTTEN
-        });
-        // Loads beside each other are slower in proportion. Engines that idle go first; what
-        // members of open groups load for later leaves half of the places to them.
-        let at_once = traits.loads_at_once.max(1);
-        let free = self.stages_of_free(service, traits, view);
-        let members = self.stages_of_members(service, traits, view);
-        let free = free.into_iter().map(|wanted| (wanted, at_once));
-        let members = members
-            .into_iter()
-            .map(|wanted| (wanted, at_once.div_ceil(2)));
-        for (load, limit) in free.chain(members) {
-            if self.staging.contains_key(&load.to) {
-                continue;
-            }
-            let under_way = self.staging.len() as u32;
-            let has_room = under_way < limit && self.load_room(traits, now) > 0;
-            if !view.is_prelude && !has_room {
-                return;
-            }
-            if !view.is_prelude {
-                self.loads.push_back(now);
-            }
-            self.staging
-                .insert(load.to.clone(), (load.model.clone(), now));
-            orders.push(Order {
-                to: load.to,
-                address: load.address,
-                group: load.group,
-                epoch: load.epoch,
-                kind: OrderKind::Stage { model: load.model },
-                expected_orders: None,
-            });
-        }
-    }
-
-    /// Returns what free engines should load.
-    ///
-    /// A group is only joined by engines that have its model at hand; if one of them had to
-    /// load it, all others would idle until it has.
-    fn stages_of_free(
-        &mut self,
-        service: &ServiceName,
-        traits: &EngineTraits,
-        view: GroupingView<'_>,
-    ) -> Vec<Load> {
-        let Ok(no_group) = NO_GROUP.parse::<GroupId>() else {
-            return Vec::new();
-        };
-        let has = self.engines_by_model(service, traits);
-        let shares = shares(service, traits, view.demand);
-        let need = |model: &ModelTraits| {
-            let engines = has.get(&model.name).copied().unwrap_or(0.0);
-            let share = shares.get(&model.name).copied().unwrap_or(model.share);
-            share / engines.max(1.0)
-        };
-        let models = traits.models.iter().map(|model| NeededModel {
-            model,
-            need: need(model),
-        });
-        let models: Vec<NeededModel<'_>> = models.collect();
-        let domains = self.free_by_domain(service, view);
-        let is_loading = |engine: &FreeEngine, model: &ModelName| {
-            let staging = self.staging.get(&engine.id);
-            staging.is_some_and(|(loading, _)| loading == model)
-        };
-        let loads = next_loads(&domains, &models, is_loading, view.now);
-        let epoch = self.epoch;
-        let wanted = loads.into_iter().map(|(engine, model)| Load {
-            to: engine.id,
-            address: engine.address,
-            group: no_group.clone(),
-            epoch,
-            model,
-        });
-        wanted.collect()
-    }
-
-    /// Returns what members of open groups should load beside their work: the other model.
-    fn stages_of_members(
-        &self,
-        service: &ServiceName,
-        traits: &EngineTraits,
-        view: GroupingView<'_>,
-    ) -> Vec<Load> {
-        let mut wanted = Vec::new();
-        for (id, group) in self.open_groups_of(service) {
-            let others = traits
-                .models
-                .iter()
-                .filter(|model| model.name != group.model);
-            let Some(other) = others.max_by(|a, b| a.share.total_cmp(&b.share)) else {
-                continue;
-            };
-            for member in &group.members {
-                let Some(known) = view.registry.get(&member.id) else {
-                    continue;
-                };
-                let engine = known.registration.engine.as_ref();
-                let has_it = engine.is_some_and(|engine| engine.staged.contains(&other.name));
-                if !has_it && known.is_ready() {
-                    wanted.push(Load {
-                        to: member.id.clone(),
-                        address: member.address,
-                        group: id.clone(),
-                        epoch: group.epoch,
-                        model: other.name.clone(),
-                    });
-                }
-            }
-        }
-        wanted
-    }
-
     fn form(
         &mut self,
         service: &ServiceName,
@@ -463,22 +311,6 @@
         self.groups.insert(id, group);
     }
 
-    /// Returns how many loads may start now.
-    fn load_room(&mut self, traits: &EngineTraits, now: Timestamp) -> u32 {
-        if traits.loads_per_s <= 0.0 {
-            return u32::MAX;
-        }
-        while self
-            .loads
-            .front()
-            .is_some_and(|at| now.since(*at) >= LOAD_WINDOW)
-        {
-            self.loads.pop_front();
-        }
-        let limit = (traits.loads_per_s * LOAD_WINDOW.as_secs_f64()).floor() as usize;
-        u32::try_from(limit.saturating_sub(self.loads.len())).unwrap_or(u32::MAX)
-    }
-
     fn free_engines(&mut self, service: &ServiceName, view: GroupingView<'_>) -> Vec<FreeEngine> {
         let taken: BTreeSet<&InstanceId> = self
             .groups
@@ -557,7 +389,7 @@
 /// Requests gather where engines are short, so what a model has at hand, times the size
 /// of its groups, tells its part. The shares at the start are what is known before any
 /// load; they keep half of the weight, so that a short burst does not turn everything.
-fn shares(
+pub(super) fn shares(
     service: &ServiceName,
     traits: &EngineTraits,
     demand: &BTreeMap<(ServiceName, ModelName), f64>,
