--- a/control/src/members/events.rs
+++ b/control/src/members/events.rs
@@ -61,7 +61,8 @@
     } "group moved on";
     /// A change of groups was chosen; the text holds what was weighed.
     1617 Info GroupsWeighed { decision: String } "groups weighed";
-    /// Where all engines stand, by fabric domain; every five seconds while this daemon leads.
+    /// Where all engines stand, by fabric domain, and what the free ones have at hand; every
+    /// five seconds while this daemon leads.
     1618 Info GroupsStand { engines: String } "groups stand";
     /// A change of the set of voters is proposed, because of who is there.
     1615 Info VotersWanted { voters: String } "voters to change";
