--- a/entry/src/members/events.rs
+++ b/entry/src/members/events.rs
@@ -13,11 +13,15 @@
     1404 Info RoutesCertain { version: u64, by: cicadabend::prelude::DaemonId } "routes are the newest";
     /// Reports of upstreams come from this control daemon from now on.
     1405 Info SourceChanged { daemon: String } "source of reports changed";
-    /// A head takes requests, or no longer; why says what decided it.
+    /// A replica takes requests, or no longer; why says what decided it, by the report with
+    /// this sequence number, and how long ago any daemon heard the upstream last.
     1406 Info ReplicaChanged {
         instance: cicadabend::registry::InstanceId,
         service: cicadabend::prelude::ServiceName,
         address: cicadabend::ids::Address,
         change: &'static str,
+        why: &'static str,
+        sequence: u64,
+        silent_ms: u128,
     } "replica changed";
 }
--- a/entry/src/members/mod.rs
+++ b/entry/src/members/mod.rs
@@ -3,6 +3,7 @@
 //! Control daemons send the table of routes and what upstreams report. The thread puts
 //! both into one [`RoutedView`], which the serving thread reads.
 
+mod changes;
 mod demand;
 mod events;
 mod thread;
--- a/entry/src/members/thread.rs
+++ b/entry/src/members/thread.rs
@@ -53,6 +53,7 @@
 };
 
 use super::{
+    changes,
     demand::Demand,
     events::LogEvent,
     view::{
@@ -330,7 +331,7 @@
         let fresh = replicas(&self.registry, self.routes.as_deref(), now);
         let is_same = *before.replicas == fresh;
         if !is_same {
-            log_changes(&before, &fresh);
+            changes::log(&before.replicas, &fresh, &self.registry, now);
         }
         let replicas = match is_same {
             true => Arc::clone(&before.replicas),
@@ -346,46 +347,6 @@
     }
 }
 
-fn log_changes(before: &RoutedView, fresh: &BTreeMap<ServiceName, Vec<super::RoutedReplica>>) {
-    let all = |view: &BTreeMap<ServiceName, Vec<super::RoutedReplica>>| {
-        let replicas = view.iter().flat_map(|(service, replicas)| {
-            let service = service.clone();
-            replicas.iter().map(move |replica| {
-                let key = (replica.id.clone(), replica.is_suspect);
-                (key, (service.clone(), replica.address))
-            })
-        });
-        replicas.collect::<BTreeMap<_, _>>()
-    };
-    let (old, new) = (all(&before.replicas), all(fresh));
-    for ((instance, is_suspect), (service, address)) in &new {
-        if !old.contains_key(&(instance.clone(), *is_suspect)) {
-            LogEvent::ReplicaChanged {
-                instance: instance.clone(),
-                service: service.clone(),
-                address: *address,
-                change: match is_suspect {
-                    true => "suspect",
-                    false => "usable",
-                },
-            }
-            .emit();
-        }
-    }
-    for ((instance, _), (service, address)) in &old {
-        let is_left = |suspect| new.contains_key(&(instance.clone(), suspect));
-        if !is_left(true) && !is_left(false) {
-            LogEvent::ReplicaChanged {
-                instance: instance.clone(),
-                service: service.clone(),
-                address: *address,
-                change: "out",
-            }
-            .emit();
-        }
-    }
-}
-
 /// Returns this daemon as others are told of it.
 pub(crate) fn me(
     daemon: DaemonId,
