discovery: the daemons' parts in sharing upstreams' reports stand in the library

Moved out of the threads of the control and the entry daemon, which now only do what the parts ask for, so that a fault of who hears whom can be brought about without processes. New besides: CB1407, a control daemon has fallen silent.

--- a/control/src/members/mod.rs
+++ b/control/src/members/mod.rs
@@ -5,9 +5,9 @@
 //! after a restart it is learned anew within a second or two. What must not be forgotten
 //! stands in the replicated log, and a new leader's orders carry its term.
 
+mod demand;
 mod events;
 mod leading;
-mod news;
 mod thread;
 
 use std::{
--- a/entry/src/members/events.rs
+++ b/entry/src/members/events.rs
@@ -11,7 +11,7 @@
     1403 Warn RoutesUncertain { version: u64 } "routes may be old";
     /// A control daemon confirms that the routes in force are the newest.
     1404 Info RoutesCertain { version: u64, by: cicadabend::prelude::DaemonId } "routes are the newest";
-    /// Reports of upstreams come from this control daemon from now on.
+    /// Reports of upstreams come from these control daemons from now on.
     1405 Info SourceChanged { daemon: String } "source of reports changed";
     /// A replica takes requests, or no longer; why says what decided it, by the report with
     /// this sequence number, and how long ago any daemon heard the upstream last.
@@ -24,4 +24,9 @@
         sequence: u64,
         silent_ms: u128,
     } "replica changed";
+    /// A control daemon was not heard for longer than the limit.
+    1407 Warn ControlSilent {
+        daemon: cicadabend::prelude::DaemonId,
+        silent_ms: u128,
+    } "control daemon silent";
 }
--- a/entry/src/members/thread.rs
+++ b/entry/src/members/thread.rs
@@ -14,24 +14,20 @@
 
 use arc_swap::ArcSwap;
 use cicadabend::{
+    discovery::{
+        Action,
+        EntryDiscovery,
+        EntryStatus,
+        Learnt, //
+    },
     peer_api::{
         DaemonRole,
-        Hello,
         MemberAddress,
         PeerMessage,
-        RosterNews,
-        UpstreamNews, //
+        RosterNews, //
     },
     prelude::*,
-    registry::{
-        Heard,
-        InstanceId,
-        Registry, //
-    },
-    roster::{
-        Members,
-        MembersSettings, //
-    },
+    registry::InstanceId,
     routes::{
         RouteIndex,
         RouteTable,
@@ -64,8 +60,6 @@
 
 /// How often the view is made anew although nothing has come: silence changes it, too.
 const TICK: Duration = Duration::from_millis(200);
-/// The longest pause between greetings while this daemon has no routes or nobody to ask.
-const HELLO_WHILE_LOST: Duration = TICK;
 /// How long a control daemon's word that the routes are the newest holds.
 const CERTAIN_FOR: Duration = Duration::from_millis(1_400);
 /// For how long a head that stands still is told of.
@@ -90,18 +84,12 @@
 /// The duty of the thread `members`.
 pub(crate) struct MembersThread {
     setup: MembersSetup,
-    members: Members,
-    registry: Registry,
+    discovery: EntryDiscovery,
     routes: Option<Arc<RouteIndex>>,
     certain_until: Timestamp,
     was_certain: bool,
-    wants_all: bool,
-    has_upstreams: bool,
-    entries: u32,
-    source: Option<DaemonId>,
     /// Heads whose streams stand still here, and when that was noticed last.
     stalled: BTreeMap<InstanceId, Timestamp>,
-    hello_due: Timestamp,
 }
 
 impl MembersThread {
@@ -109,17 +97,11 @@
     pub(crate) fn new(setup: MembersSetup) -> Self {
         let seeds = setup.seeds.current().to_vec();
         Self {
-            members: Members::new(setup.me.clone(), seeds, MembersSettings::default()),
-            registry: Registry::default(),
+            discovery: EntryDiscovery::new(setup.me.clone(), seeds, setup.hello_every),
             routes: None,
             certain_until: Timestamp::default(),
             was_certain: false,
-            wants_all: true,
-            has_upstreams: false,
-            entries: 1,
-            source: None,
             stalled: BTreeMap::new(),
-            hello_due: Timestamp::default(),
             setup,
         }
     }
@@ -149,6 +131,7 @@
                     None => break,
                 }
             }
+            self.act();
             self.publish();
         }
     }
@@ -159,7 +142,7 @@
 
     /// Whether callers are refused because nobody has told the routes yet.
     fn is_lost(&self) -> bool {
-        self.routes.is_none() || self.source.is_none()
+        self.routes.is_none() || !self.discovery.has_source()
     }
 
     fn held(&self) -> RouteVersion {
@@ -172,7 +155,7 @@
         let now = self.now();
         let before = self.stalled.insert(id, now);
         if before.is_none_or(|at| now.since(at) >= STALL_TOLD_FOR) {
-            self.hello_due = Timestamp::default();
+            self.discovery.greet_soon();
             self.greet_if_due();
         }
     }
@@ -182,27 +165,16 @@
         match incoming.message {
             PeerMessage::Roster(news) => self.hear_roster(&incoming.from, &news, now),
             PeerMessage::Routes(table) => self.take_routes(&incoming.from, *table),
-            PeerMessage::Upstreams(news) => self.hear_upstreams(*news, now),
+            PeerMessage::Upstreams(news) => self.discovery.hear_upstreams(*news, now),
             // Other kinds are meant for control daemons.
             _ => {}
         }
     }
 
     fn hear_roster(&mut self, from: &DaemonId, news: &RosterNews, now: Timestamp) {
-        let sender = news.controls.iter().find(|member| member.daemon == *from);
-        if let Some(sender) = sender
-            && self.members.heard(sender.clone(), now)
-        {
-            let daemon = from.clone();
-            LogEvent::ControlFound { daemon }.emit();
-            if self.is_lost() {
-                self.hello_due = Timestamp::default();
-            }
-        }
-        self.members.take_roster(news, now);
-        self.entries = news.entries.max(1);
-        for control in &news.controls {
-            self.setup.peers.know(&control.daemon, control.address);
+        let is_found = self.discovery.hear_roster(from, news, now);
+        if is_found && self.is_lost() {
+            self.discovery.greet_soon();
         }
         self.greet_if_due();
         if news.is_in_touch && self.routes.is_some() && news.routes <= self.held() {
@@ -237,34 +209,14 @@
         }
         .emit();
         // The sender learns at once that it need not be sent again.
-        self.hello_due = Timestamp::default();
+        self.discovery.greet_soon();
         self.greet_if_due();
     }
 
-    fn hear_upstreams(&mut self, news: UpstreamNews, now: Timestamp) {
-        if news.is_all {
-            self.wants_all = false;
-            self.has_upstreams = true;
-        }
-        for (registration, age_ms) in news.reports {
-            let age = Duration::from_millis(age_ms.into());
-            self.registry.take(Heard { registration, age }, now);
-        }
-        for (alive, age_ms) in news.alive {
-            let age = Duration::from_millis(age_ms.into());
-            if !self.registry.touch(&alive, age, now) {
-                self.wants_all = true;
-            }
-        }
-        for (id, how) in news.ended {
-            self.registry.end(&id, how, now);
-        }
-    }
-
     fn tick(&mut self) {
         let now = self.now();
         self.greet_if_due();
-        self.registry.forget_old(now);
+        self.discovery.tick(now);
         if self.was_certain && now >= self.certain_until {
             self.was_certain = false;
             let version = self.held().0;
@@ -274,64 +226,44 @@
 
     fn greet_if_due(&mut self) {
         let now = self.now();
-        if now < self.hello_due {
+        if !self.discovery.is_greeting_due(now) {
             return;
         }
-        let pause = self.setup.hello_every;
-        self.hello_due = now
-            + match self.is_lost() {
-                true => pause.min(HELLO_WHILE_LOST),
-                false => pause,
-            };
         if let Some(seeds) = self.setup.seeds.changed(now) {
-            self.members.set_seeds(seeds);
-        }
-        for daemon in self.members.forget_old(now) {
-            self.setup.peers.forget(&daemon);
+            self.discovery.set_seeds(seeds);
         }
-        self.choose_source(now);
         self.stalled.retain(|_, at| now.since(*at) < STALL_TOLD_FOR);
-        let stalled: Vec<InstanceId> = self.stalled.keys().cloned().collect();
-        let demand = self.setup.demand.read();
-        for (daemon, address) in self.members.to_greet() {
-            let hello = Hello {
-                member: self.setup.me.clone(),
-                routes: self.held(),
-                subscribes: self.source.as_ref() == Some(&daemon),
-                wants_all: self.wants_all,
-                has_served: self.setup.has_served.load(Ordering::Relaxed),
-                demand: demand.clone(),
-                stalled: stalled.clone(),
-            };
-            self.setup.peers.know(&daemon, address);
-            let message = PeerMessage::Hello(Box::new(hello));
-            self.setup.peers.send(&daemon, message);
-        }
+        let status = EntryStatus {
+            routes: self.routes.as_ref().map(|routes| routes.version()),
+            has_served: self.setup.has_served.load(Ordering::Relaxed),
+            demand: self.setup.demand.read(),
+            stalled: self.stalled.keys().cloned().collect(),
+        };
+        self.discovery.greet(status, now);
+        self.act();
     }
 
-    fn choose_source(&mut self, now: Timestamp) {
-        let source = self.members.source(now).map(|member| member.daemon.clone());
-        if source == self.source {
-            return;
-        }
-        // What the earlier source was telling when it fell silent may be lost.
-        self.wants_all = true;
-        LogEvent::SourceChanged {
-            daemon: source
-                .as_ref()
-                .map_or("none".to_owned(), DaemonId::to_string),
+    /// Does what discovery asks for.
+    fn act(&mut self) {
+        for action in self.discovery.take_actions() {
+            match action {
+                Action::Know(daemon, address) => self.setup.peers.know(&daemon, address),
+                Action::Forget(daemon) => self.setup.peers.forget(&daemon),
+                Action::Send(to, message) => self.setup.peers.send(&to, message),
+                Action::Log(learnt) => log(learnt),
+                // Only control daemons send tables.
+                Action::SendRoutes(_) => {}
+            }
         }
-        .emit();
-        self.source = source;
     }
 
     fn publish(&mut self) {
         let now = self.now();
         let before = self.setup.view.load();
-        let fresh = replicas(&self.registry, self.routes.as_deref(), now);
+        let fresh = replicas(self.discovery.registry(), self.routes.as_deref(), now);
         let is_same = *before.replicas == fresh;
         if !is_same {
-            changes::log(&before.replicas, &fresh, &self.registry, now);
+            changes::log(&before.replicas, &fresh, self.discovery.registry(), now);
         }
         let replicas = match is_same {
             true => Arc::clone(&before.replicas),
@@ -340,13 +272,33 @@
         self.setup.view.store(Arc::new(RoutedView {
             routes: self.routes.clone(),
             certain_until: self.certain_until,
-            has_upstreams: self.has_upstreams,
+            has_upstreams: self.discovery.has_upstreams(),
             replicas,
-            entries: self.entries,
+            entries: self.discovery.entries(),
         }));
     }
 }
 
+fn log(learnt: Learnt) {
+    match learnt {
+        Learnt::DaemonFound(daemon, _) => LogEvent::ControlFound { daemon }.emit(),
+        Learnt::DaemonSilent(daemon, silence) => {
+            let silent_ms = silence.as_millis();
+            LogEvent::ControlSilent { daemon, silent_ms }.emit();
+        }
+        Learnt::SourcesChanged(sources) => {
+            let names: Vec<String> = sources.iter().map(DaemonId::to_string).collect();
+            let daemon = match names.is_empty() {
+                true => "none".to_owned(),
+                false => names.join(" "),
+            };
+            LogEvent::SourceChanged { daemon }.emit();
+        }
+        // What changes in the registry is logged by the replicas that come of it.
+        Learnt::UpstreamFound(_) | Learnt::UpstreamChanged(_) | Learnt::UpstreamEnded(..) => {}
+    }
+}
+
 /// Returns this daemon as others are told of it.
 pub(crate) fn me(
     daemon: DaemonId,
--- /dev/null
+++ b/lib/src/discovery/control.rs
@@ -0,0 +1,445 @@
+//! A control daemon's part: it takes reports in and passes them on.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    time::Duration,
+};
+
+use super::{
+    action::{
+        Action,
+        Learnt, //
+    },
+    news::{
+        self,
+        Ends,
+        Gathered, //
+    },
+};
+use crate::{
+    ids::Address,
+    peer_api::{
+        DaemonRole,
+        Hello,
+        MemberAddress,
+        PeerMessage,
+        RosterNews,
+        UpstreamNews, //
+    },
+    prelude::*,
+    registry::{
+        Ended,
+        Heard,
+        InstanceId,
+        Registration,
+        Registry,
+        Taken, //
+    },
+    roster::{
+        Members,
+        MembersSettings, //
+    },
+    routes::RouteVersion,
+};
+
+/// How often signs of life are passed on; upstreams report every second or so.
+const ALIVE_EVERY: Duration = Duration::from_millis(300);
+/// How often the ends of runs are told again.
+const ENDS_EVERY: Duration = Duration::from_millis(300);
+/// How long an entry daemon may lack the newest routes before another control daemon
+/// than its own sends them.
+const ROUTES_OVERDUE: Duration = Duration::from_millis(700);
+
+/// What this daemon knows of the replicated table of routes.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct NewestRoutes {
+    /// The newest table it has applied; `None` before the first.
+    pub version: Option<RouteVersion>,
+    /// Whether it is in touch with a leader.
+    pub is_in_touch: bool,
+}
+
+impl NewestRoutes {
+    fn number(self) -> RouteVersion {
+        self.version.unwrap_or_default()
+    }
+}
+
+/// An entry daemon as its hellos show it.
+#[derive(Debug)]
+struct EntryDaemon {
+    routes: RouteVersion,
+    subscribes: bool,
+    heard_at: Timestamp,
+    demand: Vec<(ServiceName, ModelName, u32)>,
+    /// The table that was sent last, and when.
+    sent: Option<(RouteVersion, Timestamp)>,
+    /// Since when it has lacked the newest table.
+    behind_since: Option<Timestamp>,
+}
+
+/// A control daemon's part in discovery.
+#[derive(Debug)]
+pub struct ControlDiscovery {
+    members: Members,
+    hello_every: Duration,
+    registry: Registry,
+    entries: BTreeMap<DaemonId, EntryDaemon>,
+    silent: BTreeSet<DaemonId>,
+    /// Reports that came to this daemon itself, for the other control daemons.
+    own: Gathered,
+    /// All reports, for the entry daemons that get them from here.
+    all: Gathered,
+    ends: Ends,
+    wants_all: bool,
+    /// Whether any caller has been served since the fleet's first start.
+    has_served: bool,
+    alive_due: Timestamp,
+    ends_due: Timestamp,
+    hello_due: Timestamp,
+    actions: Vec<Action>,
+}
+
+impl ControlDiscovery {
+    /// Starts with nothing but seeds.
+    pub fn new(
+        me: MemberAddress,
+        seeds: impl IntoIterator<Item = (DaemonId, Address)>,
+        hello_every: Duration,
+        has_served: bool,
+    ) -> Self {
+        Self {
+            members: Members::new(me, seeds, MembersSettings::default()),
+            hello_every,
+            registry: Registry::default(),
+            entries: BTreeMap::new(),
+            silent: BTreeSet::new(),
+            own: Gathered::default(),
+            all: Gathered::default(),
+            ends: Ends::default(),
+            wants_all: true,
+            has_served,
+            alive_due: Timestamp::default(),
+            ends_due: Timestamp::default(),
+            hello_due: Timestamp::default(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Returns who is there.
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// Returns what is known of upstreams.
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
+    /// Returns whether any caller has been served since the fleet's first start.
+    pub fn has_served(&self) -> bool {
+        self.has_served
+    }
+
+    /// Returns what is to be done; each action is returned once.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Replaces the seeds.
+    pub fn set_seeds(&mut self, seeds: impl IntoIterator<Item = (DaemonId, Address)>) {
+        self.members.set_seeds(seeds);
+    }
+
+    /// Returns how many requests each model has at all entry daemons that are heard.
+    pub fn demand(&self, now: Timestamp) -> BTreeMap<(ServiceName, ModelName), f64> {
+        let limit = MembersSettings::default().silent_limit;
+        let mut sum: BTreeMap<(ServiceName, ModelName), f64> = BTreeMap::new();
+        let entries = self.entries.values();
+        for entry in entries.filter(|entry| now.since(entry.heard_at) <= limit) {
+            for (service, model, requests) in &entry.demand {
+                let key = (service.clone(), model.clone());
+                *sum.entry(key).or_default() += f64::from(*requests);
+            }
+        }
+        sum
+    }
+
+    /// Takes a report that an upstream has sent to this daemon itself.
+    pub fn report(&mut self, registration: Registration, now: Timestamp) {
+        let id = registration.id.clone();
+        match self.take_report(registration, Duration::ZERO, now) {
+            Taken::New | Taken::Changed => self.own.changed(id),
+            Taken::Refreshed => self.own.alive(id),
+            Taken::Stale => {}
+        }
+    }
+
+    /// Takes an upstream's word to this daemon that it leaves; it gives its name only.
+    pub fn leave(&mut self, id: InstanceId, now: Timestamp) {
+        let run = self.registry.run_of(&id).unwrap_or(id);
+        self.end(&run, Ended::Left, now);
+    }
+
+    /// Takes another daemon's sign of life and answers it.
+    pub fn hear_hello(&mut self, hello: Hello, routes: NewestRoutes, now: Timestamp) {
+        let member = hello.member.clone();
+        let daemon = member.daemon.clone();
+        let role = member.role;
+        self.know(&daemon, member.address);
+        if self.members.heard(member, now) {
+            self.silent.remove(&daemon);
+            self.log(Learnt::DaemonFound(daemon.clone(), role));
+        }
+        self.has_served |= hello.has_served;
+        if role == DaemonRole::Entry {
+            self.note_entry(&daemon, &hello, routes, now);
+        }
+        self.send_roster(&daemon, routes, now);
+        if hello.wants_all && (role == DaemonRole::Control || hello.subscribes) {
+            let all = news::all(&self.registry, now);
+            self.send(&daemon, PeerMessage::Upstreams(Box::new(all)));
+        }
+        self.send_routes(&daemon, routes, now);
+    }
+
+    fn note_entry(
+        &mut self,
+        daemon: &DaemonId,
+        hello: &Hello,
+        newest: NewestRoutes,
+        now: Timestamp,
+    ) {
+        let known = self.entries.entry(daemon.clone());
+        let known = known.or_insert(EntryDaemon {
+            routes: hello.routes,
+            subscribes: hello.subscribes,
+            heard_at: now,
+            demand: Vec::new(),
+            sent: None,
+            behind_since: None,
+        });
+        if hello.routes < known.routes {
+            // It has been started anew; what it was sent before is gone.
+            known.sent = None;
+        }
+        known.routes = hello.routes;
+        known.subscribes = hello.subscribes;
+        known.heard_at = now;
+        known.demand.clone_from(&hello.demand);
+        match hello.routes < newest.number() {
+            true => {
+                known.behind_since.get_or_insert(now);
+            }
+            false => known.behind_since = None,
+        }
+    }
+
+    fn send_roster(&mut self, to: &DaemonId, routes: NewestRoutes, now: Timestamp) {
+        let others = self.members.here(DaemonRole::Control, now).cloned();
+        let controls = others.chain([self.members.me().clone()]).collect();
+        let entries = self.members.here(DaemonRole::Entry, now).count();
+        let news = RosterNews {
+            controls,
+            entries: u32::try_from(entries).unwrap_or(u32::MAX),
+            routes: routes.number(),
+            is_in_touch: routes.is_in_touch,
+        };
+        self.send(to, PeerMessage::Roster(Box::new(news)));
+    }
+
+    /// Sends the newest table to an entry daemon that lacks it and is this daemon's to serve.
+    pub fn send_routes(&mut self, daemon: &DaemonId, routes: NewestRoutes, now: Timestamp) {
+        let Some(newest) = routes.version else {
+            return;
+        };
+        let Some(entry) = self.entries.get_mut(daemon) else {
+            return;
+        };
+        if entry.routes >= newest {
+            return;
+        }
+        let overdue = entry.behind_since.map(|since| now.since(since));
+        let is_overdue = overdue.is_some_and(|overdue| overdue >= ROUTES_OVERDUE);
+        if !entry.subscribes && !is_overdue {
+            return;
+        }
+        let is_fresh = entry
+            .sent
+            .is_some_and(|(version, at)| version == newest && now.since(at) < ROUTES_OVERDUE);
+        if is_fresh {
+            return;
+        }
+        entry.sent = Some((newest, now));
+        self.actions.push(Action::SendRoutes(daemon.clone()));
+    }
+
+    /// Takes in whom another control daemon hears.
+    pub fn hear_roster(&mut self, news: &RosterNews, now: Timestamp) {
+        self.members.take_roster(news, now);
+        for control in &news.controls {
+            self.know(&control.daemon, control.address);
+        }
+    }
+
+    /// Takes in what another control daemon was told by upstreams.
+    pub fn hear_upstreams(&mut self, news: UpstreamNews, now: Timestamp) {
+        if news.is_all {
+            self.wants_all = false;
+        }
+        for (registration, age_ms) in news.reports {
+            let age = Duration::from_millis(age_ms.into());
+            self.take_report(registration, age, now);
+        }
+        for (alive, age_ms) in news.alive {
+            let age = Duration::from_millis(age_ms.into());
+            if !self.registry.touch(&alive, age, now) {
+                self.wants_all = true;
+            }
+            self.all.alive(alive.id);
+        }
+        for (id, how) in news.ended {
+            if self.registry.ended(&id).is_none() {
+                self.end(&id, how, now);
+            }
+        }
+    }
+
+    fn take_report(&mut self, registration: Registration, age: Duration, now: Timestamp) -> Taken {
+        let report = registration.clone();
+        let id = registration.id.clone();
+        let ended_before = self.registry.all_ended().count();
+        let taken = self.registry.take(Heard { registration, age }, now);
+        match taken {
+            Taken::New => {
+                self.log(Learnt::UpstreamFound(report));
+                self.all.changed(id);
+            }
+            Taken::Changed => {
+                self.log(Learnt::UpstreamChanged(report));
+                self.all.changed(id);
+            }
+            Taken::Refreshed => self.all.alive(id),
+            Taken::Stale => {}
+        }
+        if self.registry.all_ended().count() > ended_before {
+            for (id, how) in self.registry.all_ended() {
+                self.ends.note(id.clone(), how, now);
+            }
+            self.ends_due = now;
+        }
+        taken
+    }
+
+    fn end(&mut self, id: &InstanceId, how: Ended, now: Timestamp) {
+        if self.registry.end(id, how, now) {
+            self.log(Learnt::UpstreamEnded(id.clone(), how));
+        }
+        self.ends.note(id.clone(), how, now);
+        self.ends_due = now;
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, routes: NewestRoutes, now: Timestamp) {
+        if now >= self.hello_due {
+            self.hello_due = now + self.hello_every;
+            self.greet(routes, now);
+            self.forget_old(now);
+            self.log_silence(now);
+        }
+        self.pass_on(now);
+    }
+
+    fn greet(&mut self, routes: NewestRoutes, _now: Timestamp) {
+        let hello = Hello {
+            member: self.members.me().clone(),
+            routes: routes.number(),
+            subscribes: true,
+            wants_all: self.wants_all,
+            has_served: self.has_served,
+            demand: Vec::new(),
+            stalled: Vec::new(),
+        };
+        for (daemon, address) in self.members.to_greet() {
+            self.know(&daemon, address);
+            self.send(&daemon, PeerMessage::Hello(Box::new(hello.clone())));
+        }
+    }
+
+    fn forget_old(&mut self, now: Timestamp) {
+        for daemon in self.members.forget_old(now) {
+            self.entries.remove(&daemon);
+            self.actions.push(Action::Forget(daemon));
+        }
+        for id in self.registry.forget_old(now) {
+            self.log(Learnt::UpstreamEnded(id, Ended::Silent));
+        }
+    }
+
+    fn log_silence(&mut self, now: Timestamp) {
+        let limit = MembersSettings::default().silent_limit;
+        let daemons: Vec<DaemonId> = self.members.to_greet().into_keys().collect();
+        for daemon in daemons.into_iter().chain(self.entries.keys().cloned()) {
+            let Some(silence) = self.members.silent_for(&daemon, now) else {
+                continue;
+            };
+            if silence > limit && self.silent.insert(daemon.clone()) {
+                let learnt = Learnt::DaemonSilent(daemon, silence);
+                self.actions.push(Action::Log(learnt));
+            }
+        }
+    }
+
+    fn pass_on(&mut self, now: Timestamp) {
+        let with_alive = now >= self.alive_due;
+        if with_alive {
+            self.alive_due = now + ALIVE_EVERY;
+        }
+        let mut ended = Vec::new();
+        if now >= self.ends_due {
+            self.ends_due = now + ENDS_EVERY;
+            ended = self.ends.still_told(now);
+        }
+        let mut own = self.own.take(&self.registry, with_alive, now);
+        own.ended.clone_from(&ended);
+        let mut all = self.all.take(&self.registry, with_alive, now);
+        all.ended = ended;
+        if !news::is_empty(&own) {
+            let controls = self.members.here(DaemonRole::Control, now);
+            let controls: Vec<DaemonId> = controls.map(|member| member.daemon.clone()).collect();
+            for control in controls {
+                self.send(&control, PeerMessage::Upstreams(Box::new(own.clone())));
+            }
+        }
+        if news::is_empty(&all) {
+            return;
+        }
+        for daemon in self.subscribers(now) {
+            self.send(&daemon, PeerMessage::Upstreams(Box::new(all.clone())));
+        }
+    }
+
+    /// Returns the entry daemons that get all reports from here.
+    pub fn subscribers(&self, now: Timestamp) -> Vec<DaemonId> {
+        let limit = MembersSettings::default().silent_limit;
+        let entries = self.entries.iter();
+        let here =
+            entries.filter(|(_, entry)| entry.subscribes && now.since(entry.heard_at) <= limit);
+        here.map(|(daemon, _)| daemon.clone()).collect()
+    }
+
+    fn know(&mut self, daemon: &DaemonId, address: Address) {
+        self.actions.push(Action::Know(daemon.clone(), address));
+    }
+
+    fn send(&mut self, to: &DaemonId, message: PeerMessage) {
+        self.actions.push(Action::Send(to.clone(), message));
+    }
+
+    fn log(&mut self, learnt: Learnt) {
+        self.actions.push(Action::Log(learnt));
+    }
+}
--- /dev/null
+++ b/lib/src/discovery/entry.rs
@@ -0,0 +1,231 @@
+//! An entry daemon's part: it finds control daemons and takes in what they pass on.
+
+use std::{
+    collections::BTreeSet,
+    time::Duration, //
+};
+
+use super::action::{
+    Action,
+    Learnt, //
+};
+use crate::{
+    ids::Address,
+    peer_api::{
+        DaemonRole,
+        Hello,
+        MemberAddress,
+        PeerMessage,
+        RosterNews,
+        UpstreamNews, //
+    },
+    prelude::*,
+    registry::{
+        Heard,
+        InstanceId,
+        Registry, //
+    },
+    roster::{
+        Members,
+        MembersSettings, //
+    },
+    routes::RouteVersion,
+};
+
+/// The longest pause between greetings while this daemon has no routes or nobody to ask.
+const HELLO_WHILE_LOST: Duration = Duration::from_millis(200);
+
+/// What an entry daemon tells of itself when it says hello.
+#[derive(Clone, Debug, Default)]
+pub struct EntryStatus {
+    /// The table of routes in force; `None` until one is known.
+    pub routes: Option<RouteVersion>,
+    /// Whether it has served a caller since its start.
+    pub has_served: bool,
+    /// How many requests each model has.
+    pub demand: Vec<(ServiceName, ModelName, u32)>,
+    /// Heads whose streams stand still.
+    pub stalled: Vec<InstanceId>,
+}
+
+/// An entry daemon's part in discovery.
+#[derive(Debug)]
+pub struct EntryDiscovery {
+    me: MemberAddress,
+    members: Members,
+    hello_every: Duration,
+    registry: Registry,
+    sources: BTreeSet<DaemonId>,
+    wants_all: bool,
+    has_upstreams: bool,
+    entries: u32,
+    silent: BTreeSet<DaemonId>,
+    hello_due: Timestamp,
+    actions: Vec<Action>,
+}
+
+impl EntryDiscovery {
+    /// Starts with nothing but seeds.
+    pub fn new(
+        me: MemberAddress,
+        seeds: impl IntoIterator<Item = (DaemonId, Address)>,
+        hello_every: Duration,
+    ) -> Self {
+        Self {
+            members: Members::new(me.clone(), seeds, MembersSettings::default()),
+            me,
+            hello_every,
+            registry: Registry::default(),
+            sources: BTreeSet::new(),
+            wants_all: true,
+            has_upstreams: false,
+            entries: 1,
+            silent: BTreeSet::new(),
+            hello_due: Timestamp::default(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Returns what is known of upstreams.
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
+    /// Returns whether all reports of upstreams were heard once.
+    pub fn has_upstreams(&self) -> bool {
+        self.has_upstreams
+    }
+
+    /// Returns how many entry daemons there are.
+    pub fn entries(&self) -> u32 {
+        self.entries
+    }
+
+    /// Returns whether some control daemon passes reports on to this daemon.
+    pub fn has_source(&self) -> bool {
+        !self.sources.is_empty()
+    }
+
+    /// Returns what is to be done; each action is returned once.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Replaces the seeds.
+    pub fn set_seeds(&mut self, seeds: impl IntoIterator<Item = (DaemonId, Address)>) {
+        self.members.set_seeds(seeds);
+    }
+
+    /// Says hello at the next opportunity.
+    pub fn greet_soon(&mut self) {
+        self.hello_due = Timestamp::default();
+    }
+
+    /// Returns whether it is time to say hello.
+    pub fn is_greeting_due(&self, now: Timestamp) -> bool {
+        now >= self.hello_due
+    }
+
+    /// Takes a control daemon's answer to a hello; returns whether it had been unknown or
+    /// silent.
+    pub fn hear_roster(&mut self, from: &DaemonId, news: &RosterNews, now: Timestamp) -> bool {
+        let sender = news.controls.iter().find(|member| member.daemon == *from);
+        let is_found = sender.is_some_and(|sender| self.members.heard(sender.clone(), now));
+        if is_found {
+            self.silent.remove(from);
+            let learnt = Learnt::DaemonFound(from.clone(), DaemonRole::Control);
+            self.actions.push(Action::Log(learnt));
+        }
+        self.members.take_roster(news, now);
+        self.entries = news.entries.max(1);
+        for control in &news.controls {
+            let known = Action::Know(control.daemon.clone(), control.address);
+            self.actions.push(known);
+        }
+        is_found
+    }
+
+    /// Takes in what a control daemon passes on.
+    pub fn hear_upstreams(&mut self, news: UpstreamNews, now: Timestamp) {
+        if news.is_all {
+            self.wants_all = false;
+            self.has_upstreams = true;
+        }
+        for (registration, age_ms) in news.reports {
+            let age = Duration::from_millis(age_ms.into());
+            self.registry.take(Heard { registration, age }, now);
+        }
+        for (alive, age_ms) in news.alive {
+            let age = Duration::from_millis(age_ms.into());
+            if !self.registry.touch(&alive, age, now) {
+                self.wants_all = true;
+            }
+        }
+        for (id, how) in news.ended {
+            self.registry.end(&id, how, now);
+        }
+    }
+
+    /// Drops what is too old to matter, and logs who has fallen silent.
+    pub fn tick(&mut self, now: Timestamp) {
+        self.registry.forget_old(now);
+        self.log_silence(now);
+    }
+
+    fn log_silence(&mut self, now: Timestamp) {
+        let limit = MembersSettings::default().silent_limit;
+        for daemon in self.members.to_greet().into_keys() {
+            let Some(silence) = self.members.silent_for(&daemon, now) else {
+                continue;
+            };
+            if silence > limit && self.silent.insert(daemon.clone()) {
+                let learnt = Learnt::DaemonSilent(daemon, silence);
+                self.actions.push(Action::Log(learnt));
+            }
+        }
+    }
+
+    /// Says hello to all control daemons, after choosing whom to get reports from.
+    pub fn greet(&mut self, status: EntryStatus, now: Timestamp) {
+        let is_lost = status.routes.is_none() || self.sources.is_empty();
+        let pause = match is_lost {
+            true => self.hello_every.min(HELLO_WHILE_LOST),
+            false => self.hello_every,
+        };
+        self.hello_due = now + pause;
+        self.choose_sources(now);
+        for daemon in self.members.forget_old(now) {
+            self.actions.push(Action::Forget(daemon));
+        }
+        for (daemon, address) in self.members.to_greet() {
+            let hello = Hello {
+                member: self.me.clone(),
+                routes: status.routes.unwrap_or_default(),
+                subscribes: self.sources.contains(&daemon),
+                wants_all: self.wants_all,
+                has_served: status.has_served,
+                demand: status.demand.clone(),
+                stalled: status.stalled.clone(),
+            };
+            self.actions.push(Action::Know(daemon.clone(), address));
+            let message = PeerMessage::Hello(Box::new(hello));
+            self.actions.push(Action::Send(daemon, message));
+        }
+    }
+
+    fn choose_sources(&mut self, now: Timestamp) {
+        let source = self.members.source(now);
+        let sources: BTreeSet<DaemonId> = source
+            .into_iter()
+            .map(|member| member.daemon.clone())
+            .collect();
+        if sources == self.sources {
+            return;
+        }
+        // What the earlier source was telling when it fell silent may be lost.
+        self.wants_all = true;
+        let learnt = Learnt::SourcesChanged(sources.clone());
+        self.actions.push(Action::Log(learnt));
+        self.sources = sources;
+    }
+}
--- a/control/src/members/news.rs
+++ b/lib/src/discovery/news.rs
@@ -5,7 +5,7 @@
     time::Duration, //
 };
 
-use cicadabend::{
+use crate::{
     peer_api::UpstreamNews,
     prelude::*,
     registry::{
@@ -20,7 +20,7 @@
 const ENDS_REPEATED_FOR: Duration = Duration::from_millis(1_500);
 
 /// What has come since the last time it was passed on.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub(super) struct Gathered {
     changed: BTreeMap<InstanceId, ()>,
     alive: BTreeMap<InstanceId, ()>,
@@ -67,7 +67,7 @@
 }
 
 /// Runs that have ended lately and are told again for a while.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub(super) struct Ends {
     recent: BTreeMap<InstanceId, (Ended, Timestamp)>,
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`domain`]: what the daemons of one failure domain decide together.
 //! - [`routes`], [`registry`], [`grouping`], [`roster`]: tables of routes, upstreams that
 //!   report to any daemon, groups formed from them by one leader, membership by seeds.
+//! - [`discovery`]: how daemons share what upstreams report.
 //! - [`dispatch`]: which upstream a routed request goes to.
 //! - [`routing`], [`admission`], [`claims`], [`request`]: the life of one request.
 //! - [`upstream_api`], [`peer_api`], [`operator_api`], [`caller_api`]: the messages
@@ -22,6 +23,7 @@
 pub mod caller_api;
 pub mod chart;
 pub mod claims;
+pub mod discovery;
 pub mod dispatch;
 pub mod domain;
 pub mod fleet;
