discovery: entry daemons subscribe to as many control daemons as it takes to hear all

Cause: an entry daemon took upstreams' reports from one control daemon, the nearest that it heard. Cut off from the other control daemons while entry daemons reach all, that one hides what the others acknowledge: leavings, new upstreams, signs of life, for as long as the cut lasts. Ruled out: news held up on its way (where it came it was 14 ms and 63 ms old) and a late report that took the leaving back (none). Change: a control daemon tells whose reports it gets (told_by, by the other's word that it passes on), and an entry daemon chooses the fewest control daemons that cover all that it hears; control daemons that were apart take in all that the other knows. Weighed and left: to prefer a control daemon in touch with a leader (blind where two are cut from each other that a third hears); to send to control daemons that are not heard (what waits in the ring arrives after the cut with an age that leaves out the wait).

One source as before while nothing is cut.

--- a/control/src/members/thread.rs
+++ b/control/src/members/thread.rs
@@ -171,7 +171,9 @@
                 self.discovery.hear_hello(*hello, routes, now);
             }
             PeerMessage::Roster(news) => self.discovery.hear_roster(&news, now),
-            PeerMessage::Upstreams(news) => self.discovery.hear_upstreams(*news, now),
+            PeerMessage::Upstreams(news) => {
+                self.discovery.hear_upstreams(&incoming.from, *news, now);
+            }
             // The inbox hands over the kinds above only.
             _ => {}
         }
--- a/entry/src/members/thread.rs
+++ b/entry/src/members/thread.rs
@@ -165,7 +165,9 @@
         match incoming.message {
             PeerMessage::Roster(news) => self.hear_roster(&incoming.from, &news, now),
             PeerMessage::Routes(table) => self.take_routes(&incoming.from, *table),
-            PeerMessage::Upstreams(news) => self.discovery.hear_upstreams(*news, now),
+            PeerMessage::Upstreams(news) => {
+                self.discovery.hear_upstreams(&incoming.from, *news, now);
+            }
             // Other kinds are meant for control daemons.
             _ => {}
         }
--- a/lib/src/discovery/control.rs
+++ b/lib/src/discovery/control.rs
@@ -94,7 +94,13 @@
     /// All reports, for the entry daemons that get them from here.
     all: Gathered,
     ends: Ends,
-    wants_all: bool,
+    /// Control daemons that pass their own reports on to this one.
+    told_by: BTreeSet<DaemonId>,
+    /// Control daemons all of whose knowledge was taken in since they were last found.
+    ///
+    /// Two that were apart have each missed what the other was told, and ends are told for
+    /// [`news::ENDS_REPEATED_FOR`] only.
+    level_with: BTreeSet<DaemonId>,
     /// Whether any caller has been served since the fleet's first start.
     has_served: bool,
     alive_due: Timestamp,
@@ -120,7 +126,8 @@
             own: Gathered::default(),
             all: Gathered::default(),
             ends: Ends::default(),
-            wants_all: true,
+            told_by: BTreeSet::new(),
+            level_with: BTreeSet::new(),
             has_served,
             alive_due: Timestamp::default(),
             ends_due: Timestamp::default(),
@@ -190,14 +197,22 @@
         let daemon = member.daemon.clone();
         let role = member.role;
         self.know(&daemon, member.address);
+        let was_known = self.members.silent_for(&daemon, now).is_some();
         if self.members.heard(member, now) {
             self.silent.remove(&daemon);
             self.log(Learnt::DaemonFound(daemon.clone(), role));
+            if was_known {
+                self.level_with.remove(&daemon);
+            }
         }
         self.has_served |= hello.has_served;
         if role == DaemonRole::Entry {
             self.note_entry(&daemon, &hello, routes, now);
         }
+        match hello.passes_on {
+            true => self.told_by.insert(daemon.clone()),
+            false => self.told_by.remove(&daemon),
+        };
         self.send_roster(&daemon, routes, now);
         if hello.wants_all && (role == DaemonRole::Control || hello.subscribes) {
             let all = news::all(&self.registry, now);
@@ -239,11 +254,17 @@
     }
 
     fn send_roster(&mut self, to: &DaemonId, routes: NewestRoutes, now: Timestamp) {
+        let me = self.members.me();
         let others = self.members.here(DaemonRole::Control, now).cloned();
-        let controls = others.chain([self.members.me().clone()]).collect();
+        let controls: Vec<MemberAddress> = others.chain([me.clone()]).collect();
+        let is_told_by =
+            |control: &DaemonId| *control == me.daemon || self.told_by.contains(control);
+        let heard = controls.iter().map(|control| control.daemon.clone());
+        let told_by = heard.filter(is_told_by).collect();
         let entries = self.members.here(DaemonRole::Entry, now).count();
         let news = RosterNews {
             controls,
+            told_by,
             entries: u32::try_from(entries).unwrap_or(u32::MAX),
             routes: routes.number(),
             is_in_touch: routes.is_in_touch,
@@ -286,9 +307,9 @@
     }
 
     /// Takes in what another control daemon was told by upstreams.
-    pub fn hear_upstreams(&mut self, news: UpstreamNews, now: Timestamp) {
+    pub fn hear_upstreams(&mut self, from: &DaemonId, news: UpstreamNews, now: Timestamp) {
         if news.is_all {
-            self.wants_all = false;
+            self.level_with.insert(from.clone());
         }
         for (registration, age_ms) in news.reports {
             let age = Duration::from_millis(age_ms.into());
@@ -297,7 +318,7 @@
         for (alive, age_ms) in news.alive {
             let age = Duration::from_millis(age_ms.into());
             if !self.registry.touch(&alive, age, now) {
-                self.wants_all = true;
+                self.level_with.remove(from);
             }
             self.all.alive(alive.id);
         }
@@ -353,25 +374,29 @@
         self.pass_on(now);
     }
 
-    fn greet(&mut self, routes: NewestRoutes, _now: Timestamp) {
-        let hello = Hello {
-            member: self.members.me().clone(),
-            routes: routes.number(),
-            subscribes: true,
-            wants_all: self.wants_all,
-            has_served: self.has_served,
-            demand: Vec::new(),
-            stalled: Vec::new(),
-        };
+    fn greet(&mut self, routes: NewestRoutes, now: Timestamp) {
+        let passed_on_to = self.controls_here(now);
         for (daemon, address) in self.members.to_greet() {
+            let hello = Hello {
+                member: self.members.me().clone(),
+                routes: routes.number(),
+                subscribes: true,
+                wants_all: !self.level_with.contains(&daemon),
+                passes_on: passed_on_to.contains(&daemon),
+                has_served: self.has_served,
+                demand: Vec::new(),
+                stalled: Vec::new(),
+            };
             self.know(&daemon, address);
-            self.send(&daemon, PeerMessage::Hello(Box::new(hello.clone())));
+            self.send(&daemon, PeerMessage::Hello(Box::new(hello)));
         }
     }
 
     fn forget_old(&mut self, now: Timestamp) {
         for daemon in self.members.forget_old(now) {
             self.entries.remove(&daemon);
+            self.told_by.remove(&daemon);
+            self.level_with.remove(&daemon);
             self.actions.push(Action::Forget(daemon));
         }
         for id in self.registry.forget_old(now) {
@@ -408,9 +433,7 @@
         let mut all = self.all.take(&self.registry, with_alive, now);
         all.ended = ended;
         if !news::is_empty(&own) {
-            let controls = self.members.here(DaemonRole::Control, now);
-            let controls: Vec<DaemonId> = controls.map(|member| member.daemon.clone()).collect();
-            for control in controls {
+            for control in self.controls_here(now) {
                 self.send(&control, PeerMessage::Upstreams(Box::new(own.clone())));
             }
         }
@@ -422,6 +445,15 @@
         }
     }
 
+    /// Returns the control daemons that get this daemon's own reports.
+    ///
+    /// Those that are not heard get none: what waits for them during a cut would arrive at
+    /// its end with an age that leaves out the wait, and dead upstreams would seem alive.
+    fn controls_here(&self, now: Timestamp) -> BTreeSet<DaemonId> {
+        let controls = self.members.here(DaemonRole::Control, now);
+        controls.map(|member| member.daemon.clone()).collect()
+    }
+
     /// Returns the entry daemons that get all reports from here.
     pub fn subscribers(&self, now: Timestamp) -> Vec<DaemonId> {
         let limit = MembersSettings::default().silent_limit;
--- a/lib/src/discovery/entry.rs
+++ b/lib/src/discovery/entry.rs
@@ -1,13 +1,19 @@
 //! An entry daemon's part: it finds control daemons and takes in what they pass on.
 
 use std::{
-    collections::BTreeSet,
-    time::Duration, //
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    time::Duration,
 };
 
-use super::action::{
-    Action,
-    Learnt, //
+use super::{
+    action::{
+        Action,
+        Learnt, //
+    },
+    sources, //
 };
 use crate::{
     ids::Address,
@@ -55,8 +61,12 @@
     members: Members,
     hello_every: Duration,
     registry: Registry,
+    /// The control daemons that pass on to this daemon what upstreams report.
     sources: BTreeSet<DaemonId>,
-    wants_all: bool,
+    /// Sources all of whose knowledge was taken in since they were chosen.
+    level_with: BTreeSet<DaemonId>,
+    /// Whose reports each control daemon gets, by its own word.
+    told_by: BTreeMap<DaemonId, BTreeSet<DaemonId>>,
     has_upstreams: bool,
     entries: u32,
     silent: BTreeSet<DaemonId>,
@@ -77,7 +87,8 @@
             hello_every,
             registry: Registry::default(),
             sources: BTreeSet::new(),
-            wants_all: true,
+            level_with: BTreeSet::new(),
+            told_by: BTreeMap::new(),
             has_upstreams: false,
             entries: 1,
             silent: BTreeSet::new(),
@@ -137,6 +148,7 @@
             self.actions.push(Action::Log(learnt));
         }
         self.members.take_roster(news, now);
+        self.told_by.insert(from.clone(), news.told_by.clone());
         self.entries = news.entries.max(1);
         for control in &news.controls {
             let known = Action::Know(control.daemon.clone(), control.address);
@@ -146,9 +158,9 @@
     }
 
     /// Takes in what a control daemon passes on.
-    pub fn hear_upstreams(&mut self, news: UpstreamNews, now: Timestamp) {
+    pub fn hear_upstreams(&mut self, from: &DaemonId, news: UpstreamNews, now: Timestamp) {
         if news.is_all {
-            self.wants_all = false;
+            self.level_with.insert(from.clone());
             self.has_upstreams = true;
         }
         for (registration, age_ms) in news.reports {
@@ -158,7 +170,7 @@
         for (alive, age_ms) in news.alive {
             let age = Duration::from_millis(age_ms.into());
             if !self.registry.touch(&alive, age, now) {
-                self.wants_all = true;
+                self.level_with.remove(from);
             }
         }
         for (id, how) in news.ended {
@@ -195,6 +207,7 @@
         self.hello_due = now + pause;
         self.choose_sources(now);
         for daemon in self.members.forget_old(now) {
+            self.told_by.remove(&daemon);
             self.actions.push(Action::Forget(daemon));
         }
         for (daemon, address) in self.members.to_greet() {
@@ -202,7 +215,8 @@
                 member: self.me.clone(),
                 routes: status.routes.unwrap_or_default(),
                 subscribes: self.sources.contains(&daemon),
-                wants_all: self.wants_all,
+                wants_all: !self.level_with.contains(&daemon),
+                passes_on: false,
                 has_served: status.has_served,
                 demand: status.demand.clone(),
                 stalled: status.stalled.clone(),
@@ -214,16 +228,13 @@
     }
 
     fn choose_sources(&mut self, now: Timestamp) {
-        let source = self.members.source(now);
-        let sources: BTreeSet<DaemonId> = source
-            .into_iter()
-            .map(|member| member.daemon.clone())
-            .collect();
+        let heard = self.members.controls_by_preference(now);
+        let sources = sources::choose(&heard, &self.told_by);
         if sources == self.sources {
             return;
         }
-        // What the earlier source was telling when it fell silent may be lost.
-        self.wants_all = true;
+        // What a source tells before it knows that it is one is lost.
+        self.level_with.retain(|control| sources.contains(control));
         let learnt = Learnt::SourcesChanged(sources.clone());
         self.actions.push(Action::Log(learnt));
         self.sources = sources;
--- a/lib/src/discovery/news.rs
+++ b/lib/src/discovery/news.rs
@@ -17,7 +17,7 @@
 };
 
 /// For how long the end of a run is told again, since a message may be lost.
-const ENDS_REPEATED_FOR: Duration = Duration::from_millis(1_500);
+pub(super) const ENDS_REPEATED_FOR: Duration = Duration::from_millis(1_500);
 
 /// What has come since the last time it was passed on.
 #[derive(Debug, Default)]
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -38,7 +38,7 @@
 };
 
 /// The version of this protocol; a process drops messages of another one and counts them.
-pub const PROTOCOL_VERSION: u16 = 3;
+pub const PROTOCOL_VERSION: u16 = 4;
 
 /// A daemon's role, as members that find each other by seeds tell it.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
@@ -76,8 +76,11 @@
     pub routes: RouteVersion,
     /// Whether the receiver is asked to pass on what upstreams report.
     pub subscribes: bool,
-    /// Whether it lacks something, so that only all reports help.
+    /// Whether it lacks something, so that only all that the receiver knows helps.
     pub wants_all: bool,
+    /// Whether the receiver gets the reports that upstreams send to the sender itself; only
+    /// control daemons pass any on, and only to those that they hear.
+    pub passes_on: bool,
     /// Whether it has served a caller since its start.
     pub has_served: bool,
     /// How much of its requests each model has, by service: those that run, wait or were
@@ -92,6 +95,9 @@
 pub struct RosterNews {
     /// The control daemons it hears, itself included.
     pub controls: Vec<MemberAddress>,
+    /// The control daemons of which it gets the reports that upstreams send to them, itself
+    /// included.
+    pub told_by: BTreeSet<DaemonId>,
     /// How many entry daemons it hears.
     pub entries: u32,
     /// The newest table of routes it has applied.
--- a/lib/src/roster/members.rs
+++ b/lib/src/roster/members.rs
@@ -154,22 +154,21 @@
         self.known.get(daemon).map(|member| &member.address)
     }
 
-    /// Returns the control daemon to get upstreams' reports from.
+    /// Returns the control daemons that were heard lately, those to be asked first in front.
     ///
     /// One of the own failure domain comes first; otherwise the choice is spread by name.
-    pub fn source(&self, now: Timestamp) -> Option<&MemberAddress> {
-        let near = |control: &&MemberAddress| control.failure_domain == self.me.failure_domain;
-        let controls: Vec<&MemberAddress> = self.here(DaemonRole::Control, now).collect();
-        let chosen = controls.iter().find(|control| near(control));
-        let spread = self
-            .me
-            .daemon
-            .as_str()
-            .bytes()
-            .map(usize::from)
-            .sum::<usize>();
-        let any = || controls.get(spread.checked_rem(controls.len())?);
-        chosen.or_else(any).copied()
+    pub fn controls_by_preference(&self, now: Timestamp) -> Vec<DaemonId> {
+        let mut controls: Vec<&MemberAddress> = self.here(DaemonRole::Control, now).collect();
+        let name = self.me.daemon.as_str();
+        let spread = name.bytes().map(usize::from).sum::<usize>();
+        if let Some(first) = spread.checked_rem(controls.len()) {
+            controls.rotate_left(first);
+        }
+        controls.sort_by_key(|control| control.failure_domain != self.me.failure_domain);
+        controls
+            .into_iter()
+            .map(|control| control.daemon.clone())
+            .collect()
     }
 
     /// Forgets daemons that nobody has heard for long.
--- a/lib/tests/test_discovery/test_cuts.rs
+++ b/lib/tests/test_discovery/test_cuts.rs
@@ -1,5 +1,7 @@
 //! Control daemons are cut from each other while entry daemons reach all of them.
 
+use std::time::Duration;
+
 use crate::world::{
     World,
     daemon, //
@@ -9,6 +11,8 @@
 const NOTICED_MS: u64 = 3_000;
 /// How long entry daemons may go on sending to an upstream that has said that it leaves.
 const LEAVING_MS: u64 = 2_000;
+/// Upstreams that are silent for longer are in doubt.
+const DOUBT: Duration = Duration::from_millis(2_600);
 
 /// Returns three failure domains with an upstream that reports in the second.
 fn three_domains() -> World {
@@ -54,6 +58,56 @@
     assert_eq!(world.sending_to("u-1"), []);
 }
 
+#[test]
+fn upstreams_that_report_to_the_other_side_of_a_cut_are_not_in_doubt() {
+    // Callers of one domain crowd onto few upstreams, because all that report to the other
+    // control daemons seem to be silent: their signs of life went to those only.
+    let mut world = one_apart();
+
+    world.run(10_000);
+
+    let silence = world.longest_silence("u-1").unwrap();
+    assert!(silence < DOUBT, "{silence:?}");
+}
+
+#[test]
+fn a_new_upstream_is_used_by_all_domains_during_a_cut() {
+    // Callers of one domain wait for room while an upstream that has just come stands idle.
+    let mut world = one_apart();
+
+    world.add_upstream("u-2", "control-c");
+    world.run(LEAVING_MS);
+
+    assert_eq!(world.knowing("u-2").len(), 6);
+}
+
+#[test]
+fn what_only_the_lone_control_daemon_hears_reaches_all_domains() {
+    // An upstream turns to the control daemon that is apart and tells it that it leaves;
+    // the other domains' entry daemons reach that daemon too.
+    let mut world = one_apart();
+    world.report_elsewhere("u-1", "control-a");
+
+    world.drain("u-1");
+    world.run(LEAVING_MS);
+
+    assert_eq!(world.sending_to("u-1"), []);
+}
+
+#[test]
+fn two_control_daemons_that_a_third_hears_may_be_cut_from_each_other() {
+    // The cut is between two daemons only; a third hears both, and passes on to neither
+    // what the other was told.
+    let mut world = three_domains();
+    world.cut("control-a", "control-b");
+    world.run(NOTICED_MS);
+
+    world.drain("u-1");
+    world.run(LEAVING_MS);
+
+    assert_eq!(world.sending_to("u-1"), []);
+}
+
 #[test]
 fn a_link_that_is_dead_in_one_direction_hides_no_leaving() {
     // One control daemon hears another and is not heard by it, so neither is told by it
@@ -68,6 +122,40 @@
     assert_eq!(world.sending_to("u-1"), []);
 }
 
+#[test]
+fn halves_of_four_control_daemons_hide_no_leaving_from_each_other() {
+    // Neither half has a majority; entry daemons of both reach all four.
+    let mut world = World::new(&["a", "b", "c", "d"]);
+    world.add_upstream("u-1", "control-c");
+    world.run(5_000);
+    for one in ["control-a", "control-b"] {
+        for other in ["control-c", "control-d"] {
+            world.cut(one, other);
+        }
+    }
+    world.run(NOTICED_MS);
+
+    world.drain("u-1");
+    world.run(LEAVING_MS);
+
+    assert_eq!(world.sending_to("u-1"), []);
+}
+
+#[test]
+fn a_leaving_during_a_cut_is_known_to_the_lone_control_daemon_after_it() {
+    // The cut ends long after an upstream has left, and the entry daemons of the domain
+    // that was apart take reports from its control daemon again: it must not bring back
+    // what it alone still takes for living.
+    let mut world = one_apart();
+    world.leave("u-1");
+    world.run(10_000);
+
+    world.heal();
+    world.run(10_000);
+
+    assert_eq!(world.sending_to("u-1"), []);
+}
+
 #[test]
 fn entry_daemons_get_reports_once_while_nothing_is_cut() {
     // Each further source costs an entry daemon as many bytes again, of 5 KB a second that
--- a/lib/tests/test_discovery/world.rs
+++ b/lib/tests/test_discovery/world.rs
@@ -283,7 +283,9 @@
         match letter.message {
             PeerMessage::Hello(hello) => control.hear_hello(*hello, routes(), now),
             PeerMessage::Roster(news) => control.hear_roster(&news, now),
-            PeerMessage::Upstreams(news) => control.hear_upstreams(*news, now),
+            PeerMessage::Upstreams(news) => {
+                control.hear_upstreams(&letter.from, *news, now);
+            }
             other => panic!("a control daemon got {other:?}"),
         }
         let actions = control.take_actions();
@@ -298,7 +300,7 @@
             }
             PeerMessage::Upstreams(news) => {
                 *self.news_messages.entry(letter.to.clone()).or_default() += 1;
-                entry.hear_upstreams(*news, now);
+                entry.hear_upstreams(&letter.from, *news, now);
             }
             other => panic!("an entry daemon got {other:?}"),
         }
