registry: silence is no end; an end told by name means the run that is known

A daemon that had not heard an upstream for 60 s noted it as ended, passed that on, and everybody refused the upstream's reports for 120 s more. After a cut or a stopped process of some minutes callers found none of the other side's upstreams. Such runs are now forgotten, not ended. An upstream that leaves gives its name only; a control daemon that knew no run of it passed on an end that matched nobody's.

--- a/control/src/members/events.rs
+++ b/control/src/members/events.rs
@@ -25,7 +25,8 @@
         state: String,
         group: String,
     } "upstream changed";
-    /// An upstream has ended, by its own word or because its address has another run.
+    /// An upstream has ended, by its own word or because its address has another run, or is
+    /// forgotten because nothing was heard of it for long.
     1604 Info UpstreamEnded {
         instance: cicadabend::registry::InstanceId,
         how: String,
--- a/control/src/members/thread.rs
+++ b/control/src/members/thread.rs
@@ -320,6 +320,10 @@
             let how = format!("{how:?}");
             LogEvent::UpstreamEnded { instance, how }.emit();
         }
+        Learnt::UpstreamForgotten(instance) => {
+            let how = "Forgotten".to_owned();
+            LogEvent::UpstreamEnded { instance, how }.emit();
+        }
         // Only entry daemons choose sources.
         Learnt::SourcesChanged(_) => {}
     }
--- a/entry/src/members/changes.rs
+++ b/entry/src/members/changes.rs
@@ -50,14 +50,13 @@
         return match how {
             Ended::Left => "it has left",
             Ended::Dead => "another run has its place",
-            Ended::Silent => "nothing was heard for long",
         };
     }
     let state = registry.get(id).map(|known| known.registration.state);
     match state {
         Some(UpstreamState::Ready) => "its group is not open and whole",
         Some(UpstreamState::Draining | UpstreamState::Gone) => "it leaves",
-        None => "it is unknown",
+        None => "nothing was heard for long",
     }
 }
 
--- a/entry/src/members/thread.rs
+++ b/entry/src/members/thread.rs
@@ -297,7 +297,10 @@
             LogEvent::SourceChanged { daemon }.emit();
         }
         // What changes in the registry is logged by the replicas that come of it.
-        Learnt::UpstreamFound(_) | Learnt::UpstreamChanged(_) | Learnt::UpstreamEnded(..) => {}
+        Learnt::UpstreamFound(_)
+        | Learnt::UpstreamChanged(_)
+        | Learnt::UpstreamEnded(..)
+        | Learnt::UpstreamForgotten(_) => {}
     }
 }
 
--- a/lib/src/discovery/action.rs
+++ b/lib/src/discovery/action.rs
@@ -47,6 +47,8 @@
     UpstreamChanged(Registration),
     /// A run of an upstream has ended.
     UpstreamEnded(InstanceId, Ended),
+    /// A run of an upstream was silent for so long that it is no longer known.
+    UpstreamForgotten(InstanceId),
     /// Reports come from these control daemons from now on.
     SourcesChanged(BTreeSet<DaemonId>),
 }
--- a/lib/src/discovery/control.rs
+++ b/lib/src/discovery/control.rs
@@ -187,7 +187,7 @@
 
     /// Takes an upstream's word to this daemon that it leaves; it gives its name only.
     pub fn leave(&mut self, id: InstanceId, now: Timestamp) {
-        let run = self.registry.run_of(&id).unwrap_or(id);
+        let run = self.registry.meant_by(&id);
         self.end(&run, Ended::Left, now);
     }
 
@@ -323,8 +323,9 @@
             self.all.alive(alive.id);
         }
         for (id, how) in news.ended {
-            if self.registry.ended(&id).is_none() {
-                self.end(&id, how, now);
+            let run = self.registry.meant_by(&id);
+            if self.registry.ended(&run).is_none() {
+                self.end(&run, how, now);
             }
         }
     }
@@ -400,7 +401,7 @@
             self.actions.push(Action::Forget(daemon));
         }
         for id in self.registry.forget_old(now) {
-            self.log(Learnt::UpstreamEnded(id, Ended::Silent));
+            self.log(Learnt::UpstreamForgotten(id));
         }
     }
 
--- a/lib/src/discovery/entry.rs
+++ b/lib/src/discovery/entry.rs
@@ -174,7 +174,8 @@
             }
         }
         for (id, how) in news.ended {
-            self.registry.end(&id, how, now);
+            let run = self.registry.meant_by(&id);
+            self.registry.end(&run, how, now);
         }
     }
 
--- a/lib/src/registry/registration.rs
+++ b/lib/src/registry/registration.rs
@@ -43,6 +43,11 @@
         self.name.as_str()
     }
 
+    /// Returns whether this names one run, and not only an upstream.
+    pub fn tells_start(&self) -> bool {
+        self.born_ms != 0
+    }
+
     /// Returns whether this is an earlier run of the same upstream.
     pub fn is_before(&self, other: &Self) -> bool {
         self.name == other.name && self.born_ms < other.born_ms
--- a/lib/src/registry/table.rs
+++ b/lib/src/registry/table.rs
@@ -88,8 +88,6 @@
     Left,
     /// Another run has its address, or nothing listens there: it does nothing any more.
     Dead,
-    /// Nothing was heard for long.
-    Silent,
 }
 
 /// What taking a report in has changed.
@@ -122,7 +120,7 @@
         let Heard { registration, age } = heard;
         let heard_at = Timestamp(now.0.saturating_sub(millis(age)));
         let id = registration.id.clone();
-        if matches!(self.ended(&id), Some(Ended::Left | Ended::Silent)) || self.is_outlived(&id) {
+        if self.ended(&id) == Some(Ended::Left) || self.is_outlived(&id) {
             return Taken::Stale;
         }
         if let Some(known) = self.known.get_mut(&id) {
@@ -215,6 +213,11 @@
             // What is dead does not work off anything any more.
             self.ended.insert(id.clone(), (at, Ended::Dead));
         }
+        self.remove(id)
+    }
+
+    /// Removes what is known of a run; returns whether anything was.
+    fn remove(&mut self, id: &InstanceId) -> bool {
         let Some(known) = self.known.remove(id) else {
             return false;
         };
@@ -225,6 +228,18 @@
         true
     }
 
+    /// Returns the run that word of an end is about.
+    ///
+    /// An upstream that leaves gives its name only, and the daemon that it tells may have been
+    /// started a moment ago and know no run of it. Whoever knows one takes it to be meant; if
+    /// nobody did, the upstream would get requests until it has ended.
+    pub fn meant_by(&self, id: &InstanceId) -> InstanceId {
+        match id.tells_start() {
+            true => id.clone(),
+            false => self.run_of(id).unwrap_or_else(|| id.clone()),
+        }
+    }
+
     /// Returns how a run has ended, if it has.
     pub fn ended(&self, id: &InstanceId) -> Option<Ended> {
         self.ended.get(id).map(|(_, how)| *how)
@@ -269,7 +284,11 @@
         self.ended.iter().map(|(id, (_, how))| (id, *how))
     }
 
-    /// Drops what is too old to matter.
+    /// Drops what is too old to matter; returns the runs that were silent for too long.
+    ///
+    /// These have not ended: only this daemon has not heard them, as behind a cut of minutes
+    /// or while their process was stopped. Taken for ended, their reports were refused for
+    /// two more minutes after they could be heard again.
     pub fn forget_old(&mut self, now: Timestamp) -> Vec<InstanceId> {
         self.ended.retain(|_, (at, _)| now.since(*at) < REMEMBERED);
         if self.strangers.len() > self.known.len() + 64 {
@@ -279,7 +298,7 @@
         let silent = silent.filter(|(_, known)| known.silent_for(now) > FORGOTTEN_AFTER);
         let silent: Vec<InstanceId> = silent.map(|(id, _)| id.clone()).collect();
         for id in &silent {
-            self.end(id, Ended::Silent, now);
+            self.remove(id);
         }
         silent
     }
--- a/lib/tests/test_discovery/test_cuts.rs
+++ b/lib/tests/test_discovery/test_cuts.rs
@@ -200,3 +200,54 @@
     assert!(!still.contains(&daemon("entry-a-1")), "{still:?}");
     assert!(!still.contains(&daemon("entry-a-2")), "{still:?}");
 }
+
+#[test]
+fn a_cut_of_minutes_ends_no_upstream_that_lives() {
+    // After a failure domain was cut off for some minutes, callers of all domains are refused
+    // for up to two more: each side had taken the other's upstreams for ended, told so to the
+    // other side, and refused their reports as late ones. Silence is no end; it is only all
+    // that one side knows.
+    let mut world = three_domains();
+    world.add_upstream("u-2", "control-a");
+    world.run(2_000);
+    for near in ["control-a", "entry-a-1", "entry-a-2"] {
+        for far in ["control-b", "control-c", "entry-b-1", "entry-c-1"] {
+            world.cut(near, far);
+        }
+    }
+    world.run(100_000);
+
+    world.heal();
+    world.run(5_000);
+
+    assert_eq!(world.sending_to("u-1").len(), 6);
+    assert_eq!(world.sending_to("u-2").len(), 6);
+}
+
+#[test]
+fn an_upstream_stopped_for_minutes_is_used_again() {
+    // An upstream's process is stopped and goes on after two minutes, under its old number.
+    let mut world = three_domains();
+    world.pause_upstream("u-1", 120_000);
+    world.run(119_000);
+    assert_eq!(world.knowing("u-1"), []);
+
+    world.run(5_000);
+
+    assert_eq!(world.sending_to("u-1").len(), 6);
+}
+
+#[test]
+fn an_upstream_that_leaves_by_name_at_a_daemon_that_does_not_know_it_is_gone_everywhere() {
+    // A control daemon was started anew a moment ago and knows no upstream yet. One says to
+    // it that it leaves, and gives its name only, not when it started.
+    let mut world = World::new(&["a", "b"]);
+    world.add_upstream_born("u-1", "control-b", 1_700_000_000_000);
+    world.run(5_000);
+    world.restart_control("control-a");
+
+    world.leave_at("u-1", "control-a");
+    world.run(LEAVING_MS);
+
+    assert_eq!(world.sending_to("u-1"), []);
+}
--- a/lib/tests/test_discovery/world.rs
+++ b/lib/tests/test_discovery/world.rs
@@ -142,9 +142,14 @@
 
     /// Adds an upstream that reports to one control daemon.
     pub fn add_upstream(&mut self, name: &str, reports_to: &str) {
+        self.add_upstream_born(name, reports_to, 0);
+    }
+
+    /// Adds an upstream that tells when it started, in Unix milliseconds.
+    pub fn add_upstream_born(&mut self, name: &str, reports_to: &str, born_ms: u64) {
         let number = self.upstreams.len() + 100;
         let registration = Registration {
-            id: upstream(name),
+            id: upstream(name).born_at(born_ms),
             service: "portal".parse().unwrap(),
             address: address(number),
             failure_domain: "a".parse().unwrap(),
@@ -174,11 +179,35 @@
         upstream.report_due_ms = self.now_ms;
     }
 
+    /// Has an upstream report nothing for a while.
+    pub fn pause_upstream(&mut self, name: &str, length_ms: u64) {
+        let upstream = self.upstreams.get_mut(&upstream(name)).unwrap();
+        upstream.report_due_ms = self.now_ms + length_ms;
+    }
+
     /// Has an upstream say that it has left; it reports no more.
     pub fn leave(&mut self, name: &str) {
-        let left = self.upstreams.remove(&upstream(name)).unwrap();
-        let control = self.controls.get_mut(&left.reports_to).unwrap();
-        control.leave(left.registration.id, Timestamp(self.now_ms));
+        let control = self.upstreams[&upstream(name)].reports_to.clone();
+        self.leave_at(name, control.as_str());
+    }
+
+    /// Has an upstream say to this control daemon that it has left, by its name only.
+    pub fn leave_at(&mut self, name: &str, control: &str) {
+        self.upstreams.remove(&upstream(name)).unwrap();
+        let control = self.controls.get_mut(&daemon(control)).unwrap();
+        control.leave(upstream(name), Timestamp(self.now_ms));
+    }
+
+    /// Starts a control daemon anew, with nothing in its memory.
+    pub fn restart_control(&mut self, name: &str) {
+        let control = self.controls.get_mut(&daemon(name)).unwrap();
+        let me = control.members().me().clone();
+        let seeds: Vec<(DaemonId, Address)> = control
+            .members()
+            .seeds()
+            .map(|(daemon, address)| (daemon.clone(), address))
+            .collect();
+        *control = ControlDiscovery::new(me, seeds, HELLO_EVERY, true);
     }
 
     /// Cuts the links between two daemons.
@@ -208,7 +237,8 @@
     /// Returns the entry daemons that would still send new work to an upstream.
     pub fn sending_to(&self, name: &str) -> Vec<DaemonId> {
         let sends = |part: &EntryDiscovery| {
-            let known = part.registry().get(&upstream(name));
+            let run = part.registry().run_of(&upstream(name));
+            let known = run.and_then(|run| part.registry().get(&run));
             known.is_some_and(|known| known.is_ready())
         };
         let entries = self.entries.iter().filter(|(_, part)| sends(part));
