--- a/cli/src/commands/explain.rs
+++ b/cli/src/commands/explain.rs
@@ -1,8 +1,11 @@
 //! `explain REQUEST LOGS...`: one request's story out of the daemons' logs.
 
 use std::{
-    collections::BTreeSet,
-    fs, //
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    fs,
 };
 
 use clap::{
@@ -33,6 +36,9 @@
 /// which the request ran; comparing text needs no calendar.
 const TENS_OF_SECONDS: usize = 18;
 
+/// Events on who hears whom; what was last said before a request may have decided it.
+const ON_DAEMONS: [&str; 5] = ["CB1402", "CB1405", "CB1407", "CB1600", "CB1601"];
+
 pub(super) fn command() -> Command {
     Command::new(NAME)
         .about("Tell one request's story from the daemons' JSON logs, in order")
@@ -105,7 +111,8 @@
     Ok(())
 }
 
-/// Returns the lines on a request, and those on its replicas and routes around it.
+/// Returns the lines on a request, those on its replicas, its routes and who was heard around
+/// it, and what each daemon had last said before.
 fn story(request: &str, mut lines: Vec<Line>) -> Vec<Line> {
     lines.sort_by(|a, b| a.time.cmp(&b.time));
     let own: Vec<&Line> = lines.iter().filter(|line| line.is_of(request)).collect();
@@ -119,6 +126,7 @@
     let (Some(first), Some(last)) = (own.first(), own.last()) else {
         return Vec::new();
     };
+    let begins = first.time.clone();
     let (first, last) = (first.tens().to_owned(), last.tens().to_owned());
     let is_near = |line: &Line| line.tens() >= first.as_str() && line.tens() <= last.as_str();
     let is_on_replica = |line: &Line| {
@@ -127,13 +135,27 @@
     };
     let is_on_routes =
         |line: &Line| line.field("version").is_some() && line.code.as_str() >= "CB1400";
+    let is_background = |line: &Line| {
+        let is_on_daemons = ON_DAEMONS.contains(&line.code.as_str());
+        let is_known = is_on_replica(line) || is_on_routes(line) || is_on_daemons;
+        line.field("request").is_none() && is_known
+    };
+    let mut last_said = BTreeMap::new();
+    for (number, line) in lines.iter().enumerate() {
+        if line.time < begins && is_background(line) {
+            let subject = line.field("instance").or(line.field("daemon"));
+            last_said.insert((&line.file, &line.code, subject), number);
+        }
+    }
+    let last_said: BTreeSet<usize> = last_said.into_values().collect();
     lines
         .iter()
-        .filter(|line| {
-            let around = is_near(line) && (is_on_replica(line) || is_on_routes(line));
-            line.is_of(request) || (line.field("request").is_none() && around)
+        .enumerate()
+        .filter(|(number, line)| {
+            let around = is_near(line) && is_background(line);
+            line.is_of(request) || around || last_said.contains(number)
         })
-        .cloned()
+        .map(|(_, line)| line.clone())
         .collect()
 }
 
