--- a/entry/src/serve/routed/exchange.rs
+++ b/entry/src/serve/routed/exchange.rs
@@ -125,7 +125,7 @@
 }
 
 /// Counts a request at its replica, and stops counting it once when dropped.
-pub(super) struct Place {
+pub(super) struct Reservation {
     server: Rc<Server>,
     pub(super) replica: RoutedReplica,
     prompt_tokens: u64,
@@ -133,8 +133,8 @@
     _demanded: Option<Demanded>,
 }
 
-impl Place {
-    pub(super) fn take(server: &Rc<Server>, replica: RoutedReplica, prompt_tokens: u64) -> Self {
+impl Reservation {
+    pub(super) fn make(server: &Rc<Server>, replica: RoutedReplica, prompt_tokens: u64) -> Self {
         server
             .loads
             .borrow_mut()
@@ -169,7 +169,7 @@
     }
 }
 
-impl Drop for Place {
+impl Drop for Reservation {
     fn drop(&mut self) {
         self.read();
         self.server.loads.borrow_mut().ended(&self.replica.id);
--- a/entry/src/serve/routed/handler.rs
+++ b/entry/src/serve/routed/handler.rs
@@ -42,11 +42,9 @@
         Plan,
         Precedence, //
     },
-    run::{
-        RoutedRun,
-        refuse_early, //
-    },
-    server::Server,
+    refusal::refuse_early,
+    run::RoutedRun,
+    server::Server, //
 };
 use crate::{
     edge::CallerWords,
--- a/entry/src/serve/routed/mod.rs
+++ b/entry/src/serve/routed/mod.rs
@@ -5,11 +5,15 @@
 //! - `listener`: accepts connections and drains them.
 //! - `handler`: from one HTTP request to one answer.
 //! - `run`: the request's life: choices, attempts, repeats.
+//! - `attempt`, `refusal`, `account`: parts of that life: one attempt and how long it is waited
+//!   for; answers of the daemon's own; what is logged and counted.
 //! - `stream`: a streamed answer, resumed elsewhere if it breaks off.
 //! - `exchange`: one attempt up to the first part of its answer.
 //! - `plan`: the request in the form in which it can be sent, also twice.
 //! - `server`: what all requests share.
 
+mod account;
+mod attempt;
 mod body;
 mod counts;
 mod events;
@@ -18,6 +22,7 @@
 mod lines;
 mod listener;
 mod plan;
+mod refusal;
 mod run;
 mod server;
 mod stream;
--- a/entry/src/serve/routed/stream.rs
+++ b/entry/src/serve/routed/stream.rs
@@ -306,7 +306,11 @@
     if !run.choose() {
         return (run, Err("no other replica can go on".to_owned()));
     }
-    let Some(replica) = run.place.as_ref().map(|place| place.replica.clone()) else {
+    let Some(replica) = run
+        .reservation
+        .as_ref()
+        .map(|reservation| reservation.replica.clone())
+    else {
         return (run, Err("no other replica can go on".to_owned()));
     };
     let sent = SentBytes::default();
--- a/lib/src/discovery/sources.rs
+++ b/lib/src/discovery/sources.rs
@@ -7,8 +7,10 @@
 
 use crate::prelude::*;
 
-/// Returns, most useful first, the fewest control daemons, as far as a greedy choice finds them, that between
-/// them are told what every control daemon heard here was told by upstreams.
+/// Returns the fewest control daemons that between them are told what every control daemon
+/// heard here was told by upstreams, the most useful one first.
+///
+/// The choice is greedy, so there may be one more than is needed.
 ///
 /// `heard` holds the control daemons that this daemon hears, those it prefers first;
 /// `told_by` says whose reports each of them gets. While all control daemons hear each other
