routed: tell that an upstream has ended, which requests it had and what they are known again by

Sight for the incident of upstreams that end one after the other: the lines could not tell a content that ends whoever runs it from a bystander. A request that breaks off has its upstream looked at once (a connection, kept if it is made): nothing listens there, so it has ended (CB1429), and each request that it had gets a line with its fingerprint, made of team, path and body (CB1430). No decision changes.

--- a/entry/src/serve/routed/account.rs
+++ b/entry/src/serve/routed/account.rs
@@ -13,6 +13,7 @@
         RoutedRefusal,
         RoutedRetry, //
     },
+    crash_watch::CrashWatch,
     events::LogEvent,
     exchange::{
         Failure,
@@ -98,6 +99,20 @@
         });
     }
 
+    /// Notes that the present replica broke the request off; it may have ended by it.
+    pub(super) fn suspect(&self) {
+        if let Some(reservation) = &self.reservation {
+            let replica = &reservation.replica;
+            let upstream = (&replica.id, replica.address);
+            CrashWatch::note(
+                &self.server,
+                upstream,
+                self.plan.id(),
+                self.plan.fingerprint(),
+            );
+        }
+    }
+
     /// Notes that something of the answer has come.
     pub(super) fn progressed(&self) {
         if let Some(reservation) = &self.reservation {
--- a/entry/src/serve/routed/counts.rs
+++ b/entry/src/serve/routed/counts.rs
@@ -17,6 +17,8 @@
         Resumed,
         /// Callers that left before the end of their answer.
         CallersLeft,
+        /// Upstreams that were seen to end with requests that they had.
+        UpstreamsCrashed,
     }
 }
 
--- a/entry/src/serve/routed/events.rs
+++ b/entry/src/serve/routed/events.rs
@@ -65,4 +65,17 @@
     1427 Info CallerLeft { request: String, replica: String, took_ms: u64 } "caller left";
     /// Lines on requests were left out because there were more than the bound in a second.
     1428 Warn RequestLinesLeftOut { lines: u64 } "lines on requests left out";
+    /// An upstream broke requests off and nothing listens at its address: it has ended.
+    1429 Warn UpstreamCrashed {
+        instance: cicadabend::registry::InstanceId,
+        address: cicadabend::ids::Address,
+        requests: usize,
+    } "upstream ended with requests";
+    /// A request that an upstream had when it ended; the fingerprint stands for its team, path
+    /// and body, and knows it again under another id.
+    1430 Info RequestSuspected {
+        request: String,
+        fingerprint: cicadabend::quarantine::Fingerprint,
+        instance: cicadabend::registry::InstanceId,
+    } "request suspected";
 }
--- a/entry/src/serve/routed/exchange.rs
+++ b/entry/src/serve/routed/exchange.rs
@@ -55,7 +55,7 @@
 /// The largest event; an engine that sends more without a blank line sends garbage.
 const EVENT_LIMIT_BYTES: usize = 1024 * 1024;
 /// How long a connection is kept if the upstream does not say.
-const KEEP_UNSAID: Duration = Duration::from_secs(4);
+pub(super) const KEEP_UNSAID: Duration = Duration::from_secs(4);
 /// What is taken off the time that an upstream keeps a connection: the way there, and a
 /// daemon that is not scheduled for a while.
 const KEEP_MARGIN: Duration = Duration::from_millis(700);
--- a/entry/src/serve/routed/mod.rs
+++ b/entry/src/serve/routed/mod.rs
@@ -9,6 +9,7 @@
 //!   for; answers of the daemon's own; what is logged and counted.
 //! - `stream`: a streamed answer, resumed elsewhere if it breaks off.
 //! - `exchange`: one attempt up to the first part of its answer.
+//! - `crash_watch`: whether an upstream that broke requests off has ended.
 //! - `plan`: the request in the form in which it can be sent, also twice.
 //! - `server`: what all requests share.
 
@@ -16,6 +17,7 @@
 mod attempt;
 mod body;
 mod counts;
+mod crash_watch;
 mod events;
 mod exchange;
 mod handler;
--- a/entry/src/serve/routed/plan.rs
+++ b/entry/src/serve/routed/plan.rs
@@ -1,9 +1,12 @@
 //! One request in the form in which it can be sent, also twice.
 
+use std::cell::OnceCell;
+
 use bytes::Bytes;
 use cicadabend::{
     dispatch::most_urgent,
     prelude::*,
+    quarantine::Fingerprint,
     routes::Route, //
 };
 use http::{
@@ -50,6 +53,7 @@
     pub(super) routes: u64,
     head: Parts,
     body: Bytes,
+    fingerprint: OnceCell<Fingerprint>,
 }
 
 impl Plan {
@@ -84,9 +88,19 @@
             routes,
             head,
             body,
+            fingerprint: OnceCell::new(),
         }
     }
 
+    /// Returns what the request is known again by; worked out once, when first asked for.
+    pub(super) fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let path = self.head.uri.path_and_query();
+            let path = path.map_or("", |path| path.as_str());
+            Fingerprint::of(self.team.as_ref(), path, &self.body)
+        })
+    }
+
     /// Returns the request's id for logs.
     pub(super) fn id(&self) -> &str {
         self.words.request_id.as_deref().unwrap_or_default()
--- a/entry/src/serve/routed/run.rs
+++ b/entry/src/serve/routed/run.rs
@@ -282,6 +282,9 @@
         let is_written = sent.seal() > 0;
         self.log_failure(failure);
         self.note_outcome(failure);
+        if matches!(failure, Failure::Broken(_)) {
+            self.suspect();
+        }
         let event = match failure {
             Failure::NotConnected(_) => {
                 self.connects += 1;
--- a/entry/src/serve/routed/server.rs
+++ b/entry/src/serve/routed/server.rs
@@ -42,6 +42,7 @@
     super::upstream::Pool,
     RoutedSetup,
     counts::Counts,
+    crash_watch::CrashWatch,
     events::LogEvent,
     lines::LineBudget, //
 };
@@ -65,6 +66,7 @@
     pub(super) counts: Counts,
     pub(super) pool: Pool,
     pub(super) loads: RefCell<Loads>,
+    pub(super) crash_watch: CrashWatch,
     pub(super) draining: Cell<bool>,
     lines: LineBudget,
     pub(super) demand: Demand,
@@ -85,6 +87,7 @@
             counts: Counts::new(setup.metrics.clone()),
             pool: Pool::new(connect_timeout_ms),
             loads: RefCell::default(),
+            crash_watch: CrashWatch::default(),
             draining: Cell::new(false),
             lines: LineBudget::default(),
             demand: setup.demand.clone(),
--- a/entry/src/serve/routed/stream.rs
+++ b/entry/src/serve/routed/stream.rs
@@ -32,6 +32,7 @@
         AnswerRest,
         Answered,
         EventSource,
+        Failure,
         exchange, //
     },
     run::RoutedRun,
@@ -80,6 +81,7 @@
             Poll::Ready(Some(Ok(data))) => Poll::Ready(Some(Ok(Frame::data(data)))),
             Poll::Ready(Some(Err(why))) => {
                 self.rest = None;
+                self.run.suspect();
                 self.run.lost(None, &why);
                 // The error ends the caller's connection without the last chunk, so
                 // that the caller cannot take the part it has for the whole.
@@ -189,7 +191,10 @@
                 self.stage = Stage::Over;
                 Some(Poll::Ready(None))
             }
-            Poll::Ready(Some(Err(why))) => self.broke(run, source.last_event(), &why),
+            Poll::Ready(Some(Err(why))) => {
+                run.suspect();
+                self.broke(run, source.last_event(), &why)
+            }
             Poll::Pending => match self.poll_time(context) {
                 Late::No => {
                     self.stage = Stage::Live(run, source);
@@ -329,7 +334,12 @@
             Ok((body, None))
         }
         Ok(Ok(_)) => Err("another replica could not go on".to_owned()),
-        Ok(Err(failure)) => Err(failure.to_string()),
+        Ok(Err(failure)) => {
+            if matches!(failure, Failure::Broken(_)) {
+                run.suspect();
+            }
+            Err(failure.to_string())
+        }
         Err(_) => Err("another replica took too long".to_owned()),
     };
     (run, outcome)
--- a/entry/src/serve/upstream.rs
+++ b/entry/src/serve/upstream.rs
@@ -68,6 +68,8 @@
         address: Address,
         /// Why.
         reason: String,
+        /// Whether the VM answered that nothing listens there.
+        is_refused: bool,
     },
     /// the connection to {address} ended before a byte of the request was written: {reason}
     NothingWritten {
@@ -268,6 +270,23 @@
         Ok(self.lease_of(address, connection, false))
     }
 
+    /// Returns whether nothing listens at an address; a connection that is made is kept.
+    pub(super) async fn is_refused(&self, address: Address, keep_for: Duration) -> bool {
+        match self.lease_new(address).await {
+            Ok(lease) => {
+                lease.give_back_for(keep_for);
+                false
+            }
+            Err(error) => matches!(
+                error,
+                AttemptError::NotConnected {
+                    is_refused: true,
+                    ..
+                }
+            ),
+        }
+    }
+
     fn lease_of(&self, address: Address, connection: Connection, was_kept: bool) -> Lease {
         Lease {
             address,
@@ -290,11 +309,20 @@
     }
 
     async fn connect(&self, address: Address) -> Result<Connection, AttemptError> {
-        let failed = |reason: String| AttemptError::NotConnected { address, reason };
+        let failed = |reason: String| AttemptError::NotConnected {
+            address,
+            reason,
+            is_refused: false,
+        };
+        let refused_or_failed = |error: io::Error| AttemptError::NotConnected {
+            address,
+            reason: error.to_string(),
+            is_refused: error.kind() == io::ErrorKind::ConnectionRefused,
+        };
         let stream = timeout(self.connect_timeout, TcpStream::connect(address))
             .await
             .map_err(|_| failed("the connection took too long".to_owned()))?
-            .map_err(|error| failed(error.to_string()))?;
+            .map_err(refused_or_failed)?;
         stream
             .set_nodelay(true)
             .map_err(|error| failed(error.to_string()))?;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -14,6 +14,7 @@
 //!   report to any daemon, groups formed from them by one leader, membership by seeds.
 //! - [`discovery`]: how daemons share what upstreams report.
 //! - [`dispatch`]: which upstream a routed request goes to.
+//! - [`quarantine`]: requests that end the upstreams which run them.
 //! - [`routing`], [`admission`], [`claims`], [`request`]: the life of one request.
 //! - [`upstream_api`], [`peer_api`], [`operator_api`], [`caller_api`]: the messages
 //!   between processes.
@@ -32,6 +33,7 @@
 pub mod operator_api;
 pub mod peer_api;
 pub mod prelude;
+pub mod quarantine;
 pub mod registry;
 pub mod request;
 pub mod roster;
