quarantine: a request that ends three upstreams, one after the other, runs no more

Cause: a request was known by its id only, which each sending draws anew; what one daemon saw end an upstream no other learnt; and everything that broke off under an upstream was sent by all daemons to one and the same other one.

Change: requests that an upstream had when it ended (connections broke and nothing listens there) are known by team, path and body, and told to all daemons. The number of crashes counts those that came one after the other, each sent where the one before was known, so upstreams that lose power together count once; a good end clears. What broke off is drawn evenly among upstreams with room, so that it does not meet again.

Ruled out: repeats without end (no id had over two arrivals in the record); counting by clocks (crashes 200 ms apart as one): twelve upstreams ended within 300 ms in the test and counted as two.

Daemons' protocol is 5.

--- a/control/src/inbox.rs
+++ b/control/src/inbox.rs
@@ -58,7 +58,10 @@
                 let pushed = self.spread.push(incoming);
                 pushed.map_err(|_| InboxDrop::SpreadRingFull)
             }
-            PeerMessage::Hello(_) | PeerMessage::Roster(_) | PeerMessage::Upstreams(_) => {
+            PeerMessage::Hello(_)
+            | PeerMessage::Roster(_)
+            | PeerMessage::Upstreams(_)
+            | PeerMessage::Crashes(_) => {
                 let Some(members) = &self.members else {
                     return Err(InboxDrop::NotForControl);
                 };
--- a/control/src/members/events.rs
+++ b/control/src/members/events.rs
@@ -36,6 +36,17 @@
         instance: cicadabend::registry::InstanceId,
         by: cicadabend::prelude::DaemonId,
     } "head stands still";
+    /// A request was at several upstreams when they ended, one after the other: it does not run
+    /// for this long after the last one.
+    1606 Warn RequestQuarantined {
+        fingerprint: cicadabend::quarantine::Fingerprint,
+        crashes: u32,
+        hold_ms: u128,
+    } "request quarantined";
+    /// A request that was at upstreams which ended has run to a good end since.
+    1607 Info RequestCleared {
+        fingerprint: cicadabend::quarantine::Fingerprint,
+    } "request cleared";
     /// This daemon begins to form groups; its epochs begin at its term.
     1610 Info GroupingBegins { term: u64 } "leading groups";
     /// This daemon forms groups no longer.
--- a/control/src/members/thread.rs
+++ b/control/src/members/thread.rs
@@ -28,6 +28,7 @@
         PeerMessage, //
     },
     prelude::*,
+    quarantine::Change,
     registry::{
         InstanceId,
         Registration, //
@@ -174,6 +175,7 @@
             PeerMessage::Upstreams(news) => {
                 self.discovery.hear_upstreams(&incoming.from, *news, now);
             }
+            PeerMessage::Crashes(news) => self.discovery.hear_crashes(&news, now),
             // The inbox hands over the kinds above only.
             _ => {}
         }
@@ -324,11 +326,28 @@
             let how = "Forgotten".to_owned();
             LogEvent::UpstreamEnded { instance, how }.emit();
         }
+        Learnt::Quarantine(change) => log_quarantine(&change),
         // Only entry daemons choose sources.
         Learnt::SourcesChanged(_) => {}
     }
 }
 
+fn log_quarantine(change: &Change) {
+    match *change {
+        Change::Quarantined {
+            fingerprint,
+            crashes,
+            hold,
+        } => LogEvent::RequestQuarantined {
+            fingerprint,
+            crashes,
+            hold_ms: hold.as_millis(),
+        }
+        .emit(),
+        Change::Cleared { fingerprint } => LogEvent::RequestCleared { fingerprint }.emit(),
+    }
+}
+
 fn log_change(report: &Registration) {
     LogEvent::UpstreamChanged {
         instance: report.id.clone(),
--- a/entry/src/members/events.rs
+++ b/entry/src/members/events.rs
@@ -29,4 +29,15 @@
         daemon: cicadabend::prelude::DaemonId,
         silent_ms: u128,
     } "control daemon silent";
+    /// A request was at several upstreams when they ended, one after the other: it does not run
+    /// for this long after the last one.
+    1408 Warn RequestQuarantined {
+        fingerprint: cicadabend::quarantine::Fingerprint,
+        crashes: u32,
+        hold_ms: u128,
+    } "request quarantined";
+    /// A request that was at upstreams which ended has run to a good end since.
+    1409 Info RequestCleared {
+        fingerprint: cicadabend::quarantine::Fingerprint,
+    } "request cleared";
 }
--- a/entry/src/members/mod.rs
+++ b/entry/src/members/mod.rs
@@ -4,11 +4,13 @@
 //! both into one [`RoutedView`], which the serving thread reads.
 
 mod changes;
+mod crashes;
 mod demand;
 mod events;
 mod thread;
 mod view;
 
+pub(crate) use crashes::CrashNotice;
 pub(crate) use demand::{
     Demand,
     Demanded, //
--- a/entry/src/members/thread.rs
+++ b/entry/src/members/thread.rs
@@ -27,6 +27,10 @@
         RosterNews, //
     },
     prelude::*,
+    quarantine::{
+        Change,
+        SuspectTable, //
+    },
     registry::InstanceId,
     routes::{
         RouteIndex,
@@ -49,7 +53,7 @@
 };
 
 use super::{
-    changes,
+    CrashNotice, changes,
     demand::Demand,
     events::LogEvent,
     view::{
@@ -90,6 +94,7 @@
     was_certain: bool,
     /// Heads whose streams stand still here, and when that was noticed last.
     stalled: BTreeMap<InstanceId, Timestamp>,
+    suspects: Arc<SuspectTable>,
 }
 
 impl MembersThread {
@@ -102,6 +107,7 @@
             certain_until: Timestamp::default(),
             was_certain: false,
             stalled: BTreeMap::new(),
+            suspects: Arc::default(),
             setup,
         }
     }
@@ -111,6 +117,7 @@
         mut self,
         mut inbox: Receiver<Incoming>,
         mut stalls: Receiver<InstanceId>,
+        mut crashes: Receiver<CrashNotice>,
         mut ended: watch::Receiver<bool>,
     ) {
         let mut tick = tokio::time::interval(TICK);
@@ -122,6 +129,7 @@
                     None => return,
                 },
                 Some(id) = stalls.next() => self.note_stall(id),
+                Some(notice) = crashes.next() => self.note_crash(&notice),
                 _ = tick.tick() => self.tick(),
                 _ = ended.wait_for(|ended| *ended) => return,
             }
@@ -160,6 +168,12 @@
         }
     }
 
+    /// Passes on at once what the serving thread has seen of upstreams that end.
+    fn note_crash(&mut self, notice: &CrashNotice) {
+        let now = self.now();
+        self.discovery.observe(notice, now);
+    }
+
     fn hear(&mut self, incoming: Incoming) {
         let now = self.now();
         match incoming.message {
@@ -168,6 +182,7 @@
             PeerMessage::Upstreams(news) => {
                 self.discovery.hear_upstreams(&incoming.from, *news, now);
             }
+            PeerMessage::Crashes(news) => self.discovery.hear_crashes(&news, now),
             // Other kinds are meant for control daemons.
             _ => {}
         }
@@ -271,12 +286,16 @@
             true => Arc::clone(&before.replicas),
             false => Arc::new(fresh),
         };
+        if let Some(suspects) = self.discovery.changed_suspects() {
+            self.suspects = Arc::new(suspects);
+        }
         self.setup.view.store(Arc::new(RoutedView {
             routes: self.routes.clone(),
             certain_until: self.certain_until,
             has_upstreams: self.discovery.has_upstreams(),
             replicas,
             entries: self.discovery.entries(),
+            suspects: Arc::clone(&self.suspects),
         }));
     }
 }
@@ -296,6 +315,7 @@
             };
             LogEvent::SourceChanged { daemon }.emit();
         }
+        Learnt::Quarantine(change) => log_quarantine(&change),
         // What changes in the registry is logged by the replicas that come of it.
         Learnt::UpstreamFound(_)
         | Learnt::UpstreamChanged(_)
@@ -304,6 +324,22 @@
     }
 }
 
+fn log_quarantine(change: &Change) {
+    match *change {
+        Change::Quarantined {
+            fingerprint,
+            crashes,
+            hold,
+        } => LogEvent::RequestQuarantined {
+            fingerprint,
+            crashes,
+            hold_ms: hold.as_millis(),
+        }
+        .emit(),
+        Change::Cleared { fingerprint } => LogEvent::RequestCleared { fingerprint }.emit(),
+    }
+}
+
 /// Returns this daemon as others are told of it.
 pub(crate) fn me(
     daemon: DaemonId,
--- a/entry/src/members/view.rs
+++ b/entry/src/members/view.rs
@@ -8,6 +8,7 @@
 use cicadabend::{
     ids::Address,
     prelude::*,
+    quarantine::SuspectTable,
     registry::{
         EngineStanding,
         InstanceId,
@@ -35,6 +36,8 @@
     pub replicas: Arc<BTreeMap<ServiceName, Vec<RoutedReplica>>>,
     /// How many entry daemons there are.
     pub entries: u32,
+    /// Requests that upstreams had when they ended.
+    pub suspects: Arc<SuspectTable>,
 }
 
 /// One place where a routed request can run.
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -91,6 +91,8 @@
 const SERVE_NOTICE_CAPACITY: usize = 64;
 /// How many notices of replicas that stand still wait for the thread `members`.
 const STALL_CAPACITY: usize = 256;
+/// How many notices of upstreams that ended wait for the thread `members`.
+const CRASH_CAPACITY: usize = 256;
 /// How often the daemon looks whether a thread has ended by itself.
 const THREAD_LOOK_MS: u64 = 200;
 
@@ -212,8 +214,9 @@
     };
     let (stop_members, members_stopped) = watch::channel(false);
     let (stalls, stalled) = ring::bounded("stalls", STALL_CAPACITY);
+    let (crashes, crashed) = ring::bounded("crashes", CRASH_CAPACITY);
     let membership = duty::spawn("members", move || {
-        MembersThread::new(setup).run(inbox, stalled, members_stopped)
+        MembersThread::new(setup).run(inbox, stalled, crashed, members_stopped)
     })?;
     let (stop, stopped) = watch::channel(false);
     let setup = RoutedSetup {
@@ -228,6 +231,7 @@
         demand,
         has_served,
         stalls,
+        crashes,
     };
     let serving = routed::start(setup, stopped)?;
     // Membership lasts until the last request has ended, since resumes depend on it.
--- a/entry/src/serve/routed/account.rs
+++ b/entry/src/serve/routed/account.rs
@@ -13,7 +13,10 @@
         RoutedRefusal,
         RoutedRetry, //
     },
-    crash_watch::CrashWatch,
+    crash_watch::{
+        BrokenOff,
+        CrashWatch, //
+    },
     events::LogEvent,
     exchange::{
         Failure,
@@ -29,6 +32,9 @@
             return;
         }
         self.life.apply(RequestEvent::AnswerEnded, |_| false);
+        if self.is_success {
+            self.survived();
+        }
         self.server.counts.whole(self.plan.arrived.elapsed());
         let first_ms = self.first_part.unwrap_or_default().as_millis();
         self.server.log(&LogEvent::RequestEnded {
@@ -100,17 +106,19 @@
     }
 
     /// Notes that the present replica broke the request off; it may have ended by it.
-    pub(super) fn suspect(&self) {
-        if let Some(reservation) = &self.reservation {
-            let replica = &reservation.replica;
-            let upstream = (&replica.id, replica.address);
-            CrashWatch::note(
-                &self.server,
-                upstream,
-                self.plan.id(),
-                self.plan.fingerprint(),
-            );
-        }
+    pub(super) fn suspect(&mut self) {
+        let Some(reservation) = &self.reservation else {
+            return;
+        };
+        let replica = &reservation.replica;
+        let broken = BrokenOff {
+            request: self.plan.id().to_owned(),
+            fingerprint: self.plan.fingerprint(),
+            known_crashes: self.crashes_when_sent,
+            broken_before: self.broken_at.clone(),
+        };
+        CrashWatch::note(&self.server, (&replica.id, replica.address), broken);
+        self.broken_at.push(replica.id.clone());
     }
 
     /// Notes that something of the answer has come.
--- a/entry/src/serve/routed/attempt.rs
+++ b/entry/src/serve/routed/attempt.rs
@@ -91,6 +91,7 @@
         let left = self.plan.deadline.saturating_duration_since(Instant::now());
         self.is_paid = left >= LEAST_LEFT
             && self.attempts + 1 < self.plan.route.most_attempts
+            && self.may_be_repeated()
             && self.best(&self.server.view.load()).is_some()
             && self.server.withdraw_repeat(&self.plan.service);
         self.is_paid
--- a/entry/src/serve/routed/counts.rs
+++ b/entry/src/serve/routed/counts.rs
@@ -43,6 +43,8 @@
         BodyIncomplete,
         /// No upstream can take it now.
         NoReplica,
+        /// It ended several upstreams that ran it.
+        Quarantined,
         /// Every upstream is full.
         NoRoom,
         /// Every upstream that was asked said that it did not run it.
--- a/entry/src/serve/routed/crash_watch.rs
+++ b/entry/src/serve/routed/crash_watch.rs
@@ -6,14 +6,20 @@
 
 use std::{
     cell::RefCell,
-    collections::HashMap,
+    collections::{
+        HashMap,
+        HashSet, //
+    },
     rc::Rc,
     time::Duration, //
 };
 
 use cicadabend::{
     ids::Address,
-    quarantine::Fingerprint,
+    quarantine::{
+        Fingerprint,
+        Observation, //
+    },
     registry::InstanceId, //
 };
 use tokio::time::sleep;
@@ -29,17 +35,26 @@
 ///
 /// The connections of one upstream that ended were seen to break within 10 ms at one daemon.
 const GATHER: Duration = Duration::from_millis(20);
+
 /// A request that an upstream broke off.
 #[derive(Clone, Debug)]
-struct BrokenOff {
-    request: String,
-    fingerprint: Fingerprint,
+pub(super) struct BrokenOff {
+    /// Its id.
+    pub(super) request: String,
+    /// What it is known again by.
+    pub(super) fingerprint: Fingerprint,
+    /// How many crashes of it were known when it was sent.
+    pub(super) known_crashes: u32,
+    /// The upstreams that broke it off before, on its way to this one.
+    pub(super) broken_before: Vec<InstanceId>,
 }
 
-/// Requests that were broken off, by the upstream that had them.
+/// Requests that were broken off, and upstreams that have ended.
 #[derive(Debug, Default)]
 pub(super) struct CrashWatch {
     broken_off: RefCell<HashMap<InstanceId, Vec<BrokenOff>>>,
+    /// Upstreams that were seen to have ended.
+    ended: RefCell<HashSet<InstanceId>>,
 }
 
 impl CrashWatch {
@@ -47,8 +62,7 @@
     pub(super) fn note(
         server: &Rc<Server>,
         (upstream, address): (&InstanceId, Address),
-        request: &str,
-        fingerprint: Fingerprint,
+        broken: BrokenOff,
     ) {
         let mut broken_off = server.crash_watch.broken_off.borrow_mut();
         let gathered = broken_off.entry(upstream.clone()).or_default();
@@ -56,10 +70,20 @@
             let look = look(Rc::clone(server), upstream.clone(), address);
             tokio::task::spawn_local(look);
         }
-        gathered.push(BrokenOff {
-            request: request.to_owned(),
-            fingerprint,
-        });
+        gathered.push(broken);
+    }
+
+    /// Drops upstreams that nobody speaks of any more.
+    pub(super) fn forget(&self, is_kept: impl Fn(&InstanceId) -> bool) {
+        self.ended.borrow_mut().retain(is_kept);
+    }
+
+    /// Returns which crash of the request this one is, counted one after the other.
+    fn number(&self, broken: &BrokenOff) -> u32 {
+        let ended = self.ended.borrow();
+        let before = broken.broken_before.iter().filter(|id| ended.contains(id));
+        let before = u32::try_from(before.count()).unwrap_or(u32::MAX);
+        broken.known_crashes.max(before).saturating_add(1)
     }
 }
 
@@ -67,21 +91,35 @@
 async fn look(server: Rc<Server>, upstream: InstanceId, address: Address) {
     sleep(GATHER).await;
     let has_ended = server.pool.is_refused(address, KEEP_UNSAID).await;
-    let gathered = server.crash_watch.broken_off.borrow_mut().remove(&upstream);
+    let watch = &server.crash_watch;
+    let gathered = watch.broken_off.borrow_mut().remove(&upstream);
     let gathered = gathered.unwrap_or_default();
     if !has_ended {
         return;
     }
+    watch.ended.borrow_mut().insert(upstream.clone());
+    let observed = |broken: &BrokenOff| {
+        let number = watch.number(broken);
+        (broken.fingerprint, Observation::Crashed(number))
+    };
+    let observations = gathered.iter().map(observed).collect();
+    // A full ring loses the notice; the next crash gives another.
+    let _ = server.crashes.push(observations);
+    tell(&server, &upstream, address, &gathered);
+}
+
+fn tell(server: &Server, upstream: &InstanceId, address: Address, gathered: &[BrokenOff]) {
     server.counts.count(Routed::UpstreamsCrashed);
     server.log(&LogEvent::UpstreamCrashed {
         instance: upstream.clone(),
         address,
         requests: gathered.len(),
     });
-    for broken in &gathered {
+    for broken in gathered {
         server.log(&LogEvent::RequestSuspected {
             request: broken.request.clone(),
             fingerprint: broken.fingerprint,
+            crashes: server.crash_watch.number(broken),
             instance: upstream.clone(),
         });
     }
--- a/entry/src/serve/routed/events.rs
+++ b/entry/src/serve/routed/events.rs
@@ -72,10 +72,11 @@
         requests: usize,
     } "upstream ended with requests";
     /// A request that an upstream had when it ended; the fingerprint stands for its team, path
-    /// and body, and knows it again under another id.
+    /// and body, and knows it again under another id; crashes counts those one after the other.
     1430 Info RequestSuspected {
         request: String,
         fingerprint: cicadabend::quarantine::Fingerprint,
+        crashes: u32,
         instance: cicadabend::registry::InstanceId,
     } "request suspected";
 }
--- a/entry/src/serve/routed/mod.rs
+++ b/entry/src/serve/routed/mod.rs
@@ -10,6 +10,7 @@
 //! - `stream`: a streamed answer, resumed elsewhere if it breaks off.
 //! - `exchange`: one attempt up to the first part of its answer.
 //! - `crash_watch`: whether an upstream that broke requests off has ended.
+//! - `quarantine`: whether a request may run, by the upstreams that ended with it.
 //! - `plan`: the request in the form in which it can be sent, also twice.
 //! - `server`: what all requests share.
 
@@ -24,6 +25,7 @@
 mod lines;
 mod listener;
 mod plan;
+mod quarantine;
 mod refusal;
 mod run;
 mod server;
@@ -56,6 +58,7 @@
 use crate::{
     edge::CallerEdge,
     members::{
+        CrashNotice,
         Demand,
         RoutedView, //
     },
@@ -79,6 +82,8 @@
     pub(crate) has_served: Arc<AtomicBool>,
     /// Replicas whose streams stand still, for the thread `members`.
     pub(crate) stalls: ring::Sender<InstanceId>,
+    /// Upstreams that ended, for the thread `members`.
+    pub(crate) crashes: ring::Sender<CrashNotice>,
 }
 
 /// Starts the serving thread; it drains and ends once `stopped` turns true.
--- a/entry/src/serve/routed/refusal.rs
+++ b/entry/src/serve/routed/refusal.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cicadabend::quarantine::Standing;
 use http::{
     Response,
     StatusCode, //
@@ -51,7 +52,8 @@
             RoutedRefusal::NoReplica
             | RoutedRefusal::NotConnected
             | RoutedRefusal::NoRoom
-            | RoutedRefusal::NotStarted => (
+            | RoutedRefusal::NotStarted
+            | RoutedRefusal::Quarantined => (
                 StatusCode::SERVICE_UNAVAILABLE,
                 Some(self.come_back_after()),
             ),
@@ -89,8 +91,12 @@
     /// Returns when the caller should come back.
     ///
     /// A caller comes back a few times at the most, so each time should find room: it is
-    /// told to use the time that it has, spread so that not all come back at once.
+    /// told to use the time that it has, spread so that not all come back at once. What is
+    /// quarantined is refused until its quarantine ends, however often it comes.
     pub(super) fn come_back_after(&self) -> Duration {
+        if let Standing::Quarantined { until } = self.standing() {
+            return until.since(self.server.clock.now());
+        }
         let left = self.plan.deadline.saturating_duration_since(Instant::now());
         let spread = (self.server.random() % 1_000) as f64 / 1_000.0;
         let share = RETRY_SHARE * (1.0 - RETRY_SPREAD * spread);
--- a/entry/src/serve/routed/run.rs
+++ b/entry/src/serve/routed/run.rs
@@ -17,6 +17,7 @@
         Wanted,
         choose, //
     },
+    quarantine::Standing,
     registry::InstanceId,
     request::{
         Permit,
@@ -26,6 +27,7 @@
 };
 use http::{
     Response,
+    StatusCode,
     response::Parts, //
 };
 use tokio::time::Instant;
@@ -46,6 +48,7 @@
         Reservation, //
     },
     plan::Plan,
+    quarantine::Trial,
     server::Server,
     stream::{
         PassedBody,
@@ -80,6 +83,13 @@
     /// Whether the next attempt has been paid for.
     pub(super) is_paid: bool,
     pub(super) is_over: bool,
+    /// How many crashes of such a request were known when it was sent last.
+    pub(super) crashes_when_sent: u32,
+    /// The upstreams that broke it off, and may have ended by it.
+    pub(super) broken_at: Vec<InstanceId>,
+    /// Whether the answer that is passed on is a success.
+    pub(super) is_success: bool,
+    pub(super) trial: Option<Trial>,
 }
 
 /// What is left to do after a failed attempt.
@@ -110,12 +120,19 @@
             first_part: None,
             is_paid: false,
             is_over: false,
+            crashes_when_sent: 0,
+            broken_at: Vec::new(),
+            is_success: false,
+            trial: None,
         })
     }
 
     /// Drives the request to the head of its answer.
     pub(super) async fn drive(mut self) -> Response<RoutedBody> {
         self.server.note_request(&self.plan.service);
+        if !self.passes_quarantine() {
+            return self.refuse_quarantined();
+        }
         if !self.choose() {
             return self.refuse(RoutedRefusal::NoReplica, "no replica can take it now");
         }
@@ -159,6 +176,7 @@
         self.expected_ms = chosen.expected_ms;
         self.outstanding = chosen.outstanding;
         self.is_full = chosen.is_full;
+        self.crashes_when_sent = self.known_crashes();
         self.tried.push(id);
         let tokens = self.plan.prompt_tokens();
         self.reservation = Some(Reservation::make(&self.server, replica, tokens));
@@ -189,6 +207,7 @@
             prompt_tokens: plan.prompt_tokens(),
             timing: engine.map(|engine| &engine.timing),
             daemons: view.entries,
+            keeps_apart: !self.broken_at.is_empty() || self.standing() != Standing::Trusted,
         };
         let now = self.server.clock.now();
         let loads = self.server.loads.borrow();
@@ -222,11 +241,12 @@
         self.life.apply(RequestEvent::Connected, |_| false);
         self.life.apply(RequestEvent::RequestSent, |_| false);
         self.life.apply(RequestEvent::FirstByte, |_| false);
-        Ok(self.pass(answered))
+        Ok(self.pass(status, answered))
     }
 
-    fn pass(&mut self, answered: Answered) -> Response<RoutedBody> {
+    fn pass(&mut self, status: StatusCode, answered: Answered) -> Response<RoutedBody> {
         self.server.counts.count(Routed::Answered);
+        self.is_success = status.is_success();
         match answered {
             Answered::Whole { head, body } => {
                 self.ended("answered");
@@ -271,6 +291,10 @@
             first_part: self.first_part,
             is_paid: false,
             is_over: false,
+            crashes_when_sent: self.crashes_when_sent,
+            broken_at: std::mem::take(&mut self.broken_at),
+            is_success: self.is_success,
+            trial: self.trial.take(),
         };
         self.is_over = true;
         left
@@ -337,7 +361,7 @@
         }
         match failure {
             // Nothing arrived anywhere, so nothing is repeated.
-            Failure::NotConnected(_) => self.connects < MOST_CONNECTS,
+            Failure::NotConnected(_) => self.connects < MOST_CONNECTS && !self.is_quarantined(),
             Failure::TimeOver { .. } => false,
             Failure::Broken(_) | Failure::Status(_) | Failure::Slow(_)
                 if !self.plan.route.kind.is_repeatable() =>
@@ -346,6 +370,7 @@
             }
             _ => {
                 self.attempts < self.plan.route.most_attempts
+                    && self.may_be_repeated()
                     && self.server.withdraw_repeat(&self.plan.service)
             }
         }
@@ -357,6 +382,7 @@
         self.plan.route.kind.is_repeatable()
             && left >= LEAST_LEFT
             && self.attempts < self.plan.route.most_attempts
+            && self.may_be_repeated()
             && self.best(&self.server.view.load()).is_some()
             && self.server.withdraw_repeat(&self.plan.service)
     }
--- a/entry/src/serve/routed/server.rs
+++ b/entry/src/serve/routed/server.rs
@@ -44,11 +44,13 @@
     counts::Counts,
     crash_watch::CrashWatch,
     events::LogEvent,
-    lines::LineBudget, //
+    lines::LineBudget,
+    quarantine::Trials, //
 };
 use crate::{
     edge::CallerEdge,
     members::{
+        CrashNotice,
         Demand,
         RoutedView, //
     },
@@ -72,6 +74,8 @@
     pub(super) demand: Demand,
     has_served: Arc<AtomicBool>,
     pub(super) stalls: ring::Sender<InstanceId>,
+    pub(super) crashes: ring::Sender<CrashNotice>,
+    pub(super) trials: RefCell<Trials>,
     budgets: RefCell<HashMap<ServiceName, WindowBudget>>,
     random: RefCell<SmallRng>,
 }
@@ -93,6 +97,8 @@
             demand: setup.demand.clone(),
             has_served: Arc::clone(&setup.has_served),
             stalls: setup.stalls.clone(),
+            crashes: setup.crashes.clone(),
+            trials: RefCell::default(),
             budgets: RefCell::default(),
             random: RefCell::new(SmallRng::seed_from_u64(setup.boot.0)),
         });
@@ -149,6 +155,7 @@
             all.any(|replica| replica.id == *id)
         };
         server.loads.borrow_mut().forget(is_kept);
+        server.crash_watch.forget(is_kept);
         server.pool.close_expired();
     }
 }
--- a/lib/src/discovery/action.rs
+++ b/lib/src/discovery/action.rs
@@ -9,6 +9,7 @@
         PeerMessage, //
     },
     prelude::*,
+    quarantine::Change,
     registry::{
         Ended,
         InstanceId,
@@ -48,4 +49,6 @@
     UpstreamForgotten(InstanceId),
     /// Reports come from these control daemons from now on, the most useful first.
     SourcesChanged(Vec<DaemonId>),
+    /// A request is quarantined, or no longer.
+    Quarantine(Change),
 }
--- a/lib/src/discovery/control.rs
+++ b/lib/src/discovery/control.rs
@@ -30,6 +30,10 @@
         UpstreamNews, //
     },
     prelude::*,
+    quarantine::{
+        CrashNews,
+        CrashSpread, //
+    },
     registry::{
         Ended,
         Heard,
@@ -100,6 +104,8 @@
     /// Two that were apart have each missed what the other was told, and ends are told for
     /// [`news::ENDS_REPEATED_FOR`] only.
     level_with: BTreeSet<DaemonId>,
+    /// Which requests upstreams had when they ended.
+    crashes: CrashSpread,
     /// Whether any caller has been served since the fleet's first start.
     has_served: bool,
     alive_due: Timestamp,
@@ -117,6 +123,7 @@
         has_served: bool,
     ) -> Self {
         Self {
+            crashes: CrashSpread::new(&me.daemon),
             members: Members::new(me, seeds, MembersSettings::default()),
             hello_every,
             registry: Registry::default(),
@@ -212,6 +219,8 @@
         if hello.wants_all && (role == DaemonRole::Control || hello.subscribes) {
             let all = news::all(&self.registry, now);
             self.send(&daemon, PeerMessage::Upstreams(Box::new(all)));
+            let crashes = self.crashes.all(now);
+            self.send_crashes(std::slice::from_ref(&daemon), crashes);
         }
         self.send_routes(&daemon, routes, now);
     }
@@ -323,6 +332,13 @@
         }
     }
 
+    /// Takes in which requests upstreams had when they ended.
+    pub fn hear_crashes(&mut self, news: &CrashNews, now: Timestamp) {
+        for change in self.crashes.relay(news, now) {
+            self.log(Learnt::Quarantine(change));
+        }
+    }
+
     fn take_report(&mut self, registration: Registration, age: Duration, now: Timestamp) -> Taken {
         let report = registration.clone();
         let id = registration.id.clone();
@@ -366,6 +382,7 @@
             self.log_silence(now);
         }
         self.pass_on(now);
+        self.pass_crashes_on(now);
     }
 
     fn greet(&mut self, routes: NewestRoutes, now: Timestamp) {
@@ -393,6 +410,7 @@
             self.level_with.remove(&daemon);
             self.actions.push(Action::Forget(daemon));
         }
+        self.crashes.forget_old(now);
         for id in self.registry.forget_old(now) {
             self.log(Learnt::UpstreamForgotten(id));
         }
@@ -431,6 +449,25 @@
         }
     }
 
+    fn pass_crashes_on(&mut self, now: Timestamp) {
+        let news = self.crashes.due(now);
+        if news.is_empty() {
+            return;
+        }
+        let mut to = self.subscribers(now);
+        to.extend(self.controls_here(now));
+        self.send_crashes(&to, news);
+    }
+
+    fn send_crashes(&mut self, to: &[DaemonId], news: CrashNews) {
+        if news.is_empty() {
+            return;
+        }
+        for daemon in to {
+            self.send(daemon, PeerMessage::Crashes(Box::new(news.clone())));
+        }
+    }
+
     /// Returns the control daemons that get this daemon's own reports.
     ///
     /// Those that are not heard get none: what waits for them during a cut would arrive at
--- a/lib/src/discovery/entry.rs
+++ b/lib/src/discovery/entry.rs
@@ -26,6 +26,14 @@
         UpstreamNews, //
     },
     prelude::*,
+    quarantine::{
+        Change,
+        CrashNews,
+        CrashSpread,
+        Fingerprint,
+        Observation,
+        SuspectTable, //
+    },
     registry::{
         Heard,
         InstanceId,
@@ -66,6 +74,8 @@
     level_with: BTreeSet<DaemonId>,
     /// Whose reports each control daemon gets, by its own word.
     told_by: BTreeMap<DaemonId, BTreeSet<DaemonId>>,
+    /// Which requests upstreams had when they ended.
+    crashes: CrashSpread,
     has_upstreams: bool,
     entries: u32,
     hello_due: Timestamp,
@@ -80,6 +90,7 @@
         hello_every: Duration,
     ) -> Self {
         Self {
+            crashes: CrashSpread::new(&me.daemon),
             members: Members::new(me, seeds, MembersSettings::default()),
             hello_every,
             registry: Registry::default(),
@@ -141,6 +152,9 @@
         if is_found {
             let learnt = Learnt::DaemonFound(from.clone(), DaemonRole::Control);
             self.actions.push(Action::Log(learnt));
+            // What was told while it was not in touch is lost.
+            let own = self.crashes.own(now);
+            self.send_crashes([from.clone()], own);
         }
         self.members.take_roster(news, now);
         self.told_by.insert(from.clone(), news.told_by.clone());
@@ -174,9 +188,54 @@
         }
     }
 
+    /// Takes in which requests upstreams had when they ended.
+    pub fn hear_crashes(&mut self, news: &CrashNews, now: Timestamp) {
+        let changes = self.crashes.take(news, now);
+        self.log_changes(changes);
+    }
+
+    /// Notes what was seen here of requests, and tells control daemons at once.
+    pub fn observe(&mut self, observations: &[(Fingerprint, Observation)], now: Timestamp) {
+        let mut changes = Vec::new();
+        for (fingerprint, observation) in observations {
+            let change = self.crashes.observe(*fingerprint, *observation, now);
+            changes.extend(change);
+        }
+        self.log_changes(changes);
+        self.tell_crashes(now);
+    }
+
+    /// Returns what requests are judged by, if it may have changed since the last time.
+    pub fn changed_suspects(&mut self) -> Option<SuspectTable> {
+        self.crashes.changed_table()
+    }
+
+    fn log_changes(&mut self, changes: Vec<Change>) {
+        let logs = changes.into_iter().map(Learnt::Quarantine);
+        self.actions.extend(logs.map(Action::Log));
+    }
+
+    fn tell_crashes(&mut self, now: Timestamp) {
+        let news = self.crashes.due(now);
+        let controls = self.members.controls_by_preference(now);
+        self.send_crashes(controls, news);
+    }
+
+    fn send_crashes(&mut self, to: impl IntoIterator<Item = DaemonId>, news: CrashNews) {
+        if news.is_empty() {
+            return;
+        }
+        for daemon in to {
+            let message = PeerMessage::Crashes(Box::new(news.clone()));
+            self.actions.push(Action::Send(daemon, message));
+        }
+    }
+
     /// Drops what is too old to matter, and logs who has fallen silent.
     pub fn tick(&mut self, now: Timestamp) {
         self.registry.forget_old(now);
+        self.crashes.forget_old(now);
+        self.tell_crashes(now);
         for (daemon, silence) in self.members.newly_silent(now) {
             let learnt = Learnt::DaemonSilent(daemon, silence);
             self.actions.push(Action::Log(learnt));
--- a/lib/src/dispatch/choose.rs
+++ b/lib/src/dispatch/choose.rs
@@ -65,6 +65,8 @@
     pub timing: Option<&'a Timing>,
     /// How many daemons choose among the same upstreams.
     pub daemons: u32,
+    /// Whether it was at an upstream that ended, so that it must not meet the others again.
+    pub keeps_apart: bool,
 }
 
 /// The choice and what it is expected to take.
@@ -89,6 +91,7 @@
     random: u64,
 ) -> Option<Chosen> {
     let by_room = match wanted.daemons > FEW_DAEMONS {
+        _ if wanted.keeps_apart => draw_with_room(candidates, loads, now, random),
         true => draw_by_room(candidates, loads, now, random),
         false => None,
     };
@@ -128,6 +131,33 @@
     near.get(usize::try_from(drawn).ok()?).copied()
 }
 
+/// Draws one of the sound candidates that have room, each as likely as another; none if all are
+/// full or unsound.
+///
+/// When an upstream ends, all daemons send what it had elsewhere at the same moment. By the
+/// cheapest they agree on one upstream: 45 of 45 requests met again at the next, which the guilty
+/// one among them ended too, and nothing told it from the rest. Drawn evenly among ten, four or
+/// five meet it again.
+fn draw_with_room(
+    candidates: &[Candidate<'_>],
+    loads: &Loads,
+    now: Timestamp,
+    random: u64,
+) -> Option<usize> {
+    let has_room = |index: &usize| {
+        let candidate = &candidates[*index];
+        let room = f64::from(candidate.slots) * FULL_FACTOR;
+        is_sound(candidate, loads, now) && loads.outstanding(candidate.id, now) < room
+    };
+    let with_room: Vec<usize> = (0..candidates.len()).filter(has_room).collect();
+    let drawn = random.checked_rem(with_room.len() as u64)?;
+    with_room.get(usize::try_from(drawn).ok()?).copied()
+}
+
+fn is_sound(candidate: &Candidate<'_>, loads: &Loads, now: Timestamp) -> bool {
+    !candidate.is_suspect && !loads.is_paused(candidate.id, now)
+}
+
 /// Draws one of the sound candidates by the room that it has; none if there is no sound one.
 ///
 /// Where many daemons choose, each seldom has a request at one and the same upstream, so what
@@ -141,11 +171,9 @@
     now: Timestamp,
     random: u64,
 ) -> Option<usize> {
-    let is_sound = |index: &usize| {
-        let candidate = &candidates[*index];
-        !candidate.is_suspect && !loads.is_paused(candidate.id, now)
-    };
-    let sound: Vec<usize> = (0..candidates.len()).filter(is_sound).collect();
+    let sound: Vec<usize> = (0..candidates.len())
+        .filter(|index| is_sound(&candidates[*index], loads, now))
+        .collect();
     let ids = sound.iter().map(|index| candidates[*index].id);
     let taken: Vec<f64> = ids.clone().map(|id| loads.outstanding(id, now)).collect();
     let room = room_below_level(&taken).into_iter().zip(ids);
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -21,6 +21,7 @@
     },
     ids::Address,
     prelude::*,
+    quarantine::CrashNews,
     registry::{
         Alive,
         Ended,
@@ -38,7 +39,7 @@
 };
 
 /// The version of this protocol; a process drops messages of another one and counts them.
-pub const PROTOCOL_VERSION: u16 = 4;
+pub const PROTOCOL_VERSION: u16 = 5;
 
 /// A daemon's role, as members that find each other by seeds tell it.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
@@ -191,6 +192,9 @@
     Routes(Box<RouteTable>),
     /// Control to control and entry: what upstreams report.
     Upstreams(Box<UpstreamNews>),
+    /// Entry to control, control to control and entry: upstreams that ended, with the requests
+    /// that they had.
+    Crashes(Box<CrashNews>),
 }
 
 /// A control daemon's sign of life to the other control daemons.
--- /dev/null
+++ b/lib/src/quarantine/spread.rs
@@ -0,0 +1,204 @@
+//! How daemons tell each other of crashes.
+
+use std::{
+    collections::VecDeque,
+    time::Duration, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::{
+    Change,
+    Fingerprint,
+    SuspectTable,
+    ledger::Ledger,
+    moment::Moment, //
+};
+use crate::prelude::*;
+
+/// How often one thing is told, since a message may be lost.
+const TIMES_TOLD: u8 = 3;
+/// The pause between two tellings.
+const TOLD_EVERY: Duration = Duration::from_millis(400);
+/// How many observations are still being told; beyond, the oldest are told no more.
+const MOST_TOLD: usize = 512;
+/// How many of its own observations a daemon keeps for control daemons that come back.
+const MOST_OWN: usize = 512;
+
+/// What a daemon has seen of one request.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Observation {
+    /// An upstream ended with it, and so many did one after the other, this one included.
+    Crashed(u32),
+    /// It ran to a good end although it was under crashes.
+    Cleared,
+}
+
+/// Observations on their way between daemons, each with its age in milliseconds.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CrashNews {
+    /// What was seen of which request, and how long ago.
+    pub observations: Vec<(Fingerprint, Observation, u32)>,
+}
+
+impl CrashNews {
+    /// Returns whether there is nothing to tell.
+    pub fn is_empty(&self) -> bool {
+        self.observations.is_empty()
+    }
+}
+
+type Observed = (Fingerprint, Observation, Moment);
+
+#[derive(Clone, Debug)]
+struct Told {
+    observed: Observed,
+    times_left: u8,
+    due: Timestamp,
+}
+
+/// A daemon's ledger of crashes, and what of it is to be told to others.
+#[derive(Clone, Debug)]
+pub struct CrashSpread {
+    ledger: Ledger,
+    told: VecDeque<Told>,
+    own: VecDeque<Observed>,
+    /// Whether the ledger differs from the table that was taken last.
+    is_changed: bool,
+}
+
+impl CrashSpread {
+    /// Starts with nothing.
+    pub fn new(daemon: &DaemonId) -> Self {
+        Self {
+            ledger: Ledger::new(daemon),
+            told: VecDeque::new(),
+            own: VecDeque::new(),
+            is_changed: false,
+        }
+    }
+
+    /// Notes what this daemon has seen itself; returns what it changes.
+    pub fn observe(
+        &mut self,
+        fingerprint: Fingerprint,
+        observation: Observation,
+        now: Timestamp,
+    ) -> Option<Change> {
+        let observed = (fingerprint, observation, Moment::from(now));
+        self.own.push_back(observed);
+        if self.own.len() > MOST_OWN {
+            self.own.pop_front();
+        }
+        self.learn(observed).then(|| self.tell(observed, now));
+        self.change(observed)
+    }
+
+    /// Takes in what another daemon tells, and tells on what is new; returns what it changes.
+    pub fn relay(&mut self, news: &CrashNews, now: Timestamp) -> Vec<Change> {
+        let fresh = self.learn_all(news, now);
+        for observed in &fresh {
+            self.tell(*observed, now);
+        }
+        self.changes(&fresh)
+    }
+
+    /// Takes in what another daemon tells; returns what it changes.
+    pub fn take(&mut self, news: &CrashNews, now: Timestamp) -> Vec<Change> {
+        let fresh = self.learn_all(news, now);
+        self.changes(&fresh)
+    }
+
+    /// Returns what is to be told now.
+    pub fn due(&mut self, now: Timestamp) -> CrashNews {
+        let mut due = Vec::new();
+        for told in self.told.iter_mut().filter(|told| told.due <= now) {
+            told.times_left -= 1;
+            told.due = now + TOLD_EVERY;
+            due.push(told.observed);
+        }
+        self.told.retain(|told| told.times_left > 0);
+        news(due, now)
+    }
+
+    /// Returns what this daemon has seen itself, for one that may have missed it.
+    pub fn own(&self, now: Timestamp) -> CrashNews {
+        news(self.own.iter().copied(), now)
+    }
+
+    /// Returns all that is known, for one that knows nothing.
+    pub fn all(&self, now: Timestamp) -> CrashNews {
+        let crashed = self.ledger.suspects();
+        let crashed = crashed
+            .map(|(fingerprint, crashes, at)| (fingerprint, Observation::Crashed(crashes), at));
+        let cleared = self.ledger.cleared();
+        let cleared = cleared.map(|(fingerprint, at)| (fingerprint, Observation::Cleared, at));
+        news(crashed.chain(cleared), now)
+    }
+
+    /// Drops what is too old to matter.
+    pub fn forget_old(&mut self, now: Timestamp) {
+        self.is_changed |= self.ledger.forget_old(now);
+    }
+
+    /// Returns what requests are judged by, if it may have changed since the last time.
+    pub fn changed_table(&mut self) -> Option<SuspectTable> {
+        std::mem::take(&mut self.is_changed).then(|| self.ledger.table())
+    }
+
+    /// Returns what of the news was not known.
+    fn learn_all(&mut self, news: &CrashNews, now: Timestamp) -> Vec<Observed> {
+        let observations = news.observations.iter();
+        let observed = observations.map(|(fingerprint, observation, age_ms)| {
+            (*fingerprint, *observation, Moment::before(now, *age_ms))
+        });
+        observed.filter(|observed| self.learn(*observed)).collect()
+    }
+
+    /// Returns whether it was not known.
+    fn learn(&mut self, (fingerprint, observation, at): Observed) -> bool {
+        let is_news = match observation {
+            Observation::Crashed(crashes) => self.ledger.note(fingerprint, crashes, at),
+            Observation::Cleared => self.ledger.clear(fingerprint, at),
+        };
+        self.is_changed |= is_news;
+        is_news
+    }
+
+    fn changes(&self, fresh: &[Observed]) -> Vec<Change> {
+        fresh
+            .iter()
+            .filter_map(|observed| self.change(*observed))
+            .collect()
+    }
+
+    fn change(&self, (fingerprint, observation, _): Observed) -> Option<Change> {
+        match observation {
+            Observation::Crashed(_) => self.ledger.change(fingerprint),
+            Observation::Cleared => Some(Change::Cleared { fingerprint }),
+        }
+    }
+
+    fn tell(&mut self, observed: Observed, now: Timestamp) {
+        self.told.push_back(Told {
+            observed,
+            times_left: TIMES_TOLD,
+            due: now,
+        });
+        if self.told.len() > MOST_TOLD {
+            self.told.pop_front();
+        }
+    }
+}
+
+fn news(observed: impl IntoIterator<Item = Observed>, now: Timestamp) -> CrashNews {
+    let observations = observed
+        .into_iter()
+        .map(|(fingerprint, observation, at)| (fingerprint, observation, at.age_ms(now)));
+    CrashNews {
+        observations: observations.collect(),
+    }
+}
--- /dev/null
+++ b/lib/src/quarantine/table.rs
@@ -0,0 +1,78 @@
+//! What requests are judged by, as the serving thread reads it.
+
+use std::collections::BTreeMap;
+
+use super::Fingerprint;
+use crate::prelude::*;
+
+/// So many crashes, one after the other, quarantine a request.
+///
+/// With two, an innocent request that met the guilty one twice would be refused as often as the
+/// guilty one: after a crash about one other request in twenty is sent to the same upstream.
+pub(super) const CRASHES_TO_QUARANTINE: u32 = 3;
+/// From so many crashes on a daemon sends a request to one upstream only, and no second one if
+/// that fails.
+const CRASHES_TO_STOP_REPEATS: u32 = CRASHES_TO_QUARANTINE - 1;
+
+/// How a request that was seen under crashes stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Standing {
+    /// No crash is known.
+    Trusted,
+    /// It was there when an upstream ended; many were.
+    Suspected,
+    /// Only one crash is missing: it may run, but is not repeated.
+    Doubtful,
+    /// It must not run before this time.
+    Quarantined {
+        /// When it may be tried again.
+        until: Timestamp,
+    },
+    /// Its quarantine is over: one may run at a time until it is known how that ended.
+    OnTrial,
+}
+
+/// What is known of one request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Suspicion {
+    /// How many crashes it was under, one after the other.
+    pub crashes: u32,
+    /// Until when it must not run; `None` if it was under too few.
+    pub held_until: Option<Timestamp>,
+}
+
+impl Suspicion {
+    /// Returns how the request stands now.
+    pub fn standing(&self, now: Timestamp) -> Standing {
+        match self.held_until {
+            Some(until) if now < until => Standing::Quarantined { until },
+            Some(_) => Standing::OnTrial,
+            None if self.crashes >= CRASHES_TO_STOP_REPEATS => Standing::Doubtful,
+            None => Standing::Suspected,
+        }
+    }
+}
+
+/// All requests that were seen under crashes.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct SuspectTable {
+    pub(super) suspicions: BTreeMap<Fingerprint, Suspicion>,
+}
+
+impl SuspectTable {
+    /// Returns whether nothing is suspected, so that no fingerprint need be worked out.
+    pub fn is_empty(&self) -> bool {
+        self.suspicions.is_empty()
+    }
+
+    /// Returns what is known of a request.
+    pub fn get(&self, fingerprint: &Fingerprint) -> Option<&Suspicion> {
+        self.suspicions.get(fingerprint)
+    }
+
+    /// Returns how a request stands now.
+    pub fn standing(&self, fingerprint: &Fingerprint, now: Timestamp) -> Standing {
+        let suspicion = self.get(fingerprint);
+        suspicion.map_or(Standing::Trusted, |suspicion| suspicion.standing(now))
+    }
+}
--- a/lib/tests/test_dispatch/test_decisions.rs
+++ b/lib/tests/test_dispatch/test_decisions.rs
@@ -81,6 +81,7 @@
         prompt_tokens: 1_000,
         timing: Some(&timing),
         daemons: 1,
+        keeps_apart: false,
     };
     let chosen = choose(&candidates, &wanted, loads, Timestamp(now), 7).unwrap();
     (chosen.index, chosen.is_full)
--- a/lib/tests/test_dispatch/test_load.rs
+++ b/lib/tests/test_dispatch/test_load.rs
@@ -99,6 +99,7 @@
             prompt_tokens: 700,
             timing: Some(&timing),
             daemons: daemons_known,
+            keeps_apart: false,
         };
         let now = Timestamp(self.now_ms);
         let drawn = self.random.random();
