--- a/cli/src/commands/explain.rs
+++ b/cli/src/commands/explain.rs
@@ -111,8 +111,8 @@
     Ok(())
 }
 
-/// Returns the lines on a request, those on its replicas, its routes and who was heard around
-/// it, and what each daemon had last said before.
+/// Returns the lines on a request and on those with its fingerprint, those on its replicas, its
+/// routes and who was heard around it, and what each daemon had last said before.
 fn story(request: &str, mut lines: Vec<Line>) -> Vec<Line> {
     lines.sort_by(|a, b| a.time.cmp(&b.time));
     let own: Vec<&Line> = lines.iter().filter(|line| line.is_of(request)).collect();
@@ -123,6 +123,10 @@
         .filter(|name| !name.is_empty())
         .map(str::to_owned)
         .collect();
+    let fingerprints: BTreeSet<&str> = own
+        .iter()
+        .filter_map(|line| line.field("fingerprint"))
+        .collect();
     let (Some(first), Some(last)) = (own.first(), own.last()) else {
         return Vec::new();
     };
@@ -153,7 +157,9 @@
         .enumerate()
         .filter(|(number, line)| {
             let around = is_near(line) && is_background(line);
-            line.is_of(request) || around || last_said.contains(number)
+            let is_alike = line.field("fingerprint");
+            let is_alike = is_alike.is_some_and(|known| fingerprints.contains(known));
+            line.is_of(request) || is_alike || around || last_said.contains(number)
         })
         .map(|(_, line)| line.clone())
         .collect()
--- a/cli/tests/runner/test_explain.rs
+++ b/cli/tests/runner/test_explain.rs
@@ -45,3 +45,39 @@
         .collect();
     assert_eq!(codes, ["CB1405", "CB1406", "CB1601", "CB1603", "CB1420"]);
 }
+
+#[test]
+fn a_quarantined_request_is_explained_by_the_crashes_under_others_like_it() {
+    // A caller is refused, and its request reached no upstream. What decided it are requests
+    // with other ids, minutes before and at other entry daemons.
+    let folder = tempfile::tempdir().unwrap();
+    let fingerprint = r#""fingerprint":"00ff""#;
+    let suspected = |second, request| {
+        let fields = format!(r#""request":"{request}",{fingerprint},"instance":"u-{second}""#);
+        line(second, "CB1430", &fields)
+    };
+    let other = [suspected(1, "r-1"), suspected(2, "r-2")];
+    let entry = [
+        suspected(3, "r-3"),
+        line(4, "CB1430", r#""request":"r-8","fingerprint":"0000""#),
+        line(50, "CB1431", &format!(r#""request":"r-9",{fingerprint}"#)),
+        line(50, "CB1421", r#""request":"r-9","reason":"Quarantined""#),
+    ];
+    let (other_log, entry_log) = (folder.path().join("other"), folder.path().join("entry"));
+    fs::write(&other_log, other.join("\n")).unwrap();
+    fs::write(&entry_log, entry.join("\n")).unwrap();
+
+    let told = run(&[
+        "explain",
+        "r-9",
+        other_log.to_str().unwrap(),
+        entry_log.to_str().unwrap(),
+    ]);
+
+    let codes: Vec<&str> = told
+        .stdout
+        .split_whitespace()
+        .filter(|word| word.starts_with("CB"))
+        .collect();
+    assert_eq!(codes, ["CB1430", "CB1430", "CB1430", "CB1431", "CB1421"]);
+}
--- a/entry/src/serve/routed/events.rs
+++ b/entry/src/serve/routed/events.rs
@@ -79,4 +79,12 @@
         crashes: u32,
         instance: cicadabend::registry::InstanceId,
     } "request suspected";
+    /// A request is quarantined, or another like it is on trial: it was at so many upstreams when
+    /// they ended, one after the other. The refusal is the next line of the request.
+    1431 Warn RequestHeld {
+        request: String,
+        fingerprint: cicadabend::quarantine::Fingerprint,
+        crashes: u32,
+        left_ms: u128,
+    } "request held";
 }
--- a/entry/src/serve/routed/quarantine.rs
+++ b/entry/src/serve/routed/quarantine.rs
@@ -15,6 +15,7 @@
 use super::{
     body::RoutedBody,
     counts::RoutedRefusal,
+    events::LogEvent,
     run::RoutedRun,
     server::Server, //
 };
@@ -93,6 +94,12 @@
     pub(super) fn refuse_quarantined(self) -> Response<RoutedBody> {
         let crashes = self.known_crashes();
         let fingerprint = self.plan.fingerprint();
+        self.server.log(&LogEvent::RequestHeld {
+            request: self.plan.id().to_owned(),
+            fingerprint,
+            crashes,
+            left_ms: self.come_back_after().as_millis(),
+        });
         let why = format!(
             "{crashes} upstreams ended, one after the other, while they ran a request of this \
              team with this path and body ({fingerprint})"
