--- a/control/src/run.rs
+++ b/control/src/run.rs
@@ -299,7 +299,7 @@
     let setup = MembersSetup {
         me: MemberAddress {
             daemon: settings.daemon.clone(),
-            address: settings.peer_listen,
+            address: membership.advertised_peer.unwrap_or(settings.peer_listen),
             role: DaemonRole::Control,
             failure_domain: settings.failure_domain.clone(),
             operators: (!operators.ip().is_unspecified()).then_some(operators),
--- a/daemon/src/settings/shared.rs
+++ b/daemon/src/settings/shared.rs
@@ -43,6 +43,10 @@
     pub seeds: Vec<Address>,
     /// The port on which every daemon hears its peers.
     pub peer_port: u16,
+    /// Where other daemons reach this one, if not at `peer_listen`: behind an address
+    /// translation or a proxy.
+    #[serde(default)]
+    pub advertised_peer: Option<Address>,
     /// Whether the seeds found the fleet; only at its very first start, on empty disks.
     #[serde(default)]
     pub may_found: bool,
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -201,7 +201,7 @@
     let setup = MembersSetup {
         me: members::me(
             settings.daemon.clone(),
-            settings.peer_listen,
+            membership.advertised_peer.unwrap_or(settings.peer_listen),
             settings.failure_domain.clone(),
         ),
         hello_every: Duration::from_millis(membership.hello_interval_ms),
--- a/entry/src/serve/routed/account.rs
+++ b/entry/src/serve/routed/account.rs
@@ -114,7 +114,7 @@
         let broken = BrokenOff {
             request: self.plan.id().to_owned(),
             fingerprint: self.plan.fingerprint(),
-            known_crashes: self.crashes_when_sent,
+            known: self.known,
             broken_before: self.broken_at.clone(),
         };
         CrashWatch::note(&self.server, (&replica.id, replica.address), broken);
--- a/entry/src/serve/routed/crash_watch.rs
+++ b/entry/src/serve/routed/crash_watch.rs
@@ -18,6 +18,7 @@
     ids::Address,
     quarantine::{
         Fingerprint,
+        Known,
         Observation, //
     },
     registry::InstanceId, //
@@ -44,7 +45,7 @@
     /// What it is known again by.
     pub(super) fingerprint: Fingerprint,
     /// How many crashes of it were known when it was sent.
-    pub(super) known_crashes: u32,
+    pub(super) known: Known,
     /// The upstreams that broke it off before, on its way to this one.
     pub(super) broken_before: Vec<InstanceId>,
 }
@@ -83,7 +84,7 @@
         let ended = self.ended.borrow();
         let before = broken.broken_before.iter().filter(|id| ended.contains(id));
         let before = u32::try_from(before.count()).unwrap_or(u32::MAX);
-        broken.known_crashes.max(before).saturating_add(1)
+        broken.known.number_of_next(before)
     }
 }
 
--- a/entry/src/serve/routed/run.rs
+++ b/entry/src/serve/routed/run.rs
@@ -17,7 +17,10 @@
         Wanted,
         choose, //
     },
-    quarantine::Standing,
+    quarantine::{
+        Known,
+        Standing, //
+    },
     registry::InstanceId,
     request::{
         Permit,
@@ -83,8 +86,8 @@
     /// Whether the next attempt has been paid for.
     pub(super) is_paid: bool,
     pub(super) is_over: bool,
-    /// How many crashes of such a request were known when it was sent last.
-    pub(super) crashes_when_sent: u32,
+    /// How many crashes of such a request were known when it was sent.
+    pub(super) known: Known,
     /// The upstreams that broke it off, and may have ended by it.
     pub(super) broken_at: Vec<InstanceId>,
     /// Whether the answer that is passed on is a success.
@@ -120,7 +123,7 @@
             first_part: None,
             is_paid: false,
             is_over: false,
-            crashes_when_sent: 0,
+            known: Known::default(),
             broken_at: Vec::new(),
             is_success: false,
             trial: None,
@@ -176,7 +179,10 @@
         self.expected_ms = chosen.expected_ms;
         self.outstanding = chosen.outstanding;
         self.is_full = chosen.is_full;
-        self.crashes_when_sent = self.known_crashes();
+        self.known.at_last = self.known_crashes();
+        if self.tried.is_empty() {
+            self.known.at_first = self.known.at_last;
+        }
         self.tried.push(id);
         let tokens = self.plan.prompt_tokens();
         self.reservation = Some(Reservation::make(&self.server, replica, tokens));
@@ -291,7 +297,7 @@
             first_part: self.first_part,
             is_paid: false,
             is_over: false,
-            crashes_when_sent: self.crashes_when_sent,
+            known: self.known,
             broken_at: std::mem::take(&mut self.broken_at),
             is_success: self.is_success,
             trial: self.trial.take(),
--- a/lib/src/quarantine/mod.rs
+++ b/lib/src/quarantine/mod.rs
@@ -22,6 +22,7 @@
     Observation, //
 };
 pub use table::{
+    Known,
     Standing,
     SuspectTable,
     Suspicion, //
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -14,6 +14,7 @@
         CrashNews,
         CrashSpread,
         Fingerprint,
+        Known,
         Observation,
         Standing, //
     },
@@ -91,6 +92,26 @@
     assert!("x".repeat(32).parse::<Fingerprint>().is_err());
 }
 
+#[rstest]
+#[case::the_first_ever(0, 0, 0, 1)]
+#[case::after_one_known(1, 1, 0, 2)]
+#[case::the_second_on_its_way(0, 0, 1, 2)]
+#[case::the_second_on_its_way_is_known_by_now(0, 1, 1, 2)]
+#[case::the_second_on_its_way_after_one_elsewhere(1, 1, 1, 3)]
+#[case::others_were_told_of_meanwhile(0, 2, 1, 3)]
+fn a_crash_is_counted_after_those_known_and_those_on_its_way(
+    #[case] at_first: u32,
+    #[case] at_last: u32,
+    #[case] ended_before: u32,
+    #[case] expected: u32,
+) {
+    // A caller's request ends a fourth upstream, because the daemon that repeated it counted
+    // either the crash that it had heard of or the one that it had just seen, not both.
+    let known = Known { at_first, at_last };
+
+    assert_eq!(known.number_of_next(ended_before), expected);
+}
+
 #[test]
 fn a_request_is_quarantined_by_its_third_crash() {
     let mut spread = daemon("entry");
