--- a/lib/src/discovery/mod.rs
+++ b/lib/src/discovery/mod.rs
@@ -11,6 +11,7 @@
 mod entry;
 mod news;
 mod sources;
+mod stalls;
 
 pub use action::{
     Action,
