--- a/control/src/members/thread.rs
+++ b/control/src/members/thread.rs
@@ -1,6 +1,13 @@
 //! Takes events, does what discovery asks for and acts as leader.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    sync::Arc,
+    time::Duration,
+};
 
 use cicadabend::{
     discovery::{
@@ -16,12 +23,16 @@
     },
     peer_api::{
         DaemonRole,
+        Hello,
         MemberAddress,
         PeerMessage, //
     },
     prelude::*,
     quarantine::Change,
-    registry::Registration,
+    registry::{
+        InstanceId,
+        Registration, //
+    },
     routes::RouteVersion,
 };
 use cicadabend_daemon::{
@@ -54,6 +65,8 @@
 const TICK: Duration = Duration::from_millis(50);
 /// How often the addresses of control daemons are published.
 const ADDRESSES_EVERY: Duration = Duration::from_millis(400);
+/// For how long an entry daemon's word that a head stands still counts.
+const STALL_TOLD_FOR: Duration = Duration::from_millis(1_500);
 /// The most events taken before the ticks get their turn.
 const MOST_PER_TURN: usize = 256;
 
@@ -78,6 +91,8 @@
     setup: MembersSetup,
     discovery: ControlDiscovery,
     leading: Leading,
+    /// Heads that stand still as entry daemons see them, and when that was last told.
+    stalled: BTreeMap<InstanceId, Timestamp>,
     demand: SmoothDemand,
     /// The newest table of routes whose sending was begun.
     spread: RouteVersion,
@@ -95,6 +110,7 @@
         Self {
             discovery,
             leading: Leading::new(setup.grouping, setup.clock.now()),
+            stalled: BTreeMap::new(),
             demand: SmoothDemand::default(),
             spread: RouteVersion::default(),
             addresses_due: Timestamp::default(),
@@ -151,6 +167,7 @@
     fn hear(&mut self, incoming: Incoming, now: Timestamp) {
         match incoming.message {
             PeerMessage::Hello(hello) => {
+                self.note_stalled(&hello, now);
                 let routes = self.newest_routes();
                 self.discovery.hear_hello(*hello, routes, now);
             }
@@ -164,6 +181,18 @@
         }
     }
 
+    fn note_stalled(&mut self, hello: &Hello, now: Timestamp) {
+        for id in &hello.stalled {
+            if self.stalled.insert(id.clone(), now).is_none() {
+                LogEvent::HeadStalled {
+                    instance: id.clone(),
+                    by: hello.member.daemon.clone(),
+                }
+                .emit();
+            }
+        }
+    }
+
     fn newest_routes(&self) -> NewestRoutes {
         let state = self.setup.replication.local();
         NewestRoutes {
@@ -239,7 +268,8 @@
         self.leading.follow(&self.setup.replication, now);
         let state = self.setup.replication.local();
         if let Some(document) = state.routes() {
-            let stalled = self.discovery.stalled(now);
+            self.stalled.retain(|_, at| now.since(*at) < STALL_TOLD_FOR);
+            let stalled: BTreeSet<InstanceId> = self.stalled.keys().cloned().collect();
             let table = &document.table;
             let is_prelude = !self.discovery.has_served();
             let orders = self.leading.orders(
@@ -296,7 +326,6 @@
             let how = "Forgotten".to_owned();
             LogEvent::UpstreamEnded { instance, how }.emit();
         }
-        Learnt::HeadStalled(instance, by) => LogEvent::HeadStalled { instance, by }.emit(),
         Learnt::Quarantine(change) => log_quarantine(&change),
         // Only entry daemons choose sources.
         Learnt::SourcesChanged(_) => {}
--- a/entry/src/members/changes.rs
+++ b/entry/src/members/changes.rs
@@ -23,15 +23,13 @@
 pub(super) fn log(before: &Replicas, fresh: &Replicas, registry: &Registry, now: Timestamp) {
     let (old, new) = (by_instance(before), by_instance(fresh));
     for (id, replica) in &new {
-        let doubt = |replica: &RoutedReplica| (replica.is_suspect, replica.is_stalled);
-        let doubt_before = old.get(id).map(|replica| doubt(replica));
-        if doubt_before == Some(doubt(replica)) {
+        let was_suspect = old.get(id).map(|replica| replica.is_suspect);
+        if was_suspect == Some(replica.is_suspect) {
             continue;
         }
-        let (change, why) = match doubt(replica) {
-            (true, _) => ("suspect", "a member is silent"),
-            (false, true) => ("suspect", "its streams stand still elsewhere"),
-            (false, false) => ("usable", "all members are heard"),
+        let (change, why) = match replica.is_suspect {
+            true => ("suspect", "a member is silent"),
+            false => ("usable", "all members are heard"),
         };
         emit(replica, change, why, registry, now);
     }
--- a/entry/src/members/thread.rs
+++ b/entry/src/members/thread.rs
@@ -277,7 +277,7 @@
     fn publish(&mut self) {
         let now = self.now();
         let before = self.setup.view.load();
-        let fresh = replicas(&self.discovery, self.routes.as_deref(), now);
+        let fresh = replicas(self.discovery.registry(), self.routes.as_deref(), now);
         let is_same = *before.replicas == fresh;
         if !is_same {
             changes::log(&before.replicas, &fresh, self.discovery.registry(), now);
@@ -320,9 +320,7 @@
         Learnt::UpstreamFound(_)
         | Learnt::UpstreamChanged(_)
         | Learnt::UpstreamEnded(..)
-        | Learnt::UpstreamForgotten(_)
-        // Only control daemons are told by entry daemons.
-        | Learnt::HeadStalled(..) => {}
+        | Learnt::UpstreamForgotten(_) => {}
     }
 }
 
--- a/entry/src/members/view.rs
+++ b/entry/src/members/view.rs
@@ -6,7 +6,6 @@
 };
 
 use cicadabend::{
-    discovery::EntryDiscovery,
     ids::Address,
     prelude::*,
     quarantine::SuspectTable,
@@ -60,8 +59,6 @@
     pub group: Option<GroupId>,
     /// Whether a member, or the upstream itself, has not been heard lately.
     pub is_suspect: bool,
-    /// Whether other daemons see all its streams stand still.
-    pub is_stalled: bool,
 }
 
 impl RoutedView {
@@ -89,11 +86,10 @@
 /// An engine takes them only as the head of an open group whose members are all known
 /// under the same group and epoch, none of which leaves.
 pub(super) fn replicas(
-    discovery: &EntryDiscovery,
+    registry: &Registry,
     routes: Option<&RouteIndex>,
     now: Timestamp,
 ) -> BTreeMap<ServiceName, Vec<RoutedReplica>> {
-    let registry = discovery.registry();
     let members = members(registry);
     let mut replicas: BTreeMap<ServiceName, Vec<RoutedReplica>> = BTreeMap::new();
     for (_, known) in registry.iter() {
@@ -106,8 +102,7 @@
             None => Some(replica(known, None, None, is_silent)),
             Some(engine) => head(known, engine, &members, routes, now),
         };
-        if let Some(mut replica) = replica {
-            replica.is_stalled = discovery.is_stalled(&replica.id, now);
+        if let Some(replica) = replica {
             let of_service = replicas.entry(registration.service.clone()).or_default();
             of_service.push(replica);
         }
@@ -171,7 +166,6 @@
         model,
         group,
         is_suspect,
-        is_stalled: false,
     }
 }
 
--- a/entry/src/serve/routed/run.rs
+++ b/entry/src/serve/routed/run.rs
@@ -205,7 +205,7 @@
                 failure_domain: &replica.failure_domain,
                 slots: replica.slots,
                 model: engine.and_then(|engine| engine.model(replica.model.as_ref()?)),
-                is_suspect: replica.is_suspect || replica.is_stalled,
+                is_suspect: replica.is_suspect,
             })
             .collect();
         let wanted = Wanted {
--- a/lib/src/discovery/action.rs
+++ b/lib/src/discovery/action.rs
@@ -49,8 +49,6 @@
     UpstreamForgotten(InstanceId),
     /// Reports come from these control daemons from now on, the most useful first.
     SourcesChanged(Vec<DaemonId>),
-    /// An entry daemon sees that all streams of a head stand still, the first to say so lately.
-    HeadStalled(InstanceId, DaemonId),
     /// A request is quarantined, or no longer.
     Quarantine(Change),
 }
--- a/lib/src/discovery/control.rs
+++ b/lib/src/discovery/control.rs
@@ -18,7 +18,6 @@
         Ends,
         Gathered, //
     },
-    stalls::SeenStalls,
 };
 use crate::{
     ids::Address,
@@ -105,7 +104,6 @@
     /// Two that were apart have each missed what the other was told, and ends are told for
     /// [`news::ENDS_REPEATED_FOR`] only.
     level_with: BTreeSet<DaemonId>,
-    stalls: SeenStalls,
     /// Which requests upstreams had when they ended.
     crashes: CrashSpread,
     /// Whether any caller has been served since the fleet's first start.
@@ -125,7 +123,6 @@
         has_served: bool,
     ) -> Self {
         Self {
-            stalls: SeenStalls::default(),
             crashes: CrashSpread::new(&me.daemon),
             members: Members::new(me, seeds, MembersSettings::default()),
             hello_every,
@@ -181,11 +178,6 @@
         sum
     }
 
-    /// Returns the heads that some entry daemon sees stand still.
-    pub fn stalled(&mut self, now: Timestamp) -> BTreeSet<InstanceId> {
-        self.stalls.heads(now)
-    }
-
     /// Takes a report that an upstream has sent to this daemon itself.
     pub fn report(&mut self, registration: Registration, now: Timestamp) {
         let id = registration.id.clone();
@@ -216,11 +208,6 @@
             }
         }
         self.has_served |= hello.has_served;
-        for id in &hello.stalled {
-            if self.stalls.note(id, &daemon, now) {
-                self.log(Learnt::HeadStalled(id.clone(), daemon.clone()));
-            }
-        }
         if role == DaemonRole::Entry {
             self.note_entry(&daemon, &hello, routes, now);
         }
@@ -449,7 +436,6 @@
         own.ended.clone_from(&ended);
         let mut all = self.all.take(&self.registry, with_alive, now);
         all.ended = ended;
-        all.stalled = self.stalls.due(now);
         if !news::is_empty(&own) {
             for control in self.controls_here(now) {
                 self.send(&control, PeerMessage::Upstreams(Box::new(own.clone())));
--- a/lib/src/discovery/entry.rs
+++ b/lib/src/discovery/entry.rs
@@ -49,13 +49,6 @@
 /// The longest pause between greetings while this daemon has no routes or nobody to ask.
 const HELLO_WHILE_LOST: Duration = Duration::from_millis(200);
 
-/// For how long a head is left alone after the last word that it stands still.
-///
-/// Each of many daemons has few requests at one head, often none, and would find out by a
-/// request of its own that waits for a second: of 20,000 requests of 71 daemons on a day of
-/// losses 1,335 did.
-const STALL_BELIEVED_FOR: Duration = Duration::from_millis(1_000);
-
 /// What an entry daemon tells of itself when it says hello.
 #[derive(Clone, Debug, Default)]
 pub struct EntryStatus {
@@ -81,8 +74,6 @@
     level_with: BTreeSet<DaemonId>,
     /// Whose reports each control daemon gets, by its own word.
     told_by: BTreeMap<DaemonId, BTreeSet<DaemonId>>,
-    /// Heads that stand still as other daemons see them, and when that was last told.
-    stalled: BTreeMap<InstanceId, Timestamp>,
     /// Which requests upstreams had when they ended.
     crashes: CrashSpread,
     has_upstreams: bool,
@@ -99,7 +90,6 @@
         hello_every: Duration,
     ) -> Self {
         Self {
-            stalled: BTreeMap::new(),
             crashes: CrashSpread::new(&me.daemon),
             members: Members::new(me, seeds, MembersSettings::default()),
             hello_every,
@@ -196,15 +186,6 @@
             let run = self.registry.meant_by(&id);
             self.registry.end(&run, how, now);
         }
-        for id in news.stalled {
-            self.stalled.insert(id, now);
-        }
-    }
-
-    /// Returns whether other daemons see all streams of a head stand still.
-    pub fn is_stalled(&self, id: &InstanceId, now: Timestamp) -> bool {
-        let told_at = self.stalled.get(id);
-        told_at.is_some_and(|at| now.since(*at) < STALL_BELIEVED_FOR)
     }
 
     /// Takes in which requests upstreams had when they ended.
@@ -253,8 +234,6 @@
     /// Drops what is too old to matter, and logs who has fallen silent.
     pub fn tick(&mut self, now: Timestamp) {
         self.registry.forget_old(now);
-        self.stalled
-            .retain(|_, at| now.since(*at) < STALL_BELIEVED_FOR);
         self.crashes.forget_old(now);
         self.tell_crashes(now);
         for (daemon, silence) in self.members.newly_silent(now) {
--- a/lib/src/discovery/mod.rs
+++ b/lib/src/discovery/mod.rs
@@ -11,7 +11,6 @@
 mod entry;
 mod news;
 mod sources;
-mod stalls;
 
 pub use action::{
     Action,
--- a/lib/src/discovery/news.rs
+++ b/lib/src/discovery/news.rs
@@ -100,21 +100,13 @@
             .all_ended()
             .map(|(id, how)| (id.clone(), how))
             .collect(),
-        stalled: Vec::new(),
         is_all: true,
     }
 }
 
 /// Returns whether there is nothing to pass on.
 pub(super) fn is_empty(news: &UpstreamNews) -> bool {
-    let UpstreamNews {
-        reports,
-        alive,
-        ended,
-        stalled,
-        is_all: _,
-    } = news;
-    reports.is_empty() && alive.is_empty() && ended.is_empty() && stalled.is_empty()
+    news.reports.is_empty() && news.alive.is_empty() && news.ended.is_empty()
 }
 
 fn age_ms(age: Duration) -> u32 {
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -116,8 +116,6 @@
     pub alive: Vec<(Alive, u32)>,
     /// Runs that have ended.
     pub ended: Vec<(InstanceId, Ended)>,
-    /// Heads whose streams stand still, as several entry daemons see them.
-    pub stalled: Vec<InstanceId>,
     /// Whether `reports` holds all that the sender knows.
     pub is_all: bool,
 }
--- a/lib/tests/test_discovery/main.rs
+++ b/lib/tests/test_discovery/main.rs
@@ -4,5 +4,4 @@
 
 mod test_crashes;
 mod test_cuts;
-mod test_stalls;
 mod world;
--- a/lib/tests/test_discovery/world.rs
+++ b/lib/tests/test_discovery/world.rs
@@ -77,8 +77,6 @@
     news_messages: BTreeMap<DaemonId, usize>,
     /// How many messages on crashes each entry daemon has received.
     crash_messages: BTreeMap<DaemonId, usize>,
-    /// Heads whose streams stand still at each entry daemon.
-    stalled: BTreeMap<DaemonId, Vec<InstanceId>>,
     /// What each entry daemon judges requests by.
     suspects: BTreeMap<DaemonId, SuspectTable>,
 }
@@ -136,7 +134,6 @@
             cut: BTreeSet::new(),
             news_messages: BTreeMap::new(),
             crash_messages: BTreeMap::new(),
-            stalled: BTreeMap::new(),
             suspects: BTreeMap::new(),
         };
         for me in members {
@@ -270,21 +267,6 @@
         tables.map(|(name, _)| name.clone()).collect()
     }
 
-    /// Has the streams of a head stand still at an entry daemon, or go on.
-    pub fn stall(&mut self, entry: &str, heads: &[&str]) {
-        let heads = heads.iter().map(|head| upstream(head)).collect();
-        self.stalled.insert(daemon(entry), heads);
-        self.entries.get_mut(&daemon(entry)).unwrap().greet_soon();
-    }
-
-    /// Returns the entry daemons that leave a head alone because others see it stand still.
-    pub fn leaving_alone(&self, head: &str) -> Vec<DaemonId> {
-        let now = Timestamp(self.now_ms);
-        let entries = self.entries.iter();
-        let leaving = entries.filter(|(_, part)| part.is_stalled(&upstream(head), now));
-        leaving.map(|(name, _)| name.clone()).collect()
-    }
-
     /// Returns how many messages on crashes have reached an entry daemon.
     pub fn crash_messages(&self, entry: &str) -> usize {
         let messages = self.crash_messages.get(&daemon(entry));
@@ -451,7 +433,6 @@
             if entry.is_greeting_due(now) {
                 let status = EntryStatus {
                     routes: Some(RouteVersion(1)),
-                    stalled: self.stalled.get(name).cloned().unwrap_or_default(),
                     ..EntryStatus::default()
                 };
                 entry.greet(status, now);
