testutils, platform tests: no port is handed out twice; routed: admission and sources in files of their own

a_configuration_is_read_back_as_it_was_sent failed once (30 s in vain for a deployment to start). Cause, shown by a run: the system hands a port out again that was just released, in 15 of 60,000 draws of three on one IP; a daemon then has one port for two listeners and ends.

--- a/entry/src/serve/routed/account.rs
+++ b/entry/src/serve/routed/account.rs
@@ -13,10 +13,6 @@
         RoutedRefusal,
         RoutedRetry, //
     },
-    crash_watch::{
-        BrokenOff,
-        CrashWatch, //
-    },
     events::LogEvent,
     exchange::{
         Failure,
@@ -105,22 +101,6 @@
         });
     }
 
-    /// Notes that the present replica broke the request off; it may have ended by it.
-    pub(super) fn suspect(&mut self) {
-        let Some(reservation) = &self.reservation else {
-            return;
-        };
-        let replica = &reservation.replica;
-        let broken = BrokenOff {
-            request: self.plan.id().to_owned(),
-            fingerprint: self.plan.fingerprint(),
-            known: self.known,
-            broken_before: self.broken_at.clone(),
-        };
-        CrashWatch::note(&self.server, (&replica.id, replica.address), broken);
-        self.broken_at.push(replica.id.clone());
-    }
-
     /// Notes that something of the answer has come.
     pub(super) fn progressed(&self) {
         if let Some(reservation) = &self.reservation {
--- a/entry/src/serve/routed/mod.rs
+++ b/entry/src/serve/routed/mod.rs
@@ -4,17 +4,20 @@
 //!
 //! - `listener`: accepts connections and drains them.
 //! - `handler`: from one HTTP request to one answer.
+//! - `admission`: whether a request is let in: its body, its route and its team.
 //! - `run`: the request's life: choices, attempts, repeats.
 //! - `attempt`, `refusal`, `account`: parts of that life: one attempt and how long it is waited
 //!   for; answers of the daemon's own; what is logged and counted.
 //! - `stream`: a streamed answer, resumed elsewhere if it breaks off.
 //! - `exchange`: one attempt up to the first part of its answer.
+//! - `source`: what is still to come of that answer.
 //! - `crash_watch`: whether an upstream that broke requests off has ended.
 //! - `quarantine`: whether a request may run, by the upstreams that ended with it.
 //! - `plan`: the request in the form in which it can be sent, also twice.
 //! - `server`: what all requests share.
 
 mod account;
+mod admission;
 mod attempt;
 mod body;
 mod counts;
@@ -29,6 +32,7 @@
 mod refusal;
 mod run;
 mod server;
+mod source;
 mod stream;
 
 use std::{
--- a/entry/src/serve/routed/plan.rs
+++ b/entry/src/serve/routed/plan.rs
@@ -40,6 +40,18 @@
     pub(super) urgency: u8,
 }
 
+/// The terms on which a request is served.
+pub(super) struct Terms {
+    pub(super) route: Route,
+    pub(super) service: ServiceName,
+    pub(super) team: Option<TeamName>,
+    pub(super) precedence: Precedence,
+    pub(super) arrived: Instant,
+    pub(super) deadline: Instant,
+    /// The version of the table it is served by.
+    pub(super) routes: u64,
+}
+
 /// The request and the terms it is served on.
 pub(super) struct Plan {
     pub(super) route: Route,
@@ -58,19 +70,16 @@
 
 impl Plan {
     /// Puts a request together; `head` is as the caller sent it.
-    #[expect(clippy::too_many_arguments, reason = "each is a field of its own")]
-    pub(super) fn new(
-        route: Route,
-        service: ServiceName,
-        words: CallerWords,
-        team: Option<TeamName>,
-        precedence: Precedence,
-        arrived: Instant,
-        deadline: Instant,
-        routes: u64,
-        mut head: Parts,
-        body: Bytes,
-    ) -> Self {
+    pub(super) fn new(terms: Terms, words: CallerWords, mut head: Parts, body: Bytes) -> Self {
+        let Terms {
+            route,
+            service,
+            team,
+            precedence,
+            arrived,
+            deadline,
+            routes,
+        } = terms;
         let path = head.uri.path_and_query().cloned();
         head.uri = path.map(Uri::from).unwrap_or_default();
         headers::remove_hop_by_hop(&mut head.headers);
--- a/entry/src/serve/routed/quarantine.rs
+++ b/entry/src/serve/routed/quarantine.rs
@@ -5,16 +5,24 @@
     rc::Rc, //
 };
 
-use cicadabend::quarantine::{
-    Fingerprint,
-    Observation,
-    Standing, //
+use cicadabend::{
+    quarantine::{
+        Fingerprint,
+        Known,
+        Observation,
+        Standing, //
+    },
+    registry::InstanceId,
 };
 use http::Response;
 
 use super::{
     body::RoutedBody,
     counts::RoutedRefusal,
+    crash_watch::{
+        BrokenOff,
+        CrashWatch, //
+    },
     events::LogEvent,
     run::RoutedRun,
     server::Server, //
@@ -46,7 +54,46 @@
     }
 }
 
+/// What a request has met of upstreams that end, on its way from one to the next.
+#[derive(Debug, Default)]
+pub(super) struct CrashTrail {
+    known: Known,
+    /// The upstreams that broke it off, and may have ended by it.
+    broken_at: Vec<InstanceId>,
+}
+
+impl CrashTrail {
+    /// Notes that the request is sent, with so many crashes of its like known.
+    pub(super) fn sent(&mut self, known_crashes: u32, is_first: bool) {
+        self.known.at_last = known_crashes;
+        if is_first {
+            self.known.at_first = known_crashes;
+        }
+    }
+
+    /// Returns whether an upstream broke the request off.
+    pub(super) fn is_broken(&self) -> bool {
+        !self.broken_at.is_empty()
+    }
+}
+
 impl RoutedRun {
+    /// Notes that the present replica broke the request off; it may have ended by it.
+    pub(super) fn suspect(&mut self) {
+        let Some(reservation) = &self.reservation else {
+            return;
+        };
+        let replica = &reservation.replica;
+        let broken = BrokenOff {
+            request: self.plan.id().to_owned(),
+            fingerprint: self.plan.fingerprint(),
+            known: self.trail.known,
+            broken_before: self.trail.broken_at.clone(),
+        };
+        CrashWatch::note(&self.server, (&replica.id, replica.address), broken);
+        self.trail.broken_at.push(replica.id.clone());
+    }
+
     /// Returns how the request stands, by all crashes that this daemon knows of.
     pub(super) fn standing(&self) -> Standing {
         let view = self.server.view.load();
--- a/entry/src/serve/routed/run.rs
+++ b/entry/src/serve/routed/run.rs
@@ -17,10 +17,7 @@
         Wanted,
         choose, //
     },
-    quarantine::{
-        Known,
-        Standing, //
-    },
+    quarantine::Standing,
     registry::InstanceId,
     request::{
         Permit,
@@ -51,7 +48,10 @@
         Reservation, //
     },
     plan::Plan,
-    quarantine::Trial,
+    quarantine::{
+        CrashTrail,
+        Trial, //
+    },
     server::Server,
     stream::{
         PassedBody,
@@ -86,10 +86,7 @@
     /// Whether the next attempt has been paid for.
     pub(super) is_paid: bool,
     pub(super) is_over: bool,
-    /// How many crashes of such a request were known when it was sent.
-    pub(super) known: Known,
-    /// The upstreams that broke it off, and may have ended by it.
-    pub(super) broken_at: Vec<InstanceId>,
+    pub(super) trail: CrashTrail,
     /// Whether the answer that is passed on is a success.
     pub(super) is_success: bool,
     pub(super) trial: Option<Trial>,
@@ -123,8 +120,7 @@
             first_part: None,
             is_paid: false,
             is_over: false,
-            known: Known::default(),
-            broken_at: Vec::new(),
+            trail: CrashTrail::default(),
             is_success: false,
             trial: None,
         })
@@ -179,10 +175,8 @@
         self.expected_ms = chosen.expected_ms;
         self.outstanding = chosen.outstanding;
         self.is_full = chosen.is_full;
-        self.known.at_last = self.known_crashes();
-        if self.tried.is_empty() {
-            self.known.at_first = self.known.at_last;
-        }
+        let known_crashes = self.known_crashes();
+        self.trail.sent(known_crashes, self.tried.is_empty());
         self.tried.push(id);
         let tokens = self.plan.prompt_tokens();
         self.reservation = Some(Reservation::make(&self.server, replica, tokens));
@@ -213,7 +207,7 @@
             prompt_tokens: plan.prompt_tokens(),
             timing: engine.map(|engine| &engine.timing),
             daemons: view.entries,
-            keeps_apart: !self.broken_at.is_empty() || self.standing() != Standing::Trusted,
+            keeps_apart: self.trail.is_broken() || self.standing() != Standing::Trusted,
         };
         let now = self.server.clock.now();
         let loads = self.server.loads.borrow();
@@ -297,8 +291,7 @@
             first_part: self.first_part,
             is_paid: false,
             is_over: false,
-            known: self.known,
-            broken_at: std::mem::take(&mut self.broken_at),
+            trail: std::mem::take(&mut self.trail),
             is_success: self.is_success,
             trial: self.trial.take(),
         };
--- /dev/null
+++ b/entry/src/serve/routed/source.rs
@@ -0,0 +1,182 @@
+//! What is still to come of an answer: its bytes, or the events of a stream.
+
+use std::{
+    pin::Pin,
+    task::{
+        Context,
+        Poll,
+        ready, //
+    },
+    time::Duration,
+};
+
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
+use cicadabend::request::first_event_len;
+use http_body::Body;
+use hyper::body::Incoming;
+
+use super::super::upstream::{
+    Lease,
+    reason, //
+};
+
+/// The largest event; an engine that sends more without a blank line sends garbage.
+const EVENT_LIMIT_BYTES: usize = 1024 * 1024;
+/// The rest of an answer and the connection it comes over.
+pub(super) struct AnswerRest {
+    incoming: Incoming,
+    lease: Lease,
+    keep_for: Duration,
+}
+
+impl AnswerRest {
+    pub(super) fn new(incoming: Incoming, lease: Lease, keep_for: Duration) -> Self {
+        Self {
+            incoming,
+            lease,
+            keep_for,
+        }
+    }
+
+    /// Waits for more of the body; `None` is its end.
+    pub(super) fn poll_data(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, String>>> {
+        loop {
+            let frame = ready!(Pin::new(&mut self.incoming).poll_frame(context));
+            return Poll::Ready(match frame {
+                None => None,
+                Some(Err(error)) => Some(Err(reason(&error))),
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) => Some(Ok(data)),
+                    Err(_) => continue,
+                },
+            });
+        }
+    }
+
+    /// Keeps the connection for a later request; the answer must have ended.
+    pub(super) fn keep(self) {
+        self.lease.give_back_for(self.keep_for);
+    }
+
+    /// Reads what is left of a short answer, so that the connection can be kept.
+    pub(super) fn drain(mut self) {
+        tokio::task::spawn_local(async move {
+            let read = async {
+                while let Some(data) = std::future::poll_fn(|context| self.poll_data(context)).await
+                {
+                    if data.is_err() {
+                        return;
+                    }
+                }
+                self.keep();
+            };
+            // What does not end soon is not worth its connection.
+            let _ = tokio::time::timeout(Duration::from_millis(200), read).await;
+        });
+    }
+}
+
+/// The events of a stream as they come over one connection.
+pub(super) struct EventSource {
+    rest: AnswerRest,
+    buffer: BytesMut,
+    /// The last event that may be passed on.
+    last_event: Option<u64>,
+    /// Whether the next event must follow the last one without a gap.
+    must_follow: bool,
+    /// What is wrong with the event after those that were handed out.
+    fault: Option<String>,
+}
+
+impl EventSource {
+    pub(super) fn new(rest: AnswerRest, last_event: Option<u64>) -> Self {
+        Self {
+            rest,
+            buffer: BytesMut::new(),
+            last_event,
+            must_follow: last_event.is_some(),
+            fault: None,
+        }
+    }
+
+    /// Returns the last event that was handed out or was known before.
+    pub(super) fn last_event(&self) -> Option<u64> {
+        self.last_event
+    }
+
+    /// Keeps the connection for a later request; the stream must have ended.
+    pub(super) fn keep(self) {
+        self.rest.keep();
+    }
+
+    /// Waits for whole events; `None` is the end of a stream that is whole.
+    pub(super) fn poll_events(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, String>>> {
+        if let Some(fault) = self.fault.take() {
+            return Poll::Ready(Some(Err(fault)));
+        }
+        loop {
+            match ready!(self.rest.poll_data(context)) {
+                None if self.buffer.is_empty() => return Poll::Ready(None),
+                None => {
+                    let reason = "the stream ended in the middle of an event".to_owned();
+                    return Poll::Ready(Some(Err(reason)));
+                }
+                Some(Err(reason)) => return Poll::Ready(Some(Err(reason))),
+                Some(Ok(data)) => self.buffer.extend_from_slice(&data),
+            }
+            match self.take_events() {
+                Ok(events) if events.is_empty() => {}
+                Ok(events) => return Poll::Ready(Some(Ok(events))),
+                Err(reason) => return Poll::Ready(Some(Err(reason))),
+            }
+        }
+    }
+
+    /// Takes all whole events out of the buffer and leaves out those passed before.
+    fn take_events(&mut self) -> Result<Bytes, String> {
+        let mut taken = BytesMut::new();
+        while let Some(length) = first_event_len(&self.buffer) {
+            let number = event_number(&self.buffer[..length]);
+            let event = self.buffer.split_to(length);
+            let Some(number) = number else {
+                taken.unsplit(event);
+                continue;
+            };
+            match self.last_event {
+                Some(last) if number <= last => continue,
+                Some(last) if number > last + 1 && self.must_follow => {
+                    let fault = format!("event {number} came after event {last}");
+                    if taken.is_empty() {
+                        return Err(fault);
+                    }
+                    self.fault = Some(fault);
+                    return Ok(taken.freeze());
+                }
+                _ => {}
+            }
+            self.last_event = Some(number);
+            self.must_follow = true;
+            taken.unsplit(event);
+        }
+        match self.buffer.len() > EVENT_LIMIT_BYTES {
+            true => Err("an event is too large".to_owned()),
+            false => Ok(taken.freeze()),
+        }
+    }
+}
+
+/// Returns the number in an event's `id` field.
+fn event_number(event: &[u8]) -> Option<u64> {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    let line = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(line).ok()?.trim().parse().ok()
+}
--- a/entry/src/serve/routed/stream.rs
+++ b/entry/src/serve/routed/stream.rs
@@ -29,13 +29,15 @@
     },
     counts::Routed,
     exchange::{
-        AnswerRest,
         Answered,
-        EventSource,
         Failure,
         exchange, //
     },
     run::RoutedRun,
+    source::{
+        AnswerRest,
+        EventSource, //
+    },
 };
 
 /// The shortest pause between events after which another replica is asked to go on.
--- a/testing/testutils/src/ports.rs
+++ b/testing/testutils/src/ports.rs
@@ -30,12 +30,34 @@
 ///
 /// Returns the operating system's error if no port can be bound.
 pub fn reserve_address() -> io::Result<SocketAddr> {
+    let ip = own_loopback_ip();
+    Ok(SocketAddr::new(ip, reserve_port(&[ip])?))
+}
+
+/// Returns a port that is free at all of these loopback IPs and was handed out at none of them.
+///
+/// The system offers a port again that was released just before, one time in 4,000. A daemon
+/// that was given one port for two listeners then ended as it started.
+///
+/// # Errors
+///
+/// Returns the operating system's error if no port can be bound.
+pub fn reserve_port(ips: &[IpAddr]) -> io::Result<u16> {
+    let Some((first, others)) = ips.split_first() else {
+        return Err(io::ErrorKind::InvalidInput.into());
+    };
     loop {
-        let listener = TcpListener::bind((own_loopback_ip(), 0))?;
-        let address = listener.local_addr()?;
+        let listener = TcpListener::bind((*first, 0))?;
+        let port = listener.local_addr()?.port();
+        let is_free = |ip: &IpAddr| TcpListener::bind((*ip, port)).is_ok();
         let mut reserved = RESERVED.lock().unwrap_or_else(PoisonError::into_inner);
-        if reserved.insert(address) {
-            return Ok(address);
+        let addresses = ips.iter().map(|ip| SocketAddr::new(*ip, port));
+        let is_new = addresses
+            .clone()
+            .all(|address| !reserved.contains(&address));
+        if is_new && others.iter().all(is_free) {
+            reserved.extend(addresses);
+            return Ok(port);
         }
     }
 }
--- a/testing/testutils/tests/test_ports.rs
+++ b/testing/testutils/tests/test_ports.rs
@@ -4,7 +4,8 @@
 
 use cicadabend_testutils::ports::{
     loopback_ip_of,
-    reserve_address, //
+    reserve_address,
+    reserve_port, //
 };
 
 /// The system offers a released port again. Once, two of 24 fake VMs of a
@@ -18,6 +19,18 @@
     assert_eq!(addresses.len(), COUNT);
 }
 
+#[test]
+fn no_port_is_reserved_twice_at_one_ip() {
+    // A daemon got one port for its peers and for its callers, and ended as it started; its test
+    // waited 30 s for it to be ready. Drawn by the system alone that is one time in 4,000.
+    const COUNT: usize = 4_000;
+    let ips = [[127, 0, 1, 1], [127, 0, 1, 2]].map(|ip| ip.into());
+
+    let ports: BTreeSet<_> = (0..COUNT).map(|_| reserve_port(&ips).unwrap()).collect();
+
+    assert_eq!(ports.len(), COUNT);
+}
+
 #[test]
 fn no_two_processes_share_a_loopback_ip() {
     // Two test processes whose ids ended in 0 and 2 had one IP. A port that one had reserved
