tests: one fixture where the same arrangement stood several times

Cause: the tests of this change wrote again what stood beside them: candidates and wants of a choice (four times in test_dispatch), three crashes at one daemon (five times in test_discovery), the logs of an explained request, engines that load. Change: Choice and heads in test_dispatch, end_three_upstreams, codes_told, while_engines_load. No assertion, bound or seed differs.

--- a/cli/tests/runner/test_explain.rs
+++ b/cli/tests/runner/test_explain.rs
@@ -11,12 +11,31 @@
     )
 }
 
+/// Returns the codes of the lines that tell a request's story, in order.
+fn codes_told(request: &str, logs: &[&[String]]) -> Vec<String> {
+    let folder = tempfile::tempdir().unwrap();
+    let paths = (0..logs.len()).map(|number| folder.path().join(format!("{number}.log")));
+    let paths: Vec<String> = paths
+        .map(|path| path.to_str().unwrap().to_owned())
+        .collect();
+    for (path, lines) in paths.iter().zip(logs) {
+        fs::write(path, lines.join("\n")).unwrap();
+    }
+    let mut words = vec!["explain", request];
+    words.extend(paths.iter().map(String::as_str));
+
+    let told = run(&words);
+
+    let words = told.stdout.split_whitespace();
+    let codes = words.filter(|word| word.starts_with("CB"));
+    codes.map(str::to_owned).collect()
+}
+
 #[test]
 fn a_request_to_a_leaving_upstream_is_explained_by_what_came_long_before() {
     // A caller gets a failure from an upstream that had said that it leaves. What decided it
     // lies more than ten seconds back: the entry daemon listened to one control daemon, which
     // had stopped hearing the one that was told.
-    let folder = tempfile::tempdir().unwrap();
     let entry = [
         line(1, "CB1405", r#""daemon":"10.1.0.20""#),
         line(2, "CB1406", r#""instance":"u-1","change":"usable""#),
@@ -27,22 +46,8 @@
         line(20, "CB1601", r#""daemon":"10.2.0.20""#),
         line(38, "CB1603", r#""instance":"u-1","state":"Draining""#),
     ];
-    let (entry_log, control_log) = (folder.path().join("entry"), folder.path().join("control"));
-    fs::write(&entry_log, entry.join("\n")).unwrap();
-    fs::write(&control_log, control.join("\n")).unwrap();
-
-    let told = run(&[
-        "explain",
-        "r-1",
-        entry_log.to_str().unwrap(),
-        control_log.to_str().unwrap(),
-    ]);
+    let codes = codes_told("r-1", &[&entry, &control]);
 
-    let codes: Vec<&str> = told
-        .stdout
-        .split_whitespace()
-        .filter(|word| word.starts_with("CB"))
-        .collect();
     assert_eq!(codes, ["CB1405", "CB1406", "CB1601", "CB1603", "CB1420"]);
 }
 
@@ -50,7 +55,6 @@
 fn a_quarantined_request_is_explained_by_the_crashes_under_others_like_it() {
     // A caller is refused, and its request reached no upstream. What decided it are requests
     // with other ids, minutes before and at other entry daemons.
-    let folder = tempfile::tempdir().unwrap();
     let fingerprint = r#""fingerprint":"00ff""#;
     let suspected = |second, request| {
         let fields = format!(r#""request":"{request}",{fingerprint},"instance":"u-{second}""#);
@@ -63,21 +67,7 @@
         line(50, "CB1431", &format!(r#""request":"r-9",{fingerprint}"#)),
         line(50, "CB1421", r#""request":"r-9","reason":"Quarantined""#),
     ];
-    let (other_log, entry_log) = (folder.path().join("other"), folder.path().join("entry"));
-    fs::write(&other_log, other.join("\n")).unwrap();
-    fs::write(&entry_log, entry.join("\n")).unwrap();
-
-    let told = run(&[
-        "explain",
-        "r-9",
-        other_log.to_str().unwrap(),
-        entry_log.to_str().unwrap(),
-    ]);
+    let codes = codes_told("r-9", &[&other, &entry]);
 
-    let codes: Vec<&str> = told
-        .stdout
-        .split_whitespace()
-        .filter(|word| word.starts_with("CB"))
-        .collect();
     assert_eq!(codes, ["CB1430", "CB1430", "CB1430", "CB1431", "CB1421"]);
 }
--- a/lib/tests/test_discovery/test_crashes.rs
+++ b/lib/tests/test_discovery/test_crashes.rs
@@ -26,6 +26,14 @@
     world
 }
 
+/// Has one entry daemon see three upstreams end with the fatal request, one after the other.
+fn end_three_upstreams(world: &mut World) {
+    for _ in 0..3 {
+        world.crash("entry-a-1", fatal());
+        world.run(SPREAD_MS);
+    }
+}
+
 #[test]
 fn a_request_that_comes_to_another_daemon_each_time_is_refused_by_all_after_three_crashes() {
     // A request that ends whoever runs it comes to one entry daemon after the other. Each sees
@@ -43,10 +51,7 @@
 #[test]
 fn an_entry_daemon_that_has_started_since_refuses_it_too() {
     let mut world = three_domains();
-    for _ in 0..3 {
-        world.crash("entry-a-1", fatal());
-        world.run(SPREAD_MS);
-    }
+    end_three_upstreams(&mut world);
     world.run(10_000);
 
     world.restart_entry("entry-b-2", "b");
@@ -59,10 +64,7 @@
 fn a_control_daemon_that_has_started_since_tells_it_to_its_entry_daemons() {
     // All control daemons of a domain were started anew, then its entry daemons.
     let mut world = three_domains();
-    for _ in 0..3 {
-        world.crash("entry-a-1", fatal());
-        world.run(SPREAD_MS);
-    }
+    end_three_upstreams(&mut world);
     world.run(10_000);
 
     world.restart_control("control-b");
@@ -91,10 +93,7 @@
         }
     }
     world.run(CONTACT_MS);
-    for _ in 0..3 {
-        world.crash("entry-a-1", fatal());
-        world.run(SPREAD_MS);
-    }
+    end_three_upstreams(&mut world);
     assert_eq!(world.refusing(fatal()).len(), 2);
     world.run(10_000);
 
@@ -111,10 +110,7 @@
         world.cut("entry-a-1", control);
     }
     world.run(CONTACT_MS);
-    for _ in 0..3 {
-        world.crash("entry-a-1", fatal());
-        world.run(SPREAD_MS);
-    }
+    end_three_upstreams(&mut world);
     assert_eq!(world.refusing(fatal()), [daemon("entry-a-1")]);
     world.run(10_000);
 
@@ -143,10 +139,7 @@
 #[test]
 fn a_good_end_at_one_daemon_clears_the_request_at_all() {
     let mut world = three_domains();
-    for _ in 0..3 {
-        world.crash("entry-a-1", fatal());
-        world.run(SPREAD_MS);
-    }
+    end_three_upstreams(&mut world);
 
     world.observe("entry-b-1", fatal(), Observation::Cleared);
     world.run(SPREAD_MS);
--- a/lib/tests/test_dispatch/main.rs
+++ b/lib/tests/test_dispatch/main.rs
@@ -6,7 +6,61 @@
 mod test_decisions;
 mod test_load;
 
-use cicadabend::routes::Timing;
+use cicadabend::{
+    dispatch::{
+        Candidate,
+        Chosen,
+        Loads,
+        Wanted,
+        choose, //
+    },
+    prelude::*,
+    registry::InstanceId,
+    routes::Timing, //
+};
+
+/// Returns the runs of heads `i-0`, `i-1` and so on.
+pub(crate) fn heads(count: usize) -> Vec<InstanceId> {
+    let names = (0..count).map(|head| format!("i-{head}"));
+    names.map(|name| name.parse().unwrap()).collect()
+}
+
+/// A choice among heads of one failure domain that differ only in what is known of them.
+pub(crate) struct Choice<'a> {
+    pub(crate) ids: &'a [InstanceId],
+    pub(crate) slots: u32,
+    pub(crate) suspect: Option<usize>,
+    pub(crate) prompt_tokens: u64,
+    pub(crate) daemons: u32,
+    pub(crate) keeps_apart: bool,
+}
+
+impl Choice<'_> {
+    pub(crate) fn make(&self, loads: &Loads, now: Timestamp, random: u64) -> Chosen {
+        let home: FailureDomain = "a".parse().unwrap();
+        let timing = timing();
+        let candidates: Vec<Candidate<'_>> = self
+            .ids
+            .iter()
+            .enumerate()
+            .map(|(place, id)| Candidate {
+                id,
+                failure_domain: &home,
+                slots: self.slots,
+                model: None,
+                is_suspect: self.suspect == Some(place),
+            })
+            .collect();
+        let wanted = Wanted {
+            home: &home,
+            prompt_tokens: self.prompt_tokens,
+            timing: Some(&timing),
+            daemons: self.daemons,
+            keeps_apart: self.keeps_apart,
+        };
+        choose(&candidates, &wanted, loads, now, random).unwrap()
+    }
+}
 
 /// Returns how long engines' work takes in these tests.
 pub(crate) fn timing() -> Timing {
--- a/lib/tests/test_dispatch/test_crashes.rs
+++ b/lib/tests/test_dispatch/test_crashes.rs
@@ -2,11 +2,8 @@
 
 use cicadabend::{
     dispatch::{
-        Candidate,
         LoadReport,
-        Loads,
-        Wanted,
-        choose, //
+        Loads, //
     },
     prelude::*,
     registry::InstanceId, //
@@ -17,7 +14,10 @@
     rngs::SmallRng, //
 };
 
-use crate::timing;
+use crate::{
+    Choice,
+    heads, //
+};
 
 const DAEMONS: usize = 9;
 const HEADS: usize = 10;
@@ -46,39 +46,25 @@
 
 /// Returns the share of the requests that broke off under the guilty one and meet it again.
 fn share_that_meets_again(keeps_apart: bool) -> f64 {
-    let ids: Vec<InstanceId> = (0..HEADS)
-        .map(|head| format!("i-{head}").parse().unwrap())
-        .collect();
-    let home: FailureDomain = "a".parse().unwrap();
-    let timing = timing();
+    let choice = Choice {
+        ids: &heads(HEADS),
+        slots: SLOTS,
+        suspect: None,
+        prompt_tokens: 700,
+        daemons: DAEMONS as u32,
+        keeps_apart,
+    };
     let mut random = SmallRng::seed_from_u64(1);
     let (mut innocent, mut met) = (0, 0);
     for _ in 0..ROUNDS {
-        let mut loads = loads(&ids, &mut random);
+        let mut loads = loads(choice.ids, &mut random);
         let mut chosen = Vec::new();
         for loads in loads.iter_mut() {
             for _ in 0..BROKEN_EACH {
-                let candidates: Vec<Candidate<'_>> = ids
-                    .iter()
-                    .map(|id| Candidate {
-                        id,
-                        failure_domain: &home,
-                        slots: SLOTS,
-                        model: None,
-                        is_suspect: false,
-                    })
-                    .collect();
-                let wanted = Wanted {
-                    home: &home,
-                    prompt_tokens: 700,
-                    timing: Some(&timing),
-                    daemons: DAEMONS as u32,
-                    keeps_apart,
-                };
                 let drawn = random.random();
-                let head = choose(&candidates, &wanted, loads, Timestamp(10), drawn).unwrap();
-                loads.started(&ids[head.index], 700);
-                chosen.push(head.index);
+                let head = choice.make(loads, Timestamp(10), drawn).index;
+                loads.started(&choice.ids[head], 700);
+                chosen.push(head);
             }
         }
         let guilty = chosen[random.random_range(0..chosen.len())];
@@ -108,37 +94,24 @@
 
 #[test]
 fn a_request_that_keeps_apart_goes_to_no_head_that_is_full() {
-    let ids: Vec<InstanceId> = (0..2)
-        .map(|head| format!("i-{head}").parse().unwrap())
-        .collect();
-    let home: FailureDomain = "a".parse().unwrap();
+    let ids = heads(2);
     let mut loads = Loads::default();
     let full = LoadReport {
         running: SLOTS,
         waiting: 9,
     };
     loads.reported(&ids[0], full, Timestamp(0));
-    let candidates: Vec<Candidate<'_>> = ids
-        .iter()
-        .map(|id| Candidate {
-            id,
-            failure_domain: &home,
-            slots: SLOTS,
-            model: None,
-            is_suspect: false,
-        })
-        .collect();
-    let timing = timing();
-    let wanted = Wanted {
-        home: &home,
+    let choice = Choice {
+        ids: &ids,
+        slots: SLOTS,
+        suspect: None,
         prompt_tokens: 700,
-        timing: Some(&timing),
         daemons: 9,
         keeps_apart: true,
     };
 
     for random in 0..20 {
-        let chosen = choose(&candidates, &wanted, &loads, Timestamp(0), random).unwrap();
+        let chosen = choice.make(&loads, Timestamp(0), random);
         assert_eq!(chosen.index, 1);
     }
 }
--- a/lib/tests/test_dispatch/test_decisions.rs
+++ b/lib/tests/test_dispatch/test_decisions.rs
@@ -8,13 +8,10 @@
 use cicadabend::{
     dispatch::{
         BudgetSettings,
-        Candidate,
         LoadReport,
         Loads,
         Outcome,
-        Wanted,
         WindowBudget,
-        choose,
         most_urgent,
         urgency, //
     },
@@ -23,7 +20,7 @@
 };
 use rstest::rstest;
 
-use crate::timing;
+use crate::Choice;
 
 const SETTINGS: BudgetSettings = BudgetSettings {
     ratio: 0.2,
@@ -65,25 +62,15 @@
 }
 
 fn chosen(ids: &[InstanceId], suspect: Option<usize>, loads: &Loads, now: u64) -> (usize, bool) {
-    let home: FailureDomain = "a".parse().unwrap();
-    let timing = timing();
-    let candidates: Vec<Candidate<'_>> = (0..ids.len())
-        .map(|place| Candidate {
-            id: &ids[place],
-            failure_domain: &home,
-            slots: 8,
-            model: None,
-            is_suspect: suspect == Some(place),
-        })
-        .collect();
-    let wanted = Wanted {
-        home: &home,
+    let choice = Choice {
+        ids,
+        slots: 8,
+        suspect,
         prompt_tokens: 1_000,
-        timing: Some(&timing),
         daemons: 1,
         keeps_apart: false,
     };
-    let chosen = choose(&candidates, &wanted, loads, Timestamp(now), 7).unwrap();
+    let chosen = choice.make(loads, Timestamp(now), 7);
     (chosen.index, chosen.is_full)
 }
 
--- a/lib/tests/test_dispatch/test_load.rs
+++ b/lib/tests/test_dispatch/test_load.rs
@@ -4,11 +4,8 @@
 
 use cicadabend::{
     dispatch::{
-        Candidate,
         LoadReport,
-        Loads,
-        Wanted,
-        choose, //
+        Loads, //
     },
     prelude::*,
     registry::InstanceId,
@@ -20,7 +17,10 @@
 };
 use rstest::rstest;
 
-use crate::timing;
+use crate::{
+    Choice,
+    heads, //
+};
 
 const DAEMONS: usize = 71;
 const HEADS: usize = 27;
@@ -49,10 +49,9 @@
 
 impl World {
     fn new(seed: u64) -> Self {
-        let ids = (0..HEADS).map(|head| format!("i-{head}").parse().unwrap());
         Self {
             now_ms: 0,
-            ids: ids.collect(),
+            ids: heads(HEADS),
             loads: vec![Loads::default(); DAEMONS],
             running: (0..HEADS).map(|_| VecDeque::new()).collect(),
             waiting: (0..HEADS).map(|_| VecDeque::new()).collect(),
@@ -81,30 +80,17 @@
 
     fn arrive(&mut self, daemons_known: u32) {
         let daemon = self.random.random_range(0..DAEMONS);
-        let home: FailureDomain = "a".parse().unwrap();
-        let timing = timing();
-        let candidates: Vec<Candidate<'_>> = self
-            .ids
-            .iter()
-            .map(|id| Candidate {
-                id,
-                failure_domain: &home,
-                slots: SLOTS,
-                model: None,
-                is_suspect: false,
-            })
-            .collect();
-        let wanted = Wanted {
-            home: &home,
+        let choice = Choice {
+            ids: &self.ids,
+            slots: SLOTS,
+            suspect: None,
             prompt_tokens: 700,
-            timing: Some(&timing),
             daemons: daemons_known,
             keeps_apart: false,
         };
         let now = Timestamp(self.now_ms);
         let drawn = self.random.random();
-        let chosen = choose(&candidates, &wanted, &self.loads[daemon], now, drawn).unwrap();
-        let head = chosen.index;
+        let head = choice.make(&self.loads[daemon], now, drawn).index;
         self.loads[daemon].started(&self.ids[head], 700);
         self.sent += 1;
         match self.running[head].len() < SLOTS as usize {
--- a/lib/tests/test_grouping/test_situations.rs
+++ b/lib/tests/test_grouping/test_situations.rs
@@ -99,6 +99,14 @@
     (begun.len(), refused.count())
 }
 
+/// Returns a world in which engines load the other model, and what [`loads`] tells of it.
+fn while_engines_load(seed: u64) -> (World, (usize, usize)) {
+    let mut world = World::new(seed, 3, 8);
+    world.run(Duration::from_secs(6), Troubles::NONE);
+    let before = loads(&world);
+    (world, before)
+}
+
 #[test]
 fn an_engine_that_is_down_holds_up_no_load_of_others() {
     // Callers of one model wait for seconds longer than they must after an engine was lost,
@@ -106,9 +114,7 @@
     // it again, twenty times a second, and each order counted as a load that had begun: no other
     // was allowed to begin. Evidence: 20 such orders a second to one engine, for three seconds.
     for seed in 1..10 {
-        let mut world = World::new(seed, 3, 8);
-        world.run(Duration::from_secs(6), Troubles::NONE);
-        let before = loads(&world);
+        let (mut world, before) = while_engines_load(seed);
 
         for place in [1, 9, 17] {
             world.crash(place, None);
@@ -131,9 +137,7 @@
     // As above, with a whole domain that answers nothing: each order there waits for a second,
     // and may be carried out all the same.
     for seed in 1..10 {
-        let mut world = World::new(seed, 3, 8);
-        world.run(Duration::from_secs(6), Troubles::NONE);
-        let before = loads(&world);
+        let (mut world, before) = while_engines_load(seed);
 
         for place in 0..8 {
             world.cut(place, 30_000, false);
