routed: one lookup of a suspicion, one rule for a further attempt, terms kept as they are

Cause: the change asked for the same thing in twins. standing and known_crashes each loaded the view and looked the fingerprint up; whether a request may be repeated was added to three conditions that were the same otherwise (time left, attempts, another replica, budget); the number of a crash was worked out twice; Plan listed every field of Terms again; the time left was written five times.

Change: RoutedRun::suspicion, Standing::of, pay_for_another and can_go_elsewhere, Plan { terms }, Plan::time_left. Of a repeat after a failure the replicas were weighed before the attempts were counted, now after; what is decided is the same.

--- a/cli/src/commands/explain.rs
+++ b/cli/src/commands/explain.rs
@@ -157,8 +157,8 @@
         .enumerate()
         .filter(|(number, line)| {
             let around = is_near(line) && is_background(line);
-            let is_alike = line.field("fingerprint");
-            let is_alike = is_alike.is_some_and(|known| fingerprints.contains(known));
+            let fingerprint = line.field("fingerprint");
+            let is_alike = fingerprint.is_some_and(|own| fingerprints.contains(own));
             line.is_of(request) || is_alike || around || last_said.contains(number)
         })
         .map(|(_, line)| line.clone())
--- a/entry/src/serve/routed/account.rs
+++ b/entry/src/serve/routed/account.rs
@@ -31,13 +31,14 @@
         if self.is_success {
             self.survived();
         }
-        self.server.counts.whole(self.plan.arrived.elapsed());
+        self.server.counts.whole(self.plan.terms.arrived.elapsed());
         let first_ms = self.first_part.unwrap_or_default().as_millis();
         self.server.log(&LogEvent::RequestEnded {
             request: self.plan.id().to_owned(),
-            route: self.plan.route.name.clone(),
+            route: self.plan.terms.route.name.clone(),
             team: self
                 .plan
+                .terms
                 .team
                 .as_ref()
                 .map_or(String::new(), ToString::to_string),
@@ -48,7 +49,7 @@
             outstanding: self.outstanding as u64,
             first_ms: u64::try_from(first_ms).unwrap_or(u64::MAX),
             took_ms: self.took_ms(),
-            routes: self.plan.routes,
+            routes: self.plan.terms.routes,
         });
         self.reservation = None;
     }
@@ -135,7 +136,7 @@
     }
 
     pub(super) fn took_ms(&self) -> u64 {
-        u64::try_from(self.plan.arrived.elapsed().as_millis()).unwrap_or(u64::MAX)
+        u64::try_from(self.plan.terms.arrived.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
     pub(super) fn log_failure(&self, failure: &Failure) {
--- a/entry/src/serve/routed/attempt.rs
+++ b/entry/src/serve/routed/attempt.rs
@@ -17,10 +17,7 @@
         Failure,
         exchange, //
     },
-    run::{
-        LEAST_LEFT,
-        RoutedRun, //
-    },
+    run::RoutedRun,
 };
 
 /// The shortest time after which a first event counts as unusually late.
@@ -39,7 +36,7 @@
         let replica = reservation.replica.clone();
         let began = Instant::now();
         let patience = self.patience();
-        let deadline = self.plan.deadline;
+        let deadline = self.plan.terms.deadline;
         let until = match patience {
             Some(patience) => deadline.min(began + patience),
             None => deadline,
@@ -72,8 +69,8 @@
 
     /// Returns after which time a first part is unusually late; `None` to wait for it.
     pub(super) fn patience(&self) -> Option<Duration> {
-        let kind = self.plan.route.kind;
-        if !kind.is_repeatable() || self.attempts + 1 >= self.plan.route.most_attempts {
+        let kind = self.plan.terms.route.kind;
+        if !kind.is_repeatable() || self.attempts + 1 >= self.plan.terms.route.most_attempts {
             return None;
         }
         let least = match kind.is_stream() {
@@ -88,19 +85,16 @@
     ///
     /// What is paid here is not paid again when the attempt is given up.
     pub(super) fn pay_repeat(&mut self) -> bool {
-        let left = self.plan.deadline.saturating_duration_since(Instant::now());
-        self.is_paid = left >= LEAST_LEFT
-            && self.attempts + 1 < self.plan.route.most_attempts
-            && self.may_be_repeated()
-            && self.best(&self.server.view.load()).is_some()
-            && self.server.withdraw_repeat(&self.plan.service);
+        self.is_paid = self.pay_for_another(self.attempts + 1);
         self.is_paid
     }
 
     pub(super) fn note_first_part(&mut self, began: Instant) {
         self.attempts += 1;
-        self.first_part = Some(self.plan.arrived.elapsed());
-        self.server.counts.first_part(self.plan.arrived.elapsed());
+        self.first_part = Some(self.plan.terms.arrived.elapsed());
+        self.server
+            .counts
+            .first_part(self.plan.terms.arrived.elapsed());
         let Some(reservation) = &mut self.reservation else {
             return;
         };
--- a/entry/src/serve/routed/crash_watch.rs
+++ b/entry/src/serve/routed/crash_watch.rs
@@ -99,29 +99,23 @@
         return;
     }
     watch.ended.borrow_mut().insert(upstream.clone());
-    let observed = |broken: &BrokenOff| {
-        let number = watch.number(broken);
-        (broken.fingerprint, Observation::Crashed(number))
-    };
-    let observations = gathered.iter().map(observed).collect();
-    // A full ring loses the notice; the next crash gives another.
-    let _ = server.crashes.push(observations);
-    tell(&server, &upstream, address, &gathered);
-}
-
-fn tell(server: &Server, upstream: &InstanceId, address: Address, gathered: &[BrokenOff]) {
     server.counts.count(Routed::UpstreamsCrashed);
     server.log(&LogEvent::UpstreamCrashed {
         instance: upstream.clone(),
         address,
         requests: gathered.len(),
     });
+    let mut observations = Vec::new();
     for broken in gathered {
+        let crashes = watch.number(&broken);
+        observations.push((broken.fingerprint, Observation::Crashed(crashes)));
         server.log(&LogEvent::RequestSuspected {
-            request: broken.request.clone(),
+            request: broken.request,
             fingerprint: broken.fingerprint,
-            crashes: server.crash_watch.number(broken),
+            crashes,
             instance: upstream.clone(),
         });
     }
+    // A full ring loses the notice; the next crash gives another.
+    let _ = server.crashes.push(observations);
 }
--- a/entry/src/serve/routed/exchange.rs
+++ b/entry/src/serve/routed/exchange.rs
@@ -174,7 +174,7 @@
 ) -> Result<Answered, Failure> {
     // What may run once only must not meet a connection that its upstream is closing:
     // nobody could tell afterwards whether the request had been read.
-    let is_repeatable = plan.route.kind.is_repeatable();
+    let is_repeatable = plan.terms.route.kind.is_repeatable();
     let lease = match is_repeatable {
         true => server.pool.lease(replica.address).await?,
         false => server.pool.lease_young(replica.address).await?,
@@ -211,7 +211,7 @@
     if head.status.is_success() && !words.is_marked {
         return Err(Failure::Broken("the answer bears no mark".to_owned()));
     }
-    if plan.route.kind.is_stream() && head.status == StatusCode::OK {
+    if plan.terms.route.kind.is_stream() && head.status == StatusCode::OK {
         return first_events(head, rest, last_event.or(plan.words.last_event)).await;
     }
     beginning(head, rest).await
--- a/entry/src/serve/routed/plan.rs
+++ b/entry/src/serve/routed/plan.rs
@@ -1,6 +1,9 @@
 //! One request in the form in which it can be sent, also twice.
 
-use std::cell::OnceCell;
+use std::{
+    cell::OnceCell,
+    time::Duration, //
+};
 
 use bytes::Bytes;
 use cicadabend::{
@@ -54,15 +57,8 @@
 
 /// The request and the terms it is served on.
 pub(super) struct Plan {
-    pub(super) route: Route,
-    pub(super) service: ServiceName,
+    pub(super) terms: Terms,
     pub(super) words: CallerWords,
-    pub(super) team: Option<TeamName>,
-    pub(super) precedence: Precedence,
-    pub(super) arrived: Instant,
-    pub(super) deadline: Instant,
-    /// The version of the table it is served by.
-    pub(super) routes: u64,
     head: Parts,
     body: Bytes,
     fingerprint: OnceCell<Fingerprint>,
@@ -71,15 +67,6 @@
 impl Plan {
     /// Puts a request together; `head` is as the caller sent it.
     pub(super) fn new(terms: Terms, words: CallerWords, mut head: Parts, body: Bytes) -> Self {
-        let Terms {
-            route,
-            service,
-            team,
-            precedence,
-            arrived,
-            deadline,
-            routes,
-        } = terms;
         let path = head.uri.path_and_query().cloned();
         head.uri = path.map(Uri::from).unwrap_or_default();
         headers::remove_hop_by_hop(&mut head.headers);
@@ -87,14 +74,8 @@
         head.headers.remove(header::EXPECT);
         head.headers.remove(header::CONTENT_LENGTH);
         Self {
-            route,
-            service,
+            terms,
             words,
-            team,
-            precedence,
-            arrived,
-            deadline,
-            routes,
             head,
             body,
             fingerprint: OnceCell::new(),
@@ -106,7 +87,7 @@
         *self.fingerprint.get_or_init(|| {
             let path = self.head.uri.path_and_query();
             let path = path.map_or("", |path| path.as_str());
-            Fingerprint::of(self.team.as_ref(), path, &self.body)
+            Fingerprint::of(self.terms.team.as_ref(), path, &self.body)
         })
     }
 
@@ -115,6 +96,13 @@
         self.words.request_id.as_deref().unwrap_or_default()
     }
 
+    /// Returns how long the caller still waits.
+    pub(super) fn time_left(&self) -> Duration {
+        self.terms
+            .deadline
+            .saturating_duration_since(Instant::now())
+    }
+
     /// Returns the tokens of the prompt, zero if the caller does not say.
     pub(super) fn prompt_tokens(&self) -> u64 {
         self.words.prompt_tokens.unwrap_or(0)
@@ -136,16 +124,15 @@
         if !self.body.is_empty() || self.head.method == http::Method::POST {
             map.insert(header::CONTENT_LENGTH, HeaderValue::from(self.body.len()));
         }
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        let deadline_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        let deadline_ms = u64::try_from(self.time_left().as_millis()).unwrap_or(u64::MAX);
         let words = UpstreamWords {
             deadline_ms: deadline_ms.max(1),
             instance: &replica.id,
-            team: self.team.as_ref().map(TeamName::as_str),
+            team: self.terms.team.as_ref().map(TeamName::as_str),
             urgency: match last_event {
                 // Its caller sees the pause; a new request has no event to miss yet.
-                Some(_) => most_urgent(self.precedence.rank),
-                None => self.precedence.urgency,
+                Some(_) => most_urgent(self.terms.precedence.rank),
+                None => self.terms.precedence.urgency,
             },
             last_event: last_event.or(self.words.last_event),
         };
--- a/entry/src/serve/routed/quarantine.rs
+++ b/entry/src/serve/routed/quarantine.rs
@@ -10,7 +10,8 @@
         Fingerprint,
         Known,
         Observation,
-        Standing, //
+        Standing,
+        Suspicion, //
     },
     registry::InstanceId,
 };
@@ -94,25 +95,24 @@
         self.trail.broken_at.push(replica.id.clone());
     }
 
-    /// Returns how the request stands, by all crashes that this daemon knows of.
-    pub(super) fn standing(&self) -> Standing {
+    /// Returns what is known of crashes with such a request.
+    fn suspicion(&self) -> Option<Suspicion> {
         let view = self.server.view.load();
         // The fingerprint takes a pass over the body, which nobody needs on a calm day.
         if view.suspects.is_empty() {
-            return Standing::Trusted;
+            return None;
         }
-        let now = self.server.clock.now();
-        view.suspects.standing(&self.plan.fingerprint(), now)
+        view.suspects.get(&self.plan.fingerprint()).copied()
+    }
+
+    /// Returns how the request stands, by all crashes that this daemon knows of.
+    pub(super) fn standing(&self) -> Standing {
+        Standing::of(self.suspicion().as_ref(), self.server.clock.now())
     }
 
     /// Returns how many crashes, one after the other, are known of the request.
     pub(super) fn known_crashes(&self) -> u32 {
-        let view = self.server.view.load();
-        if view.suspects.is_empty() {
-            return 0;
-        }
-        let suspicion = view.suspects.get(&self.plan.fingerprint());
-        suspicion.map_or(0, |suspicion| suspicion.crashes)
+        self.suspicion().map_or(0, |suspicion| suspicion.crashes)
     }
 
     /// Returns whether the request may be sent to a second upstream if the first fails.
--- a/entry/src/serve/routed/refusal.rs
+++ b/entry/src/serve/routed/refusal.rs
@@ -8,7 +8,6 @@
     Response,
     StatusCode, //
 };
-use tokio::time::Instant;
 
 use super::{
     body::RoutedBody,
@@ -66,13 +65,13 @@
         let promises = status == StatusCode::SERVICE_UNAVAILABLE;
         self.server.log(&LogEvent::RequestRefused {
             request: self.plan.id().to_owned(),
-            route: self.plan.route.name.clone(),
+            route: self.plan.terms.route.name.clone(),
             reason: format!("{reason:?}"),
             status: status.as_u16(),
             may_have_run: !promises,
             attempts: self.attempts,
             took_ms: self.took_ms(),
-            routes: self.plan.routes,
+            routes: self.plan.terms.routes,
             why: why.to_owned(),
         });
         let answer = OwnAnswer {
@@ -97,7 +96,7 @@
         if let Standing::Quarantined { until } = self.standing() {
             return until.since(self.server.clock.now());
         }
-        let left = self.plan.deadline.saturating_duration_since(Instant::now());
+        let left = self.plan.time_left();
         let spread = (self.server.random() % 1_000) as f64 / 1_000.0;
         let share = RETRY_SHARE * (1.0 - RETRY_SPREAD * spread);
         left.mul_f64(share).max(RETRY_LEAST)
--- a/entry/src/serve/routed/run.rs
+++ b/entry/src/serve/routed/run.rs
@@ -30,7 +30,6 @@
     StatusCode,
     response::Parts, //
 };
-use tokio::time::Instant;
 
 use super::{
     super::{
@@ -66,7 +65,7 @@
 /// How often a connection may fail before the request is given up.
 const MOST_CONNECTS: u32 = 4;
 /// A repeat with less time than this could not be answered.
-pub(super) const LEAST_LEFT: Duration = Duration::from_millis(30);
+const LEAST_LEFT: Duration = Duration::from_millis(30);
 
 /// A request from its arrival to its end; dropping it earlier means that its caller left.
 pub(super) struct RoutedRun {
@@ -103,7 +102,7 @@
     pub(super) fn new(server: &Rc<Server>, plan: Plan) -> Option<Self> {
         let traits = RequestTraits {
             needs_claim: false,
-            is_repeatable: plan.route.kind.is_repeatable(),
+            is_repeatable: plan.terms.route.kind.is_repeatable(),
         };
         Some(Self {
             server: Rc::clone(server),
@@ -128,7 +127,7 @@
 
     /// Drives the request to the head of its answer.
     pub(super) async fn drive(mut self) -> Response<RoutedBody> {
-        self.server.note_request(&self.plan.service);
+        self.server.note_request(&self.plan.terms.service);
         if !self.passes_quarantine() {
             return self.refuse_quarantined();
         }
@@ -186,10 +185,10 @@
     pub(super) fn best(&self, view: &RoutedView) -> Option<(RoutedReplica, Chosen)> {
         let plan = &self.plan;
         let table = view.routes.as_ref()?.table();
-        let engine = table.engine(&plan.service);
+        let engine = table.engine(&plan.terms.service);
         let model = plan.words.model.as_deref();
         let replicas: Vec<&RoutedReplica> = view
-            .replicas_of(&plan.service, model)
+            .replicas_of(&plan.terms.service, model)
             .filter(|replica| !self.tried.contains(&replica.id))
             .collect();
         let candidates: Vec<Candidate<'_>> = replicas
@@ -230,7 +229,7 @@
                 false => Outcome::Answered,
             });
         }
-        if is_failure && self.plan.route.kind.is_repeatable() {
+        if is_failure && self.plan.terms.route.kind.is_repeatable() {
             // The failure is passed on as it is if no repeat is allowed.
             self.attempts -= 1;
             if self.pay_repeat() {
@@ -354,36 +353,37 @@
         if std::mem::take(&mut self.is_paid) {
             return true;
         }
-        let left = self.plan.deadline.saturating_duration_since(Instant::now());
-        if left < LEAST_LEFT || self.best(&self.server.view.load()).is_none() {
-            return false;
-        }
         match failure {
             // Nothing arrived anywhere, so nothing is repeated.
-            Failure::NotConnected(_) => self.connects < MOST_CONNECTS && !self.is_quarantined(),
+            Failure::NotConnected(_) => {
+                self.connects < MOST_CONNECTS && !self.is_quarantined() && self.can_go_elsewhere()
+            }
             Failure::TimeOver { .. } => false,
             Failure::Broken(_) | Failure::Status(_) | Failure::Slow(_)
-                if !self.plan.route.kind.is_repeatable() =>
+                if !self.plan.terms.route.kind.is_repeatable() =>
             {
                 false
             }
-            _ => {
-                self.attempts < self.plan.route.most_attempts
-                    && self.may_be_repeated()
-                    && self.server.withdraw_repeat(&self.plan.service)
-            }
+            _ => self.pay_for_another(self.attempts),
         }
     }
 
+    /// Returns whether there is time, and another replica, for a further attempt.
+    fn can_go_elsewhere(&self) -> bool {
+        self.plan.time_left() >= LEAST_LEFT && self.best(&self.server.view.load()).is_some()
+    }
+
+    /// Pays for an attempt after so many, if one is allowed.
+    pub(super) fn pay_for_another(&self, made: u32) -> bool {
+        made < self.plan.terms.route.most_attempts
+            && self.may_be_repeated()
+            && self.can_go_elsewhere()
+            && self.server.withdraw_repeat(&self.plan.terms.service)
+    }
+
     /// Decides, and pays, for asking another replica for the rest of a stream.
     pub(super) fn may_resume(&self) -> bool {
-        let left = self.plan.deadline.saturating_duration_since(Instant::now());
-        self.plan.route.kind.is_repeatable()
-            && left >= LEAST_LEFT
-            && self.attempts < self.plan.route.most_attempts
-            && self.may_be_repeated()
-            && self.best(&self.server.view.load()).is_some()
-            && self.server.withdraw_repeat(&self.plan.service)
+        self.plan.terms.route.kind.is_repeatable() && self.pay_for_another(self.attempts)
     }
 }
 
--- a/entry/src/serve/routed/stream.rs
+++ b/entry/src/serve/routed/stream.rs
@@ -130,10 +130,10 @@
 
 impl StreamBody {
     pub(super) fn new(run: RoutedRun, first: Bytes, source: EventSource) -> Self {
-        let deadline = run.plan.deadline;
-        let objective = run.plan.route.gap_objective_ms.unwrap_or_default();
+        let deadline = run.plan.terms.deadline;
+        let objective = run.plan.terms.route.gap_objective_ms.unwrap_or_default();
         let objective = Duration::from_millis(objective);
-        let is_repeatable = run.plan.route.kind.is_repeatable();
+        let is_repeatable = run.plan.terms.route.kind.is_repeatable();
         let patience = is_repeatable.then(|| {
             let usual = objective.mul_f64(PATIENCE_FACTOR);
             LEAST_PATIENCE.max(usual)
@@ -323,7 +323,7 @@
     let sent = SentBytes::default();
     let plan = Rc::clone(&run.plan);
     let server = Rc::clone(&run.server);
-    let until = plan.deadline.min(Instant::now() + RESUME_TIMEOUT);
+    let until = plan.terms.deadline.min(Instant::now() + RESUME_TIMEOUT);
     let work = exchange(&server, &plan, &replica, &sent, last_event);
     let outcome = match tokio::time::timeout_at(until, work).await {
         Ok(Ok(Answered::Stream { first, source, .. })) => {
--- a/lib/src/quarantine/table.rs
+++ b/lib/src/quarantine/table.rs
@@ -54,6 +54,21 @@
     OnTrial,
 }
 
+impl Standing {
+    /// Returns how a request stands now of which this is known.
+    pub fn of(suspicion: Option<&Suspicion>, now: Timestamp) -> Self {
+        let Some(suspicion) = suspicion else {
+            return Standing::Trusted;
+        };
+        match suspicion.held_until {
+            Some(until) if now < until => Standing::Quarantined { until },
+            Some(_) => Standing::OnTrial,
+            None if suspicion.crashes >= CRASHES_TO_STOP_REPEATS => Standing::Doubtful,
+            None => Standing::Suspected,
+        }
+    }
+}
+
 /// What is known of one request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Suspicion {
@@ -63,18 +78,6 @@
     pub held_until: Option<Timestamp>,
 }
 
-impl Suspicion {
-    /// Returns how the request stands now.
-    pub fn standing(&self, now: Timestamp) -> Standing {
-        match self.held_until {
-            Some(until) if now < until => Standing::Quarantined { until },
-            Some(_) => Standing::OnTrial,
-            None if self.crashes >= CRASHES_TO_STOP_REPEATS => Standing::Doubtful,
-            None => Standing::Suspected,
-        }
-    }
-}
-
 /// All requests that were seen under crashes.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct SuspectTable {
@@ -94,7 +97,6 @@
 
     /// Returns how a request stands now.
     pub fn standing(&self, fingerprint: &Fingerprint, now: Timestamp) -> Standing {
-        let suspicion = self.get(fingerprint);
-        suspicion.map_or(Standing::Trusted, |suspicion| suspicion.standing(now))
+        Standing::of(self.get(fingerprint), now)
     }
 }
