--- a/testing/testutils/src/process.rs
+++ b/testing/testutils/src/process.rs
@@ -96,6 +96,17 @@
         self.signal(Signal::CONT);
     }
 
+    /// Tells the process that its settings may have changed (SIGHUP).
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
+    /// Returns whether the process has ended.
+    pub fn has_exited(&mut self) -> bool {
+        // An error means that its end was waited for before.
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Kills the process (SIGKILL) and waits for its end.
     pub fn kill(&mut self) {
         self.was_killed = true;
