routed: tell the rate of requests that an upstream names

Sight for an incident: no line or metric held what upstreams name, so the hypotheses could not be told apart. CB1432 tells each change, CB1433 what is no rate. No change of where requests go.

--- a/entry/src/edge.rs
+++ b/entry/src/edge.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use cicadabend::{
     dispatch::LoadReport,
+    prelude::*,
     registry::InstanceId, //
 };
 use http::{
@@ -65,6 +66,20 @@
     pub at_fault: Option<String>,
     /// How long the upstream keeps the connection; `None` if it does not say.
     pub keeps_for: Option<Duration>,
+    /// The rate of requests that the upstream takes from all daemons together.
+    pub rate: NamedRate,
+}
+
+/// What an answer says of the rate of requests that its upstream takes.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum NamedRate {
+    /// Nothing: the upstream is not in need.
+    #[default]
+    Unsaid,
+    /// So many requests a second from all daemons together.
+    Named(RequestRate),
+    /// Something that is no rate; the text is cut.
+    Unreadable(String),
 }
 
 /// An answer of this daemon's own.
--- a/entry/src/serve/routed/events.rs
+++ b/entry/src/serve/routed/events.rs
@@ -87,4 +87,18 @@
         crashes: u32,
         left_ms: u128,
     } "request held";
+    /// An upstream's answer names another rate of requests than its last answer here did; none
+    /// stands for an answer that names no rate.
+    1432 Info RateNamed {
+        request: String,
+        instance: cicadabend::registry::InstanceId,
+        rate: String,
+        before: String,
+    } "rate named";
+    /// An upstream's answer names something that is no rate; what it named before holds.
+    1433 Warn RateUnreadable {
+        request: String,
+        instance: cicadabend::registry::InstanceId,
+        why: String,
+    } "rate not taken";
 }
--- a/entry/src/serve/routed/exchange.rs
+++ b/entry/src/serve/routed/exchange.rs
@@ -27,6 +27,7 @@
         SentBytes, //
     },
     plan::Plan,
+    rates,
     server::Server,
     source::{
         AnswerRest,
@@ -192,6 +193,9 @@
     let (head, incoming) = response.into_parts();
     let words = server.edge.read_answer(head.status, &head.headers);
     check_identity(plan, &words, lease.was_kept(), head.status)?;
+    if words.is_marked || head.status != StatusCode::MISDIRECTED_REQUEST {
+        rates::note(server, plan.id(), &replica.id, &words.rate);
+    }
     if let Some(load) = words.load {
         let now = server.clock.now();
         server.loads.borrow_mut().reported(&replica.id, load, now);
--- a/entry/src/serve/routed/mod.rs
+++ b/entry/src/serve/routed/mod.rs
@@ -13,6 +13,7 @@
 //! - `source`: what is still to come of that answer.
 //! - `crash_watch`: whether an upstream that broke requests off has ended.
 //! - `quarantine`: whether a request may run, by the upstreams that ended with it.
+//! - `rates`: the rates of requests that upstreams name.
 //! - `plan`: the request in the form in which it can be sent, also twice.
 //! - `server`: what all requests share.
 
@@ -29,6 +30,7 @@
 mod listener;
 mod plan;
 mod quarantine;
+mod rates;
 mod refusal;
 mod run;
 mod server;
--- a/entry/src/serve/routed/server.rs
+++ b/entry/src/serve/routed/server.rs
@@ -45,7 +45,8 @@
     crash_watch::CrashWatch,
     events::LogEvent,
     lines::LineBudget,
-    quarantine::Trials, //
+    quarantine::Trials,
+    rates::HeardRates, //
 };
 use crate::{
     edge::CallerEdge,
@@ -76,6 +77,7 @@
     pub(super) stalls: ring::Sender<InstanceId>,
     pub(super) crashes: ring::Sender<CrashNotice>,
     pub(super) trials: RefCell<Trials>,
+    pub(super) rates: RefCell<HeardRates>,
     budgets: RefCell<HashMap<ServiceName, WindowBudget>>,
     random: RefCell<SmallRng>,
 }
@@ -99,6 +101,7 @@
             stalls: setup.stalls.clone(),
             crashes: setup.crashes.clone(),
             trials: RefCell::default(),
+            rates: RefCell::default(),
             budgets: RefCell::default(),
             random: RefCell::new(SmallRng::seed_from_u64(setup.boot.0)),
         });
@@ -156,6 +159,7 @@
         };
         server.loads.borrow_mut().forget(is_kept);
         server.crash_watch.forget(is_kept);
+        server.rates.borrow_mut().retain(|id, _| is_kept(id));
         server.pool.close_expired();
     }
 }
--- a/lib/src/prelude.rs
+++ b/lib/src/prelude.rs
@@ -24,6 +24,7 @@
         ByteCount,
         Percent,
         RatePerSecond,
+        RequestRate,
         Slots,
         TokenCount, //
     },
--- a/lib/src/units.rs
+++ b/lib/src/units.rs
@@ -63,3 +63,49 @@
     /// A number of tokens of a model's vocabulary.
     TokenCount(u64), " tokens"
 }
+
+/// How many requests a second an upstream takes, in thousandths.
+///
+/// Text is a decimal number of requests a second without a sign or an exponent. What is smaller
+/// than a thousandth counts as none.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct RequestRate(pub u64);
+
+impl RequestRate {
+    /// Returns the requests a second.
+    pub fn per_s(self) -> f64 {
+        self.0 as f64 / 1_000.0
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.per_s())
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        let error = || IdError::Number {
+            found: text.chars().take(FOUND_SHOWN).collect(),
+        };
+        let digits = text.strip_suffix("/s").unwrap_or(text).trim();
+        let is_plain = digits
+            .bytes()
+            .all(|byte| byte.is_ascii_digit() || byte == b'.');
+        let per_s: f64 = digits.parse().map_err(|_| error())?;
+        match is_plain && per_s.is_finite() {
+            // A number that does not fit is as large as can be: nothing comes near it.
+            true => Ok(Self((per_s * 1_000.0) as u64)),
+            false => Err(error()),
+        }
+    }
+}
+
+/// How much of a text that is no rate is shown.
+const FOUND_SHOWN: usize = 40;
