--- a/control/src/inbox.rs
+++ b/control/src/inbox.rs
@@ -61,7 +61,9 @@
             PeerMessage::Hello(_)
             | PeerMessage::Roster(_)
             | PeerMessage::Upstreams(_)
-            | PeerMessage::Crashes(_) => {
+            | PeerMessage::Crashes(_)
+            | PeerMessage::Rates(_)
+            | PeerMessage::PermitAsk(_) => {
                 let Some(members) = &self.members else {
                     return Err(InboxDrop::NotForControl);
                 };
@@ -70,6 +72,7 @@
             }
             PeerMessage::Lease(_)
             | PeerMessage::Routes(_)
+            | PeerMessage::Permits(_)
             | PeerMessage::Config(_)
             | PeerMessage::Table(_)
             | PeerMessage::TableAck { .. }
--- a/control/src/members/events.rs
+++ b/control/src/members/events.rs
@@ -47,6 +47,23 @@
     1607 Info RequestCleared {
         fingerprint: cicadabend::quarantine::Fingerprint,
     } "request cleared";
+    /// An upstream names another rate of requests that it takes from all daemons together; none
+    /// stands for no rate. The answer that says so came to some entry daemon so long ago.
+    1608 Info RateChanged {
+        instance: cicadabend::registry::InstanceId,
+        rate: String,
+        before: String,
+        age_ms: u32,
+    } "rate changed";
+    /// All upstreams that can stand in for each other name rates, and more requests come than
+    /// these take together; or that is over.
+    1609 Warn PoolShort {
+        service: cicadabend::prelude::ServiceName,
+        model: String,
+        is_short: bool,
+        asked_per_s: f64,
+        rates_per_s: f64,
+    } "pool short of rates";
     /// This daemon begins to form groups; its epochs begin at its term.
     1610 Info GroupingBegins { term: u64 } "leading groups";
     /// This daemon forms groups no longer.
--- a/control/src/members/leading.rs
+++ b/control/src/members/leading.rs
@@ -90,6 +90,11 @@
         }
     }
 
+    /// Returns the term in which this daemon leads, if it does.
+    pub(super) fn term(&self) -> Option<u64> {
+        self.term.map(|(term, _)| term)
+    }
+
     /// Returns the orders to give now.
     pub(super) fn orders(
         &mut self,
--- a/control/src/members/mod.rs
+++ b/control/src/members/mod.rs
@@ -8,6 +8,7 @@
 mod demand;
 mod events;
 mod leading;
+mod permits;
 mod thread;
 
 use std::{
--- a/control/src/members/thread.rs
+++ b/control/src/members/thread.rs
@@ -29,6 +29,10 @@
     },
     prelude::*,
     quarantine::Change,
+    rates::{
+        PermitAsk,
+        RateChange, //
+    },
     registry::{
         InstanceId,
         Registration, //
@@ -57,7 +61,8 @@
     SharedAddresses,
     demand::SmoothDemand,
     events::LogEvent,
-    leading::Leading, //
+    leading::Leading,
+    permits::Permits, //
 };
 use crate::replication::ReplicationHandle;
 
@@ -91,6 +96,7 @@
     setup: MembersSetup,
     discovery: ControlDiscovery,
     leading: Leading,
+    permits: Permits,
     /// Heads that stand still as entry daemons see them, and when that was last told.
     stalled: BTreeMap<InstanceId, Timestamp>,
     demand: SmoothDemand,
@@ -110,6 +116,7 @@
         Self {
             discovery,
             leading: Leading::new(setup.grouping, setup.clock.now()),
+            permits: Permits::default(),
             stalled: BTreeMap::new(),
             demand: SmoothDemand::default(),
             spread: RouteVersion::default(),
@@ -176,11 +183,26 @@
                 self.discovery.hear_upstreams(&incoming.from, *news, now);
             }
             PeerMessage::Crashes(news) => self.discovery.hear_crashes(&news, now),
+            PeerMessage::Rates(news) => self.discovery.hear_rates(&news, now),
+            PeerMessage::PermitAsk(ask) => self.hear_ask(&incoming.from, &ask, now),
             // The inbox hands over the kinds above only.
             _ => {}
         }
     }
 
+    /// Takes an ask in; who waits is answered at once, all others at the next tick.
+    fn hear_ask(&mut self, from: &DaemonId, ask: &PermitAsk, now: Timestamp) {
+        let is_waited_for = self.permits.hear(from, ask, now);
+        if is_waited_for {
+            self.issue_permits(now);
+        }
+    }
+
+    fn issue_permits(&mut self, now: Timestamp) {
+        let peers = &self.setup.peers;
+        self.permits.issue(&mut self.discovery, peers, now);
+    }
+
     fn note_stalled(&mut self, hello: &Hello, now: Timestamp) {
         for id in &hello.stalled {
             if self.stalled.insert(id.clone(), now).is_none() {
@@ -266,6 +288,8 @@
 
     fn lead(&mut self, now: Timestamp) {
         self.leading.follow(&self.setup.replication, now);
+        self.permits.follow(self.leading.term(), now);
+        self.issue_permits(now);
         let state = self.setup.replication.local();
         if let Some(document) = state.routes() {
             self.stalled.retain(|_, at| now.since(*at) < STALL_TOLD_FOR);
@@ -327,11 +351,23 @@
             LogEvent::UpstreamEnded { instance, how }.emit();
         }
         Learnt::Quarantine(change) => log_quarantine(&change),
+        Learnt::Rate(change) => log_rate(change),
         // Only entry daemons choose sources.
         Learnt::SourcesChanged(_) => {}
     }
 }
 
+fn log_rate(change: RateChange) {
+    let text = |rate: Option<RequestRate>| rate.map_or("none".to_owned(), |rate| rate.to_string());
+    LogEvent::RateChanged {
+        instance: change.id,
+        rate: text(change.rate),
+        before: text(change.before),
+        age_ms: change.age_ms,
+    }
+    .emit();
+}
+
 fn log_quarantine(change: &Change) {
     match *change {
         Change::Quarantined {
--- a/entry/src/members/events.rs
+++ b/entry/src/members/events.rs
@@ -40,4 +40,19 @@
     1409 Info RequestCleared {
         fingerprint: cicadabend::quarantine::Fingerprint,
     } "request cleared";
+    /// An upstream names another rate of requests that it takes from all daemons together; none
+    /// stands for no rate. The answer that says so came to some daemon so long ago.
+    1410 Info RateChanged {
+        instance: cicadabend::registry::InstanceId,
+        rate: String,
+        before: String,
+        age_ms: u32,
+    } "rate changed";
+    /// Requests go to upstreams that name a rate with permits of this leader.
+    1411 Info PermitsFrom {
+        leader: cicadabend::prelude::DaemonId,
+        term: u64,
+    } "permits come from a leader";
+    /// No leader issues permits: this daemon takes its equal part of each rate.
+    1412 Warn PermitsOwn { entries: u32 } "permits are this daemon's own";
 }
--- a/entry/src/members/mod.rs
+++ b/entry/src/members/mod.rs
@@ -7,6 +7,7 @@
 mod crashes;
 mod demand;
 mod events;
+mod permits;
 mod thread;
 mod view;
 
@@ -15,10 +16,15 @@
     Demand,
     Demanded, //
 };
+pub(crate) use permits::{
+    Permits,
+    RateNotice, //
+};
 pub(crate) use thread::{
     MembersSetup,
-    MembersThread, //
-    me,
+    MembersThread,
+    Notices,
+    me, //
 };
 pub use view::{
     RoutedReplica,
--- a/entry/src/members/thread.rs
+++ b/entry/src/members/thread.rs
@@ -31,6 +31,13 @@
         Change,
         SuspectTable, //
     },
+    rates::{
+        HolderChange,
+        PermitHolder,
+        RateChange,
+        RateTable,
+        Received, //
+    },
     registry::InstanceId,
     routes::{
         RouteIndex,
@@ -56,6 +63,10 @@
     CrashNotice, changes,
     demand::Demand,
     events::LogEvent,
+    permits::{
+        Permits,
+        RateNotice, //
+    },
     view::{
         RoutedView,
         replicas, //
@@ -80,6 +91,8 @@
     pub(crate) view: Arc<ArcSwap<RoutedView>>,
     /// How many requests each model has here.
     pub(crate) demand: Demand,
+    /// Permits to send to upstreams that name a rate.
+    pub(crate) permits: Permits,
     /// Whether a caller has been served.
     pub(crate) has_served: Arc<AtomicBool>,
     pub(crate) clock: Clock,
@@ -95,6 +108,20 @@
     /// Heads whose streams stand still here, and when that was noticed last.
     stalled: BTreeMap<InstanceId, Timestamp>,
     suspects: Arc<SuspectTable>,
+    rates: Arc<RateTable>,
+    holder: PermitHolder,
+}
+
+/// What the serving thread tells.
+pub(crate) struct Notices {
+    /// Heads whose streams stand still.
+    pub(crate) stalls: Receiver<InstanceId>,
+    /// Upstreams that ended.
+    pub(crate) crashes: Receiver<CrashNotice>,
+    /// What upstreams name.
+    pub(crate) rates: Receiver<RateNotice>,
+    /// A request waits for a permit.
+    pub(crate) permit_waits: Receiver<()>,
 }
 
 impl MembersThread {
@@ -108,6 +135,8 @@
             was_certain: false,
             stalled: BTreeMap::new(),
             suspects: Arc::default(),
+            rates: Arc::default(),
+            holder: PermitHolder::new(setup.me.daemon.clone()),
             setup,
         }
     }
@@ -116,8 +145,7 @@
     pub(crate) async fn run(
         mut self,
         mut inbox: Receiver<Incoming>,
-        mut stalls: Receiver<InstanceId>,
-        mut crashes: Receiver<CrashNotice>,
+        mut notices: Notices,
         mut ended: watch::Receiver<bool>,
     ) {
         let mut tick = tokio::time::interval(TICK);
@@ -128,8 +156,10 @@
                     Some(incoming) => self.hear(incoming),
                     None => return,
                 },
-                Some(id) = stalls.next() => self.note_stall(id),
-                Some(notice) = crashes.next() => self.note_crash(&notice),
+                Some(id) = notices.stalls.next() => self.note_stall(id),
+                Some(notice) = notices.crashes.next() => self.note_crash(&notice),
+                Some(notice) = notices.rates.next() => self.note_rate(&notice),
+                Some(()) = notices.permit_waits.next() => {}
                 _ = tick.tick() => self.tick(),
                 _ = ended.wait_for(|ended| *ended) => return,
             }
@@ -141,6 +171,7 @@
             }
             self.act();
             self.publish();
+            self.ask_for_permits();
         }
     }
 
@@ -174,6 +205,43 @@
         self.discovery.observe(notice, now);
     }
 
+    /// Passes on at once what an upstream has named, if it is new.
+    fn note_rate(&mut self, (id, rate, times): &RateNotice) {
+        let now = self.now();
+        self.discovery.observe_rate(id, *rate, *times, now);
+    }
+
+    /// Asks for permits, if some upstream names a rate and it is time.
+    fn ask_for_permits(&mut self) {
+        let now = self.now();
+        let is_waiting = self.setup.permits.purse().is_waited_for();
+        if !self.holder.is_ask_due(&self.rates, is_waiting, now) {
+            return;
+        }
+        let asks = self.setup.permits.purse().read_asks();
+        let (to, ask) = self.holder.ask(asks, self.discovery.controls(now), now);
+        for daemon in to {
+            let message = PeerMessage::PermitAsk(Box::new(ask.clone()));
+            self.setup.peers.send(&daemon, message);
+        }
+    }
+
+    fn take_permits(&mut self, received: Received) {
+        if let Some(change) = received.change {
+            log_holder(change);
+        }
+        let mut purse = self.setup.permits.purse();
+        if let Some(shares) = received.shares {
+            purse.set_shares(shares);
+        }
+        if received.permits.is_empty() {
+            return;
+        }
+        purse.add(received.permits);
+        drop(purse);
+        self.setup.permits.tell_added();
+    }
+
     fn hear(&mut self, incoming: Incoming) {
         let now = self.now();
         match incoming.message {
@@ -183,6 +251,11 @@
                 self.discovery.hear_upstreams(&incoming.from, *news, now);
             }
             PeerMessage::Crashes(news) => self.discovery.hear_crashes(&news, now),
+            PeerMessage::Rates(news) => self.discovery.hear_rates(&news, now),
+            PeerMessage::Permits(news) => {
+                let received = self.holder.take(&incoming.from, *news, now);
+                self.take_permits(received);
+            }
             // Other kinds are meant for control daemons.
             _ => {}
         }
@@ -234,6 +307,9 @@
         let now = self.now();
         self.greet_if_due();
         self.discovery.tick(now);
+        let entries = self.discovery.entries();
+        let own = self.holder.tick(&self.rates, entries, now);
+        self.take_permits(own);
         if self.was_certain && now >= self.certain_until {
             self.was_certain = false;
             let version = self.held().0;
@@ -289,6 +365,9 @@
         if let Some(suspects) = self.discovery.changed_suspects() {
             self.suspects = Arc::new(suspects);
         }
+        if let Some(rates) = self.discovery.changed_rates() {
+            self.rates = Arc::new(rates);
+        }
         self.setup.view.store(Arc::new(RoutedView {
             routes: self.routes.clone(),
             certain_until: self.certain_until,
@@ -296,6 +375,7 @@
             replicas,
             entries: self.discovery.entries(),
             suspects: Arc::clone(&self.suspects),
+            rates: Arc::clone(&self.rates),
         }));
     }
 }
@@ -316,6 +396,7 @@
             LogEvent::SourceChanged { daemon }.emit();
         }
         Learnt::Quarantine(change) => log_quarantine(&change),
+        Learnt::Rate(change) => log_rate(change),
         // What changes in the registry is logged by the replicas that come of it.
         Learnt::UpstreamFound(_)
         | Learnt::UpstreamChanged(_)
@@ -324,6 +405,24 @@
     }
 }
 
+fn log_rate(change: RateChange) {
+    let text = |rate: Option<RequestRate>| rate.map_or("none".to_owned(), |rate| rate.to_string());
+    LogEvent::RateChanged {
+        instance: change.id,
+        rate: text(change.rate),
+        before: text(change.before),
+        age_ms: change.age_ms,
+    }
+    .emit();
+}
+
+fn log_holder(change: HolderChange) {
+    match change {
+        HolderChange::Led { leader, term } => LogEvent::PermitsFrom { leader, term }.emit(),
+        HolderChange::Alone { entries } => LogEvent::PermitsOwn { entries }.emit(),
+    }
+}
+
 fn log_quarantine(change: &Change) {
     match *change {
         Change::Quarantined {
--- a/entry/src/members/view.rs
+++ b/entry/src/members/view.rs
@@ -9,6 +9,7 @@
     ids::Address,
     prelude::*,
     quarantine::SuspectTable,
+    rates::RateTable,
     registry::{
         EngineStanding,
         InstanceId,
@@ -38,6 +39,8 @@
     pub entries: u32,
     /// Requests that upstreams had when they ended.
     pub suspects: Arc<SuspectTable>,
+    /// The rates of requests that upstreams name.
+    pub rates: Arc<RateTable>,
 }
 
 /// One place where a routed request can run.
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -70,6 +70,8 @@
         Demand,
         MembersSetup,
         MembersThread,
+        Notices,
+        Permits,
         RoutedView, //
     },
     serve::{
@@ -93,6 +95,10 @@
 const STALL_CAPACITY: usize = 256;
 /// How many notices of upstreams that ended wait for the thread `members`.
 const CRASH_CAPACITY: usize = 256;
+/// How many notices of rates that upstreams name wait for the thread `members`.
+const RATE_CAPACITY: usize = 1_024;
+/// How many words that a request waits for a permit wait for the thread `members`.
+const PERMIT_WAIT_CAPACITY: usize = 16;
 /// How often the daemon looks whether a thread has ended by itself.
 const THREAD_LOOK_MS: u64 = 200;
 
@@ -197,6 +203,7 @@
     let (peers, inbox) = start_peers(&settings, boot)?;
     let view = Arc::new(ArcSwap::from_pointee(RoutedView::default()));
     let demand = Demand::default();
+    let permits = Permits::default();
     let has_served = Arc::new(AtomicBool::new(false));
     let setup = MembersSetup {
         me: members::me(
@@ -209,14 +216,23 @@
         peers: peers.sender(),
         view: Arc::clone(&view),
         demand: demand.clone(),
+        permits: permits.clone(),
         has_served: Arc::clone(&has_served),
         clock: process.clock,
     };
     let (stop_members, members_stopped) = watch::channel(false);
     let (stalls, stalled) = ring::bounded("stalls", STALL_CAPACITY);
     let (crashes, crashed) = ring::bounded("crashes", CRASH_CAPACITY);
+    let (rate_notices, rates) = ring::bounded("rates", RATE_CAPACITY);
+    let (permit_waits, waiting) = ring::bounded("permit-waits", PERMIT_WAIT_CAPACITY);
+    let notices = Notices {
+        stalls: stalled,
+        crashes: crashed,
+        rates,
+        permit_waits: waiting,
+    };
     let membership = duty::spawn("members", move || {
-        MembersThread::new(setup).run(inbox, stalled, crashed, members_stopped)
+        MembersThread::new(setup).run(inbox, notices, members_stopped)
     })?;
     let (stop, stopped) = watch::channel(false);
     let setup = RoutedSetup {
@@ -232,6 +248,9 @@
         has_served,
         stalls,
         crashes,
+        permits,
+        rate_notices,
+        permit_waits,
     };
     let serving = routed::start(setup, stopped)?;
     // Membership lasts until the last request has ended, since resumes depend on it.
--- a/entry/src/serve/routed/account.rs
+++ b/entry/src/serve/routed/account.rs
@@ -18,7 +18,8 @@
         Failure,
         replica_name, //
     },
-    run::RoutedRun,
+    rates,
+    run::RoutedRun, //
 };
 
 impl RoutedRun {
@@ -47,6 +48,7 @@
             attempts: self.attempts,
             expected_ms: self.expected_ms as u64,
             outstanding: self.outstanding as u64,
+            rate: rates::text(self.rate),
             first_ms: u64::try_from(first_ms).unwrap_or(u64::MAX),
             took_ms: self.took_ms(),
             routes: self.plan.terms.routes,
--- a/entry/src/serve/routed/counts.rs
+++ b/entry/src/serve/routed/counts.rs
@@ -19,6 +19,10 @@
         CallersLeft,
         /// Upstreams that were seen to end with requests that they had.
         UpstreamsCrashed,
+        /// Requests sent with a permit, to an upstream that names a rate.
+        PermitsUsed,
+        /// Permits that ended before a request used them.
+        PermitsEnded,
     }
 }
 
@@ -47,6 +51,8 @@
         Quarantined,
         /// Every upstream is full.
         NoRoom,
+        /// Every upstream names a rate of requests, which is used up.
+        RateUsedUp,
         /// Every upstream that was asked said that it did not run it.
         NotStarted,
         /// No upstream could be reached.
--- a/entry/src/serve/routed/events.rs
+++ b/entry/src/serve/routed/events.rs
@@ -1,7 +1,8 @@
 //! The log events of routed requests (CB1420 to CB1439).
 
 cicadabend_daemon::events! {
-    /// A routed request has ended; the line holds what decided where it went.
+    /// A routed request has ended; the line holds what decided where it went, with the rate
+    /// of requests that the replica names.
     1420 Info RequestEnded {
         request: String,
         route: String,
@@ -11,6 +12,7 @@
         attempts: u32,
         expected_ms: u64,
         outstanding: u64,
+        rate: String,
         first_ms: u64,
         took_ms: u64,
         routes: u64,
--- a/entry/src/serve/routed/exchange.rs
+++ b/entry/src/serve/routed/exchange.rs
@@ -35,7 +35,10 @@
     },
 };
 use crate::{
-    edge::AnswerWords,
+    edge::{
+        AnswerWords,
+        NamedRate, //
+    },
     members::{
         Demanded,
         RoutedReplica, //
@@ -181,6 +184,7 @@
         false => server.pool.lease_young(replica.address).await?,
     };
     let was_kept = lease.was_kept();
+    let sent_at = server.clock.now();
     let request = plan.request_to(&*server.edge, replica, last_event);
     let (response, lease) = match lease.send(request, sent).await {
         Err(AttemptError::NothingWritten { .. }) if was_kept => {
@@ -193,8 +197,11 @@
     let (head, incoming) = response.into_parts();
     let words = server.edge.read_answer(head.status, &head.headers);
     check_identity(plan, &words, lease.was_kept(), head.status)?;
-    if words.is_marked || head.status != StatusCode::MISDIRECTED_REQUEST {
-        rates::note(server, plan.id(), &replica.id, &words.rate);
+    // Another run at the address speaks for itself only, and what bears no mark may have lost
+    // what the upstream named on its way.
+    let names_rate = words.rate != NamedRate::Unsaid;
+    if head.status != StatusCode::MISDIRECTED_REQUEST && (words.is_marked || names_rate) {
+        rates::note(server, plan.id(), &replica.id, &words.rate, sent_at);
     }
     if let Some(load) = words.load {
         let now = server.clock.now();
--- a/entry/src/serve/routed/mod.rs
+++ b/entry/src/serve/routed/mod.rs
@@ -66,6 +66,8 @@
     members::{
         CrashNotice,
         Demand,
+        Permits,
+        RateNotice,
         RoutedView, //
     },
 };
@@ -90,6 +92,12 @@
     pub(crate) stalls: ring::Sender<InstanceId>,
     /// Upstreams that ended, for the thread `members`.
     pub(crate) crashes: ring::Sender<CrashNotice>,
+    /// Permits to send to upstreams that name a rate.
+    pub(crate) permits: Permits,
+    /// What upstreams name, for the thread `members`.
+    pub(crate) rate_notices: ring::Sender<RateNotice>,
+    /// Tells the thread `members` that a request waits for a permit.
+    pub(crate) permit_waits: ring::Sender<()>,
 }
 
 /// Starts the serving thread; it drains and ends once `stopped` turns true.
--- a/entry/src/serve/routed/rates.rs
+++ b/entry/src/serve/routed/rates.rs
@@ -1,23 +1,55 @@
-//! The rates of requests that upstreams name in their answers.
+//! Upstreams that name the rate of requests which they take, and the permits to send to them.
 
-use std::collections::HashMap;
+use std::{
+    collections::HashMap,
+    time::Duration, //
+};
 
 use cicadabend::{
     prelude::*,
-    registry::InstanceId, //
+    rates::{
+        Caller,
+        Pool,
+        Verdict, //
+    },
+    registry::InstanceId,
+};
+use tokio::time::{
+    Instant,
+    timeout_at, //
 };
 
 use super::{
+    counts::{
+        Routed,
+        RoutedRefusal, //
+    },
     events::LogEvent,
+    run::RoutedRun,
     server::Server, //
 };
-use crate::edge::NamedRate;
+use crate::{
+    edge::NamedRate,
+    members::{
+        RoutedReplica,
+        RoutedView, //
+    },
+};
+
+/// How long a request waits for the leader's answer, which takes a few milliseconds.
+const PERMIT_PATIENCE: Duration = Duration::from_millis(100);
 
 /// What each upstream named in its last answer here; those that name nothing are left out.
 pub(super) type HeardRates = HashMap<InstanceId, RequestRate>;
 
 /// Takes note of what an upstream's answer says of the rate that it takes.
-pub(super) fn note(server: &Server, request: &str, id: &InstanceId, named: &NamedRate) {
+pub(super) fn note(
+    server: &Server,
+    request: &str,
+    id: &InstanceId,
+    named: &NamedRate,
+    sent_at: Timestamp,
+) {
     let rate = match named {
         NamedRate::Unsaid => None,
         NamedRate::Named(rate) => Some(*rate),
@@ -39,6 +71,12 @@
             before: text(before),
         });
     }
+    if rate.is_some() || before.is_some() || server.view.load().rates.contains_key(id) {
+        // A full ring loses the notice; the next answer of the upstream gives another.
+        let _ = server
+            .rate_notices
+            .push((id.clone(), rate, (sent_at, server.clock.now())));
+    }
 }
 
 fn replace(
@@ -52,6 +90,145 @@
     }
 }
 
-fn text(rate: Option<RequestRate>) -> String {
+/// Returns a rate as logs show it.
+pub(super) fn text(rate: Option<RequestRate>) -> String {
     rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string())
 }
+
+fn pool_of(replica: &RoutedReplica) -> Pool {
+    Pool {
+        service: replica.service.clone(),
+        model: replica.model.clone(),
+    }
+}
+
+impl RoutedRun {
+    fn caller(&self) -> Caller {
+        Caller {
+            rank: self.plan.terms.precedence.rank,
+            team: self.plan.terms.team.clone(),
+        }
+    }
+
+    /// Counts the request, and finds out whether it may use a permit, if upstreams that could
+    /// take it name a rate.
+    pub(super) fn note_wish(&mut self) {
+        let view = self.server.view.load_full();
+        if view.rates.is_empty() {
+            return;
+        }
+        let model = self.plan.words.model.as_deref();
+        let mut replicas = view.replicas_of(&self.plan.terms.service, model);
+        let Some(named) = replicas.find(|replica| view.rates.contains_key(&replica.id)) else {
+            return;
+        };
+        let (pool, caller) = (pool_of(named), self.caller());
+        let random = (self.server.random() >> 32) as f64 / f64::from(u32::MAX);
+        let mut purse = self.server.permits.purse();
+        purse.note_request(&pool, &caller);
+        self.verdict = purse.verdict(&pool, &caller, random);
+    }
+
+    /// Returns whether the request may go to a replica as far as named rates are concerned.
+    pub(super) fn is_permitted(&self, replica: &RoutedReplica, view: &RoutedView) -> bool {
+        if !view.rates.contains_key(&replica.id) {
+            return true;
+        }
+        let now = self.server.clock.now();
+        let purse = self.server.permits.purse();
+        match self.verdict {
+            Verdict::MayUse | Verdict::MayUseIfThere => purse.has(&replica.id, now),
+            Verdict::Refused => purse.ends_soon(&replica.id, now),
+        }
+    }
+
+    /// Uses a permit for the replica that was chosen, if it names a rate; returns whether the
+    /// request may go there.
+    pub(super) fn use_permit(&mut self, id: &InstanceId, view: &RoutedView) -> bool {
+        self.rate = view.rates.get(id).copied();
+        if self.rate.is_none() {
+            return true;
+        }
+        let now = self.server.clock.now();
+        let is_used = self.server.permits.purse().take(id, now);
+        if is_used {
+            self.server.counts.count(Routed::PermitsUsed);
+        }
+        is_used
+    }
+
+    /// Returns the pool of the request's replicas if each one that is left names a rate.
+    pub(super) fn limited_pool(&self) -> Option<Pool> {
+        let view = self.server.view.load();
+        if view.rates.is_empty() {
+            return None;
+        }
+        let model = self.plan.words.model.as_deref();
+        let replicas = view.replicas_of(&self.plan.terms.service, model);
+        let left: Vec<&RoutedReplica> = replicas
+            .filter(|replica| !self.tried.contains(&replica.id))
+            .collect();
+        let names_rate = |replica: &&RoutedReplica| view.rates.contains_key(&replica.id);
+        match left.iter().all(names_rate) {
+            true => left.first().map(|replica| pool_of(replica)),
+            false => None,
+        }
+    }
+
+    /// Chooses a replica; if only a permit is missing and there are enough, asks for one.
+    pub(super) async fn choose_or_ask(&mut self) -> bool {
+        if self.choose() {
+            return true;
+        }
+        let pool = match self.verdict {
+            Verdict::MayUse => self.limited_pool(),
+            Verdict::MayUseIfThere | Verdict::Refused => None,
+        };
+        let Some(pool) = pool else {
+            return false;
+        };
+        let until = self
+            .plan
+            .terms
+            .deadline
+            .min(Instant::now() + PERMIT_PATIENCE);
+        let permits = self.server.permits.clone();
+        let _wait = permits.wait(pool, self.caller(), &self.server.permit_waits);
+        loop {
+            let mut added = std::pin::pin!(permits.added().notified());
+            added.as_mut().enable();
+            if self.choose() {
+                return true;
+            }
+            if timeout_at(until, added).await.is_err() {
+                return self.choose();
+            }
+        }
+    }
+
+    /// Returns why no replica can take the request.
+    pub(super) fn refusal_without_replica(&self) -> (RoutedRefusal, &'static str) {
+        let Some(pool) = self.limited_pool() else {
+            return (RoutedRefusal::NoReplica, "no replica can take it now");
+        };
+        if let Some(model) = &pool.model {
+            self.server.demand.refused(&pool.service, model);
+        }
+        let why = match self.verdict {
+            Verdict::MayUse | Verdict::MayUseIfThere => {
+                "all replicas name a rate of requests, which is used up"
+            }
+            Verdict::Refused => "all replicas name a rate of requests, and others go first",
+        };
+        (RoutedRefusal::RateUsedUp, why)
+    }
+
+    /// Returns when a request that found no permit should come back: one after the other, as fast
+    /// as the replicas take them, if there is time for that.
+    pub(super) fn come_back_for_permit(&self, latest: Duration) -> Option<Duration> {
+        let pool = self.limited_pool()?;
+        let now = self.server.clock.now();
+        let mut purse = self.server.permits.purse();
+        purse.come_back(&pool, latest, now)
+    }
+}
--- a/entry/src/serve/routed/refusal.rs
+++ b/entry/src/serve/routed/refusal.rs
@@ -51,6 +51,7 @@
             RoutedRefusal::NoReplica
             | RoutedRefusal::NotConnected
             | RoutedRefusal::NoRoom
+            | RoutedRefusal::RateUsedUp
             | RoutedRefusal::NotStarted
             | RoutedRefusal::Quarantined => (
                 StatusCode::SERVICE_UNAVAILABLE,
@@ -97,6 +98,10 @@
             return until.since(self.server.clock.now());
         }
         let left = self.plan.time_left();
+        let latest = left.mul_f64(RETRY_SHARE);
+        if let Some(after) = self.come_back_for_permit(latest) {
+            return after.max(RETRY_LEAST);
+        }
         let spread = (self.server.random() % 1_000) as f64 / 1_000.0;
         let share = RETRY_SHARE * (1.0 - RETRY_SPREAD * spread);
         left.mul_f64(share).max(RETRY_LEAST)
--- a/entry/src/serve/routed/run.rs
+++ b/entry/src/serve/routed/run.rs
@@ -17,7 +17,9 @@
         Wanted,
         choose, //
     },
+    prelude::*,
     quarantine::Standing,
+    rates::Verdict,
     registry::InstanceId,
     request::{
         Permit,
@@ -89,6 +91,10 @@
     /// Whether the answer that is passed on is a success.
     pub(super) is_success: bool,
     pub(super) trial: Option<Trial>,
+    /// Whether it may use a permit to send to an upstream that names a rate.
+    pub(super) verdict: Verdict,
+    /// The rate that the present replica names.
+    pub(super) rate: Option<RequestRate>,
 }
 
 /// What is left to do after a failed attempt.
@@ -122,6 +128,8 @@
             trail: CrashTrail::default(),
             is_success: false,
             trial: None,
+            verdict: Verdict::MayUse,
+            rate: None,
         })
     }
 
@@ -131,8 +139,10 @@
         if !self.passes_quarantine() {
             return self.refuse_quarantined();
         }
-        if !self.choose() {
-            return self.refuse(RoutedRefusal::NoReplica, "no replica can take it now");
+        self.note_wish();
+        if !self.choose_or_ask().await {
+            let (reason, why) = self.refusal_without_replica();
+            return self.refuse(reason, why);
         }
         // Where all are full, a request would make every other one late as well. Those
         // that are let in are answered in time, and this one can come back.
@@ -176,6 +186,9 @@
         self.is_full = chosen.is_full;
         let known_crashes = self.known_crashes();
         self.trail.sent(known_crashes, self.tried.is_empty());
+        if !self.use_permit(&id, &view) {
+            return false;
+        }
         self.tried.push(id);
         let tokens = self.plan.prompt_tokens();
         self.reservation = Some(Reservation::make(&self.server, replica, tokens));
@@ -190,6 +203,7 @@
         let replicas: Vec<&RoutedReplica> = view
             .replicas_of(&plan.terms.service, model)
             .filter(|replica| !self.tried.contains(&replica.id))
+            .filter(|replica| self.is_permitted(replica, view))
             .collect();
         let candidates: Vec<Candidate<'_>> = replicas
             .iter()
@@ -199,6 +213,7 @@
                 slots: replica.slots,
                 model: engine.and_then(|engine| engine.model(replica.model.as_ref()?)),
                 is_suspect: replica.is_suspect,
+                uses_permit: view.rates.contains_key(&replica.id),
             })
             .collect();
         let wanted = Wanted {
@@ -293,6 +308,8 @@
             trail: std::mem::take(&mut self.trail),
             is_success: self.is_success,
             trial: self.trial.take(),
+            verdict: self.verdict,
+            rate: self.rate,
         };
         self.is_over = true;
         left
--- a/entry/src/serve/routed/server.rs
+++ b/entry/src/serve/routed/server.rs
@@ -41,7 +41,10 @@
 use super::{
     super::upstream::Pool,
     RoutedSetup,
-    counts::Counts,
+    counts::{
+        Counts,
+        Routed, //
+    },
     crash_watch::CrashWatch,
     events::LogEvent,
     lines::LineBudget,
@@ -53,6 +56,8 @@
     members::{
         CrashNotice,
         Demand,
+        Permits,
+        RateNotice,
         RoutedView, //
     },
 };
@@ -78,6 +83,9 @@
     pub(super) crashes: ring::Sender<CrashNotice>,
     pub(super) trials: RefCell<Trials>,
     pub(super) rates: RefCell<HeardRates>,
+    pub(super) permits: Permits,
+    pub(super) rate_notices: ring::Sender<RateNotice>,
+    pub(super) permit_waits: ring::Sender<()>,
     budgets: RefCell<HashMap<ServiceName, WindowBudget>>,
     random: RefCell<SmallRng>,
 }
@@ -102,6 +110,9 @@
             crashes: setup.crashes.clone(),
             trials: RefCell::default(),
             rates: RefCell::default(),
+            permits: setup.permits.clone(),
+            rate_notices: setup.rate_notices.clone(),
+            permit_waits: setup.permit_waits.clone(),
             budgets: RefCell::default(),
             random: RefCell::new(SmallRng::seed_from_u64(setup.boot.0)),
         });
@@ -136,6 +147,13 @@
         self.with_budget(service, |budget| budget.withdraw(entries, self.clock.now()))
     }
 
+    fn drop_ended_permits(&self) {
+        let ended = self.permits.purse().drop_ended(self.clock.now());
+        for _ in 0..ended {
+            self.counts.count(Routed::PermitsEnded);
+        }
+    }
+
     fn with_budget<T>(&self, service: &ServiceName, act: impl FnOnce(&mut WindowBudget) -> T) -> T {
         let retries = &self.settings.retries;
         let settings = BudgetSettings {
@@ -159,6 +177,7 @@
         };
         server.loads.borrow_mut().forget(is_kept);
         server.crash_watch.forget(is_kept);
+        server.drop_ended_permits();
         server.rates.borrow_mut().retain(|id, _| is_kept(id));
         server.pool.close_expired();
     }
--- a/entry/src/serve/routed/stream.rs
+++ b/entry/src/serve/routed/stream.rs
@@ -310,7 +310,7 @@
     last_event: Option<u64>,
 ) -> (RoutedRun, Result<(Bytes, Option<EventSource>), String>) {
     run.attempts += 1;
-    if !run.choose() {
+    if !run.choose_or_ask().await {
         return (run, Err("no other replica can go on".to_owned()));
     }
     let Some(replica) = run
--- a/lib/src/discovery/action.rs
+++ b/lib/src/discovery/action.rs
@@ -10,6 +10,7 @@
     },
     prelude::*,
     quarantine::Change,
+    rates::RateChange,
     registry::{
         Ended,
         InstanceId,
@@ -51,4 +52,6 @@
     SourcesChanged(Vec<DaemonId>),
     /// A request is quarantined, or no longer.
     Quarantine(Change),
+    /// An upstream names another rate of requests.
+    Rate(RateChange),
 }
--- a/lib/src/discovery/control.rs
+++ b/lib/src/discovery/control.rs
@@ -34,6 +34,11 @@
         CrashNews,
         CrashSpread, //
     },
+    rates::{
+        RateNews,
+        RateSpread,
+        RateTable, //
+    },
     registry::{
         Ended,
         Heard,
@@ -106,6 +111,8 @@
     level_with: BTreeSet<DaemonId>,
     /// Which requests upstreams had when they ended.
     crashes: CrashSpread,
+    /// The rates that upstreams name.
+    rates: RateSpread,
     /// Whether any caller has been served since the fleet's first start.
     has_served: bool,
     alive_due: Timestamp,
@@ -124,6 +131,7 @@
     ) -> Self {
         Self {
             crashes: CrashSpread::new(&me.daemon),
+            rates: RateSpread::default(),
             members: Members::new(me, seeds, MembersSettings::default()),
             hello_every,
             registry: Registry::default(),
@@ -221,6 +229,8 @@
             self.send(&daemon, PeerMessage::Upstreams(Box::new(all)));
             let crashes = self.crashes.all(now);
             self.send_crashes(std::slice::from_ref(&daemon), crashes);
+            let rates = self.rates.all(now);
+            self.send_rates(std::slice::from_ref(&daemon), rates);
         }
         self.send_routes(&daemon, routes, now);
     }
@@ -339,6 +349,25 @@
         }
     }
 
+    /// Takes in what upstreams named in their answers.
+    pub fn hear_rates(&mut self, news: &RateNews, now: Timestamp) {
+        for change in self.rates.take(news, true, now) {
+            self.log(Learnt::Rate(change));
+        }
+        self.pass_rates_on(now);
+    }
+
+    /// Returns the rates in force, if they may have changed since the last time.
+    pub fn changed_rates(&mut self) -> Option<RateTable> {
+        self.rates.changed_table()
+    }
+
+    /// Returns how many entry daemons are heard, and how many there are with those that fell
+    /// silent a short while ago.
+    pub fn entries(&self, now: Timestamp) -> (usize, usize) {
+        (self.entries_here(now).count(), self.entries.len())
+    }
+
     fn take_report(&mut self, registration: Registration, age: Duration, now: Timestamp) -> Taken {
         let report = registration.clone();
         let id = registration.id.clone();
@@ -383,6 +412,7 @@
         }
         self.pass_on(now);
         self.pass_crashes_on(now);
+        self.pass_rates_on(now);
     }
 
     fn greet(&mut self, routes: NewestRoutes, now: Timestamp) {
@@ -411,6 +441,11 @@
             self.actions.push(Action::Forget(daemon));
         }
         self.crashes.forget_old(now);
+        let registry = &self.registry;
+        let forgotten = self.rates.forget(|id| registry.ended(id).is_some(), now);
+        for change in forgotten {
+            self.log(Learnt::Rate(change));
+        }
         for id in self.registry.forget_old(now) {
             self.log(Learnt::UpstreamForgotten(id));
         }
@@ -459,6 +494,25 @@
         self.send_crashes(&to, news);
     }
 
+    fn pass_rates_on(&mut self, now: Timestamp) {
+        let news = self.rates.due(now);
+        if news.is_empty() {
+            return;
+        }
+        let mut to = self.subscribers(now);
+        to.extend(self.controls_here(now));
+        self.send_rates(&to, news);
+    }
+
+    fn send_rates(&mut self, to: &[DaemonId], news: RateNews) {
+        if news.is_empty() {
+            return;
+        }
+        for daemon in to {
+            self.send(daemon, PeerMessage::Rates(Box::new(news.clone())));
+        }
+    }
+
     fn send_crashes(&mut self, to: &[DaemonId], news: CrashNews) {
         if news.is_empty() {
             return;
--- a/lib/src/discovery/entry.rs
+++ b/lib/src/discovery/entry.rs
@@ -34,6 +34,12 @@
         Observation,
         SuspectTable, //
     },
+    rates::{
+        RateChange,
+        RateNews,
+        RateSpread,
+        RateTable, //
+    },
     registry::{
         Heard,
         InstanceId,
@@ -76,6 +82,8 @@
     told_by: BTreeMap<DaemonId, BTreeSet<DaemonId>>,
     /// Which requests upstreams had when they ended.
     crashes: CrashSpread,
+    /// The rates that upstreams name.
+    rates: RateSpread,
     has_upstreams: bool,
     entries: u32,
     hello_due: Timestamp,
@@ -97,6 +105,7 @@
             sources: Vec::new(),
             level_with: BTreeSet::new(),
             told_by: BTreeMap::new(),
+            rates: RateSpread::default(),
             has_upstreams: false,
             entries: 1,
             hello_due: Timestamp::default(),
@@ -155,6 +164,8 @@
             // What was told while it was not in touch is lost.
             let own = self.crashes.own(now);
             self.send_crashes([from.clone()], own);
+            let rates = self.rates.all(now);
+            self.send_rates([from.clone()], rates);
         }
         self.members.take_roster(news, now);
         self.told_by.insert(from.clone(), news.told_by.clone());
@@ -205,6 +216,58 @@
         self.tell_crashes(now);
     }
 
+    /// Takes in what upstreams named in answers to other daemons.
+    pub fn hear_rates(&mut self, news: &RateNews, now: Timestamp) {
+        let changes = self.rates.take(news, false, now);
+        self.log_rates(changes);
+        self.tell_rates(now);
+    }
+
+    /// Notes what an upstream named in an answer that came here, and tells control daemons at
+    /// once if it is new; the times are those of the request and of the answer.
+    pub fn observe_rate(
+        &mut self,
+        id: &InstanceId,
+        rate: Option<RequestRate>,
+        times: (Timestamp, Timestamp),
+        now: Timestamp,
+    ) {
+        let change = self.rates.observe(id, rate, times, now);
+        self.log_rates(change);
+        self.tell_rates(now);
+    }
+
+    /// Returns the rates in force, if they may have changed since the last time.
+    pub fn changed_rates(&mut self) -> Option<RateTable> {
+        self.rates.changed_table()
+    }
+
+    /// Returns the control daemons that are heard, the most useful first.
+    pub fn controls(&self, now: Timestamp) -> Vec<DaemonId> {
+        self.members.controls_by_preference(now)
+    }
+
+    fn log_rates(&mut self, changes: impl IntoIterator<Item = RateChange>) {
+        let logs = changes.into_iter().map(Learnt::Rate);
+        self.actions.extend(logs.map(Action::Log));
+    }
+
+    fn tell_rates(&mut self, now: Timestamp) {
+        let news = self.rates.due(now);
+        let controls = self.members.controls_by_preference(now);
+        self.send_rates(controls, news);
+    }
+
+    fn send_rates(&mut self, to: impl IntoIterator<Item = DaemonId>, news: RateNews) {
+        if news.is_empty() {
+            return;
+        }
+        for daemon in to {
+            let message = PeerMessage::Rates(Box::new(news.clone()));
+            self.actions.push(Action::Send(daemon, message));
+        }
+    }
+
     /// Returns what requests are judged by, if it may have changed since the last time.
     pub fn changed_suspects(&mut self) -> Option<SuspectTable> {
         self.crashes.changed_table()
@@ -236,6 +299,10 @@
         self.registry.forget_old(now);
         self.crashes.forget_old(now);
         self.tell_crashes(now);
+        let registry = &self.registry;
+        let forgotten = self.rates.forget(|id| registry.ended(id).is_some(), now);
+        self.log_rates(forgotten);
+        self.tell_rates(now);
         for (daemon, silence) in self.members.newly_silent(now) {
             let learnt = Learnt::DaemonSilent(daemon, silence);
             self.actions.push(Action::Log(learnt));
--- a/lib/src/dispatch/choose.rs
+++ b/lib/src/dispatch/choose.rs
@@ -35,6 +35,8 @@
 /// Of shares from 0.1 to 2, those from 1 on let the fewest of the requests played by 71 daemons
 /// wait for a slot: 15 to 21 in 100 at 0.1, 5 to 6 at 0.3, 2 at 0.5, 1 to 2 at 1 and 2.
 const COMING_SHARE: f64 = 1.5;
+/// An upstream that there is a permit for is used unless another is this many times as fast.
+const PERMIT_WORTH_FACTOR: f64 = 2.0;
 /// Differences below this share are decided at random, so that daemons which see the
 /// same loads do not all choose the same upstream.
 const NEAR_SHARE: f64 = 0.08;
@@ -52,6 +54,8 @@
     pub model: Option<&'a ModelTraits>,
     /// Whether there is doubt that it is whole.
     pub is_suspect: bool,
+    /// Whether it names a rate of requests, and there is a permit to send it one.
+    pub uses_permit: bool,
 }
 
 /// What the request needs.
@@ -92,6 +96,7 @@
 ) -> Option<Chosen> {
     let by_room = match wanted.daemons > FEW_DAEMONS {
         _ if wanted.keeps_apart => draw_with_room(candidates, loads, now, random),
+        _ if let Some(index) = with_permit(candidates, wanted, loads, now) => Some(index),
         true => draw_by_room(candidates, loads, now, random),
         false => None,
     };
@@ -154,6 +159,28 @@
     with_room.get(usize::try_from(drawn).ok()?).copied()
 }
 
+/// Returns the best of the candidates that there are permits for, unless others are much better.
+///
+/// A permit lasts for a moment and nobody else has it. If such upstreams were chosen like all
+/// others, most permits would end unused, and an upstream in need would idle while others queue.
+fn with_permit(
+    candidates: &[Candidate<'_>],
+    wanted: &Wanted<'_>,
+    loads: &Loads,
+    now: Timestamp,
+) -> Option<usize> {
+    let cost = |index: &usize| expected_ms(&candidates[*index], wanted, loads, now);
+    let is_usable = |index: &usize| {
+        let candidate = &candidates[*index];
+        candidate.uses_permit && is_sound(candidate, loads, now)
+    };
+    let permitted = (0..candidates.len()).filter(is_usable);
+    let best = permitted.min_by(|one, other| cost(one).total_cmp(&cost(other)))?;
+    let cheapest = (0..candidates.len()).map(|index| cost(&index));
+    let cheapest = cheapest.reduce(f64::min)?;
+    (cost(&best) <= cheapest * PERMIT_WORTH_FACTOR).then_some(best)
+}
+
 fn is_sound(candidate: &Candidate<'_>, loads: &Loads, now: Timestamp) -> bool {
     !candidate.is_suspect && !loads.is_paused(candidate.id, now)
 }
--- a/lib/src/moment.rs
+++ b/lib/src/moment.rs
@@ -9,27 +9,32 @@
 /// A [`Timestamp`] begins with the process. What others tell a daemon that has just started lies
 /// before that, and would all seem to have happened at one moment.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(super) struct Moment(i64);
+pub(crate) struct Moment(i64);
 
 impl Moment {
     /// Returns the moment that lies so many milliseconds back.
-    pub(super) fn before(now: Timestamp, age_ms: u32) -> Self {
+    pub(crate) fn before(now: Timestamp, age_ms: u32) -> Self {
         Self(Self::from(now).0 - i64::from(age_ms))
     }
 
     /// Returns how long `earlier` lies back, zero if it does not.
-    pub(super) fn since(self, earlier: Self) -> Duration {
+    pub(crate) fn since(self, earlier: Self) -> Duration {
         Duration::from_millis(u64::try_from(self.0 - earlier.0).unwrap_or_default())
     }
 
+    /// Returns whether `later` lies more than a margin behind this.
+    pub(crate) fn is_before(self, later: Self, margin: Duration) -> bool {
+        later.since(self) > margin
+    }
+
     /// Returns how many milliseconds ago it was.
-    pub(super) fn age_ms(self, now: Timestamp) -> u32 {
+    pub(crate) fn age_ms(self, now: Timestamp) -> u32 {
         let age = Self::from(now).since(self);
         u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
     }
 
     /// Returns the time so much later, the daemon's start if that is earlier.
-    pub(super) fn plus(self, length: Duration) -> Timestamp {
+    pub(crate) fn plus(self, length: Duration) -> Timestamp {
         let length_ms = i64::try_from(length.as_millis()).unwrap_or(i64::MAX);
         let at_ms = self.0.saturating_add(length_ms);
         Timestamp(u64::try_from(at_ms).unwrap_or_default())
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -22,6 +22,11 @@
     ids::Address,
     prelude::*,
     quarantine::CrashNews,
+    rates::{
+        PermitAsk,
+        PermitNews,
+        RateNews, //
+    },
     registry::{
         Alive,
         Ended,
@@ -39,7 +44,7 @@
 };
 
 /// The version of this protocol; a process drops messages of another one and counts them.
-pub const PROTOCOL_VERSION: u16 = 5;
+pub const PROTOCOL_VERSION: u16 = 6;
 
 /// A daemon's role, as members that find each other by seeds tell it.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
@@ -195,6 +200,12 @@
     /// Entry to control, control to control and entry: upstreams that ended, with the requests
     /// that they had.
     Crashes(Box<CrashNews>),
+    /// Entry to control, control to control and entry: the rates that upstreams name.
+    Rates(Box<RateNews>),
+    /// Entry to control: how many requests there are for upstreams that name a rate.
+    PermitAsk(Box<PermitAsk>),
+    /// The leader of the control daemons to entry: permits to send to such upstreams.
+    Permits(Box<PermitNews>),
 }
 
 /// A control daemon's sign of life to the other control daemons.
--- a/lib/src/quarantine/ledger.rs
+++ b/lib/src/quarantine/ledger.rs
@@ -9,10 +9,12 @@
     Fingerprint,
     SuspectTable,
     Suspicion,
-    moment::Moment,
     table::CRASHES_TO_QUARANTINE, //
 };
-use crate::prelude::*;
+use crate::{
+    moment::Moment,
+    prelude::*, //
+};
 
 /// How long a request is quarantined at first; it doubles with each further crash.
 ///
--- a/lib/src/quarantine/mod.rs
+++ b/lib/src/quarantine/mod.rs
@@ -10,7 +10,6 @@
 
 mod fingerprint;
 mod ledger;
-mod moment;
 mod spread;
 mod table;
 
--- a/lib/src/quarantine/spread.rs
+++ b/lib/src/quarantine/spread.rs
@@ -1,9 +1,6 @@
 //! How daemons tell each other of crashes.
 
-use std::{
-    collections::VecDeque,
-    time::Duration, //
-};
+use std::collections::VecDeque;
 
 use serde::{
     Deserialize,
@@ -11,23 +8,18 @@
 };
 
 use super::{
-    Change,
-    Fingerprint,
-    SuspectTable,
+    Change, Fingerprint, SuspectTable,
     ledger::{
         Ledger,
         REMEMBERED, //
     },
-    moment::Moment, //
 };
-use crate::prelude::*;
-
-/// How often one thing is told, since a message may be lost.
-const TIMES_TOLD: u8 = 3;
-/// The pause between two tellings.
-const TOLD_EVERY: Duration = Duration::from_millis(400);
-/// How many observations are still being told; beyond, the oldest are told no more.
-const MOST_TOLD: usize = 512;
+use crate::{
+    moment::Moment,
+    prelude::*,
+    telling::Telling, //
+};
+
 /// How many of its own observations a daemon keeps for control daemons that come back.
 const MOST_OWN: usize = 512;
 
@@ -56,18 +48,11 @@
 
 type Observed = (Fingerprint, Observation, Moment);
 
-#[derive(Clone, Debug)]
-struct Told {
-    observed: Observed,
-    times_left: u8,
-    due: Timestamp,
-}
-
 /// A daemon's ledger of crashes, and what of it is to be told to others.
 #[derive(Clone, Debug)]
 pub struct CrashSpread {
     ledger: Ledger,
-    told: VecDeque<Told>,
+    telling: Telling<Observed>,
     own: VecDeque<Observed>,
     /// Whether the ledger differs from the table that was taken last.
     is_changed: bool,
@@ -78,7 +63,7 @@
     pub fn new(daemon: &DaemonId) -> Self {
         Self {
             ledger: Ledger::new(daemon),
-            told: VecDeque::new(),
+            telling: Telling::default(),
             own: VecDeque::new(),
             is_changed: false,
         }
@@ -99,7 +84,7 @@
         if !self.learn(observed) {
             return None;
         }
-        self.tell(observed, now);
+        self.telling.tell(observed, now);
         self.change(observed)
     }
 
@@ -107,7 +92,7 @@
     pub fn relay(&mut self, news: &CrashNews, now: Timestamp) -> Vec<Change> {
         let fresh = self.learn_all(news, now);
         for observed in &fresh {
-            self.tell(*observed, now);
+            self.telling.tell(*observed, now);
         }
         self.changes(&fresh)
     }
@@ -120,14 +105,7 @@
 
     /// Returns what is to be told now.
     pub fn due(&mut self, now: Timestamp) -> CrashNews {
-        let mut due = Vec::new();
-        for told in self.told.iter_mut().filter(|told| told.due <= now) {
-            told.times_left -= 1;
-            told.due = now + TOLD_EVERY;
-            due.push(told.observed);
-        }
-        self.told.retain(|told| told.times_left > 0);
-        news(due, now)
+        news(self.telling.due(now), now)
     }
 
     /// Returns what this daemon has seen itself, for one that may have missed it.
@@ -190,17 +168,6 @@
             Observation::Cleared => Some(Change::Cleared { fingerprint }),
         }
     }
-
-    fn tell(&mut self, observed: Observed, now: Timestamp) {
-        self.told.push_back(Told {
-            observed,
-            times_left: TIMES_TOLD,
-            due: now,
-        });
-        if self.told.len() > MOST_TOLD {
-            self.told.pop_front();
-        }
-    }
 }
 
 fn news(observed: impl IntoIterator<Item = Observed>, now: Timestamp) -> CrashNews {
--- /dev/null
+++ b/lib/src/rates/issuer.rs
@@ -0,0 +1,366 @@
+//! The leader's part: it issues permits at the rates that upstreams name.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    time::Duration,
+};
+
+use super::{
+    Caller,
+    PermitAsk,
+    PermitNews,
+    Pool,
+    PoolShare,
+    RateTable,
+    holder::VALID_FOR,
+    shares::share_out, //
+};
+use crate::{
+    prelude::*,
+    registry::InstanceId, //
+};
+
+/// How long a new leader waits, so that the permits of the one before it have ended.
+const ISSUE_AFTER: Duration = Duration::from_millis(VALID_FOR.as_millis() as u64 + 500);
+/// For how much time permits are kept that nobody asks for.
+const SAVED_FOR_S: f64 = 0.3;
+/// One request goes to an upstream that names less than one in this time: otherwise nothing is
+/// sent to it, and nothing tells when it names more.
+pub(super) const LONGEST_TRIAL: Duration = Duration::from_secs(10);
+/// How fast what an entry daemon asks for is averaged.
+const AVERAGED_OVER_S: f64 = 2.0;
+/// How often it is found out which pools are short.
+const WEIGHED_EVERY: Duration = Duration::from_millis(200);
+/// An entry daemon that has not asked for so long gets nothing.
+const ASKS_HOLD: Duration = Duration::from_millis(1_200);
+/// A pool is short no longer once less than this part of the sum is asked for.
+const ENOUGH_PART: f64 = 0.8;
+/// How much more than the sum is let in of a pool that is short: requests come unevenly, and a
+/// permit that meets no request is lost.
+const LET_IN_FACTOR: f64 = 1.15;
+
+/// What the leader goes by.
+#[derive(Clone, Copy, Debug)]
+pub struct IssuerView<'a> {
+    /// The rates in force.
+    pub rates: &'a RateTable,
+    /// The pools of the upstreams that name them.
+    pub pools: &'a BTreeMap<InstanceId, Pool>,
+    /// Pools that also have upstreams which name no rate.
+    pub mixed: &'a BTreeSet<Pool>,
+    /// How many entry daemons are heard.
+    pub entries_heard: usize,
+    /// How many there are, with those that fell silent a short while ago: they may go on by
+    /// themselves, so their parts are not given to others.
+    pub entries_known: usize,
+    /// The time.
+    pub now: Timestamp,
+}
+
+/// A pool that has become short, or is so no longer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct IssuerChange {
+    /// Which.
+    pub pool: Pool,
+    /// Whether it is short.
+    pub is_short: bool,
+    /// How many requests a second come for it.
+    pub asked_per_s: f64,
+    /// How many a second its upstreams take together.
+    pub rates_per_s: f64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Asker {
+    echo_ms: u64,
+    heard_at: Timestamp,
+    number: u64,
+    is_answer_due: bool,
+    asked: BTreeMap<(Pool, Caller), f64>,
+    waiting: BTreeMap<Pool, u32>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    tokens: f64,
+    at: Timestamp,
+}
+
+/// A pool's turns and whether it is short.
+#[derive(Clone, Debug, Default)]
+struct PoolTurns {
+    /// How much each entry daemon is behind what it should have got.
+    credits: BTreeMap<DaemonId, f64>,
+    /// Which part of each caller's requests may go, while the pool is short.
+    parts: Option<BTreeMap<Caller, f64>>,
+}
+
+/// Issues permits as long as this daemon leads.
+#[derive(Debug)]
+pub struct PermitIssuer {
+    term: u64,
+    issues_from: Timestamp,
+    askers: BTreeMap<DaemonId, Asker>,
+    buckets: BTreeMap<InstanceId, Bucket>,
+    pools: BTreeMap<Pool, PoolTurns>,
+    weighing_due: Timestamp,
+    changes: Vec<IssuerChange>,
+}
+
+impl PermitIssuer {
+    /// Begins to lead in a term.
+    pub fn new(term: u64, now: Timestamp) -> Self {
+        Self {
+            term,
+            issues_from: now + ISSUE_AFTER,
+            askers: BTreeMap::new(),
+            buckets: BTreeMap::new(),
+            pools: BTreeMap::new(),
+            weighing_due: Timestamp::default(),
+            changes: Vec::new(),
+        }
+    }
+
+    /// Returns pools that have become short, or are so no longer, since the last call.
+    pub fn take_changes(&mut self) -> Vec<IssuerChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Takes an ask in; returns whether somebody waits for the answer.
+    pub fn hear(&mut self, from: &DaemonId, ask: &PermitAsk, now: Timestamp) -> bool {
+        let asker = self.askers.entry(from.clone()).or_default();
+        let passed_s = now.since(asker.heard_at).as_secs_f64().max(0.001);
+        let is_first = asker.heard_at == Timestamp::default();
+        asker.echo_ms = ask.sent_ms;
+        asker.heard_at = now;
+        asker.is_answer_due = true;
+        asker.waiting.clear();
+        let weight = 1.0 - (-passed_s / AVERAGED_OVER_S).exp();
+        for rate in asker.asked.values_mut() {
+            *rate *= 1.0 - weight;
+        }
+        for one in &ask.asks {
+            *asker.waiting.entry(one.pool.clone()).or_default() += one.waiting;
+            // The first ask does not tell over which time its requests came.
+            if !is_first {
+                let key = (one.pool.clone(), one.caller.clone());
+                *asker.asked.entry(key).or_default() += f64::from(one.requests) / passed_s * weight;
+            }
+        }
+        asker.asked.retain(|_, rate| *rate > 0.001);
+        asker.waiting.values().any(|waiting| *waiting > 0)
+    }
+
+    /// Returns what is to be sent to whom.
+    pub fn tick(&mut self, view: IssuerView<'_>) -> Vec<(DaemonId, PermitNews)> {
+        let now = view.now;
+        self.askers
+            .retain(|_, asker| now.since(asker.heard_at) < ASKS_HOLD);
+        self.buckets.retain(|id, _| view.rates.contains_key(id));
+        if now >= self.weighing_due {
+            self.weighing_due = now + WEIGHED_EVERY;
+            self.weigh_pools(view);
+        }
+        let issued = match now >= self.issues_from {
+            true => self.issue(view),
+            false => BTreeMap::new(),
+        };
+        self.answer(issued)
+    }
+
+    /// Finds out which pools are short, and who goes first there.
+    fn weigh_pools(&mut self, view: IssuerView<'_>) {
+        let sums = sums(view);
+        self.pools.retain(|pool, _| sums.contains_key(pool));
+        for (pool, rates_per_s) in sums {
+            let asked = self.asked(&pool);
+            let asked_per_s: f64 = asked.values().sum();
+            let turns = self.pools.entry(pool.clone()).or_default();
+            let was_short = turns.parts.is_some();
+            let enough = match was_short {
+                true => rates_per_s * ENOUGH_PART,
+                false => rates_per_s,
+            };
+            let is_short = !view.mixed.contains(&pool) && asked_per_s > enough;
+            turns.parts = is_short.then(|| share_out(&asked, rates_per_s * LET_IN_FACTOR));
+            if is_short != was_short {
+                self.changes.push(IssuerChange {
+                    pool,
+                    is_short,
+                    asked_per_s,
+                    rates_per_s,
+                });
+            }
+        }
+    }
+
+    fn asked(&self, pool: &Pool) -> BTreeMap<Caller, f64> {
+        let mut asked: BTreeMap<Caller, f64> = BTreeMap::new();
+        for asker in self.askers.values() {
+            for ((_, caller), rate) in asker.asked.iter().filter(|((of, _), _)| of == pool) {
+                *asked.entry(caller.clone()).or_default() += rate;
+            }
+        }
+        asked
+    }
+
+    /// Fills the buckets and gives out what is in them.
+    fn issue(&mut self, view: IssuerView<'_>) -> BTreeMap<DaemonId, BTreeMap<InstanceId, u32>> {
+        let mut issued: BTreeMap<DaemonId, BTreeMap<InstanceId, u32>> = BTreeMap::new();
+        for (id, rate) in view.rates {
+            let Some(pool) = view.pools.get(id) else {
+                continue;
+            };
+            self.fill(id, issued_per_s(*rate, view), view.now);
+            while self
+                .buckets
+                .get(id)
+                .is_some_and(|bucket| bucket.tokens >= 1.0)
+            {
+                let Some(asker) = self.next(pool, view) else {
+                    break;
+                };
+                if let Some(bucket) = self.buckets.get_mut(id) {
+                    bucket.tokens -= 1.0;
+                }
+                *issued
+                    .entry(asker)
+                    .or_default()
+                    .entry(id.clone())
+                    .or_default() += 1;
+            }
+        }
+        issued
+    }
+
+    fn fill(&mut self, id: &InstanceId, per_s: f64, now: Timestamp) {
+        let bucket = self.buckets.entry(id.clone()).or_insert(Bucket {
+            tokens: 0.0,
+            at: now,
+        });
+        let passed_s = now.since(bucket.at).as_secs_f64();
+        let most = 1.0 + per_s * SAVED_FOR_S;
+        bucket.tokens = (bucket.tokens + per_s * passed_s).min(most);
+        bucket.at = now;
+    }
+
+    /// Returns who gets the next permit of a pool: whoever has a request that waits, else, if
+    /// permits are sure to be used, each in turn by what it asks for.
+    fn next(&mut self, pool: &Pool, view: IssuerView<'_>) -> Option<DaemonId> {
+        let turns = self.pools.get_mut(pool)?;
+        let is_used = turns.parts.is_some() || view.mixed.contains(pool);
+        let waits = |asker: &Asker| asker.waiting.get(pool).is_some_and(|waiting| *waiting > 0);
+        let somebody_waits = self.askers.values().any(waits);
+        let weights: Vec<(&DaemonId, f64)> = match (somebody_waits, is_used) {
+            (true, _) => self
+                .askers
+                .iter()
+                .filter(|(_, asker)| waits(asker))
+                .map(|(daemon, _)| (daemon, 1.0))
+                .collect(),
+            (false, true) => self
+                .askers
+                .iter()
+                .map(|(daemon, asker)| (daemon, weight(asker, pool, turns)))
+                .filter(|(_, weight)| *weight > 0.0)
+                .collect(),
+            (false, false) => return None,
+        };
+        let chosen = take_turn(&mut turns.credits, &weights)?;
+        if let Some(waiting) = self.askers.get_mut(&chosen)?.waiting.get_mut(pool) {
+            *waiting = waiting.saturating_sub(1);
+        }
+        Some(chosen)
+    }
+
+    fn answer(
+        &mut self,
+        mut issued: BTreeMap<DaemonId, BTreeMap<InstanceId, u32>>,
+    ) -> Vec<(DaemonId, PermitNews)> {
+        let mut news = Vec::new();
+        for (daemon, asker) in &mut self.askers {
+            let permits = issued.remove(daemon).unwrap_or_default();
+            if permits.is_empty() && !asker.is_answer_due {
+                continue;
+            }
+            let is_answer = std::mem::take(&mut asker.is_answer_due);
+            let shares = is_answer.then(|| shares(asker, &self.pools));
+            asker.number += 1;
+            news.push((
+                daemon.clone(),
+                PermitNews {
+                    term: self.term,
+                    number: asker.number,
+                    echo_ms: asker.echo_ms,
+                    permits: permits.into_iter().collect(),
+                    shares,
+                },
+            ));
+        }
+        news
+    }
+}
+
+/// Returns what the upstreams of each pool take together.
+fn sums(view: IssuerView<'_>) -> BTreeMap<Pool, f64> {
+    let mut sums: BTreeMap<Pool, f64> = BTreeMap::new();
+    for (id, rate) in view.rates {
+        if let Some(pool) = view.pools.get(id) {
+            *sums.entry(pool.clone()).or_default() += issued_per_s(*rate, view);
+        }
+    }
+    sums
+}
+
+/// Returns at which rate permits for an upstream are issued here.
+fn issued_per_s(rate: RequestRate, view: IssuerView<'_>) -> f64 {
+    let heard = view.entries_heard as f64 / view.entries_known.max(1) as f64;
+    rate.per_s().max(1.0 / LONGEST_TRIAL.as_secs_f64()) * heard.min(1.0)
+}
+
+/// Chooses the one that is furthest behind, by smooth weighted round robin.
+fn take_turn(
+    credits: &mut BTreeMap<DaemonId, f64>,
+    weights: &[(&DaemonId, f64)],
+) -> Option<DaemonId> {
+    let total: f64 = weights.iter().map(|(_, weight)| weight).sum();
+    credits.retain(|daemon, _| weights.iter().any(|(known, _)| *known == daemon));
+    for (daemon, weight) in weights {
+        *credits.entry((*daemon).clone()).or_default() += weight / total;
+    }
+    let furthest = credits.iter().max_by(|one, other| one.1.total_cmp(other.1));
+    let chosen = furthest.map(|(daemon, _)| daemon.clone())?;
+    *credits.get_mut(&chosen)? -= 1.0;
+    Some(chosen)
+}
+
+/// Returns what a daemon gets of the pools that are short.
+fn shares(asker: &Asker, pools: &BTreeMap<Pool, PoolTurns>) -> Vec<PoolShare> {
+    let short = pools.iter().filter_map(|(pool, turns)| {
+        let parts = turns.parts.as_ref()?;
+        let admitted = parts.iter().map(|(caller, part)| {
+            let thousandths = (part * 1_000.0).round() as u16;
+            (caller.clone(), thousandths)
+        });
+        let per_s = weight(asker, pool, turns) / LET_IN_FACTOR;
+        Some(PoolShare {
+            pool: pool.clone(),
+            rate: RequestRate((per_s * 1_000.0) as u64),
+            admitted: admitted.collect(),
+        })
+    });
+    short.collect()
+}
+
+/// Returns how many requests a second a daemon has for a pool, of those that may go.
+fn weight(asker: &Asker, pool: &Pool, turns: &PoolTurns) -> f64 {
+    let asked = asker.asked.iter().filter(|((of, _), _)| of == pool);
+    let part = |caller| match &turns.parts {
+        Some(parts) => parts.get(caller).copied().unwrap_or_default(),
+        None => 1.0,
+    };
+    asked.map(|((_, caller), rate)| rate * part(caller)).sum()
+}
--- /dev/null
+++ b/lib/src/rates/mod.rs
@@ -0,0 +1,46 @@
+//! Rates of requests that upstreams in need name, and who may send at them.
+//!
+//! An upstream names the rate that it takes from all daemons together, in its answers. What one
+//! daemon reads there [`RateSpread`] tells the others. From then on a request goes to that
+//! upstream only with a permit. The leader of the control daemons issues permits at the named rate
+//! ([`PermitIssuer`]), each for one request and for a short time, to entry daemons that ask
+//! ([`PermitHolder`]), so the bound on the sum does not depend on how many daemons there are.
+
+mod alone;
+mod ask;
+mod holder;
+mod issuer;
+mod ledger;
+mod purse;
+mod shares;
+mod spread;
+
+pub use ask::{
+    Ask,
+    Caller,
+    PermitAsk,
+    PermitNews,
+    Pool,
+    PoolShare, //
+};
+pub use holder::{
+    HolderChange,
+    PermitHolder,
+    Received, //
+};
+pub use issuer::{
+    IssuerChange,
+    IssuerView,
+    PermitIssuer, //
+};
+pub use ledger::RateTable;
+pub use purse::{
+    Purse,
+    Verdict, //
+};
+pub use spread::{
+    NamedAt,
+    RateChange,
+    RateNews,
+    RateSpread, //
+};
--- a/lib/tests/test_discovery/world.rs
+++ b/lib/tests/test_discovery/world.rs
@@ -389,6 +389,7 @@
                 control.hear_upstreams(&letter.from, *news, now);
             }
             PeerMessage::Crashes(news) => control.hear_crashes(&news, now),
+            PeerMessage::Rates(news) => control.hear_rates(&news, now),
             other => panic!("a control daemon got {other:?}"),
         }
         let actions = control.take_actions();
@@ -409,6 +410,7 @@
                 *self.crash_messages.entry(letter.to.clone()).or_default() += 1;
                 entry.hear_crashes(&news, now);
             }
+            PeerMessage::Rates(news) => entry.hear_rates(&news, now),
             other => panic!("an entry daemon got {other:?}"),
         }
         let actions = entry.take_actions();
--- a/lib/tests/test_dispatch/main.rs
+++ b/lib/tests/test_dispatch/main.rs
@@ -49,6 +49,7 @@
                 slots: self.slots,
                 model: None,
                 is_suspect: self.suspect == Some(place),
+                uses_permit: false,
             })
             .collect();
         let wanted = Wanted {
