--- a/lib/src/rates/issuer.rs
+++ b/lib/src/rates/issuer.rs
@@ -9,6 +9,7 @@
 };
 
 use super::{
+    Ask,
     Caller,
     PermitAsk,
     PermitNews,
@@ -36,6 +37,11 @@
 const AVERAGED_OVER_S: f64 = 2.0;
 /// How often it is found out which pools are short.
 const WEIGHED_EVERY: Duration = Duration::from_millis(200);
+/// Which part of the sum is let in while a pool is short. Requests come unevenly: if all permits
+/// were spoken for, one that goes first would find none in the time that it can wait.
+const LET_IN_PART: f64 = 0.9;
+/// What is asked for less often than this counts as not asked for.
+const LEAST_ASKED_PER_S: f64 = 0.001;
 /// An entry daemon that has not asked for so long gets nothing.
 const ASKS_HOLD: Duration = Duration::from_millis(1_200);
 /// A pool is short no longer once less than this part of the sum is asked for.
@@ -79,9 +85,12 @@
     /// The number of the last message that held permits.
     number_of_permits: u64,
     is_answer_due: bool,
-    asked: BTreeMap<(Pool, Caller), f64>,
+    /// Requests a second, averaged.
+    asked: BTreeMap<Pool, BTreeMap<Caller, f64>>,
+    /// How many requests that waited were served.
+    served: u64,
     /// Requests that wait for a permit.
-    waiting: BTreeMap<(Pool, Precedence), u32>,
+    waiting: BTreeMap<Pool, BTreeMap<Precedence, u32>>,
 }
 
 /// Who goes first of those that wait: higher ranks, then callers that ask for less than their
@@ -95,22 +104,43 @@
 impl Requester {
     /// Returns which of the requests that wait goes first.
     fn first_waiting(&self, pool: &Pool) -> Option<Precedence> {
-        let mut waiting = self.waiting.iter();
-        let first = waiting.find(|((of, _), count)| of == pool && **count > 0);
-        first.map(|((_, precedence), _)| *precedence)
+        let mut waiting = self.waiting.get(pool)?.iter();
+        let first = waiting.find(|(_, count)| **count > 0);
+        first.map(|(precedence, _)| *precedence)
     }
 
     /// Notes that a request has its permit.
     fn serve_waiting(&mut self, pool: &Pool, precedence: Precedence) {
-        if let Some(count) = self.waiting.get_mut(&(pool.clone(), precedence)) {
+        self.served += 1;
+        let waiting = self.waiting.get_mut(pool);
+        if let Some(count) = waiting.and_then(|waiting| waiting.get_mut(&precedence)) {
             *count = count.saturating_sub(1);
         }
     }
 
     /// Returns how many requests a second it has for a pool.
     fn asked_per_s(&self, pool: &Pool) -> f64 {
-        let asked = self.asked.iter().filter(|((of, _), _)| of == pool);
-        asked.map(|(_, per_s)| per_s).sum()
+        self.asked
+            .get(pool)
+            .into_iter()
+            .flatten()
+            .map(|(_, per_s)| per_s)
+            .sum()
+    }
+
+    /// Averages what it asks for, over the time since its last ask.
+    fn note_asked(&mut self, asks: &[Ask], passed_s: f64) {
+        let weight = 1.0 - (-passed_s / AVERAGED_OVER_S).exp();
+        for asked in self.asked.values_mut() {
+            asked.values_mut().for_each(|per_s| *per_s *= 1.0 - weight);
+            asked.retain(|_, per_s| *per_s > LEAST_ASKED_PER_S);
+        }
+        self.asked.retain(|_, asked| !asked.is_empty());
+        for ask in asks.iter().filter(|ask| ask.requests > 0) {
+            let asked = self.asked.entry(ask.pool.clone()).or_default();
+            *asked.entry(ask.caller.clone()).or_default() +=
+                f64::from(ask.requests) / passed_s * weight;
+        }
     }
 }
 
@@ -123,13 +153,51 @@
 /// A pool's turns and whether it is short.
 #[derive(Clone, Debug, Default)]
 struct PoolTurns {
-    /// How much each entry daemon is behind what it should have got.
-    credits: BTreeMap<DaemonId, f64>,
+    /// The daemons that get permits before they ask.
+    turns: Vec<Turn>,
+    /// Whether a request waits at some daemon.
+    is_waited_for: bool,
     /// Which part of each caller's requests may go, while the pool is short.
     parts: Option<BTreeMap<Caller, f64>>,
 }
 
+/// One daemon's turns among those of a pool; the one with the least position is next.
+#[derive(Clone, Debug)]
+struct Turn {
+    daemon: DaemonId,
+    /// How far one permit takes it: the more requests a daemon has, the less.
+    stride: f64,
+    position: f64,
+}
+
 impl PoolTurns {
+    /// Replaces the weights of all daemons; each keeps its position among them.
+    fn set_weights(&mut self, weights: impl Iterator<Item = (DaemonId, f64)>) {
+        let least = self.turns.iter().map(|turn| turn.position);
+        let least = least.reduce(f64::min).unwrap_or_default();
+        let before = std::mem::take(&mut self.turns);
+        let before: BTreeMap<DaemonId, f64> = before
+            .into_iter()
+            .map(|turn| (turn.daemon, turn.position - least))
+            .collect();
+        let weighty = weights.filter(|(_, weight)| *weight > 0.0);
+        self.turns = weighty
+            .map(|(daemon, weight)| Turn {
+                position: before.get(&daemon).copied().unwrap_or(1.0 / weight),
+                stride: 1.0 / weight,
+                daemon,
+            })
+            .collect();
+    }
+
+    /// Returns whose turn it is.
+    fn take_turn(&mut self) -> Option<DaemonId> {
+        let turns = self.turns.iter_mut();
+        let next = turns.min_by(|one, other| one.position.total_cmp(&other.position))?;
+        next.position += next.stride;
+        Some(next.daemon.clone())
+    }
+
     /// Returns whether not all requests of a caller may go.
     fn is_cut(&self, caller: &Caller) -> bool {
         let parts = self.parts.as_ref();
@@ -172,36 +240,33 @@
     /// Takes an ask in; returns whether somebody waits for the answer.
     pub fn hear(&mut self, from: &DaemonId, ask: &PermitAsk, now: Timestamp) -> bool {
         let requester = self.requesters.entry(from.clone()).or_default();
-        let passed_s = now.since(requester.heard_at).as_secs_f64().max(0.001);
+        // The first ask does not tell over which time its requests came.
         let is_first = requester.heard_at == Timestamp::default();
+        let passed_s = now.since(requester.heard_at).as_secs_f64().max(0.001);
+        if !is_first {
+            requester.note_asked(&ask.asks, passed_s);
+        }
         requester.echo_ms = ask.sent_ms;
         requester.heard_at = now;
         requester.is_answer_due = true;
         requester.waiting.clear();
-        let weight = 1.0 - (-passed_s / AVERAGED_OVER_S).exp();
-        for rate in requester.asked.values_mut() {
-            *rate *= 1.0 - weight;
+        // Permits on their way may be for the same requests; if not, the next ask says so.
+        if ask.heard < requester.number_of_permits {
+            return false;
         }
-        for one in &ask.asks {
-            let turns = self.pools.get(&one.pool);
+        let mut somebody_waits = false;
+        for one in ask.asks.iter().filter(|one| one.waiting > 0) {
+            let turns = self.pools.entry(one.pool.clone()).or_default();
             let precedence = Precedence {
                 rank: one.caller.rank,
-                asks_for_more: turns.is_some_and(|turns| turns.is_cut(&one.caller)),
+                asks_for_more: turns.is_cut(&one.caller),
             };
-            let waiting = requester.waiting.entry((one.pool.clone(), precedence));
-            // Permits on their way may be for the same requests; if not, the next ask says so.
-            if ask.heard >= requester.number_of_permits {
-                *waiting.or_default() += one.waiting;
-            }
-            // The first ask does not tell over which time its requests came.
-            if !is_first {
-                let key = (one.pool.clone(), one.caller.clone());
-                *requester.asked.entry(key).or_default() +=
-                    f64::from(one.requests) / passed_s * weight;
-            }
+            turns.is_waited_for = true;
+            somebody_waits = true;
+            let waiting = requester.waiting.entry(one.pool.clone()).or_default();
+            *waiting.entry(precedence).or_default() += one.waiting;
         }
-        requester.asked.retain(|_, rate| *rate > 0.001);
-        requester.waiting.values().any(|waiting| *waiting > 0)
+        somebody_waits
     }
 
     /// Returns what is to be sent to whom.
@@ -224,18 +289,24 @@
     /// Finds out which pools are short, and who goes first there.
     fn weigh_pools(&mut self, view: IssuerView<'_>) {
         let sums = sums(view);
+        let mut all_asked = self.all_asked();
         self.pools.retain(|pool, _| sums.contains_key(pool));
         for (pool, rates_per_s) in sums {
-            let asked = self.asked(&pool);
+            let asked = all_asked.remove(&pool).unwrap_or_default();
             let asked_per_s: f64 = asked.values().sum();
             let turns = self.pools.entry(pool.clone()).or_default();
+            let requesters = self.requesters.iter();
+            let weight = |(daemon, requester): (&DaemonId, &Requester)| {
+                (daemon.clone(), requester.asked_per_s(&pool))
+            };
+            turns.set_weights(requesters.map(weight));
             let was_short = turns.parts.is_some();
             let enough = match was_short {
                 true => rates_per_s * ENOUGH_PART,
                 false => rates_per_s,
             };
             let is_short = !view.mixed.contains(&pool) && asked_per_s > enough;
-            turns.parts = is_short.then(|| share_out(&asked, rates_per_s));
+            turns.parts = is_short.then(|| share_out(&asked, rates_per_s * LET_IN_PART));
             if is_short != was_short {
                 self.changes.push(IssuerChange {
                     pool,
@@ -247,14 +318,20 @@
         }
     }
 
-    fn asked(&self, pool: &Pool) -> BTreeMap<Caller, f64> {
-        let mut asked: BTreeMap<Caller, f64> = BTreeMap::new();
-        for requester in self.requesters.values() {
-            for ((_, caller), rate) in requester.asked.iter().filter(|((of, _), _)| of == pool) {
-                *asked.entry(caller.clone()).or_default() += rate;
+    /// Returns how many requests a second all daemons have, by pool and caller.
+    fn all_asked(&self) -> BTreeMap<Pool, BTreeMap<Caller, f64>> {
+        let mut all: BTreeMap<Pool, BTreeMap<Caller, f64>> = BTreeMap::new();
+        let asked = self
+            .requesters
+            .values()
+            .flat_map(|requester| &requester.asked);
+        for (pool, asked) in asked {
+            let of_pool = all.entry(pool.clone()).or_default();
+            for (caller, per_s) in asked {
+                *of_pool.entry(caller.clone()).or_default() += per_s;
             }
         }
-        asked
+        all
     }
 
     /// Fills the buckets and gives out what is in them.
@@ -291,40 +368,23 @@
     }
 
     /// Returns who gets the next permit: whoever has a request that waits, the first by
-    /// precedence. If none waits, others can stand in for the upstream, and each daemon gets permits in
-    /// turn before it asks, by how many requests it has: nobody waits for a permit then.
+    /// precedence. If none waits, others can stand in for the upstream, and each daemon gets
+    /// permits in turn before it asks, by how many requests it has: nobody waits for a permit then.
     fn next(&mut self, id: &InstanceId, pool: &Pool, view: IssuerView<'_>) -> Option<DaemonId> {
         if self.buckets.get(id)?.tokens < 1.0 {
             return None;
         }
         let turns = self.pools.get_mut(pool)?;
-        let waiting = self.requesters.iter().filter_map(|(daemon, requester)| {
-            let precedence = requester.first_waiting(pool)?;
-            Some((precedence, daemon))
-        });
-        let waiting: Vec<(Precedence, &DaemonId)> = waiting.collect();
-        let first = waiting.iter().map(|(precedence, _)| *precedence).min();
-        let weights: Vec<(&DaemonId, f64)> = match first {
-            Some(first) => waiting
-                .into_iter()
-                .filter(|(precedence, _)| *precedence == first)
-                .map(|(_, daemon)| (daemon, 1.0))
-                .collect(),
-            None if view.mixed.contains(pool) => self
-                .requesters
-                .iter()
-                .map(|(daemon, requester)| (daemon, requester.asked_per_s(pool)))
-                .filter(|(_, per_s)| *per_s > 0.0)
-                .collect(),
-            None => return None,
-        };
-        let chosen = take_turn(&mut turns.credits, &weights)?;
-        if let Some(precedence) = first {
-            self.requesters
-                .get_mut(&chosen)?
-                .serve_waiting(pool, precedence);
+        if turns.is_waited_for {
+            if let Some(daemon) = serve_first_waiting(&mut self.requesters, pool) {
+                return Some(daemon);
+            }
+            turns.is_waited_for = false;
+        }
+        match view.mixed.contains(pool) {
+            true => turns.take_turn(),
+            false => None,
         }
-        Some(chosen)
     }
 
     fn answer(
@@ -375,20 +435,20 @@
     rate.per_s().max(1.0 / LONGEST_TRIAL.as_secs_f64()) * heard.min(1.0)
 }
 
-/// Chooses the one that is furthest behind, by smooth weighted round robin.
-fn take_turn(
-    credits: &mut BTreeMap<DaemonId, f64>,
-    weights: &[(&DaemonId, f64)],
+/// Gives a permit to the first of the requests that wait for a pool; returns where it is.
+fn serve_first_waiting(
+    requesters: &mut BTreeMap<DaemonId, Requester>,
+    pool: &Pool,
 ) -> Option<DaemonId> {
-    let total: f64 = weights.iter().map(|(_, weight)| weight).sum();
-    credits.retain(|daemon, _| weights.iter().any(|(known, _)| *known == daemon));
-    for (daemon, weight) in weights {
-        *credits.entry((*daemon).clone()).or_default() += weight / total;
-    }
-    let furthest = credits.iter().max_by(|one, other| one.1.total_cmp(other.1));
-    let chosen = furthest.map(|(daemon, _)| daemon.clone())?;
-    *credits.get_mut(&chosen)? -= 1.0;
-    Some(chosen)
+    let waiting = requesters.iter_mut().filter_map(|(daemon, requester)| {
+        let precedence = requester.first_waiting(pool)?;
+        Some((precedence, requester.served, daemon, requester))
+    });
+    // Of equals the daemon that was served longest ago.
+    let first = waiting.min_by_key(|(precedence, served, ..)| (*precedence, *served));
+    let (precedence, _, daemon, requester) = first?;
+    requester.serve_waiting(pool, precedence);
+    Some(daemon.clone())
 }
 
 /// Returns what a daemon gets of the pools that are short.
@@ -399,9 +459,9 @@
             let thousandths = (part * 1_000.0).round() as u16;
             (caller.clone(), thousandths)
         });
-        let asked = requester.asked.iter().filter(|((of, _), _)| of == pool);
+        let asked = requester.asked.get(pool).into_iter().flatten();
         let part = |caller| parts.get(caller).copied().unwrap_or_default();
-        let per_s: f64 = asked.map(|((_, caller), per_s)| per_s * part(caller)).sum();
+        let per_s: f64 = asked.map(|(caller, per_s)| per_s * part(caller)).sum();
         Some(PoolShare {
             pool: pool.clone(),
             rate: RequestRate((per_s * 1_000.0) as u64),
