dispatch: a request that finds no permit counts for its model as if it had run

While all upstreams of a model are in need few of its requests are at hand, so the model seemed to be in little demand (0.33 of the truth by a reading every 0.4 s and 1.2 s a request) and its groups would have gone to others within seconds. Ruled out: refusals for want of room, which come beside full heads.

--- a/entry/src/members/demand.rs
+++ b/entry/src/members/demand.rs
@@ -1,67 +1,44 @@
-//! How many requests each model has at this daemon.
+//! How many requests each model has at this daemon, between the two threads that need it.
 
-use std::{
-    collections::BTreeMap,
-    sync::{
-        Arc,
-        Mutex,
-        MutexGuard,
-        PoisonError, //
-    },
+use std::sync::{
+    Arc,
+    Mutex,
+    MutexGuard,
+    PoisonError, //
 };
 
-use cicadabend::prelude::*;
-
-type Key = (ServiceName, ModelName);
-
-#[derive(Debug, Default)]
-struct Counts {
-    at_hand: u32,
-    /// Requests that were refused for want of room since the last reading.
-    refused: u32,
-}
+use cicadabend::{
+    dispatch::DemandCounts,
+    prelude::*, //
+};
 
 /// The counts; the serving thread changes them, the thread `members` reads them.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Demand {
-    counts: Arc<Mutex<BTreeMap<Key, Counts>>>,
+    counts: Arc<Mutex<DemandCounts>>,
 }
 
 /// One request, counted until this is dropped.
 #[derive(Debug)]
 pub(crate) struct Demanded {
     demand: Demand,
-    key: Key,
+    service: ServiceName,
+    model: ModelName,
 }
 
 impl Demand {
     /// Counts a request from now on.
     pub(crate) fn count(&self, service: &ServiceName, model: &ModelName) -> Demanded {
-        let key = (service.clone(), model.clone());
-        self.lock().entry(key.clone()).or_default().at_hand += 1;
+        self.counts().begin(service, model);
         Demanded {
             demand: self.clone(),
-            key,
+            service: service.clone(),
+            model: model.clone(),
         }
     }
 
-    /// Counts a request that found no room.
-    pub(crate) fn refused(&self, service: &ServiceName, model: &ModelName) {
-        let key = (service.clone(), model.clone());
-        self.lock().entry(key).or_default().refused += 1;
-    }
-
-    /// Returns the counts; refusals are counted anew from here on.
-    pub(crate) fn read(&self) -> Vec<(ServiceName, ModelName, u32)> {
-        let mut counts = self.lock();
-        let told = counts.iter_mut().map(|((service, model), counts)| {
-            let refused = std::mem::take(&mut counts.refused);
-            (service.clone(), model.clone(), counts.at_hand + refused)
-        });
-        told.collect()
-    }
-
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<Key, Counts>> {
+    /// Returns the counts to read or change.
+    pub(crate) fn counts(&self) -> MutexGuard<'_, DemandCounts> {
         // A panic while counting leaves plain numbers behind, which stay usable.
         self.counts.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -69,8 +46,6 @@
 
 impl Drop for Demanded {
     fn drop(&mut self) {
-        if let Some(counts) = self.demand.lock().get_mut(&self.key) {
-            counts.at_hand = counts.at_hand.saturating_sub(1);
-        }
+        self.demand.counts().end(&self.service, &self.model);
     }
 }
--- a/entry/src/members/thread.rs
+++ b/entry/src/members/thread.rs
@@ -329,7 +329,7 @@
         let status = EntryStatus {
             routes: self.routes.as_ref().map(|routes| routes.version()),
             has_served: self.setup.has_served.load(Ordering::Relaxed),
-            demand: self.setup.demand.read(),
+            demand: self.setup.demand.counts().read(),
             stalled: self.stalled.keys().cloned().collect(),
         };
         self.discovery.greet(status, now);
--- a/entry/src/serve/routed/rates.rs
+++ b/entry/src/serve/routed/rates.rs
@@ -212,7 +212,8 @@
             return (RoutedRefusal::NoReplica, "no replica can take it now");
         };
         if let Some(model) = &pool.model {
-            self.server.demand.refused(&pool.service, model);
+            let mut counts = self.server.demand.counts();
+            counts.unpermitted(&pool.service, model);
         }
         let why = match self.verdict {
             Verdict::MayUse => "all replicas name a rate of requests, which is used up",
--- a/entry/src/serve/routed/run.rs
+++ b/entry/src/serve/routed/run.rs
@@ -150,8 +150,8 @@
             if let Some(reservation) = self.reservation.take()
                 && let Some(model) = &reservation.replica.model
             {
-                let demand = &self.server.demand;
-                demand.refused(&reservation.replica.service, model);
+                let mut counts = self.server.demand.counts();
+                counts.refused(&reservation.replica.service, model);
             }
             return self.refuse(RoutedRefusal::NoRoom, "all replicas are full");
         }
--- a/lib/src/dispatch/mod.rs
+++ b/lib/src/dispatch/mod.rs
@@ -2,11 +2,13 @@
 //!
 //! - [`Loads`]: what this daemon knows of each upstream's load, speed and failures.
 //! - [`choose`]: the upstream with the lowest expected time to its first event.
+//! - [`DemandCounts`]: how many requests each model has, as whoever places models is told.
 //! - [`urgency`]: which of the requests that wait at one upstream goes first.
 //! - [`WindowBudget`]: how many requests may be sent once more.
 
 mod budget;
 mod choose;
+mod demand;
 mod loads;
 mod urgency;
 
@@ -20,6 +22,7 @@
     Wanted,
     choose, //
 };
+pub use demand::DemandCounts;
 pub use loads::{
     LoadReport,
     Loads,
--- a/lib/tests/test_dispatch/main.rs
+++ b/lib/tests/test_dispatch/main.rs
@@ -4,6 +4,7 @@
 
 mod test_crashes;
 mod test_decisions;
+mod test_demand;
 mod test_load;
 
 use cicadabend::{
