--- a/entry/src/serve/routed/crash_watch.rs
+++ b/entry/src/serve/routed/crash_watch.rs
@@ -34,7 +34,7 @@
 
 /// How long further requests of the same upstream are waited for.
 ///
-/// The connections of one upstream that ended were seen to break within 10 ms at one daemon.
+/// The connections of one upstream that ends break at one daemon within half of this.
 const GATHER: Duration = Duration::from_millis(20);
 
 /// A request that an upstream broke off.
--- a/entry/src/serve/routed/refusal.rs
+++ b/entry/src/serve/routed/refusal.rs
@@ -21,8 +21,8 @@
 
 /// The soonest to come back to a daemon that has no routes yet.
 ///
-/// A whole fleet that starts at once takes 0.9 s until its entries have routes (measured with
-/// every VM without power); a caller told to come sooner is only refused again.
+/// A whole fleet that starts at once takes about as long until its entries have routes; a caller
+/// told to come sooner is only refused again.
 const RETRY_NO_ROUTES: Duration = Duration::from_millis(800);
 /// How much later others are told to come, so that they do not all come at once.
 const RETRY_NO_ROUTES_SPREAD: Duration = Duration::from_millis(500);
--- a/lib/src/dispatch/choose.rs
+++ b/lib/src/dispatch/choose.rs
@@ -28,12 +28,9 @@
 const SUSPECT_MS: f64 = 4_000.0;
 /// What an upstream that is left alone is worse by, in milliseconds.
 const PAUSED_MS: f64 = 20_000.0;
-/// So few daemons each send to the cheapest upstream; nine did so well.
+/// So few daemons each send to the cheapest upstream.
 const FEW_DAEMONS: u32 = 9;
 /// What other daemons send before this one sees it, as a share of the requests that it knows.
-///
-/// Of shares from 0.1 to 2, those from 1 on let the fewest of the requests played by 71 daemons
-/// wait for a slot: 15 to 21 in 100 at 0.1, 5 to 6 at 0.3, 2 at 0.5, 1 to 2 at 1 and 2.
 const COMING_SHARE: f64 = 1.5;
 /// An upstream that there is a permit for is used unless another is this many times as fast.
 const PERMIT_WORTH_FACTOR: f64 = 2.0;
@@ -140,9 +137,9 @@
 /// full or unsound.
 ///
 /// When an upstream ends, all daemons send what it had elsewhere at the same moment. By the
-/// cheapest they agree on one upstream: of 45 requests 32 met again at one of seven, just formed,
-/// which the guilty one among them ended too, and nothing told it from the rest. Drawn evenly
-/// one in as many as there are upstreams meets it again.
+/// cheapest they agree on one upstream, which the request that ended the first ends too, and
+/// nothing tells it from the rest. Drawn evenly, one in as many as there are upstreams meets it
+/// again.
 fn draw_with_room(
     candidates: &[Candidate<'_>],
     loads: &Loads,
@@ -188,10 +185,8 @@
 /// Draws one of the sound candidates by the room that it has; none if there is no sound one.
 ///
 /// Where many daemons choose, each seldom has a request at one and the same upstream, so what
-/// it knows of the others' requests there is out of date: 71 daemons before 27 heads believed
-/// 0 to 5 where there were 71, 61 and 53, while other heads had 2. Whoever goes by the cheapest
-/// then sends to what it knows least of. Drawn by room the mean worth of eight days was 0.625,
-/// and 0.549 by the cheapest; every day was better.
+/// it knows of the others' requests there is out of date. Whoever goes by the cheapest then sends
+/// to what it knows least of, and some heads get many times the requests of others.
 fn draw_by_room(
     candidates: &[Candidate<'_>],
     loads: &Loads,
--- a/lib/src/dispatch/loads.rs
+++ b/lib/src/dispatch/loads.rs
@@ -13,11 +13,8 @@
 /// How long what was seen of other daemons' requests is taken to be there still.
 ///
 /// Forgotten from the first moment on, the load of an engine that nobody has heard of for half
-/// a second looks a fifth lower than it is, and all daemons choose just that one: engines with
-/// 17 slots were believed to have 12 requests and had 22, 5 of them waiting. A request takes
-/// one to two seconds, so within this time most of what was seen is still there. Over 20
-/// paired days of losses the worth rose from 0.578 to 0.597; held for 2.5 s, it was 0.612
-/// against 0.617.
+/// a second looks lower than it is, and all daemons choose just that one, whose queue grows. A
+/// request takes longer than this, so most of what was seen is still there.
 const OTHERS_HELD_MS: f64 = 1_000.0;
 /// How fast it is forgotten after that.
 const OTHERS_HALF_LIFE_MS: f64 = 1_500.0;
@@ -204,9 +201,8 @@
     /// Returns whether an upstream is left alone for now.
     ///
     /// After a pause one request at a time tries it, until one is answered. A head that stands
-    /// still has lost its streams to others, so it looks idle: without this, all that came in
-    /// after its first pause of 0.4 s went there and waited 0.9 s each. Over 24 paired days of
-    /// losses the worth rose from 0.577 to 0.598.
+    /// still has lost its streams to others, so it looks idle: without this, all that comes in
+    /// after its first pause goes there and waits in vain.
     pub fn is_paused(&self, id: &InstanceId, now: Timestamp) -> bool {
         self.by_instance.get(id).is_some_and(|one| {
             let is_on_trial = !one.pause.is_zero() && one.in_flight > 0;
--- a/lib/src/dispatch/urgency.rs
+++ b/lib/src/dispatch/urgency.rs
@@ -4,9 +4,8 @@
 ///
 /// Where more come than are answered in time, a queue in order of arrival makes all of them
 /// late: everybody waits as long as the queue is. Spread over bands, those of the first ones
-/// pass the queue and are on time, and only the last ones wait. Over 20 paired days of losses
-/// the worth was 0.597 without bands, 0.617 with four and 0.602 with eight, in which the last
-/// ones wait until they are given up.
+/// pass the queue and are on time, and only the last ones wait. With many bands the last ones
+/// wait until they are given up.
 const BANDS: u8 = 4;
 /// The lowest urgency that upstreams know.
 const LAST: u8 = 9;
--- a/lib/src/grouping/balance.rs
+++ b/lib/src/grouping/balance.rs
@@ -28,8 +28,7 @@
 /// What waiting for loads from the store costs, as a part of a model's supply.
 const LOAD_COST: f64 = 0.06;
 /// What an engine costs that gives up the model it ran: its host must load that again
-/// before it can go back. Over 24 paired days of losses each, the worth was 0.665 at 0.006 and
-/// 0.678 at 0.02 on one site, 0.715 and 0.716 on another.
+/// before it can go back.
 const SWITCH_COST: f64 = 0.02;
 /// How long a model that is not the shortest waits for further engines of a domain.
 const ARRIVALS_APART: Duration = Duration::from_millis(1_200);
--- a/lib/src/grouping/leader/mod.rs
+++ b/lib/src/grouping/leader/mod.rs
@@ -46,8 +46,7 @@
 const RETIRED_PREFIX: &str = "retired-";
 /// How long a member that was silent is heard again before it is sure that its head is not.
 ///
-/// Engines report every 1.2 s, so all that were behind one cut are heard within this. Waiting
-/// for a second report was tried: groups with a dead member then idled for that long.
+/// All engines behind one cut report within this. Groups with a dead member idle for as long.
 const BACK_FOR: Duration = Duration::from_millis(1_400);
 
 /// The times that the decisions go by.
--- a/lib/src/grouping/loading.rs
+++ b/lib/src/grouping/loading.rs
@@ -16,9 +16,8 @@
 
 /// How much more the need of a model counts than what a load brings back.
 ///
-/// Loads of a small model's pairs are cheap, and with the need alone they went before those of
-/// the large model that starved. Over 24 paired days of losses each, the worth was 0.638 with
-/// this power and 0.641 with the need alone on one site, 0.726 and 0.706 on another.
+/// Loads of a small model's pairs are cheap, and with the need alone they go before those of a
+/// large model that starves.
 const NEED_POWER: i32 = 3;
 
 /// A model and how much one more engine of it is worth.
@@ -41,9 +40,7 @@
 ///
 /// First come loads that complete a group, the one that brings back most engines for the
 /// store's time first, then those onto empty hosts that are left over, so that they are of
-/// use when others become free. Against loads in order of the domains' names, over 24 paired
-/// days of losses each, the worth rose from 0.631 to 0.641 on one site and was 0.705 and 0.706
-/// on another.
+/// use when others become free.
 pub fn next_loads(
     domains: &BTreeMap<FabricDomain, Vec<FreeEngine>>,
     models: &[NeededModel<'_>],
