--- a/control/src/claims/thread.rs
+++ b/control/src/claims/thread.rs
@@ -9,8 +9,10 @@
 use cicadabend::{
     claims::ClaimReplica,
     peer_api::{
+        ClaimAction,
         ClaimReply,
         ClaimVerdict,
+        Claimant,
         PeerMessage,
         VoterSet, //
     },
@@ -18,6 +20,7 @@
 };
 use cicadabend_daemon::{
     clock::Clock,
+    logs::budget::LineBudget,
     peers::Incoming,
     ring::Receiver,
     storage::StorageError, //
@@ -31,6 +34,8 @@
 
 /// The most messages whose records share one sync.
 const BATCH_LIMIT: usize = 4_096;
+/// The most lines on single claims in one second.
+const LINES_PER_S: u32 = 50;
 /// How often expired claims are forgotten while no message comes.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -49,6 +54,7 @@
     voters: Arc<ArcSwap<VoterSet>>,
     clock: Clock,
     unanswered: Vec<(DaemonId, ClaimReply)>,
+    lines: LineBudget,
 }
 
 impl ClaimThread {
@@ -64,6 +70,7 @@
             voters,
             clock,
             unanswered: Vec::new(),
+            lines: LineBudget::new(LINES_PER_S),
         }
     }
 
@@ -124,6 +131,7 @@
         for record in &handled.records {
             self.log.append(record)?;
         }
+        self.log_holder(&request.action, &handled.verdict);
         let reply = ClaimReply {
             question: request.question,
             voter: self.replica.identity().clone(),
@@ -133,6 +141,24 @@
         Ok(())
     }
 
+    fn log_holder(&self, action: &ClaimAction, verdict: &ClaimVerdict) {
+        let (ClaimAction::Acquire { claimant, .. }, ClaimVerdict::HeldByOther { holder, .. }) =
+            (action, verdict)
+        else {
+            return;
+        };
+        let name = |one: &Claimant| format!("{}/{}", one.daemon, one.attempt);
+        let line = || {
+            LogEvent::HeldByOther {
+                claimant: name(claimant),
+                holder: name(holder),
+            }
+            .emit();
+        };
+        let left_out = |lines| LogEvent::ClaimLinesLeftOut { lines }.emit();
+        self.lines.write(self.clock.now(), line, left_out);
+    }
+
     /// Makes the batch durable; on a full disk takes it back and refuses all of it.
     fn sync(&mut self) -> Result<(), ClaimsError> {
         match self.log.sync() {
--- a/daemon/src/logs.rs
+++ b/daemon/src/logs.rs
@@ -44,6 +44,7 @@
     },
 };
 
+pub mod budget;
 pub mod queue;
 
 use queue::LineQueue;
--- a/entry/src/serve/claim_desk.rs
+++ b/entry/src/serve/claim_desk.rs
@@ -12,7 +12,8 @@
         ClaimCoordinator,
         ClaimOutput,
         ClaimRefusal,
-        ClaimTiming, //
+        ClaimTiming,
+        VoterAnswer, //
     },
     peer_api::{
         ClaimKey,
@@ -47,8 +48,8 @@
     pub control_daemons: Vec<DaemonId>,
 }
 
-/// Whether an attempt may run.
-pub(super) type Verdict = Result<(), ClaimRefusal>;
+/// Whether an attempt may run; if not, why, and what each voter had said.
+pub(super) type Verdict = Result<(), (ClaimRefusal, Vec<VoterAnswer>)>;
 
 /// The coordinator and who waits for its verdicts.
 pub(super) struct ClaimDesk {
@@ -161,7 +162,11 @@
             match output {
                 ClaimOutput::Send { to, request } => (self.send)(&to, request),
                 ClaimOutput::Granted { attempt } => self.tell(attempt, Ok(())),
-                ClaimOutput::Refused { attempt, refusal } => self.tell(attempt, Err(refusal)),
+                ClaimOutput::Refused {
+                    attempt,
+                    refusal,
+                    answers,
+                } => self.tell(attempt, Err((refusal, answers))),
             }
         }
     }
--- a/entry/src/serve/drive.rs
+++ b/entry/src/serve/drive.rs
@@ -139,7 +139,7 @@
             run.spec.claim.set(Some(attempt));
             run.apply(RequestEvent::ClaimGranted)
         }
-        Ok(Ok(Err(refusal))) => run.claim_refused(refusal),
+        Ok(Ok(Err((refusal, answers)))) => run.claim_refused(refusal, &answers),
         Ok(Err(_)) => run.apply(RequestEvent::ClaimUnavailable),
         Err(_) => run.fail(Failure::DeadlinePassed { is_written: false }),
     }
--- a/entry/src/serve/events.rs
+++ b/entry/src/serve/events.rs
@@ -41,6 +41,15 @@
         position: u64,
         reason: String,
     } "stream broken, asking for its rest";
+    /// A request that must run at most once got no claim; answers says what each control daemon
+    /// had said by then, with the daemon and the number of an attempt that holds it.
+    1126 Info ClaimRefused {
+        request: cicadabend::prelude::RequestId,
+        reason: &'static str,
+        answers: String,
+    } "claim refused";
+    /// Lines on claims were left out because there were more than the bound in a second.
+    1127 Warn ClaimLinesLeftOut { lines: u64 } "lines on claims left out";
     /// A stream broke for good after part of it was delivered.
     1125 Warn AnswerBroken {
         request: cicadabend::prelude::RequestId,
--- a/entry/src/serve/routed/server.rs
+++ b/entry/src/serve/routed/server.rs
@@ -47,7 +47,7 @@
     },
     crash_watch::CrashWatch,
     events::LogEvent,
-    lines::LineBudget,
+    lines::RequestLines,
     quarantine::Trials,
     rates::HeardRates, //
 };
@@ -76,7 +76,7 @@
     pub(super) loads: RefCell<Loads>,
     pub(super) crash_watch: CrashWatch,
     pub(super) draining: Cell<bool>,
-    lines: LineBudget,
+    lines: RequestLines,
     pub(super) demand: Demand,
     has_served: Arc<AtomicBool>,
     pub(super) stalls: ring::Sender<InstanceId>,
@@ -103,7 +103,7 @@
             loads: RefCell::default(),
             crash_watch: CrashWatch::default(),
             draining: Cell::new(false),
-            lines: LineBudget::default(),
+            lines: RequestLines::default(),
             demand: setup.demand.clone(),
             has_served: Arc::clone(&setup.has_served),
             stalls: setup.stalls.clone(),
--- a/entry/src/serve/run/mod.rs
+++ b/entry/src/serve/run/mod.rs
@@ -16,7 +16,10 @@
         RequestEvent,
         RequestState, //
     },
-    claims::ClaimRefusal,
+    claims::{
+        ClaimRefusal,
+        VoterAnswer, //
+    },
     fleet::RoutingPolicy,
     prelude::*,
     request::{
@@ -319,7 +322,13 @@
     }
 
     /// Notes that the claim was not granted.
-    pub(super) fn claim_refused(&mut self, refusal: ClaimRefusal) -> Next {
+    pub(super) fn claim_refused(&mut self, refusal: ClaimRefusal, answers: &[VoterAnswer]) -> Next {
+        let answers: Vec<String> = answers.iter().map(VoterAnswer::to_string).collect();
+        self.server.log_claim(&LogEvent::ClaimRefused {
+            request: self.spec.caller.request_id.clone(),
+            reason: refusal.name(),
+            answers: answers.join(", "),
+        });
         let event = match &refusal {
             ClaimRefusal::AlreadyCompleted(_)
             | ClaimRefusal::InProgress { .. }
--- a/entry/src/serve/server.rs
+++ b/entry/src/serve/server.rs
@@ -29,6 +29,7 @@
 };
 use cicadabend_daemon::{
     clock::Clock,
+    logs::budget::LineBudget,
     settings::EntrySettings, //
 };
 use rand::{
@@ -46,6 +47,7 @@
     claim_desk::ClaimDesk,
     counts::Counts,
     detached::Detached,
+    events::LogEvent,
     figures::Figures,
     headers,
     housekeeping,
@@ -64,6 +66,7 @@
     pub(super) pool: Pool,
     pub(super) admission: AdmissionDesk,
     pub(super) claims: Rc<ClaimDesk>,
+    claim_lines: LineBudget,
     pub(super) detached: Rc<Detached>,
     pub(super) request_ids: RequestIds,
     pub(super) bodies: BodyWatch,
@@ -80,6 +83,9 @@
     teams: RefCell<TeamIndex>,
 }
 
+/// The most lines on claims in one second.
+const CLAIM_LINES_PER_S: u32 = 50;
+
 /// Teams by the hash of their key, for one configuration.
 #[derive(Default)]
 struct TeamIndex {
@@ -114,6 +120,7 @@
             pool,
             admission,
             claims,
+            claim_lines: LineBudget::new(CLAIM_LINES_PER_S),
             detached: Rc::default(),
             request_ids: RequestIds::default(),
             bodies: BodyWatch::default(),
@@ -133,6 +140,13 @@
         server
     }
 
+    /// Writes a line on a claim, within the bound on such lines.
+    pub(super) fn log_claim(&self, event: &LogEvent) {
+        let left_out = |lines| LogEvent::ClaimLinesLeftOut { lines }.emit();
+        let now = self.clock.now();
+        self.claim_lines.write(now, || event.emit(), left_out);
+    }
+
     /// Returns whether the balancer should send callers here.
     pub(super) fn is_ready(&self) -> bool {
         !self.draining.get() && self.snapshot.load().ready
--- a/lib/src/claims/attempt.rs
+++ b/lib/src/claims/attempt.rs
@@ -11,7 +11,8 @@
     output::{
         ClaimOutput,
         ClaimRefusal,
-        ClaimTiming, //
+        ClaimTiming,
+        VoterAnswer, //
     },
     tally::{
         Tally,
@@ -244,6 +245,14 @@
         matches!(self.phase, Phase::Running { .. })
     }
 
+    /// Returns what voters have said of the claim, for logs.
+    pub fn answers(&self) -> Vec<VoterAnswer> {
+        match &self.phase {
+            Phase::Acquiring(tally) => tally.answers(),
+            Phase::Running { .. } | Phase::Settling { .. } => Vec::new(),
+        }
+    }
+
     /// Returns whether nothing more is to be sent.
     pub fn is_over(&self, now: Timestamp) -> bool {
         match &self.phase {
--- a/lib/src/claims/coordinator.rs
+++ b/lib/src/claims/coordinator.rs
@@ -224,6 +224,7 @@
                 outputs.push(ClaimOutput::Refused {
                     attempt: number,
                     refusal,
+                    answers: attempt.answers(),
                 });
                 attempt.settle(AttemptEnd::NotRun, now);
                 outputs.extend(attempt.questions(now));
--- a/lib/src/claims/mod.rs
+++ b/lib/src/claims/mod.rs
@@ -22,7 +22,8 @@
 pub use output::{
     ClaimOutput,
     ClaimRefusal,
-    ClaimTiming, //
+    ClaimTiming,
+    VoterAnswer, //
 };
 pub use record::{
     ClaimRecord,
--- a/lib/src/claims/output.rs
+++ b/lib/src/claims/output.rs
@@ -1,11 +1,15 @@
 //! What an entry daemon is told to do about its attempts, and why some do not run.
 
-use std::time::Duration;
+use std::{
+    fmt,
+    time::Duration, //
+};
 
 use crate::{
     caller_api::ErrorCode,
     peer_api::{
         ClaimRequest,
+        ClaimVerdict,
         StoredOutcome, //
     },
     prelude::*,
@@ -60,9 +64,39 @@
         attempt: u64,
         /// Why.
         refusal: ClaimRefusal,
+        /// What each voter had said by then.
+        answers: Vec<VoterAnswer>,
     },
 }
 
+/// What a voter had said of an attempt when it was refused, for logs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct VoterAnswer {
+    /// Who.
+    pub voter: DaemonId,
+    /// What it said; `None` if it was silent.
+    pub verdict: Option<ClaimVerdict>,
+}
+
+impl fmt::Display for VoterAnswer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let voter = &self.voter;
+        match &self.verdict {
+            None => write!(f, "{voter}: silent"),
+            Some(ClaimVerdict::Held) => write!(f, "{voter}: held for this attempt"),
+            Some(ClaimVerdict::HeldByOther { holder, .. }) => {
+                write!(f, "{voter}: held by {}/{}", holder.daemon, holder.attempt)
+            }
+            Some(ClaimVerdict::Completed { .. }) => write!(f, "{voter}: completed"),
+            Some(ClaimVerdict::Recorded) => write!(f, "{voter}: recorded"),
+            Some(ClaimVerdict::Unavailable) => write!(f, "{voter}: unavailable"),
+            Some(ClaimVerdict::VotersChanged(voters)) => {
+                write!(f, "{voter}: voters changed to number {}", voters.number)
+            }
+        }
+    }
+}
+
 /// Why an attempt does not run; closed, so that each has a counter.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum ClaimRefusal {
--- a/lib/src/claims/tally.rs
+++ b/lib/src/claims/tally.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use super::output::VoterAnswer;
 use crate::{
     fleet::Voter,
     peer_api::{
@@ -66,6 +67,17 @@
         }
     }
 
+    /// Returns what each voter has said, for logs.
+    pub fn answers(&self) -> Vec<VoterAnswer> {
+        let voters = self.voters.voters.iter();
+        voters
+            .map(|voter| VoterAnswer {
+                voter: voter.daemon.clone(),
+                verdict: self.answers.get(voter).cloned(),
+            })
+            .collect()
+    }
+
     pub fn has_answered(&self, voter: &Voter) -> bool {
         self.answers.contains_key(voter)
     }
--- a/lib/tests/test_claims.rs
+++ b/lib/tests/test_claims.rs
@@ -725,7 +725,9 @@
                         .push(Message::ToControl(index, control, request));
                 }
                 ClaimOutput::Granted { attempt } => self.run(index, attempt),
-                ClaimOutput::Refused { attempt, refusal } => {
+                ClaimOutput::Refused {
+                    attempt, refusal, ..
+                } => {
                     self.note_refusal(index, attempt, &refusal);
                 }
             }
--- a/testing/integration/tests/test_at_most_once.rs
+++ b/testing/integration/tests/test_at_most_once.rs
@@ -183,6 +183,8 @@
     let ran_after_refusal = caller::started_with_key(&plain_vms(&deployment), "evidence-5");
     let given = eventually("the majority gives the receipt", STEP_LIMIT, || {
         let answer = receipt(&deployment, "cumbaya-entry-1", "evidence-5");
+        // Shown if the test fails: nothing else tells what the caller was answered.
+        println!("the majority answers {}: {}", answer.status, answer.text());
         (answer.status == 200).then_some(answer)
     });
 
