routed: what broke off asks for a permit like a first sending; fault proxy: a cut is a cut at once

A stream that broke off was lost where every other replica names a rate and no permit was at hand; now it asks for one. What is merely late does not, since the permit may not come.

The fixture: a_cut_off_domain_refuses_and_the_majority_gives_the_receipt failed 3 times in 57 runs beside six to ten busy processes. Each proxy now has a runtime of its own, whose end is the end of its sockets.

--- a/entry/src/serve/routed/rates.rs
+++ b/entry/src/serve/routed/rates.rs
@@ -175,16 +175,18 @@
         }
     }
 
+    /// Returns whether a replica may be had by asking for a permit.
+    pub(super) fn may_ask(&self) -> bool {
+        self.verdict == Verdict::MayUse && self.limited_pool().is_some()
+    }
+
     /// Chooses a replica; if only a permit is missing, asks for one.
     pub(super) async fn choose_or_ask(&mut self) -> bool {
         if self.choose() {
             return true;
         }
-        let pool = match self.verdict {
-            Verdict::MayUse => self.limited_pool(),
-            Verdict::Refused => None,
-        };
-        let Some(pool) = pool else {
+        let pool = self.limited_pool();
+        let Some(pool) = pool.filter(|_| self.verdict == Verdict::MayUse) else {
             return false;
         };
         let until = self
--- a/entry/src/serve/routed/run.rs
+++ b/entry/src/serve/routed/run.rs
@@ -97,12 +97,6 @@
     pub(super) rate: Option<RequestRate>,
 }
 
-/// What is left to do after a failed attempt.
-enum Next {
-    Again,
-    Refuse(RoutedRefusal),
-}
-
 impl RoutedRun {
     /// Takes a request in; the charts were checked when the daemon started.
     pub(super) fn new(server: &Rc<Server>, plan: Plan) -> Option<Self> {
@@ -166,9 +160,11 @@
                 },
                 Err(failure) => failure,
             };
-            if let Next::Refuse(reason) = self.failed(&failure, &sent) {
+            if !self.failed(&failure, &sent) || !self.choose_or_ask().await {
+                let reason = self.refusal_for(&failure);
                 return self.refuse(reason, &failure.to_string());
             }
+            self.log_again(&failure);
         }
     }
 
@@ -315,8 +311,8 @@
         left
     }
 
-    /// Takes note of a failed attempt and decides what follows.
-    fn failed(&mut self, failure: &Failure, sent: &SentBytes) -> Next {
+    /// Takes note of a failed attempt; returns whether another one may follow.
+    fn failed(&mut self, failure: &Failure, sent: &SentBytes) -> bool {
         // Whatever is still to be written to the failed attempt must not go out.
         let is_written = sent.seal() > 0;
         self.log_failure(failure);
@@ -353,11 +349,7 @@
         let actions = self
             .life
             .apply(event, |permit| permit == Permit::Retry && may_again);
-        if actions.contains(&RequestAction::Connect) && self.choose() {
-            self.log_again(failure);
-            return Next::Again;
-        }
-        Next::Refuse(self.refusal_for(failure))
+        actions.contains(&RequestAction::Connect)
     }
 
     fn connected(&mut self) {
@@ -373,7 +365,7 @@
         match failure {
             // Nothing arrived anywhere, so nothing is repeated.
             Failure::NotConnected(_) => {
-                self.connects < MOST_CONNECTS && !self.is_quarantined() && self.can_go_elsewhere()
+                self.connects < MOST_CONNECTS && !self.is_quarantined() && self.may_find_another()
             }
             Failure::TimeOver { .. } => false,
             Failure::Broken(_) | Failure::Status(_) | Failure::Slow(_)
@@ -381,26 +373,43 @@
             {
                 false
             }
-            _ => self.pay_for_another(self.attempts),
+            _ => self.may_find_another() && self.pay(self.attempts),
         }
     }
 
     /// Returns whether there is time, and another replica, for a further attempt.
     fn can_go_elsewhere(&self) -> bool {
-        self.plan.time_left() >= LEAST_LEFT && self.best(&self.server.view.load()).is_some()
+        self.has_time() && self.best(&self.server.view.load()).is_some()
+    }
+
+    /// Returns whether there is time, and another replica at hand or to be had by a permit.
+    ///
+    /// Only for an attempt that is lost: one that is merely late must not be given up for a
+    /// permit that may not come.
+    fn may_find_another(&self) -> bool {
+        self.can_go_elsewhere() || (self.has_time() && self.may_ask())
     }
 
-    /// Pays for an attempt after so many, if one is allowed.
+    fn has_time(&self) -> bool {
+        self.plan.time_left() >= LEAST_LEFT
+    }
+
+    /// Pays for an attempt after so many, if one is allowed and a replica is at hand.
     pub(super) fn pay_for_another(&self, made: u32) -> bool {
+        self.can_go_elsewhere() && self.pay(made)
+    }
+
+    fn pay(&self, made: u32) -> bool {
         made < self.plan.terms.route.most_attempts
             && self.may_be_repeated()
-            && self.can_go_elsewhere()
             && self.server.withdraw_repeat(&self.plan.terms.service)
     }
 
     /// Decides, and pays, for asking another replica for the rest of a stream.
     pub(super) fn may_resume(&self) -> bool {
-        self.plan.terms.route.kind.is_repeatable() && self.pay_for_another(self.attempts)
+        self.plan.terms.route.kind.is_repeatable()
+            && self.may_find_another()
+            && self.pay(self.attempts)
     }
 }
 
--- a/lib/src/rates/client.rs
+++ b/lib/src/rates/client.rs
@@ -152,9 +152,12 @@
     pub fn tick(&mut self, rates: &RateTable, entries: u32, now: Timestamp) -> Received {
         if rates.is_empty() {
             // Whoever is not asked does not answer.
-            self.led_at = None;
+            let was_asked = self.led_at.take().is_some();
             self.own_share.clear();
-            return Received::default();
+            return Received {
+                shares: was_asked.then(Vec::new),
+                ..Received::default()
+            };
         }
         let led_at = *self.led_at.get_or_insert(now);
         if now.since(led_at) < ALONE_AFTER {
--- a/testing/testutils/src/fault_proxy.rs
+++ b/testing/testutils/src/fault_proxy.rs
@@ -7,8 +7,7 @@
 
 use std::{
     io,
-    net::SocketAddr,
-    sync::OnceLock, //
+    net::SocketAddr, //
 };
 
 use bmrng::RequestSender;
@@ -39,8 +38,6 @@
 
 use crate::ports::reserve_address;
 
-/// Threads for all proxies of one test process.
-const PROXY_THREADS: usize = 2;
 /// How many fault changes wait for a proxy.
 const EVENT_BUFFER: usize = 16;
 
@@ -103,10 +100,13 @@
     }
 }
 
+/// A proxy that passes bytes on, with everything that does so.
 struct Running {
-    stopper: Stopper,
+    /// Its own, so that its end is the end of every connection.
+    runtime: Runtime,
     events: RequestSender<ToxicEvent, ToxicEventResult>,
-    closed: Close,
+    _stopper: Stopper,
+    _closed: Close,
 }
 
 /// One proxy: an address to give to clients, and the target behind it.
@@ -139,13 +139,13 @@
         self.listen
     }
 
-    /// Resets all connections and refuses new ones.
+    /// Resets all connections and refuses new ones; nothing passes once this returns.
+    ///
+    /// Asked to stop, noxious ends its listener first and each connection a moment later, on a
+    /// busy machine long enough for a message that is sent after the cut to pass. The end of
+    /// the runtime waits until every task, and with it every socket, is gone.
     pub fn cut(&mut self) {
-        if let Some(running) = self.running.take() {
-            running.stopper.stop();
-            // An error means that the proxy's task is gone, and its connections with it.
-            let _ = runtime().block_on(running.closed.recv());
-        }
+        drop(self.running.take());
     }
 
     /// Removes every fault; connections that a fault has harmed are not repaired.
@@ -157,7 +157,15 @@
         match &self.running {
             Some(_) => self.send(ToxicEventKind::RemoveAllToxics),
             None => {
-                self.running = Some(runtime().block_on(run(self.listen, self.target))?);
+                let runtime = runtime()?;
+                let proxy = runtime.block_on(run(self.listen, self.target))?;
+                let (events, stopper, closed) = proxy;
+                self.running = Some(Running {
+                    runtime,
+                    events,
+                    _stopper: stopper,
+                    _closed: closed,
+                });
             }
         }
         Ok(())
@@ -184,7 +192,8 @@
     fn send(&self, kind: ToxicEventKind) {
         let running = self.running.as_ref().expect("the proxy is cut");
         let event = ToxicEvent::new(self.listen.to_string(), kind);
-        runtime()
+        running
+            .runtime
             .block_on(running.events.send_receive(event))
             .expect("the proxy's task is gone")
             .expect("the proxy refused the fault");
@@ -197,18 +206,17 @@
     }
 }
 
-fn runtime() -> &'static Runtime {
-    static RUNTIME: OnceLock<Runtime> = OnceLock::new();
-    RUNTIME.get_or_init(|| {
-        tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(PROXY_THREADS)
-            .enable_all()
-            .build()
-            .expect("the proxies' runtime")
-    })
+/// Returns the runtime of one proxy, with one thread.
+fn runtime() -> io::Result<Runtime> {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
 }
 
-async fn run(listen: SocketAddr, target: SocketAddr) -> io::Result<Running> {
+type Handles = (RequestSender<ToxicEvent, ToxicEventResult>, Stopper, Close);
+
+async fn run(listen: SocketAddr, target: SocketAddr) -> io::Result<Handles> {
     let config = ProxyConfig {
         name: listen.to_string(),
         listen: listen.to_string(),
@@ -225,9 +233,5 @@
         // The result repeats what the test sees: the connections are gone.
         let _ = ProxyRunner::run_proxy(listener, info, receiver, stop, closer).await;
     });
-    Ok(Running {
-        stopper,
-        events,
-        closed,
-    })
+    Ok((events, stopper, closed))
 }
