rates: the leader numbers its messages in one sequence; issuer in three files

Found by reading: a daemon that was silent for 1.2 s was forgotten by the leader, whose messages to it then began at 1 again and were taken for old ones there, for as long as it takes to count up; callers there were refused what others got.

--- a/lib/src/rates/issuer.rs
+++ b/lib/src/rates/issuer.rs
@@ -9,7 +9,6 @@
 };
 
 use super::{
-    Ask,
     Caller,
     PermitAsk,
     PermitNews,
@@ -17,7 +16,13 @@
     PoolShare,
     RateTable,
     client::VALID_FOR,
-    shares::share_out, //
+    requester::{
+        Precedence,
+        Requester,
+        serve_first_waiting, //
+    },
+    shares::share_out,
+    turns::PoolTurns, //
 };
 use crate::{
     prelude::*,
@@ -33,19 +38,16 @@
 /// One request goes to an upstream that names less than one in this time: otherwise nothing is
 /// sent to it, and nothing tells when it names more.
 pub(super) const LONGEST_TRIAL: Duration = Duration::from_secs(10);
-/// How fast what an entry daemon asks for is averaged.
-const AVERAGED_OVER_S: f64 = 2.0;
 /// How often it is found out which pools are short.
 const WEIGHED_EVERY: Duration = Duration::from_millis(200);
 /// Which part of the sum is let in while a pool is short. Requests come unevenly: if all permits
 /// were spoken for, one that goes first would find none in the time that it can wait.
 const LET_IN_PART: f64 = 0.9;
-/// What is asked for less often than this counts as not asked for.
-const LEAST_ASKED_PER_S: f64 = 0.001;
 /// An entry daemon that has not asked for so long gets nothing.
 const ASKS_HOLD: Duration = Duration::from_millis(1_200);
 /// A pool is short no longer once less than this part of the sum is asked for.
 const ENOUGH_PART: f64 = 0.8;
+
 /// What the leader goes by.
 #[derive(Clone, Copy, Debug)]
 pub struct IssuerView<'a> {
@@ -77,135 +79,12 @@
     pub rates_per_s: f64,
 }
 
-#[derive(Clone, Debug, Default)]
-struct Requester {
-    echo_ms: u64,
-    heard_at: Timestamp,
-    number: u64,
-    /// The number of the last message that held permits.
-    number_of_permits: u64,
-    is_answer_due: bool,
-    /// Requests a second, averaged.
-    asked: BTreeMap<Pool, BTreeMap<Caller, f64>>,
-    /// How many requests that waited were served.
-    served: u64,
-    /// Requests that wait for a permit.
-    waiting: BTreeMap<Pool, BTreeMap<Precedence, u32>>,
-}
-
-/// Who goes first of those that wait: higher ranks, then callers that ask for less than their
-/// part, as nobody else lacks what these get.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct Precedence {
-    rank: u8,
-    asks_for_more: bool,
-}
-
-impl Requester {
-    /// Returns which of the requests that wait goes first.
-    fn first_waiting(&self, pool: &Pool) -> Option<Precedence> {
-        let mut waiting = self.waiting.get(pool)?.iter();
-        let first = waiting.find(|(_, count)| **count > 0);
-        first.map(|(precedence, _)| *precedence)
-    }
-
-    /// Notes that a request has its permit.
-    fn serve_waiting(&mut self, pool: &Pool, precedence: Precedence) {
-        self.served += 1;
-        let waiting = self.waiting.get_mut(pool);
-        if let Some(count) = waiting.and_then(|waiting| waiting.get_mut(&precedence)) {
-            *count = count.saturating_sub(1);
-        }
-    }
-
-    /// Returns how many requests a second it has for a pool.
-    fn asked_per_s(&self, pool: &Pool) -> f64 {
-        self.asked
-            .get(pool)
-            .into_iter()
-            .flatten()
-            .map(|(_, per_s)| per_s)
-            .sum()
-    }
-
-    /// Averages what it asks for, over the time since its last ask.
-    fn note_asked(&mut self, asks: &[Ask], passed_s: f64) {
-        let weight = 1.0 - (-passed_s / AVERAGED_OVER_S).exp();
-        for asked in self.asked.values_mut() {
-            asked.values_mut().for_each(|per_s| *per_s *= 1.0 - weight);
-            asked.retain(|_, per_s| *per_s > LEAST_ASKED_PER_S);
-        }
-        self.asked.retain(|_, asked| !asked.is_empty());
-        for ask in asks.iter().filter(|ask| ask.requests > 0) {
-            let asked = self.asked.entry(ask.pool.clone()).or_default();
-            *asked.entry(ask.caller.clone()).or_default() +=
-                f64::from(ask.requests) / passed_s * weight;
-        }
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
     tokens: f64,
     at: Timestamp,
 }
 
-/// A pool's turns and whether it is short.
-#[derive(Clone, Debug, Default)]
-struct PoolTurns {
-    /// The daemons that get permits before they ask.
-    turns: Vec<Turn>,
-    /// Whether a request waits at some daemon.
-    is_waited_for: bool,
-    /// Which part of each caller's requests may go, while the pool is short.
-    parts: Option<BTreeMap<Caller, f64>>,
-}
-
-/// One daemon's turns among those of a pool; the one with the least position is next.
-#[derive(Clone, Debug)]
-struct Turn {
-    daemon: DaemonId,
-    /// How far one permit takes it: the more requests a daemon has, the less.
-    stride: f64,
-    position: f64,
-}
-
-impl PoolTurns {
-    /// Replaces the weights of all daemons; each keeps its position among them.
-    fn set_weights(&mut self, weights: impl Iterator<Item = (DaemonId, f64)>) {
-        let least = self.turns.iter().map(|turn| turn.position);
-        let least = least.reduce(f64::min).unwrap_or_default();
-        let before = std::mem::take(&mut self.turns);
-        let before: BTreeMap<DaemonId, f64> = before
-            .into_iter()
-            .map(|turn| (turn.daemon, turn.position - least))
-            .collect();
-        let weighty = weights.filter(|(_, weight)| *weight > 0.0);
-        self.turns = weighty
-            .map(|(daemon, weight)| Turn {
-                position: before.get(&daemon).copied().unwrap_or(1.0 / weight),
-                stride: 1.0 / weight,
-                daemon,
-            })
-            .collect();
-    }
-
-    /// Returns whose turn it is.
-    fn take_turn(&mut self) -> Option<DaemonId> {
-        let turns = self.turns.iter_mut();
-        let next = turns.min_by(|one, other| one.position.total_cmp(&other.position))?;
-        next.position += next.stride;
-        Some(next.daemon.clone())
-    }
-
-    /// Returns whether not all requests of a caller may go.
-    fn is_cut(&self, caller: &Caller) -> bool {
-        let parts = self.parts.as_ref();
-        let part = parts.and_then(|parts| parts.get(caller));
-        part.is_some_and(|part| *part < 1.0)
-    }
-}
-
 /// Issues permits as long as this daemon leads.
 #[derive(Debug)]
 pub struct PermitIssuer {
@@ -215,6 +94,9 @@
     buckets: BTreeMap<InstanceId, Bucket>,
     pools: BTreeMap<Pool, PoolTurns>,
     weighing_due: Timestamp,
+    /// The number of the last message. One sequence for all daemons: the leader forgets a daemon
+    /// that is silent for a while, and one that began anew would be taken for old messages there.
+    number: u64,
     changes: Vec<IssuerChange>,
 }
 
@@ -228,6 +110,7 @@
             buckets: BTreeMap::new(),
             pools: BTreeMap::new(),
             weighing_due: Timestamp::default(),
+            number: 0,
             changes: Vec::new(),
         }
     }
@@ -399,15 +282,15 @@
             }
             let is_answer = std::mem::take(&mut requester.is_answer_due);
             let shares = is_answer.then(|| shares(requester, &self.pools));
-            requester.number += 1;
+            self.number += 1;
             if !permits.is_empty() {
-                requester.number_of_permits = requester.number;
+                requester.number_of_permits = self.number;
             }
             news.push((
                 daemon.clone(),
                 PermitNews {
                     term: self.term,
-                    number: requester.number,
+                    number: self.number,
                     echo_ms: requester.echo_ms,
                     permits: permits.into_iter().collect(),
                     shares,
@@ -435,22 +318,6 @@
     rate.per_s().max(1.0 / LONGEST_TRIAL.as_secs_f64()) * heard.min(1.0)
 }
 
-/// Gives a permit to the first of the requests that wait for a pool; returns where it is.
-fn serve_first_waiting(
-    requesters: &mut BTreeMap<DaemonId, Requester>,
-    pool: &Pool,
-) -> Option<DaemonId> {
-    let waiting = requesters.iter_mut().filter_map(|(daemon, requester)| {
-        let precedence = requester.first_waiting(pool)?;
-        Some((precedence, requester.served, daemon, requester))
-    });
-    // Of equals the daemon that was served longest ago.
-    let first = waiting.min_by_key(|(precedence, served, ..)| (*precedence, *served));
-    let (precedence, _, daemon, requester) = first?;
-    requester.serve_waiting(pool, precedence);
-    Some(daemon.clone())
-}
-
 /// Returns what a daemon gets of the pools that are short.
 fn shares(requester: &Requester, pools: &BTreeMap<Pool, PoolTurns>) -> Vec<PoolShare> {
     let short = pools.iter().filter_map(|(pool, turns)| {
--- a/lib/src/rates/mod.rs
+++ b/lib/src/rates/mod.rs
@@ -11,9 +11,11 @@
 mod issuer;
 mod ledger;
 mod own_share;
+mod requester;
 mod shares;
 mod spread;
 mod store;
+mod turns;
 
 pub use ask::{
     Ask,
--- a/lib/tests/test_claims.rs
+++ b/lib/tests/test_claims.rs
@@ -429,6 +429,8 @@
 #[case::disks_full([HELD, Some(ClaimVerdict::Unavailable), Some(ClaimVerdict::Unavailable)], Some("no_majority"))]
 #[case::held_by_living([by("entry-2"), by("entry-2"), HELD], Some("in_progress"))]
 #[case::held_by_gone([by("entry-3"), by("entry-3"), HELD], Some("outcome_unknown"))]
+#[case::asked_as_a_cut_began([HELD, by("entry-2"), None], Some("in_progress"))]
+#[case::after_that_cut([HELD, by("entry-2"), HELD], None)]
 #[case::may_have_majority([HELD, by("entry-3"), None], Some("outcome_unknown"))]
 #[case::split([HELD, by("entry-2"), by("entry-3")], Some("contended"))]
 #[case::one_knows_the_outcome([by("entry-3"), HELD, done(false)], Some("already_completed"))]
--- a/lib/tests/test_rates/test_bound.rs
+++ b/lib/tests/test_rates/test_bound.rs
@@ -176,3 +176,25 @@
     // The first two seconds are the leader's wait.
     assert!(served.refused * 20 <= all, "{served:?}");
 }
+
+#[test]
+fn a_daemon_that_was_silent_for_a_while_gets_permits_again() {
+    // A daemon is stopped for some seconds, and for as long as the leader goes on it is refused
+    // what all others get: the leader had forgotten it and numbered its messages anew, so the
+    // daemon took them for old ones.
+    let mut world = World::new(3, &[6.0], 7);
+    world.is_mixed = false;
+    world.load = vec![(caller(1, "a"), 4.0)];
+    world.run(90_000);
+    world.reach(0..3, None);
+    world.run(4_000);
+    world.reach(0..3, Some(0));
+    world.run(3_000);
+    world.served.clear();
+
+    world.run(20_000);
+
+    let served = world.served[&caller(1, "a")];
+    let all = served.sent + served.refused;
+    assert!(served.refused * 20 <= all, "{served:?}");
+}
