discovery, rates, claims: one piece of code where the change had two

Found on rereading the change. Cause: what crashes had was written again for rates. Discovery sends both by one path in each daemon (nine functions were four pairs and a loop); a rate's text stood three times; the name of a claim's holder twice; the counter of ended permits counted one by one beside Metrics::count_many; a control daemon that does not lead sorted upstreams into pools for nobody, and the entry daemon's thread locked the permits at each turn though no upstream names a rate.

--- a/control/src/claims/thread.rs
+++ b/control/src/claims/thread.rs
@@ -12,7 +12,6 @@
         ClaimAction,
         ClaimReply,
         ClaimVerdict,
-        Claimant,
         PeerMessage,
         VoterSet, //
     },
@@ -147,11 +146,10 @@
         else {
             return;
         };
-        let name = |one: &Claimant| format!("{}/{}", one.daemon, one.attempt);
         let line = || {
             LogEvent::HeldByOther {
-                claimant: name(claimant),
-                holder: name(holder),
+                claimant: claimant.to_string(),
+                holder: holder.to_string(),
             }
             .emit();
         };
--- a/control/src/members/permits.rs
+++ b/control/src/members/permits.rs
@@ -72,15 +72,17 @@
         peers: &PeerSender,
         now: Timestamp,
     ) {
-        let changed = discovery.changed_rates();
-        if changed.is_some() || now >= self.pools_due {
-            self.pools_due = now + POOLS_EVERY;
-            self.rates = changed.unwrap_or_else(|| std::mem::take(&mut self.rates));
-            self.pools = pools(discovery.registry(), &self.rates);
+        if let Some(rates) = discovery.changed_rates() {
+            self.rates = rates;
+            self.pools_due = now;
         }
         let Some((_, issuer)) = &mut self.issuer else {
             return;
         };
+        if now >= self.pools_due {
+            self.pools_due = now + POOLS_EVERY;
+            self.pools = pools(discovery.registry(), &self.rates);
+        }
         let (entries_heard, entries_known) = discovery.entries(now);
         let news = issuer.tick(IssuerView {
             rates: &self.rates,
--- a/control/src/members/thread.rs
+++ b/control/src/members/thread.rs
@@ -358,11 +358,10 @@
 }
 
 fn log_rate(change: RateChange) {
-    let text = |rate: Option<RequestRate>| rate.map_or("none".to_owned(), |rate| rate.to_string());
     LogEvent::RateChanged {
         instance: change.id,
-        rate: text(change.rate),
-        before: text(change.before),
+        rate: RequestRate::text(change.rate),
+        before: RequestRate::text(change.before),
         age_ms: change.age_ms,
     }
     .emit();
--- a/entry/src/members/thread.rs
+++ b/entry/src/members/thread.rs
@@ -213,9 +213,12 @@
 
     /// Asks for permits, if some upstream names a rate and it is time.
     fn ask_for_permits(&mut self) {
+        if self.rates.is_empty() {
+            return;
+        }
         let now = self.now();
         let is_waiting = self.setup.permits.store().is_waited_for();
-        if !self.client.is_ask_due(&self.rates, is_waiting, now) {
+        if !self.client.is_ask_due(is_waiting, now) {
             return;
         }
         let asks = self.setup.permits.store().read_asks();
@@ -406,11 +409,10 @@
 }
 
 fn log_rate(change: RateChange) {
-    let text = |rate: Option<RequestRate>| rate.map_or("none".to_owned(), |rate| rate.to_string());
     LogEvent::RateChanged {
         instance: change.id,
-        rate: text(change.rate),
-        before: text(change.before),
+        rate: RequestRate::text(change.rate),
+        before: RequestRate::text(change.before),
         age_ms: change.age_ms,
     }
     .emit();
--- a/entry/src/serve/routed/account.rs
+++ b/entry/src/serve/routed/account.rs
@@ -4,7 +4,8 @@
 
 use cicadabend::{
     chart::RequestEvent,
-    dispatch::Outcome, //
+    dispatch::Outcome,
+    prelude::*, //
 };
 
 use super::{
@@ -18,7 +19,6 @@
         Failure,
         replica_name, //
     },
-    rates,
     run::RoutedRun, //
 };
 
@@ -48,7 +48,7 @@
             attempts: self.attempts,
             expected_ms: self.expected_ms as u64,
             outstanding: self.outstanding as u64,
-            rate: rates::text(self.rate),
+            rate: RequestRate::text(self.rate),
             first_ms: u64::try_from(first_ms).unwrap_or(u64::MAX),
             took_ms: self.took_ms(),
             routes: self.plan.terms.routes,
--- a/entry/src/serve/routed/attempt.rs
+++ b/entry/src/serve/routed/attempt.rs
@@ -26,6 +26,10 @@
 const LEAST_PATIENCE_WHOLE: Duration = Duration::from_millis(150);
 /// How much more than expected a first event may take before it is unusually late.
 const PATIENCE_FACTOR: f64 = 4.0;
+/// How often a connection may fail before the request is given up.
+const MOST_CONNECTS: u32 = 4;
+/// A repeat with less time than this could not be answered.
+const LEAST_LEFT: Duration = Duration::from_millis(30);
 
 impl RoutedRun {
     /// Makes one attempt, bounded by the request's time and by patience.
@@ -89,6 +93,61 @@
         self.is_paid
     }
 
+    /// Decides, and pays, for another attempt.
+    pub(super) fn may_go_again(&mut self, failure: &Failure) -> bool {
+        if std::mem::take(&mut self.is_paid) {
+            return true;
+        }
+        match failure {
+            // Nothing arrived anywhere, so nothing is repeated.
+            Failure::NotConnected(_) => {
+                self.connects < MOST_CONNECTS && !self.is_quarantined() && self.may_find_another()
+            }
+            Failure::TimeOver { .. } => false,
+            Failure::Broken(_) | Failure::Status(_) | Failure::Slow(_)
+                if !self.plan.terms.route.kind.is_repeatable() =>
+            {
+                false
+            }
+            _ => self.may_find_another() && self.pay(self.attempts),
+        }
+    }
+
+    /// Returns whether there is time, and another replica, for a further attempt.
+    fn can_go_elsewhere(&self) -> bool {
+        self.has_time() && self.best(&self.server.view.load()).is_some()
+    }
+
+    /// Returns whether there is time, and another replica at hand or to be had by a permit.
+    ///
+    /// Only for an attempt that is lost: one that is merely late must not be given up for a
+    /// permit that may not come.
+    fn may_find_another(&self) -> bool {
+        self.can_go_elsewhere() || (self.has_time() && self.may_ask())
+    }
+
+    fn has_time(&self) -> bool {
+        self.plan.time_left() >= LEAST_LEFT
+    }
+
+    /// Pays for an attempt after so many, if one is allowed and a replica is at hand.
+    fn pay_for_another(&self, made: u32) -> bool {
+        self.can_go_elsewhere() && self.pay(made)
+    }
+
+    fn pay(&self, made: u32) -> bool {
+        made < self.plan.terms.route.most_attempts
+            && self.may_be_repeated()
+            && self.server.withdraw_repeat(&self.plan.terms.service)
+    }
+
+    /// Decides, and pays, for asking another replica for the rest of a stream.
+    pub(super) fn may_resume(&self) -> bool {
+        self.plan.terms.route.kind.is_repeatable()
+            && self.may_find_another()
+            && self.pay(self.attempts)
+    }
+
     pub(super) fn note_first_part(&mut self, began: Instant) {
         self.attempts += 1;
         self.first_part = Some(self.plan.terms.arrived.elapsed());
--- a/entry/src/serve/routed/counts.rs
+++ b/entry/src/serve/routed/counts.rs
@@ -101,6 +101,10 @@
         self.metrics.count(event);
     }
 
+    pub(super) fn count_many(&self, event: Routed, events: u64) {
+        self.metrics.count_many(event, events);
+    }
+
     pub(super) fn refusal(&self, reason: RoutedRefusal) {
         self.metrics.count(reason);
     }
--- a/entry/src/serve/routed/rates.rs
+++ b/entry/src/serve/routed/rates.rs
@@ -67,8 +67,8 @@
         server.log(&LogEvent::RateNamed {
             request: request.to_owned(),
             instance: id.clone(),
-            rate: text(rate),
-            before: text(before),
+            rate: RequestRate::text(rate),
+            before: RequestRate::text(before),
         });
     }
     if rate.is_some() || before.is_some() || server.view.load().rates.contains_key(id) {
@@ -90,11 +90,6 @@
     }
 }
 
-/// Returns a rate as logs show it.
-pub(super) fn text(rate: Option<RequestRate>) -> String {
-    rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string())
-}
-
 fn pool_of(replica: &RoutedReplica) -> Pool {
     Pool {
         service: replica.service.clone(),
--- a/entry/src/serve/routed/server.rs
+++ b/entry/src/serve/routed/server.rs
@@ -149,9 +149,7 @@
 
     fn drop_ended_permits(&self) {
         let ended = self.permits.store().drop_ended(self.clock.now());
-        for _ in 0..ended {
-            self.counts.count(Routed::PermitsEnded);
-        }
+        self.counts.count_many(Routed::PermitsEnded, ended as u64);
     }
 
     fn with_budget<T>(&self, service: &ServiceName, act: impl FnOnce(&mut WindowBudget) -> T) -> T {
--- a/lib/src/claims/output.rs
+++ b/lib/src/claims/output.rs
@@ -85,7 +85,7 @@
             None => write!(f, "{voter}: silent"),
             Some(ClaimVerdict::Held) => write!(f, "{voter}: held for this attempt"),
             Some(ClaimVerdict::HeldByOther { holder, .. }) => {
-                write!(f, "{voter}: held by {}/{}", holder.daemon, holder.attempt)
+                write!(f, "{voter}: held by {holder}")
             }
             Some(ClaimVerdict::Completed { .. }) => write!(f, "{voter}: completed"),
             Some(ClaimVerdict::Recorded) => write!(f, "{voter}: recorded"),
--- a/lib/src/discovery/control.rs
+++ b/lib/src/discovery/control.rs
@@ -227,10 +227,11 @@
         if hello.wants_all && (role == DaemonRole::Control || hello.subscribes) {
             let all = news::all(&self.registry, now);
             self.send(&daemon, PeerMessage::Upstreams(Box::new(all)));
-            let crashes = self.crashes.all(now);
-            self.send_crashes(std::slice::from_ref(&daemon), crashes);
-            let rates = self.rates.all(now);
-            self.send_rates(std::slice::from_ref(&daemon), rates);
+            let crashes = news::crashes(self.crashes.all(now));
+            let rates = news::rates(self.rates.all(now));
+            for message in crashes.into_iter().chain(rates) {
+                self.send(&daemon, message);
+            }
         }
         self.send_routes(&daemon, routes, now);
     }
@@ -354,7 +355,7 @@
         for change in self.rates.take(news, true, now) {
             self.log(Learnt::Rate(change));
         }
-        self.pass_rates_on(now);
+        self.pass_news_on(now);
     }
 
     /// Returns the rates in force, if they may have changed since the last time.
@@ -411,8 +412,7 @@
             self.log_silence(now);
         }
         self.pass_on(now);
-        self.pass_crashes_on(now);
-        self.pass_rates_on(now);
+        self.pass_news_on(now);
     }
 
     fn greet(&mut self, routes: NewestRoutes, now: Timestamp) {
@@ -484,41 +484,16 @@
         }
     }
 
-    fn pass_crashes_on(&mut self, now: Timestamp) {
-        let news = self.crashes.due(now);
-        if news.is_empty() {
-            return;
-        }
-        let mut to = self.subscribers(now);
-        to.extend(self.controls_here(now));
-        self.send_crashes(&to, news);
-    }
-
-    fn pass_rates_on(&mut self, now: Timestamp) {
-        let news = self.rates.due(now);
-        if news.is_empty() {
-            return;
-        }
-        let mut to = self.subscribers(now);
-        to.extend(self.controls_here(now));
-        self.send_rates(&to, news);
-    }
-
-    fn send_rates(&mut self, to: &[DaemonId], news: RateNews) {
-        if news.is_empty() {
-            return;
-        }
-        for daemon in to {
-            self.send(daemon, PeerMessage::Rates(Box::new(news.clone())));
-        }
-    }
-
-    fn send_crashes(&mut self, to: &[DaemonId], news: CrashNews) {
-        if news.is_empty() {
-            return;
-        }
-        for daemon in to {
-            self.send(daemon, PeerMessage::Crashes(Box::new(news.clone())));
+    /// Passes on what is known of crashes and of named rates, as far as it is due.
+    fn pass_news_on(&mut self, now: Timestamp) {
+        let crashes = news::crashes(self.crashes.due(now));
+        let rates = news::rates(self.rates.due(now));
+        for message in crashes.into_iter().chain(rates) {
+            let mut to = self.subscribers(now);
+            to.extend(self.controls_here(now));
+            for daemon in to {
+                self.send(&daemon, message.clone());
+            }
         }
     }
 
--- a/lib/src/discovery/entry.rs
+++ b/lib/src/discovery/entry.rs
@@ -13,6 +13,7 @@
         Action,
         Learnt, //
     },
+    news,
     sources, //
 };
 use crate::{
@@ -27,7 +28,6 @@
     },
     prelude::*,
     quarantine::{
-        Change,
         CrashNews,
         CrashSpread,
         Fingerprint,
@@ -35,7 +35,6 @@
         SuspectTable, //
     },
     rates::{
-        RateChange,
         RateNews,
         RateSpread,
         RateTable, //
@@ -162,10 +161,9 @@
             let learnt = Learnt::DaemonFound(from.clone(), DaemonRole::Control);
             self.actions.push(Action::Log(learnt));
             // What was told while it was not in touch is lost.
-            let own = self.crashes.own(now);
-            self.send_crashes([from.clone()], own);
-            let rates = self.rates.all(now);
-            self.send_rates([from.clone()], rates);
+            let crashes = news::crashes(self.crashes.own(now));
+            let rates = news::rates(self.rates.all(now));
+            self.send_each(std::slice::from_ref(from), crashes.into_iter().chain(rates));
         }
         self.members.take_roster(news, now);
         self.told_by.insert(from.clone(), news.told_by.clone());
@@ -202,7 +200,7 @@
     /// Takes in which requests upstreams had when they ended.
     pub fn hear_crashes(&mut self, news: &CrashNews, now: Timestamp) {
         let changes = self.crashes.take(news, now);
-        self.log_changes(changes);
+        self.log(changes.into_iter().map(Learnt::Quarantine));
     }
 
     /// Notes what was seen here of requests, and tells control daemons at once.
@@ -212,15 +210,15 @@
             let change = self.crashes.observe(*fingerprint, *observation, now);
             changes.extend(change);
         }
-        self.log_changes(changes);
-        self.tell_crashes(now);
+        self.log(changes.into_iter().map(Learnt::Quarantine));
+        self.tell_controls(now);
     }
 
     /// Takes in what upstreams named in answers to other daemons.
     pub fn hear_rates(&mut self, news: &RateNews, now: Timestamp) {
         let changes = self.rates.take(news, false, now);
-        self.log_rates(changes);
-        self.tell_rates(now);
+        self.log(changes.into_iter().map(Learnt::Rate));
+        self.tell_controls(now);
     }
 
     /// Notes what an upstream named in an answer that came here, and tells control daemons at
@@ -233,8 +231,8 @@
         now: Timestamp,
     ) {
         let change = self.rates.observe(id, rate, times, now);
-        self.log_rates(change);
-        self.tell_rates(now);
+        self.log(change.into_iter().map(Learnt::Rate));
+        self.tell_controls(now);
     }
 
     /// Returns the rates in force, if they may have changed since the last time.
@@ -247,50 +245,29 @@
         self.members.controls_by_preference(now)
     }
 
-    fn log_rates(&mut self, changes: impl IntoIterator<Item = RateChange>) {
-        let logs = changes.into_iter().map(Learnt::Rate);
-        self.actions.extend(logs.map(Action::Log));
-    }
-
-    fn tell_rates(&mut self, now: Timestamp) {
-        let news = self.rates.due(now);
-        let controls = self.members.controls_by_preference(now);
-        self.send_rates(controls, news);
-    }
-
-    fn send_rates(&mut self, to: impl IntoIterator<Item = DaemonId>, news: RateNews) {
-        if news.is_empty() {
-            return;
-        }
-        for daemon in to {
-            let message = PeerMessage::Rates(Box::new(news.clone()));
-            self.actions.push(Action::Send(daemon, message));
-        }
-    }
-
     /// Returns what requests are judged by, if it may have changed since the last time.
     pub fn changed_suspects(&mut self) -> Option<SuspectTable> {
         self.crashes.changed_table()
     }
 
-    fn log_changes(&mut self, changes: Vec<Change>) {
-        let logs = changes.into_iter().map(Learnt::Quarantine);
-        self.actions.extend(logs.map(Action::Log));
+    fn log(&mut self, learnt: impl Iterator<Item = Learnt>) {
+        self.actions.extend(learnt.map(Action::Log));
     }
 
-    fn tell_crashes(&mut self, now: Timestamp) {
-        let news = self.crashes.due(now);
+    /// Tells control daemons of crashes and of named rates, as far as it is due.
+    fn tell_controls(&mut self, now: Timestamp) {
+        let crashes = news::crashes(self.crashes.due(now));
+        let rates = news::rates(self.rates.due(now));
         let controls = self.members.controls_by_preference(now);
-        self.send_crashes(controls, news);
+        self.send_each(&controls, crashes.into_iter().chain(rates));
     }
 
-    fn send_crashes(&mut self, to: impl IntoIterator<Item = DaemonId>, news: CrashNews) {
-        if news.is_empty() {
-            return;
-        }
-        for daemon in to {
-            let message = PeerMessage::Crashes(Box::new(news.clone()));
-            self.actions.push(Action::Send(daemon, message));
+    fn send_each(&mut self, to: &[DaemonId], messages: impl Iterator<Item = PeerMessage>) {
+        for message in messages {
+            let sends = to
+                .iter()
+                .map(|daemon| Action::Send(daemon.clone(), message.clone()));
+            self.actions.extend(sends);
         }
     }
 
@@ -298,11 +275,10 @@
     pub fn tick(&mut self, now: Timestamp) {
         self.registry.forget_old(now);
         self.crashes.forget_old(now);
-        self.tell_crashes(now);
         let registry = &self.registry;
         let forgotten = self.rates.forget(|id| registry.ended(id).is_some(), now);
-        self.log_rates(forgotten);
-        self.tell_rates(now);
+        self.log(forgotten.into_iter().map(Learnt::Rate));
+        self.tell_controls(now);
         for (daemon, silence) in self.members.newly_silent(now) {
             let learnt = Learnt::DaemonSilent(daemon, silence);
             self.actions.push(Action::Log(learnt));
--- a/lib/src/discovery/news.rs
+++ b/lib/src/discovery/news.rs
@@ -6,8 +6,13 @@
 };
 
 use crate::{
-    peer_api::UpstreamNews,
+    peer_api::{
+        PeerMessage,
+        UpstreamNews, //
+    },
     prelude::*,
+    quarantine::CrashNews,
+    rates::RateNews,
     registry::{
         Alive,
         Ended,
@@ -104,6 +109,16 @@
     }
 }
 
+/// Returns the message that tells of crashes, if there are any.
+pub(super) fn crashes(news: CrashNews) -> Option<PeerMessage> {
+    (!news.is_empty()).then(|| PeerMessage::Crashes(Box::new(news)))
+}
+
+/// Returns the message that tells of named rates, if there are any.
+pub(super) fn rates(news: RateNews) -> Option<PeerMessage> {
+    (!news.is_empty()).then(|| PeerMessage::Rates(Box::new(news)))
+}
+
 /// Returns whether there is nothing to pass on.
 pub(super) fn is_empty(news: &UpstreamNews) -> bool {
     news.reports.is_empty() && news.alive.is_empty() && news.ended.is_empty()
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -3,9 +3,12 @@
 //! Every message is one-way and may be lost, doubled or reordered; what needs an
 //! answer says so in its own fields.
 
-use std::collections::{
-    BTreeMap,
-    BTreeSet, //
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    fmt,
 };
 
 use serde::{
@@ -440,6 +443,12 @@
     pub attempt: u64,
 }
 
+impl fmt::Display for Claimant {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.daemon, self.attempt)
+    }
+}
+
 /// What an entry daemon asks of the replicas of a claim.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum ClaimAction {
--- a/lib/src/rates/client.rs
+++ b/lib/src/rates/client.rs
@@ -86,13 +86,12 @@
     }
 
     /// Returns whether it is time to ask; somebody may wait.
-    pub fn is_ask_due(&self, rates: &RateTable, is_waiting: bool, now: Timestamp) -> bool {
+    pub fn is_ask_due(&self, is_waiting: bool, now: Timestamp) -> bool {
         let pause = match is_waiting {
             true => ASK_LEAST,
             false => ASK_EVERY,
         };
-        let is_due = self.asked_at.is_none_or(|at| now.since(at) >= pause);
-        is_due && !rates.is_empty()
+        self.asked_at.is_none_or(|at| now.since(at) >= pause)
     }
 
     /// Returns an ask and to whom of the control daemons it goes.
--- a/lib/src/units.rs
+++ b/lib/src/units.rs
@@ -79,6 +79,11 @@
     pub fn per_s(self) -> f64 {
         self.0 as f64 / 1_000.0
     }
+
+    /// Returns a rate as logs show it, "none" if there is none.
+    pub fn text(rate: Option<Self>) -> String {
+        rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string())
+    }
 }
 
 impl fmt::Display for RequestRate {
--- a/lib/tests/test_rates/world.rs
+++ b/lib/tests/test_rates/world.rs
@@ -397,7 +397,7 @@
             let now = self.clock_of(number);
             let entry = &mut self.entries[number];
             let is_waiting = entry.store.is_waited_for();
-            if !entry.client.is_ask_due(&self.rates, is_waiting, now) {
+            if !entry.client.is_ask_due(is_waiting, now) {
                 continue;
             }
             let (_, ask) = entry.client.ask(entry.store.read_asks(), Vec::new(), now);
