--- a/entry/src/serve/routed/rates.rs
+++ b/entry/src/serve/routed/rates.rs
@@ -130,10 +130,9 @@
             return true;
         }
         let now = self.server.clock.now();
-        let store = self.server.permits.store();
         match self.verdict {
-            Verdict::MayUse => store.has(&replica.id, now),
-            Verdict::Refused => store.ends_soon(&replica.id, now),
+            Verdict::MayUse => self.server.permits.store().has(&replica.id, now),
+            Verdict::Refused => false,
         }
     }
 
--- a/entry/src/serve/routed/run.rs
+++ b/entry/src/serve/routed/run.rs
@@ -64,7 +64,6 @@
     RoutedView, //
 };
 
-
 /// A request from its arrival to its end; dropping it earlier means that its caller left.
 pub(super) struct RoutedRun {
     pub(super) server: Rc<Server>,
--- a/entry/src/serve/routed/server.rs
+++ b/entry/src/serve/routed/server.rs
@@ -149,6 +149,9 @@
 
     fn drop_ended_permits(&self) {
         let ended = self.permits.store().drop_ended(self.clock.now());
+        if ended == 0 {
+            return;
+        }
         self.counts.count_many(Routed::PermitsEnded, ended as u64);
     }
 
--- a/lib/src/rates/store.rs
+++ b/lib/src/rates/store.rs
@@ -19,8 +19,6 @@
     registry::InstanceId, //
 };
 
-/// A permit that ends so soon may be used by whoever comes, rather than not at all.
-const ENDS_SOON: Duration = Duration::from_millis(400);
 /// How many callers are told apart in one ask; the rest are not told.
 const MOST_CALLERS: usize = 64;
 
@@ -156,14 +154,6 @@
         }
     }
 
-    /// Returns whether a permit for an upstream would end unused if nobody takes it now.
-    pub fn ends_soon(&self, id: &InstanceId, now: Timestamp) -> bool {
-        let permits = self.permits.get(id).into_iter().flatten();
-        permits
-            .copied()
-            .any(|until| now < until && until.since(now) < ENDS_SOON)
-    }
-
     /// Returns when a refused request of a pool can find a permit, one refused after the other;
     /// `None` if that is not before `latest`, or not known.
     pub fn come_back(&mut self, pool: &Pool, latest: Duration, now: Timestamp) -> Option<Duration> {
--- a/lib/tests/test_dispatch/main.rs
+++ b/lib/tests/test_dispatch/main.rs
@@ -6,6 +6,7 @@
 mod test_decisions;
 mod test_demand;
 mod test_load;
+mod test_permits;
 
 use cicadabend::{
     dispatch::{
@@ -34,9 +35,24 @@
     pub(crate) prompt_tokens: u64,
     pub(crate) daemons: u32,
     pub(crate) keeps_apart: bool,
+    /// The one that names a rate and that there is a permit for.
+    pub(crate) permitted: Option<usize>,
 }
 
-impl Choice<'_> {
+impl<'a> Choice<'a> {
+    /// Returns the choice that a lone daemon makes for a usual prompt among sound upstreams.
+    pub(crate) fn among(ids: &'a [InstanceId], slots: u32) -> Self {
+        Self {
+            ids,
+            slots,
+            suspect: None,
+            prompt_tokens: 700,
+            daemons: 1,
+            keeps_apart: false,
+            permitted: None,
+        }
+    }
+
     pub(crate) fn make(&self, loads: &Loads, now: Timestamp, random: u64) -> Chosen {
         let home: FailureDomain = "a".parse().unwrap();
         let timing = timing();
@@ -50,7 +66,7 @@
                 slots: self.slots,
                 model: None,
                 is_suspect: self.suspect == Some(place),
-                uses_permit: false,
+                uses_permit: self.permitted == Some(place),
             })
             .collect();
         let wanted = Wanted {
--- a/lib/tests/test_dispatch/test_crashes.rs
+++ b/lib/tests/test_dispatch/test_crashes.rs
@@ -46,13 +46,11 @@
 
 /// Returns the share of the requests that broke off under the guilty one and meet it again.
 fn share_that_meets_again(keeps_apart: bool) -> f64 {
+    let ids = heads(HEADS);
     let choice = Choice {
-        ids: &heads(HEADS),
-        slots: SLOTS,
-        suspect: None,
-        prompt_tokens: 700,
         daemons: DAEMONS as u32,
         keeps_apart,
+        ..Choice::among(&ids, SLOTS)
     };
     let mut random = SmallRng::seed_from_u64(1);
     let (mut innocent, mut met) = (0, 0);
@@ -102,12 +100,9 @@
     };
     loads.reported(&ids[0], full, Timestamp(0));
     let choice = Choice {
-        ids: &ids,
-        slots: SLOTS,
-        suspect: None,
-        prompt_tokens: 700,
         daemons: 9,
         keeps_apart: true,
+        ..Choice::among(&ids, SLOTS)
     };
 
     for random in 0..20 {
--- a/lib/tests/test_dispatch/test_decisions.rs
+++ b/lib/tests/test_dispatch/test_decisions.rs
@@ -63,12 +63,9 @@
 
 fn chosen(ids: &[InstanceId], suspect: Option<usize>, loads: &Loads, now: u64) -> (usize, bool) {
     let choice = Choice {
-        ids,
-        slots: 8,
         suspect,
         prompt_tokens: 1_000,
-        daemons: 1,
-        keeps_apart: false,
+        ..Choice::among(ids, 8)
     };
     let chosen = choice.make(loads, Timestamp(now), 7);
     (chosen.index, chosen.is_full)
--- a/lib/tests/test_dispatch/test_load.rs
+++ b/lib/tests/test_dispatch/test_load.rs
@@ -81,12 +81,8 @@
     fn arrive(&mut self, daemons_known: u32) {
         let daemon = self.random.random_range(0..DAEMONS);
         let choice = Choice {
-            ids: &self.ids,
-            slots: SLOTS,
-            suspect: None,
-            prompt_tokens: 700,
             daemons: daemons_known,
-            keeps_apart: false,
+            ..Choice::among(&self.ids, SLOTS)
         };
         let now = Timestamp(self.now_ms);
         let drawn = self.random.random();
--- /dev/null
+++ b/lib/tests/test_dispatch/test_permits.rs
@@ -0,0 +1,88 @@
+//! Which requests use the permits that are at hand.
+
+use cicadabend::{
+    dispatch::{
+        LoadReport,
+        Loads, //
+    },
+    prelude::*,
+};
+use rand::{
+    Rng,
+    SeedableRng,
+    rngs::SmallRng, //
+};
+use rstest::rstest;
+
+use crate::{
+    Choice,
+    heads, //
+};
+
+const HEADS: usize = 27;
+const SLOTS: u32 = 34;
+const ROUNDS: usize = 1_000;
+/// How often a request comes to a daemon while a permit can be used.
+const CHANCES: i32 = 3;
+
+/// Returns the share of permits that some request uses, while all heads have about as much to do;
+/// without a preference they are chosen like all others.
+fn used_share(daemons: u32, is_preferred: bool, seed: u64) -> f64 {
+    let ids = heads(HEADS);
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut chosen = 0;
+    for _ in 0..ROUNDS {
+        let mut loads = Loads::default();
+        for id in &ids {
+            let running = random.random_range(4..20);
+            loads.reported(
+                id,
+                LoadReport {
+                    running,
+                    waiting: 0,
+                },
+                Timestamp(0),
+            );
+        }
+        let choice = Choice {
+            daemons,
+            permitted: is_preferred.then_some(0),
+            ..Choice::among(&ids, SLOTS)
+        };
+        let made = choice.make(&loads, Timestamp(10), random.random());
+        chosen += usize::from(made.index == 0);
+    }
+    let missed = 1.0 - chosen as f64 / ROUNDS as f64;
+    1.0 - missed.powi(CHANCES)
+}
+
+#[rstest]
+fn a_permit_that_is_at_hand_is_used(
+    #[values(9, 71)] daemons: u32,
+    #[values(1, 2, 3, 4, 5)] seed: u64,
+) {
+    // An upstream in need idles while others queue: permits end after a second and a half, and
+    // requests go to the upstream that there is one for no more often than to any other.
+    let used = used_share(daemons, true, seed);
+    let used_like_others = used_share(daemons, false, seed);
+
+    assert!(used >= 0.9, "{used}");
+    assert!(used_like_others < 0.5, "{used_like_others}");
+}
+
+#[test]
+fn a_permit_is_left_for_an_upstream_that_is_twice_as_fast() {
+    let ids = heads(2);
+    let mut loads = Loads::default();
+    let busy = LoadReport {
+        running: SLOTS,
+        waiting: 20,
+    };
+    loads.reported(&ids[0], busy, Timestamp(0));
+    let choice = Choice {
+        permitted: Some(0),
+        ..Choice::among(&ids, SLOTS)
+    };
+
+    assert_eq!(choice.make(&loads, Timestamp(0), 7).index, 1);
+}
--- a/lib/tests/test_rates/test_bound.rs
+++ b/lib/tests/test_rates/test_bound.rs
@@ -177,6 +177,27 @@
     assert!(served.refused * 20 <= all, "{served:?}");
 }
 
+#[rstest]
+fn both_sides_of_a_cut_together_take_no_more_than_the_rate(
+    #[values(9, 71)] daemons: usize,
+    #[values(11, 12, 13, 14, 15)] seed: u64,
+) {
+    // A third of the daemons hears no leader and goes by its own parts of the rate. The leader
+    // gave all of the rate to the others, and the upstream got a third more for as long as the cut
+    // lasted.
+    let mut world = World::new(daemons, &[6.0], seed);
+    world.is_mixed = false;
+    world.run(8_000);
+    world.reach(0..daemons / 3, None);
+    world.run(6_000);
+    let from_ms = world.now_ms;
+
+    world.run(30_000);
+
+    let per_s = world.sent_since(0, from_ms) as f64 / 30.0;
+    assert!(per_s <= 6.0, "{per_s} a second of 6");
+}
+
 #[test]
 fn a_daemon_that_was_silent_for_a_while_gets_permits_again() {
     // A daemon is stopped for some seconds, and for as long as the leader goes on it is refused
--- a/lib/tests/test_rates/world.rs
+++ b/lib/tests/test_rates/world.rs
@@ -361,7 +361,7 @@
     fn send(&mut self, number: usize, caller: &Caller, verdict: Verdict, now: Timestamp) -> bool {
         let store = &mut self.entries[number].store;
         let may_use = |id: &&InstanceId| match verdict {
-            Verdict::Refused => store.ends_soon(id, now),
+            Verdict::Refused => false,
             Verdict::MayUse => store.has(id, now),
         };
         let Some(id) = self.rates.keys().find(may_use).cloned() else {
