routed: tell what upstreams' answers say of when they may be sent requests

What callers saw: upstreams that ask for rest get more requests, and one in ten of a kind of requests is refused. No line told what was asked for, so the hypotheses of the incident could not be told apart. CB1434, CB1435 and CB1436 tell it. No decision reads it yet.

--- a/entry/src/edge.rs
+++ b/entry/src/edge.rs
@@ -68,20 +68,30 @@
     pub keeps_for: Option<Duration>,
     /// The rate of requests that the upstream takes from all daemons together.
     pub rate: NamedRate,
+    /// For how long the upstream wants no request from this daemon.
+    pub backoff: NamedBackoff,
+    /// Whether the upstream is shutting down and wants no new requests.
+    pub leaving: Named<bool>,
 }
 
-/// What an answer says of the rate of requests that its upstream takes.
+/// A value that an answer may name.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub enum NamedRate {
-    /// Nothing: the upstream is not in need.
+pub enum Named<T> {
+    /// Nothing.
     #[default]
     Unsaid,
-    /// So many requests a second from all daemons together.
-    Named(RequestRate),
-    /// Something that is no rate; the text is cut.
+    /// This value.
+    Named(T),
+    /// Something that is no such value; the text is cut.
     Unreadable(String),
 }
 
+/// What an answer says of the requests a second that its upstream takes from all daemons together.
+pub type NamedRate = Named<RequestRate>;
+
+/// What a refusal says of the time for which its upstream wants no request from this daemon.
+pub type NamedBackoff = Named<BackoffTime>;
+
 /// An answer of this daemon's own.
 #[derive(Clone, Debug, PartialEq)]
 pub struct OwnAnswer<'a> {
--- a/entry/src/serve/routed/events.rs
+++ b/entry/src/serve/routed/events.rs
@@ -103,4 +103,22 @@
         instance: cicadabend::registry::InstanceId,
         why: String,
     } "rate not taken";
+    /// An upstream refused a request and asks this daemon for a time without requests.
+    1434 Info BackoffAsked {
+        request: String,
+        instance: cicadabend::registry::InstanceId,
+        backoff_ms: u128,
+    } "upstream asks for backoff";
+    /// An upstream's answer names a backoff or a leaving that cannot be read; it is left out.
+    1435 Warn AvailabilityUnreadable {
+        request: String,
+        instance: cicadabend::registry::InstanceId,
+        what: &'static str,
+        why: String,
+    } "word on availability not taken";
+    /// An upstream's answer says that it leaves.
+    1436 Info LeavingTold {
+        request: String,
+        instance: cicadabend::registry::InstanceId,
+    } "upstream leaves, by its answer";
 }
--- a/entry/src/serve/routed/exchange.rs
+++ b/entry/src/serve/routed/exchange.rs
@@ -26,6 +26,7 @@
         AttemptError,
         SentBytes, //
     },
+    availability,
     plan::Plan,
     rates,
     server::Server,
@@ -196,6 +197,7 @@
     };
     let (head, incoming) = response.into_parts();
     let words = server.edge.read_answer(head.status, &head.headers);
+    availability::note(server, plan.id(), &replica.id, &words);
     check_identity(plan, &words, lease.was_kept(), head.status)?;
     // Another run at the address speaks for itself only, and what bears no mark may have lost
     // what the upstream named on its way.
--- a/entry/src/serve/routed/mod.rs
+++ b/entry/src/serve/routed/mod.rs
@@ -14,12 +14,14 @@
 //! - `crash_watch`: whether an upstream that broke requests off has ended.
 //! - `quarantine`: whether a request may run, by the upstreams that ended with it.
 //! - `rates`: the rates of requests that upstreams name.
+//! - `availability`: what upstreams' answers say of when they may be sent requests.
 //! - `plan`: the request in the form in which it can be sent, also twice.
 //! - `server`: what all requests share.
 
 mod account;
 mod admission;
 mod attempt;
+mod availability;
 mod body;
 mod counts;
 mod crash_watch;
--- a/lib/src/prelude.rs
+++ b/lib/src/prelude.rs
@@ -21,6 +21,7 @@
     time::Timestamp,
     units::{
         Accelerators,
+        BackoffTime,
         ByteCount,
         Percent,
         RatePerSecond,
--- a/lib/src/units.rs
+++ b/lib/src/units.rs
@@ -2,7 +2,8 @@
 
 use std::{
     fmt,
-    str::FromStr, //
+    str::FromStr,
+    time::Duration, //
 };
 
 use serde::{
@@ -96,21 +97,53 @@
     type Err = IdError;
 
     fn from_str(text: &str) -> Result<Self, IdError> {
-        let error = || IdError::Number {
-            found: text.chars().take(FOUND_SHOWN).collect(),
-        };
-        let digits = text.strip_suffix("/s").unwrap_or(text).trim();
-        let is_plain = digits
-            .bytes()
-            .all(|byte| byte.is_ascii_digit() || byte == b'.');
-        let per_s: f64 = digits.parse().map_err(|_| error())?;
-        match is_plain && per_s.is_finite() {
-            // A number that does not fit is as large as can be: nothing comes near it.
-            true => Ok(Self((per_s * 1_000.0) as u64)),
-            false => Err(error()),
-        }
+        let digits = text.strip_suffix("/s").unwrap_or(text);
+        // A number that does not fit is as large as can be: nothing comes near it.
+        plain_decimal(digits).map(|per_s| Self((per_s * 1_000.0) as u64))
+    }
+}
+
+/// The time for which an upstream asks not to be sent requests.
+///
+/// Text is a decimal number of seconds without a sign or an exponent.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct BackoffTime(pub Duration);
+
+impl BackoffTime {
+    /// The longest one that is taken; a longer one is shortened to it.
+    pub const LONGEST: Self = Self(Duration::from_secs(24 * 60 * 60));
+}
+
+impl fmt::Display for BackoffTime {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ms", self.0.as_millis())
+    }
+}
+
+impl FromStr for BackoffTime {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        let longest_s = Self::LONGEST.0.as_secs_f64();
+        plain_decimal(text).map(|s| Self(Duration::from_secs_f64(s.min(longest_s))))
+    }
+}
+
+/// Reads a decimal number that has neither a sign nor an exponent.
+fn plain_decimal(text: &str) -> Result<f64, IdError> {
+    let digits = text.trim();
+    let error = || IdError::Number {
+        found: digits.chars().take(FOUND_SHOWN).collect(),
+    };
+    let is_plain = digits
+        .bytes()
+        .all(|byte| byte.is_ascii_digit() || byte == b'.');
+    let number: f64 = digits.parse().map_err(|_| error())?;
+    match is_plain && number.is_finite() {
+        true => Ok(number),
+        false => Err(error()),
     }
 }
 
-/// How much of a text that is no rate is shown.
+/// How much of a text that is no number is shown.
 const FOUND_SHOWN: usize = 40;
