breaker: an upstream that asks for backoff gets none of a daemon's requests until it ends

What callers saw: three of sixteen groups turned all requests away for 9 s and asked for 3 s of rest each time. Each got more than a whole one; 126 requests were refused with two attempts spent on them. Cause: nothing read what an upstream asks for. A refusal made it dearer for 120 ms, whatever it said; then it had nothing outstanding and a short expected time, and was chosen first. Ruled out: pauses that are ended by an answer on its way (no answer came for 9 s, pauses did not grow); requests decided before (they went on for 9 s). Change: a breaker for each run at each daemon, by a chart: open until the latest end that was asked for, then half open, with one request at a time on trial, one more at once with each answer, closed at eight. The choice, repeats, resumes and permits leave out what is open; what was decided before asks again once it has its connection. When all are open requests are refused at once, told the earliest end, spread. Daemons that were asked together come back spread by their number.

--- a/entry/src/serve/routed/account.rs
+++ b/entry/src/serve/routed/account.rs
@@ -96,6 +96,7 @@
         self.server.counts.count(Routed::Resumed);
         if let Some(reservation) = &mut self.reservation {
             reservation.read();
+            reservation.end_trial(true);
         }
         self.server.log(&LogEvent::StreamResumed {
             request: self.plan.id().to_owned(),
@@ -156,6 +157,7 @@
         let reason = match failure {
             Failure::NotConnected(_) => RoutedRetry::NotConnected,
             Failure::NotStarted { .. } => RoutedRetry::NotStarted,
+            Failure::NotAdmitted(_) => RoutedRetry::NotAdmitted,
             Failure::Slow(_) => RoutedRetry::Slow,
             _ => RoutedRetry::Failed,
         };
@@ -174,8 +176,9 @@
         };
         let outcome = match failure {
             Failure::NotStarted { at_fault, .. } if at_fault.is_empty() => Outcome::Full,
-            Failure::Status(_) => return,
-            Failure::TimeOver { is_written: false } => return,
+            Failure::Status(_)
+            | Failure::NotAdmitted(_)
+            | Failure::TimeOver { is_written: false } => return,
             _ => Outcome::Broken,
         };
         reservation.outcome(outcome);
--- a/entry/src/serve/routed/attempt.rs
+++ b/entry/src/serve/routed/attempt.rs
@@ -100,7 +100,7 @@
         }
         match failure {
             // Nothing arrived anywhere, so nothing is repeated.
-            Failure::NotConnected(_) => {
+            Failure::NotConnected(_) | Failure::NotAdmitted(_) => {
                 self.connects < MOST_CONNECTS && !self.is_quarantined() && self.may_find_another()
             }
             Failure::TimeOver { .. } => false,
@@ -158,6 +158,7 @@
             return;
         };
         reservation.read();
+        reservation.end_trial(true);
         let took_ms = began.elapsed().as_secs_f64() * 1_000.0;
         let usual_ms = self.expected_ms / self.slowness.max(0.01);
         let id = reservation.replica.id.clone();
--- a/entry/src/serve/routed/counts.rs
+++ b/entry/src/serve/routed/counts.rs
@@ -23,6 +23,10 @@
         PermitsUsed,
         /// Permits that ended before a request used them.
         PermitsEnded,
+        /// Refusals by upstreams that asked for backoff.
+        BackoffsAsked,
+        /// Requests that found out whether an upstream takes requests again.
+        TrialsSent,
     }
 }
 
@@ -53,6 +57,8 @@
         NoRoom,
         /// Every upstream names a rate of requests, which is used up.
         RateUsedUp,
+        /// Every upstream asks for backoff or leaves.
+        BackoffAsked,
         /// Every upstream that was asked said that it did not run it.
         NotStarted,
         /// No upstream could be reached.
@@ -75,6 +81,8 @@
         NotConnected,
         /// The upstream said that it did not run it.
         NotStarted,
+        /// The upstream asked for backoff, or said that it leaves, before the request was sent.
+        NotAdmitted,
         /// The upstream failed, or its answer broke off, before anything was passed on.
         Failed,
         /// Nothing came for unusually long.
--- a/entry/src/serve/routed/events.rs
+++ b/entry/src/serve/routed/events.rs
@@ -103,11 +103,13 @@
         instance: cicadabend::registry::InstanceId,
         why: String,
     } "rate not taken";
-    /// An upstream refused a request and asks this daemon for a time without requests.
+    /// An upstream refused a request and asks this daemon for a time without requests; the
+    /// daemon keeps the longest that was asked for, and a random time more.
     1434 Info BackoffAsked {
         request: String,
         instance: cicadabend::registry::InstanceId,
         backoff_ms: u128,
+        kept_for_ms: u128,
     } "upstream asks for backoff";
     /// An upstream's answer names a backoff or a leaving that cannot be read; it is left out.
     1435 Warn AvailabilityUnreadable {
@@ -121,4 +123,13 @@
         request: String,
         instance: cicadabend::registry::InstanceId,
     } "upstream leaves, by its answer";
+    /// A request finds out whether an upstream takes requests again after its backoff.
+    1437 Info TrialSent {
+        request: String,
+        instance: cicadabend::registry::InstanceId,
+    } "request sent on trial";
+    /// An upstream has answered requests on trial and gets its share again.
+    1438 Info UpstreamRecovered {
+        instance: cicadabend::registry::InstanceId,
+    } "upstream takes requests again";
 }
--- a/entry/src/serve/routed/exchange.rs
+++ b/entry/src/serve/routed/exchange.rs
@@ -10,6 +10,7 @@
     BytesMut, //
 };
 use cicadabend::{
+    breaker::TrialTicket,
     dispatch::Outcome,
     prelude::*,
     registry::InstanceId, //
@@ -27,6 +28,7 @@
         SentBytes, //
     },
     availability,
+    events::LogEvent,
     plan::Plan,
     rates,
     server::Server,
@@ -84,6 +86,8 @@
         status: StatusCode,
         at_fault: String,
     },
+    /// not sent: the upstream {0}
+    NotAdmitted(&'static str),
     /// {0}
     Broken(String),
     /// the upstream failed with status {0}
@@ -99,6 +103,7 @@
     pub(super) fn may_have_run(&self) -> bool {
         match self {
             Failure::NotConnected(_)
+            | Failure::NotAdmitted(_)
             | Failure::NotStarted { .. }
             | Failure::TimeOver { is_written: false } => false,
             Failure::Broken(_)
@@ -126,6 +131,7 @@
     pub(super) replica: RoutedReplica,
     prompt_tokens: u64,
     is_read: bool,
+    trial: Option<TrialTicket>,
     _demanded: Option<Demanded>,
 }
 
@@ -137,12 +143,14 @@
             .started(&replica.id, prompt_tokens);
         let model = replica.model.as_ref();
         let demanded = model.map(|model| server.demand.count(&replica.service, model));
+        let trial = server.breakers.borrow_mut().sent(&replica.id);
         Self {
             _demanded: demanded,
             server: Rc::clone(server),
             replica,
             prompt_tokens,
             is_read: false,
+            trial,
         }
     }
 
@@ -154,6 +162,24 @@
         }
     }
 
+    /// Returns whether the request finds out whether the replica takes requests again.
+    pub(super) fn is_trial(&self) -> bool {
+        self.trial.is_some()
+    }
+
+    /// Notes that the replica has taken the request, or that the attempt ended without that.
+    pub(super) fn end_trial(&mut self, is_answered: bool) {
+        let Some(ticket) = self.trial.take() else {
+            return;
+        };
+        let now = self.server.clock.now();
+        let mut breakers = self.server.breakers.borrow_mut();
+        if breakers.end_trial(&self.replica.id, ticket, is_answered, now) {
+            let instance = self.replica.id.clone();
+            self.server.log(&LogEvent::UpstreamRecovered { instance });
+        }
+    }
+
     /// Notes how the attempt ended.
     pub(super) fn outcome(&self, outcome: Outcome) {
         let now = self.server.clock.now();
@@ -165,6 +191,7 @@
 impl Drop for Reservation {
     fn drop(&mut self) {
         self.read();
+        self.end_trial(false);
         self.server.loads.borrow_mut().ended(&self.replica.id);
     }
 }
@@ -185,11 +212,13 @@
         false => server.pool.lease_young(replica.address).await?,
     };
     let was_kept = lease.was_kept();
+    availability::check(server, &replica.id)?;
     let sent_at = server.clock.now();
     let request = plan.request_to(&*server.edge, replica, last_event);
     let (response, lease) = match lease.send(request, sent).await {
         Err(AttemptError::NothingWritten { .. }) if was_kept => {
             let lease = server.pool.lease_new(replica.address).await?;
+            availability::check(server, &replica.id)?;
             let request = plan.request_to(&*server.edge, replica, last_event);
             lease.send(request, sent).await?
         }
--- a/entry/src/serve/routed/listener.rs
+++ b/entry/src/serve/routed/listener.rs
@@ -7,6 +7,7 @@
     time::Duration, //
 };
 
+use cicadabend::breaker::Breakers;
 use hyper::{
     server::conn::http1,
     service::service_fn, //
@@ -38,7 +39,11 @@
 };
 
 /// Accepts until told to stop, then drains.
-pub(super) async fn run(mut setup: RoutedSetup, stopped: watch::Receiver<bool>) {
+pub(super) async fn run(
+    mut setup: RoutedSetup,
+    breakers: Breakers,
+    stopped: watch::Receiver<bool>,
+) {
     let ready_listener = setup.ready_listener.take();
     let listener = match setup.listener.try_clone() {
         Ok(listener) => TcpListener::from_std(listener),
@@ -55,7 +60,7 @@
     if let Ok(address) = listener.local_addr() {
         LogEvent::Serving { address }.emit();
     }
-    let server = super::server(&setup);
+    let server = Server::start(&setup, breakers);
     drop(setup);
     if let Some(Ok(ready)) = ready_listener.map(TcpListener::from_std) {
         tokio::task::spawn_local(answer_balancer(ready, Rc::clone(&server)));
--- a/entry/src/serve/routed/mod.rs
+++ b/entry/src/serve/routed/mod.rs
@@ -14,7 +14,7 @@
 //! - `crash_watch`: whether an upstream that broke requests off has ended.
 //! - `quarantine`: whether a request may run, by the upstreams that ended with it.
 //! - `rates`: the rates of requests that upstreams name.
-//! - `availability`: what upstreams' answers say of when they may be sent requests.
+//! - `availability`: when upstreams may be sent requests, by their own answers.
 //! - `plan`: the request in the form in which it can be sent, also twice.
 //! - `server`: what all requests share.
 
@@ -51,6 +51,7 @@
 
 use arc_swap::ArcSwap;
 use cicadabend::{
+    breaker::Breakers,
     prelude::*,
     registry::InstanceId, //
 };
@@ -73,7 +74,6 @@
         RoutedView, //
     },
 };
-use server::Server;
 
 /// What the serving thread is given.
 pub(crate) struct RoutedSetup {
@@ -107,14 +107,10 @@
     setup: RoutedSetup,
     stopped: watch::Receiver<bool>,
 ) -> io::Result<JoinHandle<()>> {
+    let breakers = Breakers::new().map_err(io::Error::other)?;
     setup.listener.set_nonblocking(true)?;
     if let Some(listener) = &setup.ready_listener {
         listener.set_nonblocking(true)?;
     }
-    duty::spawn("serve", move || listener::run(setup, stopped))
-}
-
-/// Makes the state that requests share.
-fn server(setup: &RoutedSetup) -> std::rc::Rc<Server> {
-    Server::start(setup)
+    duty::spawn("serve", move || listener::run(setup, breakers, stopped))
 }
--- a/entry/src/serve/routed/rates.rs
+++ b/entry/src/serve/routed/rates.rs
@@ -161,6 +161,7 @@
         let replicas = view.replicas_of(&self.plan.terms.service, model);
         let left: Vec<&RoutedReplica> = replicas
             .filter(|replica| !self.tried.contains(&replica.id))
+            .filter(|replica| self.admission(replica).is_admitted())
             .collect();
         let names_rate = |replica: &&RoutedReplica| view.rates.contains_key(&replica.id);
         match left.iter().all(names_rate) {
@@ -204,13 +205,17 @@
 
     /// Returns why no replica can take the request.
     pub(super) fn refusal_without_replica(&self) -> (RoutedRefusal, &'static str) {
-        let Some(pool) = self.limited_pool() else {
+        if self.next_admission().is_some() {
+            self.note_unserved();
+            return (
+                RoutedRefusal::BackoffAsked,
+                "all replicas ask for backoff or leave",
+            );
+        }
+        if self.limited_pool().is_none() {
             return (RoutedRefusal::NoReplica, "no replica can take it now");
-        };
-        if let Some(model) = &pool.model {
-            let mut counts = self.server.demand.counts();
-            counts.unpermitted(&pool.service, model);
         }
+        self.note_unserved();
         let why = match self.verdict {
             Verdict::MayUse => "all replicas name a rate of requests, which is used up",
             Verdict::Refused => "all replicas name a rate of requests, and others go first",
@@ -218,6 +223,20 @@
         (RoutedRefusal::RateUsedUp, why)
     }
 
+    /// Counts the request for its model as if it had run: a need of some seconds must not make
+    /// the model's groups seem idle.
+    fn note_unserved(&self) {
+        let view = self.server.view.load();
+        let terms = &self.plan.terms;
+        let model = self.plan.words.model.as_deref();
+        let models = view.replicas_of(&terms.service, model);
+        let model = models.filter_map(|replica| replica.model.as_ref()).next();
+        if let Some(model) = model {
+            let mut counts = self.server.demand.counts();
+            counts.unpermitted(&terms.service, model);
+        }
+    }
+
     /// Returns when a request that found no permit should come back: one after the other, as fast
     /// as the replicas take them, if there is time for that.
     pub(super) fn come_back_for_permit(&self, latest: Duration) -> Option<Duration> {
--- a/entry/src/serve/routed/refusal.rs
+++ b/entry/src/serve/routed/refusal.rs
@@ -30,6 +30,9 @@
 const RETRY_SHARE: f64 = 0.33;
 /// By what part of that the time varies between callers.
 const RETRY_SPREAD: f64 = 0.5;
+/// The part of the time to come back within which callers are spread when no upstream takes
+/// requests until later than that.
+const RETRY_LATE_SHARE: f64 = 0.9;
 /// The soonest that a refused caller should come back.
 const RETRY_LEAST: Duration = Duration::from_millis(60);
 
@@ -38,6 +41,7 @@
         use cicadabend::chart::RequestState;
         match (self.life.state(), failure) {
             (RequestState::RefusedNotRun, Failure::NotConnected(_)) => RoutedRefusal::NotConnected,
+            (RequestState::RefusedNotRun, Failure::NotAdmitted(_)) => RoutedRefusal::BackoffAsked,
             (RequestState::RefusedNotRun, Failure::TimeOver { .. }) => RoutedRefusal::TooLate,
             (RequestState::RefusedNotRun, _) => RoutedRefusal::NotStarted,
             (_, Failure::TimeOver { .. }) => RoutedRefusal::TimedOut,
@@ -52,6 +56,7 @@
             | RoutedRefusal::NotConnected
             | RoutedRefusal::NoRoom
             | RoutedRefusal::RateUsedUp
+            | RoutedRefusal::BackoffAsked
             | RoutedRefusal::NotStarted
             | RoutedRefusal::Quarantined => (
                 StatusCode::SERVICE_UNAVAILABLE,
@@ -103,6 +108,10 @@
             return after.max(RETRY_LEAST);
         }
         let spread = (self.server.random() % 1_000) as f64 / 1_000.0;
+        if let Some(soonest) = self.next_admission() {
+            let soonest = soonest.min(latest.mul_f64(RETRY_LATE_SHARE));
+            return (soonest + (latest - soonest).mul_f64(spread)).max(RETRY_LEAST);
+        }
         let share = RETRY_SHARE * (1.0 - RETRY_SPREAD * spread);
         left.mul_f64(share).max(RETRY_LEAST)
     }
--- a/entry/src/serve/routed/run.rs
+++ b/entry/src/serve/routed/run.rs
@@ -182,7 +182,9 @@
         }
         self.tried.push(id);
         let tokens = self.plan.prompt_tokens();
-        self.reservation = Some(Reservation::make(&self.server, replica, tokens));
+        let reservation = Reservation::make(&self.server, replica, tokens);
+        self.note_trial(&reservation);
+        self.reservation = Some(reservation);
         true
     }
 
@@ -194,6 +196,7 @@
         let replicas: Vec<&RoutedReplica> = view
             .replicas_of(&plan.terms.service, model)
             .filter(|replica| !self.tried.contains(&replica.id))
+            .filter(|replica| self.admission(replica).is_admitted())
             .filter(|replica| self.is_permitted(replica, view))
             .collect();
         let candidates: Vec<Candidate<'_>> = replicas
@@ -316,7 +319,7 @@
             self.suspect();
         }
         let event = match failure {
-            Failure::NotConnected(_) => {
+            Failure::NotConnected(_) | Failure::NotAdmitted(_) => {
                 self.connects += 1;
                 RequestEvent::ConnectFailed
             }
--- a/entry/src/serve/routed/server.rs
+++ b/entry/src/serve/routed/server.rs
@@ -19,6 +19,7 @@
 
 use arc_swap::ArcSwap;
 use cicadabend::{
+    breaker::Breakers,
     dispatch::{
         BudgetSettings,
         Loads,
@@ -82,6 +83,7 @@
     pub(super) stalls: ring::Sender<InstanceId>,
     pub(super) crashes: ring::Sender<CrashNotice>,
     pub(super) trials: RefCell<Trials>,
+    pub(super) breakers: RefCell<Breakers>,
     pub(super) rates: RefCell<HeardRates>,
     pub(super) permits: Permits,
     pub(super) rate_notices: ring::Sender<RateNotice>,
@@ -91,7 +93,7 @@
 }
 
 impl Server {
-    pub(super) fn start(setup: &RoutedSetup) -> Rc<Self> {
+    pub(super) fn start(setup: &RoutedSetup, breakers: Breakers) -> Rc<Self> {
         let connect_timeout_ms = setup.settings.upstreams.connect_timeout_ms;
         let server = Rc::new(Self {
             settings: setup.settings.clone(),
@@ -109,6 +111,7 @@
             stalls: setup.stalls.clone(),
             crashes: setup.crashes.clone(),
             trials: RefCell::default(),
+            breakers: RefCell::new(breakers),
             rates: RefCell::default(),
             permits: setup.permits.clone(),
             rate_notices: setup.rate_notices.clone(),
@@ -178,6 +181,8 @@
         };
         server.loads.borrow_mut().forget(is_kept);
         server.crash_watch.forget(is_kept);
+        let now = server.clock.now();
+        server.breakers.borrow_mut().forget(is_kept, now);
         server.drop_ended_permits();
         server.rates.borrow_mut().retain(|id, _| is_kept(id));
         server.pool.close_expired();
--- a/lib/src/chart/mod.rs
+++ b/lib/src/chart/mod.rs
@@ -4,6 +4,7 @@
 //! lacks what the code has, or leaves an event without an answer does not load; every
 //! daemon calls [`validate_all_charts`] before it starts anything else.
 
+mod breaker;
 mod draw;
 mod error;
 mod file;
@@ -17,6 +18,13 @@
 
 use std::sync::LazyLock;
 
+pub use breaker::{
+    BreakerAction,
+    BreakerChart,
+    BreakerEvent,
+    BreakerGuard,
+    BreakerState, //
+};
 pub use error::{
     ChartError,
     ChartFault,
@@ -58,6 +66,8 @@
     UpstreamState, //
 };
 
+/// The file of the chart of circuit breakers.
+pub const BREAKER_CHART_JSON: &str = include_str!("../../charts/breaker.json");
 /// The file of the chart of groups.
 pub const GROUP_CHART_JSON: &str = include_str!("../../charts/group.json");
 /// The file of the chart of plans.
@@ -70,6 +80,8 @@
 /// All charts, checked.
 #[derive(Clone, Debug)]
 pub struct Charts {
+    /// Whether requests are sent to an upstream.
+    pub breaker: BreakerChart,
     /// The life of a group.
     pub group: GroupChart,
     /// The life of a plan.
@@ -90,6 +102,7 @@
     /// Returns the first fault of the first faulty chart.
     pub fn load() -> Result<Self, ChartError> {
         Ok(Self {
+            breaker: Chart::load("breaker", BREAKER_CHART_JSON)?,
             group: Chart::load("group", GROUP_CHART_JSON)?,
             plan: Chart::load("plan", PLAN_CHART_JSON)?,
             request: load_request_chart(REQUEST_CHART_JSON)?,
@@ -113,6 +126,7 @@
             self.upstream.to_markdown(),
             self.plan.to_markdown(),
             self.request.to_markdown(),
+            self.breaker.to_markdown(),
         ];
         format!("{PAGE_HEAD}\n{}", sections.join("\n"))
     }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -14,6 +14,7 @@
 //!   report to any daemon, groups formed from them by one leader, membership by seeds.
 //! - [`discovery`]: how daemons share what upstreams report.
 //! - [`dispatch`]: which upstream a routed request goes to.
+//! - [`breaker`]: whether a daemon may send to an upstream, by the upstream's own answers.
 //! - [`quarantine`]: requests that end the upstreams which run them.
 //! - [`routing`], [`admission`], [`claims`], [`request`]: the life of one request.
 //! - [`upstream_api`], [`peer_api`], [`operator_api`], [`caller_api`]: the messages
@@ -21,6 +22,7 @@
 
 pub mod admission;
 pub mod agreement;
+pub mod breaker;
 pub mod caller_api;
 pub mod chart;
 pub mod claims;
