routed: an upstream whose answers say that it leaves gets nothing more

What callers would see: requests go on to an upstream that has said in an answer that it leaves, and are cut off when it ends; the rule allows none 2 s after the first such answer. Cause: only reports were read, and an answer may say it first, or alone. Change: the daemon that read it opens the run's breaker for good; the next run under the name is free. Other daemons learn by reports, or by their own first answer, which the upstream still gives.

--- a/entry/src/serve/routed/availability.rs
+++ b/entry/src/serve/routed/availability.rs
@@ -61,10 +61,13 @@
 }
 
 fn note_leaving(server: &Server, request: &str, id: &InstanceId) {
-    server.log(&LogEvent::LeavingTold {
-        request: request.to_owned(),
-        instance: id.clone(),
-    });
+    let now = server.clock.now();
+    if server.breakers.borrow_mut().tell_leaving(id, now) {
+        server.log(&LogEvent::LeavingTold {
+            request: request.to_owned(),
+            instance: id.clone(),
+        });
+    }
 }
 
 fn note_unreadable(
