routed: what is late is learnt from the service's answers, and its first attempt goes on

What callers saw: a service that always takes 1.2 s had a third of its requests given up half way and sent again; the repeats were missing where requests broke off. Cause: fixed times (150 ms, 900 ms, four times what 20 ms of work take) that suit one fleet; a late attempt was thrown away; all reasons drew on the window of repeats first come first served. Change: daemons learn by service, model and kind of answer what 99 in 100 answers take; past 1.25 times that a second upstream is asked, the first goes on, the first good answer wins. Lateness gets a quarter of the window and none of its second half, what was not run nine tenths. CB1423 tells what was usual. The times stand in the settings.

--- a/daemon/src/settings/check.rs
+++ b/daemon/src/settings/check.rs
@@ -257,6 +257,20 @@
         let path = "retries.budget_ratio";
         self.require((0.0..=1.0).contains(&ratio), path, ratio, "0 to 1");
         self.length_ms("retries.window_ms", retries.window_ms);
+        let quantile = retries.late_quantile;
+        let path = "retries.late_quantile";
+        self.require(
+            (0.5..1.0).contains(&quantile),
+            path,
+            quantile,
+            "0.5 to below 1",
+        );
+        for (path, factor) in [
+            ("retries.late_factor", retries.late_factor),
+            ("retries.expected_factor", retries.expected_factor),
+        ] {
+            self.require((1.0..=100.0).contains(&factor), path, factor, "1 to 100");
+        }
     }
 
     fn peers(&mut self, own: &DaemonId, own_domain: &FailureDomain, peers: &[PeerAddress]) {
--- a/daemon/src/settings/entry.rs
+++ b/daemon/src/settings/entry.rs
@@ -115,6 +115,15 @@
     pub budget_slack: u32,
     /// The window.
     pub window_ms: u64,
+    /// The part of a service's answers that are not late, by what was learnt of them.
+    pub late_quantile: f64,
+    /// How many times as long as that an answer may take before a second upstream is asked.
+    pub late_factor: f64,
+    /// How much longer still, for the daemon's own scheduling.
+    pub late_margin_ms: u64,
+    /// How many times the time that is expected of its size a request to an engine may take at
+    /// least before a second one is asked.
+    pub expected_factor: f64,
 }
 
 impl Default for RetrySettings {
@@ -123,6 +132,10 @@
             budget_ratio: 0.2,
             budget_slack: 100,
             window_ms: 10_000,
+            late_quantile: 0.99,
+            late_factor: 1.25,
+            late_margin_ms: 5,
+            expected_factor: 4.0,
         }
     }
 }
--- a/entry/src/serve/routed/account.rs
+++ b/entry/src/serve/routed/account.rs
@@ -46,8 +46,8 @@
             replica: self.replica(),
             outcome,
             attempts: self.attempts,
-            expected_ms: self.expected_ms as u64,
-            outstanding: self.outstanding as u64,
+            expected_ms: self.chosen.expected_ms as u64,
+            outstanding: self.chosen.outstanding as u64,
             rate: RequestRate::text(self.rate),
             first_ms: u64::try_from(first_ms).unwrap_or(u64::MAX),
             took_ms: self.took_ms(),
@@ -142,7 +142,16 @@
         u64::try_from(self.plan.terms.arrived.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
-    pub(super) fn log_failure(&self, failure: &Failure) {
+    /// Tells how the present attempt failed, and what that says of its replica.
+    pub(super) fn note_failure(&mut self, failure: &Failure) {
+        self.log_failure(failure);
+        self.note_outcome(failure);
+        if matches!(failure, Failure::Broken(_)) {
+            self.suspect();
+        }
+    }
+
+    fn log_failure(&self, failure: &Failure) {
         self.server.log(&LogEvent::AttemptFailed {
             request: self.plan.id().to_owned(),
             replica: self.replica(),
@@ -153,24 +162,25 @@
         });
     }
 
-    pub(super) fn log_again(&self, failure: &Failure) {
-        let reason = match failure {
-            Failure::NotConnected(_) => RoutedRetry::NotConnected,
-            Failure::NotStarted { .. } => RoutedRetry::NotStarted,
-            Failure::NotAdmitted(_) => RoutedRetry::NotAdmitted,
-            Failure::Slow(_) => RoutedRetry::Slow,
-            _ => RoutedRetry::Failed,
-        };
+    pub(super) fn log_again(&self, reason: RoutedRetry) {
         self.server.counts.retry(reason);
+        let model = self.reservation.as_ref();
+        let model = model.and_then(|reservation| reservation.replica.model.as_ref());
+        let usual = self.usual(model);
         self.server.log(&LogEvent::SentAgain {
             request: self.plan.id().to_owned(),
             replica: self.replica(),
             attempt: self.attempts + 1,
             reason: format!("{reason:?}"),
+            typical_ms: usual.map_or(0, |usual| usual.typical_ms as u64),
+            late_ms: usual.map_or(0, |usual| usual.late_ms as u64),
+            answers: usual.map_or(0, |usual| usual.answers),
+            learnt_ms_ago: usual.map_or(0, |usual| usual.age.as_millis()),
+            window_left: self.server.repeats_left(&self.plan.terms.service),
         });
     }
 
-    pub(super) fn note_outcome(&self, failure: &Failure) {
+    fn note_outcome(&self, failure: &Failure) {
         let Some(reservation) = &self.reservation else {
             return;
         };
--- a/entry/src/serve/routed/attempt.rs
+++ b/entry/src/serve/routed/attempt.rs
@@ -1,10 +1,20 @@
 //! One attempt at a replica: how long it is waited for, and what a further one costs.
 
 use std::{
+    pin::pin,
     rc::Rc,
     time::Duration, //
 };
 
+use cicadabend::{
+    dispatch::{
+        AnswerClass,
+        Chosen,
+        RepeatReason,
+        Usual, //
+    },
+    prelude::*,
+};
 use tokio::time::{
     Instant,
     timeout_at, //
@@ -15,52 +25,42 @@
     exchange::{
         Answered,
         Failure,
+        Reservation,
         exchange, //
     },
     run::RoutedRun,
 };
 
-/// The shortest time after which a first event counts as unusually late.
-const LEAST_PATIENCE: Duration = Duration::from_millis(900);
-/// The same for an answer that is no stream.
-const LEAST_PATIENCE_WHOLE: Duration = Duration::from_millis(150);
-/// How much more than expected a first event may take before it is unusually late.
-const PATIENCE_FACTOR: f64 = 4.0;
 /// How often a connection may fail before the request is given up.
 const MOST_CONNECTS: u32 = 4;
 /// A repeat with less time than this could not be answered.
 const LEAST_LEFT: Duration = Duration::from_millis(30);
 
 impl RoutedRun {
-    /// Makes one attempt, bounded by the request's time and by patience.
+    /// Makes one attempt, bounded by the request's time; one that is late gets a second beside it.
     pub(super) async fn attempt(&mut self, sent: &Rc<SentBytes>) -> Result<Answered, Failure> {
         let Some(reservation) = &self.reservation else {
             return Err(Failure::TimeOver { is_written: false });
         };
         let replica = reservation.replica.clone();
         let began = Instant::now();
-        let patience = self.patience();
         let deadline = self.plan.terms.deadline;
-        let until = match patience {
-            Some(patience) => deadline.min(began + patience),
-            None => deadline,
-        };
+        let late_at = self.late_after().map(|after| began + after);
         let (server, plan) = (Rc::clone(&self.server), Rc::clone(&self.plan));
-        let work = exchange(&server, &plan, &replica, sent, None);
-        let mut work = std::pin::pin!(work);
-        let timed = timeout_at(until, work.as_mut()).await;
-        let outcome = match timed {
+        let mut work = pin!(exchange(&server, &plan, &replica, sent, None));
+        let until = late_at.map_or(deadline, |late_at| late_at.min(deadline));
+        let outcome = match timeout_at(until, work.as_mut()).await {
             Ok(outcome) => outcome,
-            // Unusually late; given up only for a second attempt that is paid for.
-            Err(_) if until < deadline => match self.pay_repeat() {
-                true => Err(Failure::Slow(began.elapsed().as_millis())),
-                false => match timeout_at(deadline, work).await {
-                    Ok(outcome) => outcome,
-                    Err(_) => Err(Failure::TimeOver {
-                        is_written: sent.seal() > 0,
+            Err(_) if until < deadline => {
+                self.note_late(began);
+                match self.begin_hedge(began) {
+                    Some(first) => return self.race(first, work, sent).await,
+                    None => timeout_at(deadline, work).await.unwrap_or_else(|_| {
+                        let is_written = sent.seal() > 0;
+                        Err(Failure::TimeOver { is_written })
                     }),
-                },
-            },
+                }
+            }
             Err(_) => Err(Failure::TimeOver {
                 is_written: sent.seal() > 0,
             }),
@@ -71,25 +71,72 @@
         outcome
     }
 
-    /// Returns after which time a first part is unusually late; `None` to wait for it.
-    pub(super) fn patience(&self) -> Option<Duration> {
-        let kind = self.plan.terms.route.kind;
-        if !kind.is_repeatable() || self.attempts + 1 >= self.plan.terms.route.most_attempts {
+    /// Returns the class of the request's answers at replicas of a model.
+    fn class(&self, model: Option<&ModelName>) -> AnswerClass {
+        AnswerClass {
+            service: self.plan.terms.service.clone(),
+            model: model.cloned(),
+            is_stream: self.plan.terms.route.kind.is_stream(),
+        }
+    }
+
+    /// Returns how long answers to such requests usually take, if that was learnt.
+    pub(super) fn usual(&self, model: Option<&ModelName>) -> Option<Usual> {
+        self.server.usual(&self.class(model))
+    }
+
+    /// Returns after what time a first part is late; `None` to wait for it.
+    fn late_after(&self) -> Option<Duration> {
+        let route = &self.plan.terms.route;
+        if !route.kind.is_repeatable() || self.attempts + 1 >= route.most_attempts {
             return None;
         }
-        let least = match kind.is_stream() {
-            true => LEAST_PATIENCE,
-            false => LEAST_PATIENCE_WHOLE,
+        let model = self.reservation.as_ref()?.replica.model.as_ref();
+        let usual = self.usual(model)?;
+        let retries = &self.server.settings.retries;
+        let learnt_ms = usual.late_ms * retries.late_factor + retries.late_margin_ms as f64;
+        // What an engine takes goes by the request's size and by what else runs there.
+        let expected_ms = match model {
+            Some(_) => self.chosen.expected_ms * retries.expected_factor,
+            None => 0.0,
         };
-        let expected = Duration::from_secs_f64(self.expected_ms.max(0.0) / 1_000.0);
-        Some(least.max(expected.mul_f64(PATIENCE_FACTOR)))
+        let after_ms = learnt_ms.max(expected_ms);
+        Some(Duration::from_secs_f64(after_ms / 1_000.0))
+    }
+
+    /// Takes in that the present replica has not answered for unusually long.
+    ///
+    /// An upstream that stands still tells nothing by answers, since it gives none.
+    fn note_late(&self, began: Instant) {
+        if let Some(reservation) = &self.reservation {
+            self.measured(reservation, &self.chosen, began);
+        }
+    }
+
+    /// Takes in how long a replica took, or has taken so far.
+    pub(super) fn measured(&self, reservation: &Reservation, chosen: &Chosen, began: Instant) {
+        let took_ms = began.elapsed().as_secs_f64() * 1_000.0;
+        let usual_ms = chosen.expected_ms / chosen.slowness.max(0.01);
+        let now = self.server.clock.now();
+        let mut loads = self.server.loads.borrow_mut();
+        loads.measured(&reservation.replica.id, took_ms, usual_ms, now);
+    }
+
+    /// Learns from how long a replica took, or was waited for.
+    pub(super) fn learn(&self, reservation: &Reservation, began: Instant) {
+        let now = self.server.clock.now();
+        let replica = &reservation.replica;
+        let slowness = self.server.loads.borrow().slowness(&replica.id, now);
+        let class = self.class(replica.model.as_ref());
+        let mut usual_times = self.server.usual_times.borrow_mut();
+        usual_times.note(&class, began.elapsed(), slowness, now);
     }
 
     /// Pays for another attempt at another replica, if one is allowed.
     ///
     /// What is paid here is not paid again when the attempt is given up.
-    pub(super) fn pay_repeat(&mut self) -> bool {
-        self.is_paid = self.pay_for_another(self.attempts + 1);
+    pub(super) fn pay_repeat(&mut self, reason: RepeatReason) -> bool {
+        self.is_paid = self.pay_for_another(self.attempts + 1, reason);
         self.is_paid
     }
 
@@ -104,12 +151,17 @@
                 self.connects < MOST_CONNECTS && !self.is_quarantined() && self.may_find_another()
             }
             Failure::TimeOver { .. } => false,
-            Failure::Broken(_) | Failure::Status(_) | Failure::Slow(_)
+            Failure::Broken(_) | Failure::Status(_)
                 if !self.plan.terms.route.kind.is_repeatable() =>
             {
                 false
             }
-            _ => self.may_find_another() && self.pay(self.attempts),
+            Failure::NotStarted { .. } => {
+                self.may_find_another() && self.pay(self.attempts, RepeatReason::NotRun)
+            }
+            Failure::Broken(_) | Failure::Status(_) => {
+                self.may_find_another() && self.pay(self.attempts, RepeatReason::Broken)
+            }
         }
     }
 
@@ -131,21 +183,23 @@
     }
 
     /// Pays for an attempt after so many, if one is allowed and a replica is at hand.
-    fn pay_for_another(&self, made: u32) -> bool {
-        self.can_go_elsewhere() && self.pay(made)
+    pub(super) fn pay_for_another(&self, made: u32, reason: RepeatReason) -> bool {
+        self.can_go_elsewhere() && self.pay(made, reason)
     }
 
-    fn pay(&self, made: u32) -> bool {
+    fn pay(&self, made: u32, reason: RepeatReason) -> bool {
         made < self.plan.terms.route.most_attempts
             && self.may_be_repeated()
-            && self.server.withdraw_repeat(&self.plan.terms.service)
+            && self
+                .server
+                .withdraw_repeat(&self.plan.terms.service, reason)
     }
 
     /// Decides, and pays, for asking another replica for the rest of a stream.
     pub(super) fn may_resume(&self) -> bool {
         self.plan.terms.route.kind.is_repeatable()
             && self.may_find_another()
-            && self.pay(self.attempts)
+            && self.pay(self.attempts, RepeatReason::Broken)
     }
 
     pub(super) fn note_first_part(&mut self, began: Instant) {
@@ -159,10 +213,9 @@
         };
         reservation.read();
         reservation.end_trial(true);
-        let took_ms = began.elapsed().as_secs_f64() * 1_000.0;
-        let usual_ms = self.expected_ms / self.slowness.max(0.01);
-        let id = reservation.replica.id.clone();
-        let mut loads = self.server.loads.borrow_mut();
-        loads.measured(&id, took_ms, usual_ms, self.server.clock.now());
+        if let Some(reservation) = &self.reservation {
+            self.measured(reservation, &self.chosen, began);
+            self.learn(reservation, began);
+        }
     }
 }
--- a/entry/src/serve/routed/counts.rs
+++ b/entry/src/serve/routed/counts.rs
@@ -4,6 +4,8 @@
 
 use cicadabend_daemon::metrics::Metrics;
 
+use super::exchange::Failure;
+
 cicadabend_daemon::counters! {
     /// What happened to routed requests.
     pub enum Routed = "routed" {
@@ -85,13 +87,27 @@
         NotAdmitted,
         /// The upstream failed, or its answer broke off, before anything was passed on.
         Failed,
-        /// Nothing came for unusually long.
-        Slow,
+        /// Nothing came for unusually long; the first upstream is still waited for.
+        Late,
         /// A stream broke off after part of it was passed on.
         StreamBroke,
     }
 }
 
+impl RoutedRetry {
+    /// Returns why a request is sent once more after a failed attempt.
+    pub(super) fn after(failure: &Failure) -> Self {
+        match failure {
+            Failure::NotConnected(_) => RoutedRetry::NotConnected,
+            Failure::NotAdmitted(_) => RoutedRetry::NotAdmitted,
+            Failure::NotStarted { .. } => RoutedRetry::NotStarted,
+            Failure::Broken(_) | Failure::Status(_) | Failure::TimeOver { .. } => {
+                RoutedRetry::Failed
+            }
+        }
+    }
+}
+
 /// The serving thread's way to the process's metrics.
 pub(super) struct Counts {
     metrics: Metrics,
--- a/entry/src/serve/routed/events.rs
+++ b/entry/src/serve/routed/events.rs
@@ -38,12 +38,18 @@
         age_ms: u64,
         why: String,
     } "attempt failed";
-    /// A request is sent once more.
+    /// A request is sent once more; the line tells what is usual at its service, from how many
+    /// answers, how old the newest is, and how many repeats the window still has.
     1423 Info SentAgain {
         request: String,
         replica: String,
         attempt: u32,
         reason: String,
+        typical_ms: u64,
+        late_ms: u64,
+        answers: u64,
+        learnt_ms_ago: u128,
+        window_left: u32,
     } "sent again";
     /// A stream broke off and is asked for elsewhere from the event after this one.
     1424 Info StreamBroke {
--- a/entry/src/serve/routed/exchange.rs
+++ b/entry/src/serve/routed/exchange.rs
@@ -76,6 +76,17 @@
     },
 }
 
+impl Answered {
+    /// Returns the upstream's status.
+    pub(super) fn status(&self) -> StatusCode {
+        match self {
+            Answered::Whole { head, .. }
+            | Answered::Passed { head, .. }
+            | Answered::Stream { head, .. } => head.status,
+        }
+    }
+}
+
 /// Why an attempt gave no answer.
 #[derive(Debug, Display, Error)]
 pub(super) enum Failure {
@@ -92,8 +103,6 @@
     Broken(String),
     /// the upstream failed with status {0}
     Status(StatusCode),
-    /// nothing came for {0} ms
-    Slow(u128),
     /// its time is over
     TimeOver { is_written: bool },
 }
@@ -106,10 +115,9 @@
             | Failure::NotAdmitted(_)
             | Failure::NotStarted { .. }
             | Failure::TimeOver { is_written: false } => false,
-            Failure::Broken(_)
-            | Failure::Status(_)
-            | Failure::Slow(_)
-            | Failure::TimeOver { is_written: true } => true,
+            Failure::Broken(_) | Failure::Status(_) | Failure::TimeOver { is_written: true } => {
+                true
+            }
         }
     }
 }
--- a/entry/src/serve/routed/mod.rs
+++ b/entry/src/serve/routed/mod.rs
@@ -6,8 +6,8 @@
 //! - `handler`: from one HTTP request to one answer.
 //! - `admission`: whether a request is let in: its body, its route and its team.
 //! - `run`: the request's life: choices, attempts, repeats.
-//! - `attempt`, `refusal`, `account`: parts of that life: one attempt and how long it is waited
-//!   for; answers of the daemon's own; what is logged and counted.
+//! - `attempt`, `hedge`, `refusal`, `account`: parts of that life: one attempt and how long it is
+//!   waited for; a second one beside it; answers of the daemon's own; what is logged and counted.
 //! - `stream`: a streamed answer, resumed elsewhere if it breaks off.
 //! - `exchange`: one attempt up to the first part of its answer.
 //! - `source`: what is still to come of that answer.
@@ -28,6 +28,7 @@
 mod events;
 mod exchange;
 mod handler;
+mod hedge;
 mod lines;
 mod listener;
 mod plan;
--- a/entry/src/serve/routed/run.rs
+++ b/entry/src/serve/routed/run.rs
@@ -14,6 +14,7 @@
         Candidate,
         Chosen,
         Outcome,
+        RepeatReason,
         Wanted,
         choose, //
     },
@@ -41,7 +42,8 @@
     body::RoutedBody,
     counts::{
         Routed,
-        RoutedRefusal, //
+        RoutedRefusal,
+        RoutedRetry, //
     },
     exchange::{
         Answered,
@@ -74,10 +76,8 @@
     /// Attempts that reached an upstream, the present one included.
     pub(super) attempts: u32,
     pub(super) connects: u32,
-    pub(super) expected_ms: f64,
-    pub(super) outstanding: f64,
-    pub(super) is_full: bool,
-    pub(super) slowness: f64,
+    /// What decided for the present replica.
+    pub(super) chosen: Chosen,
     pub(super) first_part: Option<Duration>,
     /// Whether the next attempt has been paid for.
     pub(super) is_paid: bool,
@@ -107,10 +107,7 @@
             tried: Vec::new(),
             attempts: 0,
             connects: 0,
-            expected_ms: 0.0,
-            outstanding: 0.0,
-            is_full: false,
-            slowness: 1.0,
+            chosen: Chosen::default(),
             first_part: None,
             is_paid: false,
             is_over: false,
@@ -135,7 +132,7 @@
         }
         // Where all are full, a request would make every other one late as well. Those
         // that are let in are answered in time, and this one can come back.
-        if self.is_full {
+        if self.chosen.is_full {
             if let Some(reservation) = self.reservation.take()
                 && let Some(model) = &reservation.replica.model
             {
@@ -159,7 +156,7 @@
                 let reason = self.refusal_for(&failure);
                 return self.refuse(reason, &failure.to_string());
             }
-            self.log_again(&failure);
+            self.log_again(RoutedRetry::after(&failure));
         }
     }
 
@@ -170,11 +167,7 @@
             return false;
         };
         let id = replica.id.clone();
-        let now = self.server.clock.now();
-        self.slowness = self.server.loads.borrow().slowness(&id, now);
-        self.expected_ms = chosen.expected_ms;
-        self.outstanding = chosen.outstanding;
-        self.is_full = chosen.is_full;
+        self.chosen = chosen;
         let known_crashes = self.known_crashes();
         self.trail.sent(known_crashes, self.tried.is_empty());
         if !self.use_permit(&id, &view) {
@@ -214,6 +207,7 @@
             home: &self.server.settings.failure_domain,
             prompt_tokens: plan.prompt_tokens(),
             timing: engine.map(|engine| &engine.timing),
+            typical_ms: self.usual(None).map(|usual| usual.typical_ms),
             daemons: view.entries,
             keeps_apart: self.trail.is_broken() || self.standing() != Standing::Trusted,
         };
@@ -226,11 +220,7 @@
 
     /// Turns an upstream's answer into the caller's, unless another attempt is better.
     fn take(&mut self, answered: Answered) -> Result<Response<RoutedBody>, Failure> {
-        let status = match &answered {
-            Answered::Whole { head, .. }
-            | Answered::Passed { head, .. }
-            | Answered::Stream { head, .. } => head.status,
-        };
+        let status = answered.status();
         let is_failure = status.is_server_error();
         if let Some(reservation) = &self.reservation {
             reservation.outcome(match is_failure {
@@ -241,7 +231,7 @@
         if is_failure && self.plan.terms.route.kind.is_repeatable() {
             // The failure is passed on as it is if no repeat is allowed.
             self.attempts -= 1;
-            if self.pay_repeat() {
+            if self.pay_repeat(RepeatReason::Broken) {
                 return Err(Failure::Status(status));
             }
             self.attempts += 1;
@@ -292,10 +282,7 @@
             tried: std::mem::take(&mut self.tried),
             attempts: self.attempts,
             connects: self.connects,
-            expected_ms: self.expected_ms,
-            outstanding: self.outstanding,
-            is_full: self.is_full,
-            slowness: self.slowness,
+            chosen: self.chosen,
             first_part: self.first_part,
             is_paid: false,
             is_over: false,
@@ -312,12 +299,8 @@
     /// Takes note of a failed attempt; returns whether another one may follow.
     fn failed(&mut self, failure: &Failure, sent: &SentBytes) -> bool {
         // Whatever is still to be written to the failed attempt must not go out.
-        let is_written = sent.seal() > 0;
-        self.log_failure(failure);
-        self.note_outcome(failure);
-        if matches!(failure, Failure::Broken(_)) {
-            self.suspect();
-        }
+        sent.seal();
+        self.note_failure(failure);
         let event = match failure {
             Failure::NotConnected(_) | Failure::NotAdmitted(_) => {
                 self.connects += 1;
@@ -335,8 +318,7 @@
                 self.attempts += 1;
                 RequestEvent::NotStarted
             }
-            Failure::Broken(_) | Failure::Status(_) | Failure::Slow(_) => {
-                debug_assert!(is_written || matches!(failure, Failure::Slow(_)));
+            Failure::Broken(_) | Failure::Status(_) => {
                 self.connected();
                 self.attempts += 1;
                 RequestEvent::UpstreamFailed
--- a/entry/src/serve/routed/server.rs
+++ b/entry/src/serve/routed/server.rs
@@ -21,8 +21,12 @@
 use cicadabend::{
     breaker::Breakers,
     dispatch::{
+        AnswerClass,
         BudgetSettings,
         Loads,
+        RepeatReason,
+        Usual,
+        UsualTimes,
         WindowBudget, //
     },
     prelude::*,
@@ -75,6 +79,7 @@
     pub(super) counts: Counts,
     pub(super) pool: Pool,
     pub(super) loads: RefCell<Loads>,
+    pub(super) usual_times: RefCell<UsualTimes>,
     pub(super) crash_watch: CrashWatch,
     pub(super) draining: Cell<bool>,
     lines: RequestLines,
@@ -103,6 +108,7 @@
             counts: Counts::new(setup.metrics.clone()),
             pool: Pool::new(connect_timeout_ms),
             loads: RefCell::default(),
+            usual_times: RefCell::new(UsualTimes::new(setup.settings.retries.late_quantile)),
             crash_watch: CrashWatch::default(),
             draining: Cell::new(false),
             lines: RequestLines::default(),
@@ -145,9 +151,21 @@
     }
 
     /// Pays for a repeat, if the budget allows it.
-    pub(super) fn withdraw_repeat(&self, service: &ServiceName) -> bool {
+    pub(super) fn withdraw_repeat(&self, service: &ServiceName, reason: RepeatReason) -> bool {
         let entries = self.view.load().entries;
-        self.with_budget(service, |budget| budget.withdraw(entries, self.clock.now()))
+        let now = self.clock.now();
+        self.with_budget(service, |budget| budget.withdraw(reason, entries, now))
+    }
+
+    /// Returns how many repeats are left in the window.
+    pub(super) fn repeats_left(&self, service: &ServiceName) -> u32 {
+        let entries = self.view.load().entries;
+        self.with_budget(service, |budget| budget.left(entries, self.clock.now()))
+    }
+
+    /// Returns how long answers of a class usually take, if that was learnt.
+    pub(super) fn usual(&self, class: &AnswerClass) -> Option<Usual> {
+        self.usual_times.borrow().usual(class, self.clock.now())
     }
 
     fn drop_ended_permits(&self) {
@@ -183,6 +201,7 @@
         server.crash_watch.forget(is_kept);
         let now = server.clock.now();
         server.breakers.borrow_mut().forget(is_kept, now);
+        server.usual_times.borrow_mut().forget_old(now);
         server.drop_ended_permits();
         server.rates.borrow_mut().retain(|id, _| is_kept(id));
         server.pool.close_expired();
--- a/lib/src/dispatch/budget.rs
+++ b/lib/src/dispatch/budget.rs
@@ -16,6 +16,34 @@
 /// What of the bound is used: arrivals are counted elsewhere, at slightly other times.
 const USED_SHARE: f64 = 0.8;
 
+/// Why a request is sent once more.
+///
+/// What is merely late is answered without a repeat too; what was not run may come back by its
+/// caller; what broke off is lost without one. So each leaves a part of the window to the next.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RepeatReason {
+    /// It takes unusually long.
+    Late,
+    /// The upstream said that it did not run it.
+    NotRun,
+    /// Its answer broke off or failed.
+    Broken,
+}
+
+impl RepeatReason {
+    /// Returns up to which part of the window all repeats together may have grown.
+    fn top(self) -> f64 {
+        match self {
+            RepeatReason::Late => 0.5,
+            RepeatReason::NotRun => 0.9,
+            RepeatReason::Broken => 1.0,
+        }
+    }
+}
+
+/// The part of the window that repeats of what is late may use.
+const LATE_PART: f64 = 0.25;
+
 /// The bound.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BudgetSettings {
@@ -32,6 +60,8 @@
     number: u64,
     requests: u32,
     repeats: u32,
+    /// Repeats of what was late, which are among the repeats.
+    late: u32,
 }
 
 /// One service's budget at one daemon.
@@ -58,22 +88,38 @@
     }
 
     /// Counts a repeat if the bound allows it; `daemons` share what is free.
-    pub fn withdraw(&mut self, daemons: u32, now: Timestamp) -> bool {
-        let share = f64::from(self.settings.slack) / f64::from(daemons.max(1));
-        let ratio = self.settings.ratio;
-        self.part(now);
-        let requests: u32 = self.parts.iter().map(|part| part.requests).sum();
-        let repeats: u32 = self.parts.iter().map(|part| part.repeats).sum();
-        let allowed = (f64::from(requests) * ratio + share) * USED_SHARE;
-        if f64::from(repeats + 1) > allowed {
+    pub fn withdraw(&mut self, reason: RepeatReason, daemons: u32, now: Timestamp) -> bool {
+        let allowed = self.allowed(daemons, now);
+        let is_late = reason == RepeatReason::Late;
+        let late: u32 = self.parts.iter().map(|part| part.late).sum();
+        let too_many = f64::from(self.repeats() + 1) > allowed * reason.top();
+        if too_many || (is_late && f64::from(late + 1) > allowed * LATE_PART) {
             return false;
         }
         if let Some(part) = self.part(now) {
             part.repeats += 1;
+            part.late += u32::from(is_late);
         }
         true
     }
 
+    /// Returns how many repeats of what broke off the window still has.
+    pub fn left(&mut self, daemons: u32, now: Timestamp) -> u32 {
+        let allowed = self.allowed(daemons, now) as u32;
+        allowed.saturating_sub(self.repeats())
+    }
+
+    fn allowed(&mut self, daemons: u32, now: Timestamp) -> f64 {
+        let share = f64::from(self.settings.slack) / f64::from(daemons.max(1));
+        self.part(now);
+        let requests: u32 = self.parts.iter().map(|part| part.requests).sum();
+        (f64::from(requests) * self.settings.ratio + share) * USED_SHARE
+    }
+
+    fn repeats(&self) -> u32 {
+        self.parts.iter().map(|part| part.repeats).sum()
+    }
+
     fn part(&mut self, now: Timestamp) -> Option<&mut Part> {
         let window_ms = u64::try_from(self.settings.window.as_millis()).unwrap_or(u64::MAX);
         let number = now.0 / (window_ms / PARTS).max(1);
--- a/lib/src/dispatch/choose.rs
+++ b/lib/src/dispatch/choose.rs
@@ -22,8 +22,9 @@
 ///
 /// Others' requests are seen late, so a little more than the slots is let through.
 const FULL_FACTOR: f64 = 1.1;
-/// What a plain upstream is expected to take for a request, in milliseconds.
-const PLAIN_MS: f64 = 20.0;
+/// What a request of a service of which nothing is learnt counts for, in milliseconds; it only
+/// compares the service's upstreams.
+const UNLEARNT_MS: f64 = 20.0;
 /// A suspect is used only if it is better by this, in milliseconds.
 const SUSPECT_MS: f64 = 4_000.0;
 /// What an upstream that is left alone is worse by, in milliseconds.
@@ -64,6 +65,8 @@
     pub prompt_tokens: u64,
     /// How long engines' work takes, if engines run it.
     pub timing: Option<&'a Timing>,
+    /// What half of the answers of its kind take at most, in milliseconds, if that was learnt.
+    pub typical_ms: Option<f64>,
     /// How many daemons choose among the same upstreams.
     pub daemons: u32,
     /// Whether it was at an upstream that ended, so that it must not meet the others again.
@@ -71,7 +74,7 @@
 }
 
 /// The choice and what it is expected to take.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Chosen {
     /// Its index among the candidates.
     pub index: usize,
@@ -81,6 +84,8 @@
     pub outstanding: f64,
     /// Whether it has no room, so that the request would wait behind others.
     pub is_full: bool,
+    /// How much slower than usual it has been lately.
+    pub slowness: f64,
 }
 
 /// Returns the best candidate; `random` decides between those that are nearly as good.
@@ -109,6 +114,7 @@
         index,
         expected_ms: expected_ms(chosen, wanted, loads, now),
         outstanding,
+        slowness: loads.slowness(chosen.id, now),
     })
 }
 
@@ -266,7 +272,8 @@
     let slowness = loads.slowness(candidate.id, now);
     let Some(timing) = wanted.timing else {
         let rounds = (outstanding + 1.0) / slots;
-        return PLAIN_MS * rounds.max(0.3) * slowness;
+        let typical_ms = wanted.typical_ms.unwrap_or(UNLEARNT_MS);
+        return typical_ms * rounds.max(0.3) * slowness;
     };
     let delay = 2.0 * timing.delay_ms(wanted.home, candidate.failure_domain);
     let pace = candidate.model.map_or(1.0, |model| model.pace);
--- a/lib/src/dispatch/mod.rs
+++ b/lib/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 //! - [`choose`]: the upstream with the lowest expected time to its first event.
 //! - [`DemandCounts`]: how many requests each model has, as whoever places models is told.
 //! - [`urgency`]: which of the requests that wait at one upstream goes first.
+//! - [`UsualTimes`]: how long answers usually take.
 //! - [`WindowBudget`]: how many requests may be sent once more.
 
 mod budget;
@@ -11,9 +12,11 @@
 mod demand;
 mod loads;
 mod urgency;
+mod usual;
 
 pub use budget::{
     BudgetSettings,
+    RepeatReason,
     WindowBudget, //
 };
 pub use choose::{
@@ -32,3 +35,8 @@
     most_urgent,
     urgency, //
 };
+pub use usual::{
+    AnswerClass,
+    Usual,
+    UsualTimes, //
+};
--- a/lib/tests/test_dispatch/main.rs
+++ b/lib/tests/test_dispatch/main.rs
@@ -7,6 +7,7 @@
 mod test_demand;
 mod test_load;
 mod test_permits;
+mod test_usual;
 
 use cicadabend::{
     dispatch::{
@@ -73,6 +74,7 @@
             home: &home,
             prompt_tokens: self.prompt_tokens,
             timing: Some(&timing),
+            typical_ms: None,
             daemons: self.daemons,
             keeps_apart: self.keeps_apart,
         };
--- a/lib/tests/test_dispatch/test_decisions.rs
+++ b/lib/tests/test_dispatch/test_decisions.rs
@@ -11,6 +11,7 @@
         LoadReport,
         Loads,
         Outcome,
+        RepeatReason,
         WindowBudget,
         most_urgent,
         urgency, //
@@ -41,7 +42,7 @@
                 budget.note_request(Timestamp(ms));
                 requests += 1;
             }
-            repeats += u32::from(budget.withdraw(9, Timestamp(ms)));
+            repeats += u32::from(budget.withdraw(RepeatReason::Broken, 9, Timestamp(ms)));
         }
     }
 
@@ -55,10 +56,10 @@
         slack: 10,
         ..SETTINGS
     });
-    while budget.withdraw(1, Timestamp(0)) {}
+    while budget.withdraw(RepeatReason::Broken, 1, Timestamp(0)) {}
 
-    assert!(!budget.withdraw(1, Timestamp(9_000)));
-    assert!(budget.withdraw(1, Timestamp(10_000)));
+    assert!(!budget.withdraw(RepeatReason::Broken, 1, Timestamp(9_000)));
+    assert!(budget.withdraw(RepeatReason::Broken, 1, Timestamp(10_000)));
 }
 
 fn chosen(ids: &[InstanceId], suspect: Option<usize>, loads: &Loads, now: u64) -> (usize, bool) {
