breaker: a request that was refused goes on trial elsewhere only if nothing else is left

What callers saw: with three of four upstreams in backoff a request on trial at one of them was refused, went on trial at another, and was refused for good beside an idle fourth. Cause: each of its two attempts could be a trial. Change: what was tried elsewhere before is sent on trial only if no upstream is sure to take it. Before and after, whole_path/test_availability with three of four that refuse: callers got 503 both on the safe and the unsafe route with this alone taken out; none now.

--- a/entry/src/serve/routed/availability.rs
+++ b/entry/src/serve/routed/availability.rs
@@ -107,6 +107,22 @@
         breakers.admission(&replica.id, now)
     }
 
+    /// Keeps the replicas that may be sent the request now.
+    ///
+    /// One that was tried elsewhere before is sent on trial only if nothing else is left: a second
+    /// refusal would use up its attempts while others have room.
+    pub(super) fn admitted<'a>(&self, replicas: Vec<&'a RoutedReplica>) -> Vec<&'a RoutedReplica> {
+        let admissions = replicas.into_iter().map(|one| (one, self.admission(one)));
+        let (sure, others): (Vec<_>, Vec<_>) =
+            admissions.partition(|(_, admission)| *admission == Admission::Admitted);
+        let on_trial = others
+            .into_iter()
+            .filter(|(_, admission)| admission.is_admitted());
+        let only_sure = !self.tried.is_empty() && !sure.is_empty();
+        let kept = sure.into_iter().chain(on_trial.filter(|_| !only_sure));
+        kept.map(|(replica, _)| replica).collect()
+    }
+
     /// Tells that a request finds out whether its replica takes requests again.
     pub(super) fn note_trial(&self, reservation: &Reservation) {
         if !reservation.is_trial() {
--- a/entry/src/serve/routed/run.rs
+++ b/entry/src/serve/routed/run.rs
@@ -186,12 +186,12 @@
         let table = view.routes.as_ref()?.table();
         let engine = table.engine(&plan.terms.service);
         let model = plan.words.model.as_deref();
-        let replicas: Vec<&RoutedReplica> = view
+        let replicas = view
             .replicas_of(&plan.terms.service, model)
             .filter(|replica| !self.tried.contains(&replica.id))
-            .filter(|replica| self.admission(replica).is_admitted())
             .filter(|replica| self.is_permitted(replica, view))
             .collect();
+        let replicas: Vec<&RoutedReplica> = self.admitted(replicas);
         let candidates: Vec<Candidate<'_>> = replicas
             .iter()
             .map(|replica| Candidate {
