dispatch: an upstream that refuses is left alone by the share that it refuses

What callers saw: upstreams that refuse at once, without naming a time, get more requests than whole ones, and what is refused spends the repeats. Cause: a fixed 120 ms after a refusal; then it had nothing outstanding. Change: the time grows with the share of the last requests that it refused, up to 1.9 s; it falls with each that it takes. It has its share again within 2 s.

--- a/entry/src/serve/routed/account.rs
+++ b/entry/src/serve/routed/account.rs
@@ -185,7 +185,7 @@
             return;
         };
         let outcome = match failure {
-            Failure::NotStarted { at_fault, .. } if at_fault.is_empty() => Outcome::Full,
+            Failure::NotStarted { at_fault, .. } if at_fault.is_empty() => Outcome::Refused,
             Failure::Status(_)
             | Failure::NotAdmitted(_)
             | Failure::TimeOver { is_written: false } => return,
--- a/lib/src/dispatch/loads.rs
+++ b/lib/src/dispatch/loads.rs
@@ -36,8 +36,12 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(6_400);
 /// By how much the last sign of one stream may be later than that of another.
 const STALL_MARGIN: Duration = Duration::from_millis(60);
-/// How long an upstream that is full is left alone.
-const FULL_PAUSE: Duration = Duration::from_millis(120);
+/// How long an upstream that refused a request is left alone at least.
+const REFUSED_PAUSE: Duration = Duration::from_millis(120);
+/// How many times longer one that refuses all requests is left alone.
+///
+/// Whoever refuses at once has nothing outstanding and looks like the best choice.
+const REFUSING_FACTOR: f64 = 16.0;
 
 /// An upstream's own word on its load.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -53,8 +57,8 @@
 pub enum Outcome {
     /// It answered.
     Answered,
-    /// It refused because it is full.
-    Full,
+    /// It refused to run it.
+    Refused,
     /// It answered with a failure of its own.
     Failed,
     /// It could not be reached, or its answer broke off.
@@ -71,6 +75,8 @@
     /// How much slower than expected it is.
     slowness: Option<(f64, Timestamp)>,
     failing: f64,
+    /// The share of the last requests that it refused.
+    refusing: f64,
     paused_until: Timestamp,
     pause: Duration,
     answered_at: Option<Timestamp>,
@@ -125,11 +131,18 @@
         match outcome {
             Outcome::Answered => {
                 one.failing *= 1.0 - FAILURE_WEIGHT;
+                one.refusing *= 1.0 - FAILURE_WEIGHT;
                 one.pause = Duration::ZERO;
                 one.answered_at = Some(now);
             }
-            Outcome::Full => one.paused_until = one.paused_until.max(now + FULL_PAUSE),
+            Outcome::Refused => {
+                one.refusing += (1.0 - one.refusing) * FAILURE_WEIGHT;
+                let factor = 1.0 + (REFUSING_FACTOR - 1.0) * one.refusing;
+                let until = now + REFUSED_PAUSE.mul_f64(factor);
+                one.paused_until = one.paused_until.max(until);
+            }
             Outcome::Failed => {
+                one.refusing *= 1.0 - FAILURE_WEIGHT;
                 one.failing += (1.0 - one.failing) * FAILURE_WEIGHT;
                 one.answered_at = Some(now);
                 if one.failing > FAILING_SHARE {
--- a/lib/tests/test_dispatch/main.rs
+++ b/lib/tests/test_dispatch/main.rs
@@ -7,6 +7,7 @@
 mod test_demand;
 mod test_load;
 mod test_permits;
+mod test_refusals;
 mod test_usual;
 
 use cicadabend::{
