routed: files import only those below them

Failure, Reservation, the trials of a quarantine and what answers say move to files of their own; drive.rs holds the way from a request's arrival to the head of its answer, run.rs the request and the choice; the watch for ended upstreams is apart from its record.

--- a/entry/src/serve/routed/account.rs
+++ b/entry/src/serve/routed/account.rs
@@ -15,10 +15,8 @@
         RoutedRetry, //
     },
     events::LogEvent,
-    exchange::{
-        Failure,
-        replica_name, //
-    },
+    failure::Failure,
+    reservation::replica_name,
     run::RoutedRun, //
 };
 
--- a/entry/src/serve/routed/attempt.rs
+++ b/entry/src/serve/routed/attempt.rs
@@ -24,10 +24,10 @@
     super::upstream::SentBytes,
     exchange::{
         Answered,
-        Failure,
-        Reservation,
         exchange, //
     },
+    failure::Failure,
+    reservation::Reservation,
     run::RoutedRun,
 };
 
--- a/entry/src/serve/routed/counts.rs
+++ b/entry/src/serve/routed/counts.rs
@@ -4,8 +4,6 @@
 
 use cicadabend_daemon::metrics::Metrics;
 
-use super::exchange::Failure;
-
 cicadabend_daemon::counters! {
     /// What happened to routed requests.
     pub enum Routed = "routed" {
@@ -94,20 +92,6 @@
     }
 }
 
-impl RoutedRetry {
-    /// Returns why a request is sent once more after a failed attempt.
-    pub(super) fn after(failure: &Failure) -> Self {
-        match failure {
-            Failure::NotConnected(_) => RoutedRetry::NotConnected,
-            Failure::NotAdmitted(_) => RoutedRetry::NotAdmitted,
-            Failure::NotStarted { .. } => RoutedRetry::NotStarted,
-            Failure::Broken(_) | Failure::Status(_) | Failure::TimeOver { .. } => {
-                RoutedRetry::Failed
-            }
-        }
-    }
-}
-
 /// The serving thread's way to the process's metrics.
 pub(super) struct Counts {
     metrics: Metrics,
--- a/entry/src/serve/routed/exchange.rs
+++ b/entry/src/serve/routed/exchange.rs
@@ -1,59 +1,43 @@
 //! One attempt: from the connection to the first part of the answer.
 
-use std::{
-    rc::Rc,
-    time::Duration, //
-};
+use std::time::Duration;
 
 use bytes::{
     Bytes,
     BytesMut, //
 };
-use cicadabend::{
-    breaker::TrialTicket,
-    dispatch::Outcome,
-    prelude::*,
-    registry::InstanceId, //
-};
-use displaydoc::Display;
 use http::{
     StatusCode,
     response::Parts, //
 };
-use thiserror::Error;
 
 use super::{
     super::upstream::{
         AttemptError,
         SentBytes, //
     },
-    availability,
-    events::LogEvent,
+    failure::Failure,
     plan::Plan,
-    rates,
     server::Server,
     source::{
         AnswerRest,
-        EventSource, //
+        EventSource,
+        KEEP_UNSAID, //
     },
+    upstream_words,
 };
 use crate::{
     edge::{
         AnswerWords,
         NamedRate, //
     },
-    members::{
-        Demanded,
-        RoutedReplica, //
-    },
+    members::RoutedReplica,
 };
 
 /// The largest answer that is read whole before any of it is passed on.
 ///
 /// An answer that breaks off can then still be asked for elsewhere.
 const WHOLE_LIMIT_BYTES: usize = 256 * 1024;
-/// How long a connection is kept if the upstream does not say.
-pub(super) const KEEP_UNSAID: Duration = Duration::from_secs(4);
 /// What is taken off the time that an upstream keeps a connection: the way there, and a
 /// daemon that is not scheduled for a while.
 const KEEP_MARGIN: Duration = Duration::from_millis(700);
@@ -87,123 +71,6 @@
     }
 }
 
-/// Why an attempt gave no answer.
-#[derive(Debug, Display, Error)]
-pub(super) enum Failure {
-    /// {0}
-    NotConnected(AttemptError),
-    /// the upstream did not run it ({status}), at fault: {at_fault}
-    NotStarted {
-        status: StatusCode,
-        at_fault: String,
-    },
-    /// not sent: the upstream {0}
-    NotAdmitted(&'static str),
-    /// {0}
-    Broken(String),
-    /// the upstream failed with status {0}
-    Status(StatusCode),
-    /// its time is over
-    TimeOver { is_written: bool },
-}
-
-impl Failure {
-    /// Returns whether an upstream can have run the request.
-    pub(super) fn may_have_run(&self) -> bool {
-        match self {
-            Failure::NotConnected(_)
-            | Failure::NotAdmitted(_)
-            | Failure::NotStarted { .. }
-            | Failure::TimeOver { is_written: false } => false,
-            Failure::Broken(_) | Failure::Status(_) | Failure::TimeOver { is_written: true } => {
-                true
-            }
-        }
-    }
-}
-
-impl From<AttemptError> for Failure {
-    fn from(error: AttemptError) -> Self {
-        match error {
-            AttemptError::NotConnected { .. } | AttemptError::NothingWritten { .. } => {
-                Failure::NotConnected(error)
-            }
-            AttemptError::Broken { .. } => Failure::Broken(error.to_string()),
-        }
-    }
-}
-
-/// Counts a request at its replica, and stops counting it once when dropped.
-pub(super) struct Reservation {
-    server: Rc<Server>,
-    pub(super) replica: RoutedReplica,
-    prompt_tokens: u64,
-    is_read: bool,
-    trial: Option<TrialTicket>,
-    _demanded: Option<Demanded>,
-}
-
-impl Reservation {
-    pub(super) fn make(server: &Rc<Server>, replica: RoutedReplica, prompt_tokens: u64) -> Self {
-        server
-            .loads
-            .borrow_mut()
-            .started(&replica.id, prompt_tokens);
-        let model = replica.model.as_ref();
-        let demanded = model.map(|model| server.demand.count(&replica.service, model));
-        let trial = server.breakers.borrow_mut().sent(&replica.id);
-        Self {
-            _demanded: demanded,
-            server: Rc::clone(server),
-            replica,
-            prompt_tokens,
-            is_read: false,
-            trial,
-        }
-    }
-
-    /// Notes that the prompt has been read: the first event has come.
-    pub(super) fn read(&mut self) {
-        if !std::mem::replace(&mut self.is_read, true) {
-            let mut loads = self.server.loads.borrow_mut();
-            loads.read(&self.replica.id, self.prompt_tokens);
-        }
-    }
-
-    /// Returns whether the request finds out whether the replica takes requests again.
-    pub(super) fn is_trial(&self) -> bool {
-        self.trial.is_some()
-    }
-
-    /// Notes that the replica has taken the request, or that the attempt ended without that.
-    pub(super) fn end_trial(&mut self, is_answered: bool) {
-        let Some(ticket) = self.trial.take() else {
-            return;
-        };
-        let now = self.server.clock.now();
-        let mut breakers = self.server.breakers.borrow_mut();
-        if breakers.end_trial(&self.replica.id, ticket, is_answered, now) {
-            let instance = self.replica.id.clone();
-            self.server.log(&LogEvent::UpstreamRecovered { instance });
-        }
-    }
-
-    /// Notes how the attempt ended.
-    pub(super) fn outcome(&self, outcome: Outcome) {
-        let now = self.server.clock.now();
-        let mut loads = self.server.loads.borrow_mut();
-        loads.outcome(&self.replica.id, outcome, now);
-    }
-}
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        self.read();
-        self.end_trial(false);
-        self.server.loads.borrow_mut().ended(&self.replica.id);
-    }
-}
-
 /// Sends the request to a replica and waits for the first part of its answer.
 pub(super) async fn exchange(
     server: &Server,
@@ -220,13 +87,13 @@
         false => server.pool.lease_young(replica.address).await?,
     };
     let was_kept = lease.was_kept();
-    availability::check(server, &replica.id)?;
+    upstream_words::check(server, &replica.id)?;
     let sent_at = server.clock.now();
     let request = plan.request_to(&*server.edge, replica, last_event);
     let (response, lease) = match lease.send(request, sent).await {
         Err(AttemptError::NothingWritten { .. }) if was_kept => {
             let lease = server.pool.lease_new(replica.address).await?;
-            availability::check(server, &replica.id)?;
+            upstream_words::check(server, &replica.id)?;
             let request = plan.request_to(&*server.edge, replica, last_event);
             lease.send(request, sent).await?
         }
@@ -234,13 +101,13 @@
     };
     let (head, incoming) = response.into_parts();
     let words = server.edge.read_answer(head.status, &head.headers);
-    availability::note(server, plan.id(), &replica.id, &words);
+    upstream_words::note_availability(server, plan.id(), &replica.id, &words);
     check_identity(plan, &words, lease.was_kept(), head.status)?;
     // Another run at the address speaks for itself only, and what bears no mark may have lost
     // what the upstream named on its way.
     let names_rate = words.rate != NamedRate::Unsaid;
     if head.status != StatusCode::MISDIRECTED_REQUEST && (words.is_marked || names_rate) {
-        rates::note(server, plan.id(), &replica.id, &words.rate, sent_at);
+        upstream_words::note_rate(server, plan.id(), &replica.id, &words.rate, sent_at);
     }
     if let Some(load) = words.load {
         let now = server.clock.now();
@@ -333,11 +200,3 @@
         }
     }
 }
-
-/// Returns the name of a replica for logs.
-pub(super) fn replica_name(id: &InstanceId, group: Option<&GroupId>) -> String {
-    match group {
-        Some(group) => format!("{id}/{group}"),
-        None => id.to_string(),
-    }
-}
--- /dev/null
+++ b/entry/src/serve/routed/failure.rs
@@ -0,0 +1,70 @@
+//! Why an attempt gave no answer, and what that means for a further one.
+
+use displaydoc::Display;
+use http::StatusCode;
+use thiserror::Error;
+
+use super::{
+    super::upstream::AttemptError,
+    counts::RoutedRetry, //
+};
+
+/// Why an attempt gave no answer.
+#[derive(Debug, Display, Error)]
+pub(super) enum Failure {
+    /// {0}
+    NotConnected(AttemptError),
+    /// the upstream did not run it ({status}), at fault: {at_fault}
+    NotStarted {
+        status: StatusCode,
+        at_fault: String,
+    },
+    /// not sent: the upstream {0}
+    NotAdmitted(&'static str),
+    /// {0}
+    Broken(String),
+    /// the upstream failed with status {0}
+    Status(StatusCode),
+    /// its time is over
+    TimeOver { is_written: bool },
+}
+
+impl Failure {
+    /// Returns whether an upstream can have run the request.
+    pub(super) fn may_have_run(&self) -> bool {
+        match self {
+            Failure::NotConnected(_)
+            | Failure::NotAdmitted(_)
+            | Failure::NotStarted { .. }
+            | Failure::TimeOver { is_written: false } => false,
+            Failure::Broken(_) | Failure::Status(_) | Failure::TimeOver { is_written: true } => {
+                true
+            }
+        }
+    }
+}
+
+impl Failure {
+    /// Returns why a request is sent once more after it.
+    pub(super) fn retry_reason(&self) -> RoutedRetry {
+        match self {
+            Failure::NotConnected(_) => RoutedRetry::NotConnected,
+            Failure::NotAdmitted(_) => RoutedRetry::NotAdmitted,
+            Failure::NotStarted { .. } => RoutedRetry::NotStarted,
+            Failure::Broken(_) | Failure::Status(_) | Failure::TimeOver { .. } => {
+                RoutedRetry::Failed
+            }
+        }
+    }
+}
+
+impl From<AttemptError> for Failure {
+    fn from(error: AttemptError) -> Self {
+        match error {
+            AttemptError::NotConnected { .. } | AttemptError::NothingWritten { .. } => {
+                Failure::NotConnected(error)
+            }
+            AttemptError::Broken { .. } => Failure::Broken(error.to_string()),
+        }
+    }
+}
--- a/entry/src/serve/routed/hedge.rs
+++ b/entry/src/serve/routed/hedge.rs
@@ -24,10 +24,10 @@
     counts::RoutedRetry,
     exchange::{
         Answered,
-        Failure,
-        Reservation,
         exchange, //
     },
+    failure::Failure,
+    reservation::Reservation,
     run::RoutedRun,
 };
 
--- a/entry/src/serve/routed/mod.rs
+++ b/entry/src/serve/routed/mod.rs
@@ -1,22 +1,26 @@
 //! Requests that go by the table of routes.
 //!
-//! From top to bottom, each file calling only those below it:
+//! From top to bottom, each file importing only those below it:
 //!
 //! - `listener`: accepts connections and drains them.
 //! - `handler`: from one HTTP request to one answer.
+//! - `drive`: the request's way to the head of its answer.
+//! - `attempt`, `hedge`: one attempt and how long it is waited for; a second one beside it.
+//! - `refusal`, `quarantine`: answers of the daemon's own; whether a request may run, by the
+//!   upstreams that ended with it.
+//! - `body`, `stream`: what is passed on; a streamed answer is resumed elsewhere if it breaks off.
+//! - `availability`, `rates`, `account`: when upstreams may be sent requests, by their own answers;
+//!   permits for those that name a rate; what is logged and counted.
+//! - `run`: the request and the choice of its upstream.
 //! - `admission`: whether a request is let in: its body, its route and its team.
-//! - `run`: the request's life: choices, attempts, repeats.
-//! - `attempt`, `hedge`, `refusal`, `account`: parts of that life: one attempt and how long it is
-//!   waited for; a second one beside it; answers of the daemon's own; what is logged and counted.
-//! - `stream`: a streamed answer, resumed elsewhere if it breaks off.
 //! - `exchange`: one attempt up to the first part of its answer.
-//! - `source`: what is still to come of that answer.
-//! - `crash_watch`: whether an upstream that broke requests off has ended.
-//! - `quarantine`: whether a request may run, by the upstreams that ended with it.
-//! - `rates`: the rates of requests that upstreams name.
-//! - `availability`: when upstreams may be sent requests, by their own answers.
-//! - `plan`: the request in the form in which it can be sent, also twice.
+//! - `upstream_words`: what an answer says besides its status and body.
+//! - `crash_look`: whether an upstream that broke requests off has ended.
+//! - `reservation`, `trials`: a request's place at a replica; its trial after a quarantine.
 //! - `server`: what all requests share.
+//! - `failure`, `source`, `plan`, `crash_watch`, `counts`, `events`, `lines`: why an attempt gave no
+//!   answer; what is still to come of one; the request in the form in which it can be sent, also
+//!   twice; requests that were broken off; counters; lines.
 
 mod account;
 mod admission;
@@ -24,9 +28,12 @@
 mod availability;
 mod body;
 mod counts;
+mod crash_look;
 mod crash_watch;
+mod drive;
 mod events;
 mod exchange;
+mod failure;
 mod handler;
 mod hedge;
 mod lines;
@@ -35,10 +42,13 @@
 mod quarantine;
 mod rates;
 mod refusal;
+mod reservation;
 mod run;
 mod server;
 mod source;
 mod stream;
+mod trials;
+mod upstream_words;
 
 use std::{
     io,
--- a/entry/src/serve/routed/quarantine.rs
+++ b/entry/src/serve/routed/quarantine.rs
@@ -1,83 +1,22 @@
 //! Whether a request may run, by the upstreams that ended with it.
 
-use std::{
-    collections::HashSet,
-    rc::Rc, //
-};
-
-use cicadabend::{
-    quarantine::{
-        Fingerprint,
-        Known,
-        Observation,
-        Standing,
-        Suspicion, //
-    },
-    registry::InstanceId,
+use cicadabend::quarantine::{
+    Observation,
+    Standing,
+    Suspicion, //
 };
 use http::Response;
 
 use super::{
     body::RoutedBody,
     counts::RoutedRefusal,
-    crash_watch::{
-        BrokenOff,
-        CrashWatch, //
-    },
+    crash_look,
+    crash_watch::BrokenOff,
     events::LogEvent,
     run::RoutedRun,
-    server::Server, //
+    trials::Trial, //
 };
 
-/// Requests on trial here; one of each runs at a time.
-pub(super) type Trials = HashSet<Fingerprint>;
-
-/// A request whose quarantine is over and that runs to find out whether it still ends upstreams.
-pub(super) struct Trial {
-    server: Rc<Server>,
-    fingerprint: Fingerprint,
-}
-
-impl Trial {
-    /// Begins a trial; `None` if there is one of the same request.
-    fn begin(server: &Rc<Server>, fingerprint: Fingerprint) -> Option<Self> {
-        let is_first = server.trials.borrow_mut().insert(fingerprint);
-        is_first.then(|| Self {
-            server: Rc::clone(server),
-            fingerprint,
-        })
-    }
-}
-
-impl Drop for Trial {
-    fn drop(&mut self) {
-        self.server.trials.borrow_mut().remove(&self.fingerprint);
-    }
-}
-
-/// What a request has met of upstreams that end, on its way from one to the next.
-#[derive(Debug, Default)]
-pub(super) struct CrashTrail {
-    known: Known,
-    /// The upstreams that broke it off, and may have ended by it.
-    broken_at: Vec<InstanceId>,
-}
-
-impl CrashTrail {
-    /// Notes that the request is sent, with so many crashes of its like known.
-    pub(super) fn sent(&mut self, known_crashes: u32, is_first: bool) {
-        self.known.at_last = known_crashes;
-        if is_first {
-            self.known.at_first = known_crashes;
-        }
-    }
-
-    /// Returns whether an upstream broke the request off.
-    pub(super) fn is_broken(&self) -> bool {
-        !self.broken_at.is_empty()
-    }
-}
-
 impl RoutedRun {
     /// Notes that the present replica broke the request off; it may have ended by it.
     pub(super) fn suspect(&mut self) {
@@ -91,7 +30,7 @@
             known: self.trail.known,
             broken_before: self.trail.broken_at.clone(),
         };
-        CrashWatch::note(&self.server, (&replica.id, replica.address), broken);
+        crash_look::note(&self.server, (&replica.id, replica.address), broken);
         self.trail.broken_at.push(replica.id.clone());
     }
 
--- a/entry/src/serve/routed/rates.rs
+++ b/entry/src/serve/routed/rates.rs
@@ -1,12 +1,8 @@
 //! Upstreams that name the rate of requests which they take, and the permits to send to them.
 
-use std::{
-    collections::HashMap,
-    time::Duration, //
-};
+use std::time::Duration;
 
 use cicadabend::{
-    prelude::*,
     rates::{
         Caller,
         Pool,
@@ -24,72 +20,16 @@
         Routed,
         RoutedRefusal, //
     },
-    events::LogEvent,
     run::RoutedRun,
-    server::Server, //
 };
-use crate::{
-    edge::NamedRate,
-    members::{
-        RoutedReplica,
-        RoutedView, //
-    },
+use crate::members::{
+    RoutedReplica,
+    RoutedView, //
 };
 
 /// How long a request waits for the leader's answer, which takes a few milliseconds.
 const PERMIT_PATIENCE: Duration = Duration::from_millis(100);
 
-/// What each upstream named in its last answer here; those that name nothing are left out.
-pub(super) type HeardRates = HashMap<InstanceId, RequestRate>;
-
-/// Takes note of what an upstream's answer says of the rate that it takes.
-pub(super) fn note(
-    server: &Server,
-    request: &str,
-    id: &InstanceId,
-    named: &NamedRate,
-    sent_at: Timestamp,
-) {
-    let rate = match named {
-        NamedRate::Unsaid => None,
-        NamedRate::Named(rate) => Some(*rate),
-        NamedRate::Unreadable(why) => {
-            server.log(&LogEvent::RateUnreadable {
-                request: request.to_owned(),
-                instance: id.clone(),
-                why: why.clone(),
-            });
-            return;
-        }
-    };
-    let before = replace(&mut server.rates.borrow_mut(), id, rate);
-    if before != rate {
-        server.log(&LogEvent::RateNamed {
-            request: request.to_owned(),
-            instance: id.clone(),
-            rate: RequestRate::text(rate),
-            before: RequestRate::text(before),
-        });
-    }
-    if rate.is_some() || before.is_some() || server.view.load().rates.contains_key(id) {
-        // A full ring loses the notice; the next answer of the upstream gives another.
-        let _ = server
-            .rate_notices
-            .push((id.clone(), rate, (sent_at, server.clock.now())));
-    }
-}
-
-fn replace(
-    rates: &mut HeardRates,
-    id: &InstanceId,
-    rate: Option<RequestRate>,
-) -> Option<RequestRate> {
-    match rate {
-        Some(rate) => rates.insert(id.clone(), rate),
-        None => rates.remove(id),
-    }
-}
-
 fn pool_of(replica: &RoutedReplica) -> Pool {
     Pool {
         service: replica.service.clone(),
--- a/entry/src/serve/routed/refusal.rs
+++ b/entry/src/serve/routed/refusal.rs
@@ -13,7 +13,7 @@
     body::RoutedBody,
     counts::RoutedRefusal,
     events::LogEvent,
-    exchange::Failure,
+    failure::Failure,
     run::RoutedRun,
     server::Server, //
 };
--- a/entry/src/serve/routed/server.rs
+++ b/entry/src/serve/routed/server.rs
@@ -5,7 +5,10 @@
         Cell,
         RefCell, //
     },
-    collections::HashMap,
+    collections::{
+        HashMap,
+        HashSet, //
+    },
     rc::Rc,
     sync::{
         Arc,
@@ -30,6 +33,7 @@
         WindowBudget, //
     },
     prelude::*,
+    quarantine::Fingerprint,
     registry::InstanceId,
 };
 use cicadabend_daemon::{
@@ -52,9 +56,7 @@
     },
     crash_watch::CrashWatch,
     events::LogEvent,
-    lines::RequestLines,
-    quarantine::Trials,
-    rates::HeardRates, //
+    lines::RequestLines, //
 };
 use crate::{
     edge::CallerEdge,
@@ -70,6 +72,12 @@
 /// How often what is known of vanished upstreams is dropped.
 const SWEEP: Duration = Duration::from_secs(2);
 
+/// Requests on trial here; one of each runs at a time.
+pub(super) type Trials = HashSet<Fingerprint>;
+
+/// What each upstream named in its last answer here; those that name nothing are left out.
+pub(super) type HeardRates = HashMap<InstanceId, RequestRate>;
+
 /// The serving thread's state; it never leaves the thread.
 pub(super) struct Server {
     pub(super) settings: EntrySettings,
--- a/entry/src/serve/routed/source.rs
+++ b/entry/src/serve/routed/source.rs
@@ -23,6 +23,8 @@
     reason, //
 };
 
+/// How long a connection is kept if the upstream does not say.
+pub(super) const KEEP_UNSAID: Duration = Duration::from_secs(4);
 /// The largest event; an engine that sends more without a blank line sends garbage.
 const EVENT_LIMIT_BYTES: usize = 1024 * 1024;
 /// The rest of an answer and the connection it comes over.
--- a/entry/src/serve/routed/stream.rs
+++ b/entry/src/serve/routed/stream.rs
@@ -30,9 +30,9 @@
     counts::Routed,
     exchange::{
         Answered,
-        Failure,
         exchange, //
     },
+    failure::Failure,
     run::RoutedRun,
     source::{
         AnswerRest,
