dispatch: an upstream that is believed full is left alone for a moment only

Hypothesis: under load heads refuse because their queue is full, which passes within milliseconds; left alone for a second they idle and the others fill up. Change: a refusal by an upstream with as many requests as it runs side by side, as far as is known, is no sign of one that refuses at once; it is left alone for 120 ms as before.

--- a/entry/src/serve/routed/account.rs
+++ b/entry/src/serve/routed/account.rs
@@ -183,7 +183,12 @@
             return;
         };
         let outcome = match failure {
-            Failure::NotStarted { at_fault, .. } if at_fault.is_empty() => Outcome::Refused,
+            Failure::NotStarted { at_fault, .. } if at_fault.is_empty() => {
+                match reservation.seems_full() {
+                    true => Outcome::Full,
+                    false => Outcome::Refused,
+                }
+            }
             Failure::Status(_)
             | Failure::NotAdmitted(_)
             | Failure::TimeOver { is_written: false } => return,
--- a/entry/src/serve/routed/reservation.rs
+++ b/entry/src/serve/routed/reservation.rs
@@ -73,6 +73,14 @@
         }
     }
 
+    /// Returns whether as many requests as the replica runs side by side are believed to be there.
+    pub(super) fn seems_full(&self) -> bool {
+        let now = self.server.clock.now();
+        let loads = self.server.loads.borrow();
+        let outstanding = loads.outstanding(&self.replica.id, now);
+        outstanding >= f64::from(self.replica.slots)
+    }
+
     /// Notes how the attempt ended.
     pub(super) fn outcome(&self, outcome: Outcome) {
         let now = self.server.clock.now();
--- a/lib/src/dispatch/loads.rs
+++ b/lib/src/dispatch/loads.rs
@@ -38,7 +38,7 @@
 const STALL_MARGIN: Duration = Duration::from_millis(60);
 /// How long an upstream that refused a request is left alone at least.
 const REFUSED_PAUSE: Duration = Duration::from_millis(120);
-/// How many times longer one that refuses all requests is left alone.
+/// How many times longer one is left alone that refuses all requests while it seems to have room.
 ///
 /// Whoever refuses at once has nothing outstanding and looks like the best choice.
 const REFUSING_FACTOR: f64 = 16.0;
@@ -57,7 +57,9 @@
 pub enum Outcome {
     /// It answered.
     Answered,
-    /// It refused to run it.
+    /// It refused because it is full.
+    Full,
+    /// It refused though it seemed to have room.
     Refused,
     /// It answered with a failure of its own.
     Failed,
@@ -75,7 +77,7 @@
     /// How much slower than expected it is.
     slowness: Option<(f64, Timestamp)>,
     failing: f64,
-    /// The share of the last requests that it refused.
+    /// The share of the last requests that it refused though it seemed to have room.
     refusing: f64,
     paused_until: Timestamp,
     pause: Duration,
@@ -135,6 +137,7 @@
                 one.pause = Duration::ZERO;
                 one.answered_at = Some(now);
             }
+            Outcome::Full => one.paused_until = one.paused_until.max(now + REFUSED_PAUSE),
             Outcome::Refused => {
                 one.refusing += (1.0 - one.refusing) * FAILURE_WEIGHT;
                 let factor = 1.0 + (REFUSING_FACTOR - 1.0) * one.refusing;
--- a/lib/tests/test_dispatch/test_refusals.rs
+++ b/lib/tests/test_dispatch/test_refusals.rs
@@ -100,3 +100,16 @@
 
     assert!(chosen.count() >= 80);
 }
+
+/// Guards against upstreams that are left idle after a moment in which all of them were full.
+#[test]
+fn an_upstream_that_was_full_is_left_alone_for_a_moment_only() {
+    let ids = heads(HEADS);
+    let mut loads = Loads::default();
+    for number in 0..40 {
+        loads.outcome(&ids[0], Outcome::Full, Timestamp(number));
+    }
+
+    assert!(loads.is_paused(&ids[0], Timestamp(41)));
+    assert!(!loads.is_paused(&ids[0], Timestamp(40 + 120)));
+}
