serve: sealing an attempt leaves a connection alone that is done with it

Found by reading hedge.rs once more. Of two attempts that are waited for together one may end first, with its connection kept for later requests; when the other one failed, or time was over, the first one's bytes were sealed as well, and a request that was being written on that connection by then would have broken off. Change: a connection counts the requests that it is done with; sealing an earlier one only counts. A connection that was sealed is closed in place of kept: its next request could only fail and go on a new one, as before.

--- a/entry/src/serve/upstream.rs
+++ b/entry/src/serve/upstream.rs
@@ -94,6 +94,8 @@
 struct Wire {
     written: Cell<u64>,
     sealed: Cell<bool>,
+    /// How many requests the connection has done with.
+    done: Cell<u64>,
 }
 
 /// A socket that counts the bytes that the kernel took, and takes none once sealed.
@@ -197,23 +199,33 @@
 /// What an attempt has written to its connection, known also after its future was dropped.
 #[derive(Default)]
 pub(super) struct SentBytes {
-    on: RefCell<Option<(Rc<Wire>, u64)>>,
+    on: RefCell<Option<Sending>>,
+}
+
+/// Where an attempt writes.
+struct Sending {
+    wire: Rc<Wire>,
+    /// What earlier requests had written, and how many they were.
+    written_before: u64,
+    done_before: u64,
 }
 
 impl SentBytes {
     /// Ends all writing of the attempt and returns how many bytes were written.
     ///
     /// Sealed first, counted second: nothing can be written in between or later, so
-    /// zero is a proof that the upstream saw nothing. Must not be called once the
-    /// connection serves another request.
+    /// zero is a proof that the upstream saw nothing. A connection that is done with the attempt
+    /// may serve another request, and is left as it is: the attempt has written all that it had.
     pub(super) fn seal(&self) -> u64 {
-        match &*self.on.borrow() {
-            None => 0,
-            Some((wire, before)) => {
-                wire.sealed.set(true);
-                wire.written.get() - before
-            }
+        let on = self.on.borrow();
+        let Some(sending) = &*on else {
+            return 0;
+        };
+        let wire = &sending.wire;
+        if wire.done.get() == sending.done_before {
+            wire.sealed.set(true);
         }
+        wire.written.get() - sending.written_before
     }
 }
 
@@ -379,8 +391,12 @@
         sent: &SentBytes,
     ) -> Result<(Response<Incoming>, Lease), AttemptError> {
         let wire = Rc::clone(&self.connection.wire);
-        let before = wire.written.get();
-        sent.on.replace(Some((wire, before)));
+        let sending = Sending {
+            written_before: wire.written.get(),
+            done_before: wire.done.get(),
+            wire,
+        };
+        sent.on.replace(Some(sending));
         match self.connection.sender.send_request(request).await {
             Ok(response) => Ok((response, self)),
             Err(error) => Err(self.failure(sent, &error)),
@@ -413,9 +429,10 @@
                 idle,
                 ..
             } = self;
-            if connection.sender.ready().await.is_err() {
+            if connection.sender.ready().await.is_err() || connection.wire.sealed.get() {
                 return;
             }
+            connection.wire.done.update(|done| done + 1);
             let now = Instant::now();
             connection.idle = (now, now + keep_for);
             let mut idle = idle.borrow_mut();
