--- a/entry/src/serve/routed/attempt.rs
+++ b/entry/src/serve/routed/attempt.rs
@@ -55,15 +55,10 @@
                 self.note_late(began);
                 match self.begin_hedge(began) {
                     Some(first) => return self.race(first, work, sent).await,
-                    None => timeout_at(deadline, work).await.unwrap_or_else(|_| {
-                        let is_written = sent.seal() > 0;
-                        Err(Failure::TimeOver { is_written })
-                    }),
+                    None => within(deadline, sent, work).await,
                 }
             }
-            Err(_) => Err(Failure::TimeOver {
-                is_written: sent.seal() > 0,
-            }),
+            Err(_) => Err(time_over(sent)),
         };
         if outcome.is_ok() {
             self.note_first_part(began);
@@ -136,7 +131,7 @@
     ///
     /// What is paid here is not paid again when the attempt is given up.
     pub(super) fn pay_repeat(&mut self, reason: RepeatReason) -> bool {
-        self.is_paid = self.pay_for_another(self.attempts + 1, reason);
+        self.is_paid = self.can_go_elsewhere() && self.pay(self.attempts + 1, reason);
         self.is_paid
     }
 
@@ -178,16 +173,12 @@
         self.can_go_elsewhere() || (self.has_time() && self.may_ask())
     }
 
-    fn has_time(&self) -> bool {
+    pub(super) fn has_time(&self) -> bool {
         self.plan.time_left() >= LEAST_LEFT
     }
 
-    /// Pays for an attempt after so many, if one is allowed and a replica is at hand.
-    pub(super) fn pay_for_another(&self, made: u32, reason: RepeatReason) -> bool {
-        self.can_go_elsewhere() && self.pay(made, reason)
-    }
-
-    fn pay(&self, made: u32, reason: RepeatReason) -> bool {
+    /// Pays for an attempt after so many, if one is allowed.
+    pub(super) fn pay(&self, made: u32, reason: RepeatReason) -> bool {
         made < self.plan.terms.route.most_attempts
             && self.may_be_repeated()
             && self
@@ -219,3 +210,20 @@
         }
     }
 }
+
+/// Waits for an attempt's outcome until the request's time is over.
+pub(super) async fn within(
+    deadline: Instant,
+    sent: &SentBytes,
+    work: impl Future<Output = Result<Answered, Failure>>,
+) -> Result<Answered, Failure> {
+    match timeout_at(deadline, work).await {
+        Ok(outcome) => outcome,
+        Err(_) => Err(time_over(sent)),
+    }
+}
+
+fn time_over(sent: &SentBytes) -> Failure {
+    let is_written = sent.seal() > 0;
+    Failure::TimeOver { is_written }
+}
--- a/entry/src/serve/routed/hedge.rs
+++ b/entry/src/serve/routed/hedge.rs
@@ -21,6 +21,7 @@
 
 use super::{
     super::upstream::SentBytes,
+    attempt::within,
     counts::RoutedRetry,
     exchange::{
         Answered,
@@ -49,14 +50,10 @@
     /// first.
     pub(super) fn begin_hedge(&mut self, began: Instant) -> Option<Runner> {
         let is_full = self.best(&self.server.view.load())?.1.is_full;
-        if is_full || !self.pay_for_another(self.attempts + 1, RepeatReason::Late) {
+        if is_full || !self.has_time() || !self.pay(self.attempts + 1, RepeatReason::Late) {
             return None;
         }
-        let first = Runner {
-            reservation: self.reservation.take()?,
-            chosen: self.chosen,
-            began,
-        };
+        let first = self.take_present(began)?;
         if !self.choose() {
             self.make_present(first);
             return None;
@@ -76,7 +73,7 @@
     where
         W: Future<Output = Result<Answered, Failure>>,
     {
-        let Some(second) = self.take_present() else {
+        let Some(second) = self.take_present(Instant::now()) else {
             return work.await;
         };
         let replica = second.reservation.replica.clone();
@@ -84,11 +81,6 @@
         let (server, plan) = (Rc::clone(&self.server), Rc::clone(&self.plan));
         let mut second_work = pin!(exchange(&server, &plan, &replica, &second_sent, None));
         let deadline = self.plan.terms.deadline;
-        let time_over = || {
-            let was_first_written = sent.seal() > 0;
-            let is_written = second_sent.seal() > 0 || was_first_written;
-            Err(Failure::TimeOver { is_written })
-        };
         let one_ends = async {
             tokio::select! {
                 outcome = work.as_mut() => Ended::First(outcome),
@@ -97,29 +89,25 @@
         };
         let Ok(ended) = timeout_at(deadline, one_ends).await else {
             self.make_present(second);
-            return time_over();
+            let was_first_written = sent.seal() > 0;
+            let is_written = second_sent.seal() > 0 || was_first_written;
+            return Err(Failure::TimeOver { is_written });
         };
         match ended {
             Ended::First(outcome) if is_good(&outcome) => self.won(first, second, outcome),
             Ended::Second(outcome) if is_good(&outcome) => self.won(second, first, outcome),
             Ended::First(outcome) => {
-                let other = timeout_at(deadline, second_work).await;
-                self.settle(
-                    (first, outcome),
-                    (second, other.unwrap_or_else(|_| time_over())),
-                )
+                let other = within(deadline, &second_sent, second_work).await;
+                self.settle((first, outcome), (second, other))
             }
             Ended::Second(outcome) => {
-                let other = timeout_at(deadline, work).await;
-                self.settle(
-                    (second, outcome),
-                    (first, other.unwrap_or_else(|_| time_over())),
-                )
+                let other = within(deadline, sent, work).await;
+                self.settle((second, outcome), (first, other))
             }
         }
     }
 
-    /// Passes a good answer on; what the other attempt was waited for is learnt from.
+    /// Passes a good answer on and lets the other attempt go.
     fn won(
         &mut self,
         winner: Runner,
@@ -127,75 +115,62 @@
         outcome: Result<Answered, Failure>,
     ) -> Result<Answered, Failure> {
         self.learn(&other.reservation, other.began);
-        let began = winner.began;
-        self.make_present(winner);
-        self.note_first_part(began);
-        outcome
+        self.conclude(winner, outcome)
     }
 
     /// Decides between an attempt that ended without a good answer and the other one's end.
     fn settle(
         &mut self,
-        (failed, outcome): (Runner, Result<Answered, Failure>),
-        (other, other_outcome): (Runner, Result<Answered, Failure>),
+        failed: (Runner, Result<Answered, Failure>),
+        other: (Runner, Result<Answered, Failure>),
     ) -> Result<Answered, Failure> {
-        if is_good(&other_outcome) {
-            self.note_failed(failed, &outcome);
-            let began = other.began;
-            self.make_present(other);
-            self.note_first_part(began);
-            return other_outcome;
-        }
-        match (outcome, other_outcome) {
+        let prefers_failed = match (&failed.1, &other.1) {
+            (_, outcome) if is_good(outcome) => false,
             // An upstream's own failure says more than none.
-            (Ok(answered), failure) => {
-                self.note_failed(other, &failure);
-                let began = failed.began;
-                self.make_present(failed);
-                self.note_first_part(began);
-                Ok(answered)
-            }
+            (Ok(_), _) => true,
+            (Err(_), Ok(_)) => false,
             // What may have run decides what the caller is told.
-            (Err(failure), Err(last)) if failure.may_have_run() && !last.may_have_run() => {
-                self.note_failed(other, &Err(last));
-                self.make_present(failed);
-                Err(failure)
-            }
-            (outcome, other_outcome) => {
-                self.note_failed(failed, &outcome);
-                let began = other.began;
-                self.make_present(other);
-                if other_outcome.is_ok() {
-                    self.note_first_part(began);
-                }
-                other_outcome
-            }
-        }
+            (Err(failure), Err(last)) => failure.may_have_run() && !last.may_have_run(),
+        };
+        let (kept, lost) = match prefers_failed {
+            true => (failed, other),
+            false => (other, failed),
+        };
+        self.note_lost(lost);
+        self.conclude(kept.0, kept.1)
     }
 
     /// Tells that one of two attempts failed, and what that says of its replica.
-    fn note_failed(&mut self, runner: Runner, outcome: &Result<Answered, Failure>) {
-        let present = self.take_present();
-        self.make_present(runner);
+    fn note_lost(&mut self, (runner, outcome): (Runner, Result<Answered, Failure>)) {
         match outcome {
-            Ok(_) => {
-                if let Some(reservation) = &self.reservation {
-                    reservation.outcome(Outcome::Failed);
-                }
+            Ok(_) => runner.reservation.outcome(Outcome::Failed),
+            Err(failure) => {
+                self.make_present(runner);
+                self.note_failure(&failure);
+                self.reservation = None;
             }
-            Err(failure) => self.note_failure(failure),
         }
-        self.reservation = None;
-        if let Some(present) = present {
-            self.make_present(present);
+    }
+
+    /// Goes on with one of two attempts.
+    fn conclude(
+        &mut self,
+        runner: Runner,
+        outcome: Result<Answered, Failure>,
+    ) -> Result<Answered, Failure> {
+        let began = runner.began;
+        self.make_present(runner);
+        if outcome.is_ok() {
+            self.note_first_part(began);
         }
+        outcome
     }
 
-    fn take_present(&mut self) -> Option<Runner> {
+    fn take_present(&mut self, began: Instant) -> Option<Runner> {
         Some(Runner {
             reservation: self.reservation.take()?,
             chosen: self.chosen,
-            began: Instant::now(),
+            began,
         })
     }
 
--- a/entry/src/serve/routed/rates.rs
+++ b/entry/src/serve/routed/rates.rs
@@ -58,7 +58,7 @@
             return;
         };
         let (pool, caller) = (pool_of(named), self.caller());
-        let random = (self.server.random() >> 32) as f64 / f64::from(u32::MAX);
+        let random = self.server.random_share();
         let mut store = self.server.permits.store();
         store.note_request(&pool, &caller);
         self.verdict = store.verdict(&pool, &caller, random);
--- a/entry/src/serve/routed/refusal.rs
+++ b/entry/src/serve/routed/refusal.rs
@@ -107,7 +107,7 @@
         if let Some(after) = self.come_back_for_permit(latest) {
             return after.max(RETRY_LEAST);
         }
-        let spread = (self.server.random() % 1_000) as f64 / 1_000.0;
+        let spread = self.server.random_share();
         if let Some(soonest) = self.next_admission() {
             let soonest = soonest.min(latest.mul_f64(RETRY_LATE_SHARE));
             return (soonest + (latest - soonest).mul_f64(spread)).max(RETRY_LEAST);
@@ -142,7 +142,7 @@
             .map_or(0, |routes| routes.version().0),
         why: message.to_owned(),
     });
-    let spread = (server.random() % 1_000) as f64 / 1_000.0;
+    let spread = server.random_share();
     let retry_after = RETRY_NO_ROUTES + RETRY_NO_ROUTES_SPREAD.mul_f64(spread);
     let answer = OwnAnswer {
         status,
--- a/entry/src/serve/routed/run.rs
+++ b/entry/src/serve/routed/run.rs
@@ -135,7 +135,10 @@
             home: &self.server.settings.failure_domain,
             prompt_tokens: plan.prompt_tokens(),
             timing: engine.map(|engine| &engine.timing),
-            typical_ms: self.usual(None).map(|usual| usual.typical_ms),
+            typical_ms: match engine {
+                Some(_) => None,
+                None => self.usual(None).map(|usual| usual.typical_ms),
+            },
             daemons: view.entries,
             keeps_apart: self.trail.is_broken() || self.standing() != Standing::Trusted,
         };
--- a/entry/src/serve/routed/server.rs
+++ b/entry/src/serve/routed/server.rs
@@ -152,6 +152,11 @@
         self.random.borrow_mut().next_u64()
     }
 
+    /// Draws a number from 0 to 1.
+    pub(super) fn random_share(&self) -> f64 {
+        (self.random() >> 32) as f64 / f64::from(u32::MAX)
+    }
+
     /// Counts a caller's request for the budget of repeats.
     pub(super) fn note_request(&self, service: &ServiceName) {
         self.has_served.store(true, Ordering::Relaxed);
--- a/entry/src/serve/routed/upstream_words.rs
+++ b/entry/src/serve/routed/upstream_words.rs
@@ -48,7 +48,7 @@
     let asked = Asked {
         backoff,
         daemons: server.view.load().entries,
-        random: (server.random() % 1_000) as f64 / 1_000.0,
+        random: server.random_share(),
     };
     let until = server.breakers.borrow_mut().ask_backoff(id, &asked, now);
     server.counts.count(Routed::BackoffsAsked);
--- a/lib/src/breaker/one.rs
+++ b/lib/src/breaker/one.rs
@@ -134,6 +134,7 @@
         }
     }
 
+    /// Answers an event; `until` matters to one that starts a backoff only.
     fn apply(&mut self, chart: &BreakerChart, event: BreakerEvent, until: Timestamp) {
         let step = chart.step(self.state, event, |guard| match guard {
             BreakerGuard::RampIsDone => self.ramp + 1 >= RAMP_TOP,
