routed: a second attempt that is let go teaches nothing

Found by reading: when the first of two attempts wins, the second is let go after a few milliseconds, and that time was learnt as if the service had answered in it, which makes what is usual look shorter than it is.

--- a/entry/src/serve/routed/hedge.rs
+++ b/entry/src/serve/routed/hedge.rs
@@ -114,7 +114,10 @@
         other: Runner,
         outcome: Result<Answered, Failure>,
     ) -> Result<Answered, Failure> {
-        self.learn(&other.reservation, other.began);
+        // The second one was waited for too briefly to tell anything.
+        if other.began < winner.began {
+            self.learn(&other.reservation, other.began);
+        }
         self.conclude(winner, outcome)
     }
 
