--- a/control/src/claims/thread.rs
+++ b/control/src/claims/thread.rs
@@ -46,6 +46,13 @@
     pub(crate) message: PeerMessage,
 }
 
+impl Answer {
+    fn new(to: DaemonId, reply: ClaimReply) -> Self {
+        let message = PeerMessage::ClaimReply(reply);
+        Self { to, message }
+    }
+}
+
 /// The claims of one control daemon.
 pub(crate) struct ClaimThread {
     replica: ClaimReplica,
@@ -106,7 +113,7 @@
         let mut next = Some(first);
         let mut taken = 0;
         while let Some(incoming) = next {
-            self.handle(incoming)?;
+            self.handle(incoming, send)?;
             taken += 1;
             next = match taken < BATCH_LIMIT {
                 true => messages.try_next(),
@@ -115,13 +122,16 @@
         }
         self.sync()?;
         for (to, reply) in self.unanswered.drain(..) {
-            let message = PeerMessage::ClaimReply(reply);
-            send(Answer { to, message });
+            send(Answer::new(to, reply));
         }
         self.clean_up()
     }
 
-    fn handle(&mut self, incoming: Incoming) -> Result<(), ClaimsError> {
+    fn handle(
+        &mut self,
+        incoming: Incoming,
+        send: &mut impl FnMut(Answer),
+    ) -> Result<(), ClaimsError> {
         let PeerMessage::Claim(request) = incoming.message else {
             return Ok(());
         };
@@ -136,7 +146,11 @@
             voter: self.replica.identity().clone(),
             verdict: handled.verdict,
         };
-        self.unanswered.push((incoming.from, reply));
+        match request.action {
+            // It records nothing, and what it finds binds nobody.
+            ClaimAction::Probe { .. } => send(Answer::new(incoming.from, reply)),
+            _ => self.unanswered.push((incoming.from, reply)),
+        }
         Ok(())
     }
 
--- a/entry/src/serve/claim_desk.rs
+++ b/entry/src/serve/claim_desk.rs
@@ -55,6 +55,7 @@
 pub(super) struct ClaimDesk {
     coordinator: RefCell<ClaimCoordinator>,
     waiting: RefCell<HashMap<u64, oneshot::Sender<Verdict>>>,
+    settling: RefCell<HashMap<u64, oneshot::Sender<()>>>,
     /// Set when an attempt was begun or ended, which moves the next wake-up.
     changed: Notify,
     send: SendClaim,
@@ -69,6 +70,7 @@
         let desk = Rc::new(Self {
             coordinator: RefCell::new(coordinator),
             waiting: RefCell::default(),
+            settling: RefCell::default(),
             changed: Notify::new(),
             send: link.send,
             clock,
@@ -110,12 +112,22 @@
     }
 
     /// Gives up an attempt that certainly did not run and never will.
-    pub(super) fn release(&self, attempt: u64) {
+    ///
+    /// The receiver gets word once a majority of the control daemons knows.
+    pub(super) fn release(&self, attempt: u64) -> oneshot::Receiver<()> {
         self.waiting.borrow_mut().remove(&attempt);
+        let (sender, settled) = oneshot::channel();
+        self.settling.borrow_mut().insert(attempt, sender);
         let now = self.clock.now();
         let outputs = self.coordinator.borrow_mut().release(attempt, now);
         self.carry_out(outputs);
         self.changed.notify_one();
+        settled
+    }
+
+    /// Stops waiting for word of an attempt, which goes on being told to the control daemons.
+    pub(super) fn forget_settling(&self, attempt: u64) {
+        self.settling.borrow_mut().remove(&attempt);
     }
 
     /// Waits until every outcome is recorded; a daemon that stops would lose the rest.
@@ -162,6 +174,7 @@
             match output {
                 ClaimOutput::Send { to, request } => (self.send)(&to, request),
                 ClaimOutput::Granted { attempt } => self.tell(attempt, Ok(())),
+                ClaimOutput::Settled { attempt } => self.tell_settled(attempt),
                 ClaimOutput::Refused {
                     attempt,
                     refusal,
@@ -171,6 +184,13 @@
         }
     }
 
+    fn tell_settled(&self, attempt: u64) {
+        if let Some(settling) = self.settling.borrow_mut().remove(&attempt) {
+            // Whoever waited has given up.
+            let _ = settling.send(());
+        }
+    }
+
     fn tell(&self, attempt: u64, verdict: Verdict) {
         if let Some(waiting) = self.waiting.borrow_mut().remove(&attempt) {
             // A request that has gone meanwhile has released its attempt.
--- a/entry/src/serve/counts.rs
+++ b/entry/src/serve/counts.rs
@@ -26,6 +26,8 @@
         Hedges,
         /// Answers to resends that were the first answer.
         Replays,
+        /// Requests that did not run, which no majority of the control daemons could be told.
+        ClaimsNotWithdrawn,
         /// Connections closed because there were too many.
         ConnectionsRefused,
     }
--- a/entry/src/serve/drive.rs
+++ b/entry/src/serve/drive.rs
@@ -78,6 +78,7 @@
                 Err(failure) => run.fail(failure),
             },
             Next::Claim => claim(&mut run).await,
+            Next::Withdraw => withdraw(&mut run).await,
             Next::NoReplica => refuse_no_replica(&mut run),
             Next::AnswerDuplicate => return duplicate(&mut run),
             _ => return Err(run.refusal()),
@@ -145,6 +146,18 @@
     }
 }
 
+/// Waits until the request may be called not run.
+///
+/// A caller that is told so sends it again, elsewhere; that must not find the key held by an
+/// attempt that nobody but this daemon knows to be dead.
+async fn withdraw(run: &mut RequestRun) -> Next {
+    let server = Rc::clone(&run.server);
+    match run.claim.withdrawn(&server.claims).await {
+        Ok(()) => run.apply(RequestEvent::ClaimWithdrawn),
+        Err(attempt) => run.claim_not_withdrawn(attempt),
+    }
+}
+
 /// Answers what the first copy of the request got.
 fn duplicate(run: &mut RequestRun) -> Result<Response<AnswerBody>, Refusal> {
     let answer = run.claim.first_answer();
--- a/entry/src/serve/events.rs
+++ b/entry/src/serve/events.rs
@@ -48,6 +48,12 @@
         reason: &'static str,
         answers: String,
     } "claim refused";
+    /// A request did not run, but no majority of the control daemons could be told in time, so its
+    /// caller learns that the outcome is unknown; the control daemons go on being told.
+    1128 Warn ClaimNotWithdrawn {
+        request: cicadabend::prelude::RequestId,
+        attempt: u64,
+    } "claim not withdrawn";
     /// Lines on claims were left out because there were more than the bound in a second.
     1127 Warn ClaimLinesLeftOut { lines: u64 } "lines on claims left out";
     /// A stream broke for good after part of it was delivered.
--- a/entry/src/serve/held_claim.rs
+++ b/entry/src/serve/held_claim.rs
@@ -1,5 +1,7 @@
 //! The claim of one request, and the outcome that a resend gets.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use cicadabend::{
     caller_api::{
@@ -15,6 +17,10 @@
     StatusCode,
     header, //
 };
+use tokio::{
+    sync::oneshot,
+    time::timeout, //
+};
 
 use super::{
     answer::Refusal,
@@ -26,6 +32,8 @@
 /// The largest body that is kept for resends.
 const KEPT_BODY_LIMIT_BYTES: usize = 64 * 1024;
 const CONTENT_TYPE_JSON: &str = "application/json";
+/// How long a refused caller waits until a majority knows that its request did not run.
+const WITHDRAWAL_LIMIT_MS: u64 = 500;
 
 /// What is known of the claim; nothing for a request that needs none.
 #[derive(Default)]
@@ -33,6 +41,13 @@
     attempt: Option<u64>,
     outcome: Option<StoredOutcome>,
     refusal: Option<ClaimRefusal>,
+    withdrawal: Option<Withdrawal>,
+}
+
+/// A claim that is being given back.
+struct Withdrawal {
+    attempt: u64,
+    settled: oneshot::Receiver<()>,
 }
 
 impl HeldClaim {
@@ -73,8 +88,26 @@
     /// Gives the claim back: nothing ran.
     pub(super) fn release(&mut self, desk: &ClaimDesk) {
         if let Some(attempt) = self.attempt.take() {
-            desk.release(attempt);
+            let settled = desk.release(attempt);
+            self.withdrawal = Some(Withdrawal { attempt, settled });
+        }
+    }
+
+    /// Waits until a majority of the control daemons knows that the claim was given back.
+    ///
+    /// # Errors
+    ///
+    /// Returns the attempt's number if they could not be told in time.
+    pub(super) async fn withdrawn(&mut self, desk: &ClaimDesk) -> Result<(), u64> {
+        let Some(Withdrawal { attempt, settled }) = self.withdrawal.take() else {
+            return Ok(());
+        };
+        let limit = Duration::from_millis(WITHDRAWAL_LIMIT_MS);
+        if let Ok(Ok(())) = timeout(limit, settled).await {
+            return Ok(());
         }
+        desk.forget_settling(attempt);
+        Err(attempt)
     }
 
     /// Leaves the claim taken with the outcome that nobody knows the outcome.
@@ -108,6 +141,14 @@
         }
     }
 
+    /// Returns the error for a request that did not run, while a majority may take it for running.
+    pub(super) fn not_withdrawn() -> Refusal {
+        let message = "The request did not run, but that could not be recorded safely.";
+        let mut error = Refusal::new(ErrorCode::OutcomeUnknown, message);
+        error.retry_is_safe = true;
+        error
+    }
+
     /// Returns the error that tells the caller; `None` where the first outcome does.
     pub(super) fn refusal(refusal: &ClaimRefusal) -> Option<Refusal> {
         let message = match refusal {
--- a/entry/src/serve/run/mod.rs
+++ b/entry/src/serve/run/mod.rs
@@ -57,6 +57,8 @@
     Wait,
     /// Ask for the claim that lets the request run.
     Claim,
+    /// Wait until the claim is given back.
+    Withdraw,
     /// Answer what the first copy of the request got, or that it runs.
     AnswerDuplicate,
     /// Connect to the attempt's replica after a delay.
@@ -182,7 +184,10 @@
             RequestAction::AnswerBroken => return Some(Next::AnswerBroken),
             RequestAction::RequestClaim => return Some(Next::Claim),
             RequestAction::AnswerDuplicate => return Some(Next::AnswerDuplicate),
-            RequestAction::ReleaseClaim => self.claim.release(&self.server.claims),
+            RequestAction::ReleaseClaim => {
+                self.claim.release(&self.server.claims);
+                return Some(Next::Withdraw);
+            }
             RequestAction::KeepClaim => {
                 let id = self.spec.caller.request_id.as_str();
                 self.claim.keep(&self.server.claims, id);
@@ -344,6 +349,17 @@
         self.apply(event)
     }
 
+    /// Notes that no majority could be told that the claim was given back.
+    pub(super) fn claim_not_withdrawn(&mut self, attempt: u64) -> Next {
+        self.server.counts.count(Serving::ClaimsNotWithdrawn);
+        self.server.log_claim(&LogEvent::ClaimNotWithdrawn {
+            request: self.spec.caller.request_id.clone(),
+            attempt,
+        });
+        self.refusal = Some(HeldClaim::not_withdrawn());
+        self.apply(RequestEvent::ClaimNotWithdrawn)
+    }
+
     /// Refuses the request with this error.
     pub(super) fn refuse(&mut self, refusal: Refusal) -> Next {
         self.refusal = Some(refusal);
--- a/entry/src/serve/run/refuse.rs
+++ b/entry/src/serve/run/refuse.rs
@@ -41,7 +41,10 @@
             .retry_after_ms(NO_REPLICA_RETRY_MS)
     }
 
-    fn outcome_unknown(&self) -> Refusal {
+    fn outcome_unknown(&mut self) -> Refusal {
+        if let Some(refusal) = self.refusal.take() {
+            return refusal;
+        }
         let why = self.failure_text();
         let code = match self.failure {
             Some(Failure::Invalid(_) | Failure::FailedByUpstream { .. }) => {
--- a/entry/tests/test_serve/support/claims.rs
+++ b/entry/tests/test_serve/support/claims.rs
@@ -15,6 +15,7 @@
     },
     fleet::Voter,
     peer_api::{
+        ClaimAction,
         ClaimReply,
         ClaimRequest,
         VoterSet, //
@@ -34,6 +35,8 @@
 struct Shared {
     replicas: Vec<ClaimReplica>,
     reachable: usize,
+    /// How many voters can be reached from the first claim on.
+    reachable_after_claim: Option<usize>,
 }
 
 /// The voters; entry daemons that share them share their claims.
@@ -51,6 +54,7 @@
         let shared = Shared {
             replicas: replicas.collect(),
             reachable: 3,
+            reachable_after_claim: None,
         };
         Self {
             shared: Arc::new(Mutex::new(shared)),
@@ -62,6 +66,11 @@
         self.shared.lock().unwrap().reachable = reachable;
     }
 
+    /// Lets the first claim reach all voters, and then only so many hear and answer.
+    pub fn cut_at_first_claim(&self, reachable: usize) {
+        self.shared.lock().unwrap().reachable_after_claim = Some(reachable);
+    }
+
     /// Returns one entry daemon's way to the voters.
     pub fn link(&self) -> ClaimLink {
         let (answers, replies) = ring::bounded("claim-replies", 1_024);
@@ -81,12 +90,25 @@
         let mut shared = self.shared.lock().unwrap();
         let reachable = shared.reachable;
         let mut replicas = shared.replicas.iter_mut().take(reachable);
-        let replica = replicas.find(|replica| replica.identity().daemon == *to)?;
+        let index = replicas.position(|replica| replica.identity().daemon == *to)?;
+        let replica = &mut shared.replicas[index];
         let handled = replica.handle(request, &voters(), Timestamp(0));
         replica.commit();
+        let voter = replica.identity().clone();
+        let is_claim = matches!(request.action, ClaimAction::Acquire { .. });
+        if let Some(cut) = shared.reachable_after_claim.filter(|_| is_claim) {
+            if index == 2 {
+                // The last voter is the last that is asked.
+                shared.reachable = cut;
+                shared.reachable_after_claim = None;
+            }
+            if index >= cut {
+                return None;
+            }
+        }
         Some(ClaimReply {
             question: request.question,
-            voter: replica.identity().clone(),
+            voter,
             verdict: handled.verdict,
         })
     }
--- a/entry/tests/test_serve/test_at_most_once.rs
+++ b/entry/tests/test_serve/test_at_most_once.rs
@@ -23,6 +23,18 @@
     send_receipt(fixture, "finding").answer()
 }
 
+fn eventually_receipt(fixture: &Fixture) -> Answer {
+    const TRIES: u32 = 100;
+    for _ in 0..TRIES {
+        let answer = receipt(fixture);
+        if answer.status == 201 {
+            return answer;
+        }
+        std::thread::sleep(std::time::Duration::from_millis(50));
+    }
+    panic!("no receipt after {TRIES} tries");
+}
+
 fn good_upstream() -> ScriptedUpstream {
     ScriptedUpstream::start(|number, _| vec![Step::whole("201 Created", &format!("run {number}"))])
 }
@@ -153,6 +165,27 @@
     assert_eq!(receipt(&fixture).body, "run 0");
 }
 
+/// Guards against "not run" while a majority takes the request for running: the cut comes
+/// between the claim and its answers.
+#[test]
+fn a_claim_that_may_be_held_is_not_called_not_run_before_it_is_given_back() {
+    let upstream = good_upstream();
+    let voters = ClaimVoters::start();
+    let fixture = entry(&voters, &upstream, "entry-1");
+    voters.cut_at_first_claim(1);
+
+    let error = receipt(&fixture).error();
+    let ran_while_cut = upstream.requests().len();
+    voters.set_reachable(3);
+    fixture.wait_for_counter("serving.claims_not_withdrawn", 1);
+    let resend = eventually_receipt(&entry(&voters, &upstream, "entry-2"));
+
+    assert_eq!(error.code, ErrorCode::OutcomeUnknown);
+    assert!(!error.not_run && error.retry_is_safe);
+    assert_eq!(ran_while_cut, 0);
+    assert_eq!(resend.body, "run 0");
+}
+
 /// No byte reached the upstream, so the claim is given back and a resend runs.
 #[test]
 fn a_request_that_did_not_run_may_run_later() {
--- a/lib/src/chart/request.rs
+++ b/lib/src/chart/request.rs
@@ -40,6 +40,8 @@
         Streaming = "streaming",
         /// The answer broke off and its rest is being asked for.
         Resuming = "resuming",
+        /// It did not run; its claim is being given back.
+        Withdrawing = "withdrawing",
         /// The whole answer was delivered.
         Done = "done",
         /// It was refused, and no replica ran it.
@@ -70,6 +72,10 @@
         ClaimHeldByOther = "claim_held_by_other",
         /// No majority answers.
         ClaimUnavailable = "claim_unavailable",
+        /// A majority of control daemons knows that the claim was given back.
+        ClaimWithdrawn = "claim_withdrawn",
+        /// No majority could be told in time that the claim was given back.
+        ClaimNotWithdrawn = "claim_not_withdrawn",
         /// The connection stands.
         Connected = "connected",
         /// The connection could not be made; no byte was written.
@@ -175,19 +181,21 @@
 }
 
 fn promises_not_run(transition: &RequestTransition<'_>) -> bool {
-    let enters = transition.to == RequestState::RefusedNotRun && transition.from != transition.to;
+    let promising = [RequestState::RefusedNotRun, RequestState::Withdrawing];
+    let enters = promising.contains(&transition.to) && transition.from != transition.to;
     let gives_claim_back = transition.actions.contains(&RequestAction::ReleaseClaim);
     enters || gives_claim_back || transition.actions.contains(&RequestAction::AnswerNotRun)
 }
 
 /// Returns whether no replica can have run the request when this transition is taken.
 ///
-/// Before the first byte was written that is certain. Afterwards it takes the
+/// Before the first byte was written that is certain, and it is decided before the claim is
+/// given back: every way into `withdrawing` does so and is checked itself. Afterwards it takes the
 /// replica's own word, and even that only speaks for the last attempt; the transition
 /// must stand behind one that is taken if an earlier attempt may have run.
 fn promise_holds(chart: &RequestChart, transition: &RequestTransition<'_>) -> bool {
     let may_have_sent = chart.reachable_from(RequestState::Sending);
-    if !may_have_sent[transition.from.index()] {
+    if !may_have_sent[transition.from.index()] || transition.from == RequestState::Withdrawing {
         return true;
     }
     let no_byte_of_this_attempt = transition.from == RequestState::Connecting;
--- a/lib/src/claims/attempt.rs
+++ b/lib/src/claims/attempt.rs
@@ -55,6 +55,9 @@
 
 #[derive(Clone, Debug)]
 enum Phase {
+    /// Asks whether the key is free; nothing is recorded anywhere.
+    Probing(Tally),
+    /// Asks a majority to hold the key; it was reached a moment ago.
     Acquiring(Tally),
     Running {
         voters: VoterSet,
@@ -69,8 +72,12 @@
 /// What an attempt's answers have led to.
 pub(super) enum Decision {
     Undecided,
+    /// The key is free as far as a majority knows: it is asked for now.
+    Acquire,
     Granted,
     Refused(ClaimRefusal),
+    /// A majority has recorded what became of the attempt.
+    Settled,
 }
 
 impl Attempt {
@@ -87,7 +94,7 @@
             claimant,
             fingerprint,
             timing,
-            phase: Phase::Acquiring(Tally::new(voters)),
+            phase: Phase::Probing(Tally::new(voters)),
             began_at: now,
             sent_at: now,
             resends: 0,
@@ -103,36 +110,60 @@
     ) -> Decision {
         // A process that was paused finds answers from before the pause. The replicas
         // may have forgotten the claim since, so these answers grant nothing.
-        if matches!(self.phase, Phase::Acquiring(_)) && self.is_timed_out(now) {
+        if self.is_timed_out(now) {
             return self.time_out(now, is_alive);
         }
         if reply.question != self.question() {
             return Decision::Undecided;
         }
         match &mut self.phase {
-            Phase::Acquiring(tally) => {
+            Phase::Probing(tally) | Phase::Acquiring(tally) => {
                 tally.add(&reply.voter, reply.verdict.clone());
                 let verdict = tally.verdict();
                 self.decide(verdict, false, is_alive)
             }
-            Phase::Settling { recorded, .. } => {
-                if reply.verdict == ClaimVerdict::Recorded {
-                    recorded.insert(reply.voter.clone());
-                }
-                Decision::Undecided
-            }
+            Phase::Settling { .. } => self.record(reply),
             Phase::Running { .. } => Decision::Undecided,
         }
     }
 
+    /// Notes that a voter has recorded what became of the attempt.
+    fn record(&mut self, reply: &ClaimReply) -> Decision {
+        let was_settled = self.is_settled();
+        if let Phase::Settling {
+            voters, recorded, ..
+        } = &mut self.phase
+            && reply.verdict == ClaimVerdict::Recorded
+            && voters.voters.contains(&reply.voter)
+        {
+            recorded.insert(reply.voter.clone());
+        }
+        match !was_settled && self.is_settled() {
+            true => Decision::Settled,
+            false => Decision::Undecided,
+        }
+    }
+
+    /// Returns whether a majority has recorded what became of the attempt.
+    pub fn is_settled(&self) -> bool {
+        match &self.phase {
+            Phase::Settling {
+                voters, recorded, ..
+            } => recorded.intersection(&voters.voters).count() > voters.voters.len() / 2,
+            _ => false,
+        }
+    }
+
     /// Goes over to a newer set of voters.
     ///
     /// Answers that were counted by the older set are dropped: half of a majority of
     /// each would not be a majority of either. The holds stand and are told again.
     pub fn change_voters(&mut self, new: &VoterSet) {
         match &mut self.phase {
-            Phase::Acquiring(tally) if tally.voters().number < new.number => {
-                self.phase = Phase::Acquiring(Tally::new(new.clone()));
+            Phase::Probing(tally) | Phase::Acquiring(tally)
+                if tally.voters().number < new.number =>
+            {
+                *tally = tally.for_next_question(new.clone());
             }
             Phase::Running { voters } | Phase::Settling { voters, .. }
                 if voters.number < new.number =>
@@ -146,7 +177,7 @@
     /// Decides by what has come when the time for answers is over.
     pub fn time_out(&mut self, now: Timestamp, is_alive: impl Fn(&Claimant) -> bool) -> Decision {
         match &self.phase {
-            Phase::Acquiring(tally) if self.is_timed_out(now) => {
+            Phase::Probing(tally) | Phase::Acquiring(tally) if self.is_timed_out(now) => {
                 let verdict = tally.final_verdict();
                 self.decide(verdict, true, is_alive)
             }
@@ -155,7 +186,8 @@
     }
 
     fn is_timed_out(&self, now: Timestamp) -> bool {
-        now >= self.began_at + self.timing.acquire_timeout
+        let waits = matches!(self.phase, Phase::Probing(_) | Phase::Acquiring(_));
+        waits && now >= self.began_at + self.timing.acquire_timeout
     }
 
     /// Returns whether a granted attempt may still be sent to an upstream.
@@ -178,10 +210,7 @@
             Verdict::HeldBy { is_final, .. } if !is_final && !is_last => {
                 return Decision::Undecided;
             }
-            Verdict::Granted => {
-                self.run();
-                return Decision::Granted;
-            }
+            Verdict::Granted => return self.go_on(is_last),
             Verdict::Completed {
                 fingerprint_differs: true,
                 ..
@@ -201,6 +230,26 @@
         Decision::Refused(refusal)
     }
 
+    /// Goes from the probe to the claim, and from the claim to the run.
+    fn go_on(&mut self, is_last: bool) -> Decision {
+        match &self.phase {
+            // What a probe found before its time was over may be out of date.
+            Phase::Probing(_) if is_last => Decision::Refused(ClaimRefusal::NoMajority {
+                retry_after: self.jittered_retry_after(),
+            }),
+            Phase::Probing(tally) => {
+                let tally = tally.for_next_question(tally.voters().clone());
+                self.phase = Phase::Acquiring(tally);
+                self.resends = 0;
+                Decision::Acquire
+            }
+            _ => {
+                self.run();
+                Decision::Granted
+            }
+        }
+    }
+
     /// Two attempts that took each other's majority must not meet again at once.
     fn jittered_retry_after(&self) -> Duration {
         let seed = self.claimant.boot.0.wrapping_add(self.claimant.attempt);
@@ -235,11 +284,16 @@
         self.resends = 0;
     }
 
-    /// Returns whether the attempt is held or running and not settled yet.
+    /// Returns whether it is not yet being recorded what became of the attempt.
     pub fn is_unsettled(&self) -> bool {
         !matches!(self.phase, Phase::Settling { .. })
     }
 
+    /// Returns whether a voter may hold the key for this attempt.
+    pub fn may_be_held(&self) -> bool {
+        !matches!(self.phase, Phase::Probing(_))
+    }
+
     /// Returns whether the attempt runs.
     pub fn is_running(&self) -> bool {
         matches!(self.phase, Phase::Running { .. })
@@ -248,7 +302,7 @@
     /// Returns what voters have said of the claim, for logs.
     pub fn answers(&self) -> Vec<VoterAnswer> {
         match &self.phase {
-            Phase::Acquiring(tally) => tally.answers(),
+            Phase::Probing(tally) | Phase::Acquiring(tally) => tally.answers(),
             Phase::Running { .. } | Phase::Settling { .. } => Vec::new(),
         }
     }
@@ -259,9 +313,7 @@
             Phase::Settling {
                 voters, recorded, ..
             } => {
-                let majority = voters.voters.len() / 2 + 1;
-                let is_outvoted =
-                    recorded.len() >= majority && self.resends >= RESENDS_BEYOND_MAJORITY;
+                let is_outvoted = self.is_settled() && self.resends >= RESENDS_BEYOND_MAJORITY;
                 voters.voters.is_subset(recorded)
                     || is_outvoted
                     || now >= self.began_at + self.timing.settle_timeout
@@ -274,7 +326,9 @@
     pub fn next_wake(&self) -> Option<Timestamp> {
         let resend = self.next_resend();
         match &self.phase {
-            Phase::Acquiring(_) => Some(resend.min(self.began_at + self.timing.acquire_timeout)),
+            Phase::Probing(_) | Phase::Acquiring(_) => {
+                Some(resend.min(self.began_at + self.timing.acquire_timeout))
+            }
             Phase::Settling { .. } => Some(resend),
             Phase::Running { .. } => None,
         }
@@ -298,34 +352,57 @@
     /// Returns the present question for each voter that has not answered it.
     pub fn questions(&mut self, now: Timestamp) -> Vec<ClaimOutput> {
         self.sent_at = now;
+        let (claimant, fingerprint) = (self.claimant.clone(), self.fingerprint);
         let action = match &self.phase {
             Phase::Running { .. } => return Vec::new(),
             Phase::Settling { action, .. } => action.clone(),
+            Phase::Probing(_) => ClaimAction::Probe {
+                claimant,
+                fingerprint,
+            },
             Phase::Acquiring(_) => ClaimAction::Acquire {
-                claimant: self.claimant.clone(),
-                fingerprint: self.fingerprint,
+                claimant,
+                fingerprint,
             },
         };
-        let request = ClaimRequest {
-            question: self.question(),
-            key: self.key.clone(),
-            voters_number: self.voters().number,
-            action,
+        let mut outputs = Vec::new();
+        let voters = self.voters().voters.iter();
+        for voter in voters.filter(|voter| !self.has_answered(voter)) {
+            outputs.extend(self.passed_on_release(voter));
+            outputs.push(self.send(voter, self.question(), action.clone()));
+        }
+        outputs
+    }
+
+    /// Returns the release of a dead attempt that a voter has not heard of, before it is asked
+    /// for the key.
+    ///
+    /// Any daemon may pass a release on: it is a fact, and the attempt's own daemon may be
+    /// unable to reach this voter for as long as a partition lasts.
+    fn passed_on_release(&self, voter: &Voter) -> Option<ClaimOutput> {
+        let Phase::Acquiring(tally) = &self.phase else {
+            return None;
         };
-        self.voters()
-            .voters
-            .iter()
-            .filter(|voter| !self.has_answered(voter))
-            .map(|voter| ClaimOutput::Send {
-                to: voter.daemon.clone(),
-                request: request.clone(),
-            })
-            .collect()
+        let claimant = tally.outdated_holder(voter)?.clone();
+        let question = self.question_of(QuestionKind::PassedOnRelease);
+        Some(self.send(voter, question, ClaimAction::Release { claimant }))
+    }
+
+    fn send(&self, voter: &Voter, question: u64, action: ClaimAction) -> ClaimOutput {
+        ClaimOutput::Send {
+            to: voter.daemon.clone(),
+            request: ClaimRequest {
+                question,
+                key: self.key.clone(),
+                voters_number: self.voters().number,
+                action,
+            },
+        }
     }
 
     fn has_answered(&self, voter: &Voter) -> bool {
         match &self.phase {
-            Phase::Acquiring(tally) => tally.has_answered(voter),
+            Phase::Probing(tally) | Phase::Acquiring(tally) => tally.has_answered(voter),
             Phase::Settling { recorded, .. } => recorded.contains(voter),
             Phase::Running { .. } => true,
         }
@@ -333,7 +410,7 @@
 
     fn voters(&self) -> &VoterSet {
         match &self.phase {
-            Phase::Acquiring(tally) => tally.voters(),
+            Phase::Probing(tally) | Phase::Acquiring(tally) => tally.voters(),
             Phase::Running { voters } | Phase::Settling { voters, .. } => voters,
         }
     }
@@ -344,21 +421,35 @@
     /// late answer to an earlier question, or to the run before a restart, is not
     /// counted for this one.
     pub fn question(&self) -> u64 {
-        let phase = match &self.phase {
-            Phase::Acquiring(_) => 0,
-            Phase::Running { .. } => 1,
-            Phase::Settling { .. } => 2,
-        };
+        self.question_of(match &self.phase {
+            Phase::Acquiring(_) => QuestionKind::Acquire,
+            Phase::Running { .. } => QuestionKind::None,
+            Phase::Settling { .. } => QuestionKind::Settle,
+            Phase::Probing(_) => QuestionKind::Probe,
+        })
+    }
+
+    fn question_of(&self, kind: QuestionKind) -> u64 {
         let parts = [
             self.claimant.boot.0,
             self.claimant.attempt,
             self.voters().number,
-            phase,
+            kind as u64,
         ];
         xxh3_64(&parts.map(u64::to_le_bytes).concat())
     }
 }
 
+/// What a question is about, as a part of its number.
+#[derive(Clone, Copy)]
+enum QuestionKind {
+    Acquire,
+    None,
+    Settle,
+    Probe,
+    PassedOnRelease,
+}
+
 /// How an attempt ended.
 pub(super) enum AttemptEnd {
     /// It certainly did not run and never will.
--- a/lib/src/claims/coordinator.rs
+++ b/lib/src/claims/coordinator.rs
@@ -181,8 +181,21 @@
     }
 
     /// Gives up an attempt that certainly did not run; it must never run after this call.
+    ///
+    /// [`ClaimOutput::Settled`] tells when a majority knows, at once if none holds the key for
+    /// it. Before that the caller must not be told that it did not run: as far as a majority
+    /// knows it may be running, and a resend would get nothing until this daemon is heard.
     pub fn release(&mut self, attempt: u64, now: Timestamp) -> Vec<ClaimOutput> {
-        self.settle(attempt, AttemptEnd::NotRun, now)
+        let settled = vec![ClaimOutput::Settled { attempt }];
+        match self.attempts.get(&attempt) {
+            None => settled,
+            Some(known) if known.is_settled() => settled,
+            Some(known) if !known.may_be_held() => {
+                self.take(attempt);
+                settled
+            }
+            Some(_) => self.settle(attempt, AttemptEnd::NotRun, now),
+        }
     }
 
     /// Returns how many attempts are not recorded everywhere yet.
@@ -219,13 +232,18 @@
         let mut outputs = Vec::new();
         match decision {
             Decision::Undecided => {}
+            Decision::Acquire => outputs.extend(attempt.questions(now)),
             Decision::Granted => outputs.push(ClaimOutput::Granted { attempt: number }),
+            Decision::Settled => outputs.push(ClaimOutput::Settled { attempt: number }),
             Decision::Refused(refusal) => {
                 outputs.push(ClaimOutput::Refused {
                     attempt: number,
                     refusal,
                     answers: attempt.answers(),
                 });
+                if !attempt.may_be_held() {
+                    return outputs;
+                }
                 attempt.settle(AttemptEnd::NotRun, now);
                 outputs.extend(attempt.questions(now));
             }
--- a/lib/src/claims/key_state.rs
+++ b/lib/src/claims/key_state.rs
@@ -1,8 +1,8 @@
 //! What a replica keeps of one key, small enough for millions of them.
 
 use std::collections::{
-    BTreeMap,
-    HashMap, //
+    HashMap,
+    VecDeque, //
 };
 
 use sha2::{
@@ -19,11 +19,11 @@
     prelude::*,
 };
 
-/// How many runs of entry daemons a key remembers released attempts of.
+/// How many released attempts a key remembers.
 ///
 /// Forgetting one is harmless to safety: its late `Acquire` would block the key for
 /// an attempt that never runs, until retention ends.
-const RELEASED_RUNS_LIMIT: usize = 64;
+const RELEASED_LIMIT: usize = 64;
 /// What an outcome that is kept costs besides its text and body.
 const KEPT_OVERHEAD_BYTES: usize = 64;
 
@@ -97,10 +97,13 @@
     pub changed_at: Timestamp,
 }
 
-/// The highest released attempt of each run; boxed, since few keys have any.
+/// The attempts released last; boxed, since few keys have any.
+///
+/// Each stands for itself alone: an earlier attempt of the same run may be running while a
+/// later one was refused and released.
 #[derive(Clone, Debug, Default)]
 struct Released {
-    highest: BTreeMap<u32, u64>,
+    attempts: VecDeque<Holder>,
 }
 
 #[derive(Clone, Debug)]
@@ -149,11 +152,13 @@
         if self.is_held_by(released) {
             self.phase = Phase::Free;
         }
-        let runs = &mut self.released.get_or_insert_default().highest;
-        let highest = runs.entry(released.run).or_default();
-        *highest = (*highest).max(released.attempt);
-        if runs.len() > RELEASED_RUNS_LIMIT {
-            runs.pop_first();
+        let attempts = &mut self.released.get_or_insert_default().attempts;
+        if attempts.contains(&released) {
+            return;
+        }
+        attempts.push_back(released);
+        if attempts.len() > RELEASED_LIMIT {
+            attempts.pop_front();
         }
     }
 
@@ -161,13 +166,15 @@
         matches!(self.phase, Phase::Held { holder, .. } if holder == attempt)
     }
 
-    /// Returns whether an attempt, or a later one of the same run, was released.
+    /// Returns the attempts that were released, as far as they are remembered.
+    pub fn released(&self) -> impl Iterator<Item = Holder> + '_ {
+        let released = self.released.iter();
+        released.flat_map(|released| released.attempts.iter().copied())
+    }
+
+    /// Returns whether an attempt was released.
     pub fn has_released(&self, attempt: Holder) -> bool {
-        let highest = self
-            .released
-            .as_ref()
-            .and_then(|released| released.highest.get(&attempt.run));
-        highest.is_some_and(|highest| *highest >= attempt.attempt)
+        self.released().any(|released| released == attempt)
     }
 
     pub fn kept_bytes(&self) -> usize {
--- a/lib/src/claims/output.rs
+++ b/lib/src/claims/output.rs
@@ -58,7 +58,12 @@
         /// The attempt's number.
         attempt: u64,
     },
-    /// The attempt does not run; the caller gets its answer now.
+    /// What became of the attempt is on disk at a majority, for good.
+    Settled {
+        /// The attempt's number.
+        attempt: u64,
+    },
+    /// The attempt does not run.
     Refused {
         /// The attempt's number.
         attempt: u64,
@@ -93,6 +98,10 @@
             Some(ClaimVerdict::VotersChanged(voters)) => {
                 write!(f, "{voter}: voters changed to number {}", voters.number)
             }
+            Some(ClaimVerdict::Report(report)) => match &report.holder {
+                Some(holder) => write!(f, "{voter}: held by {holder}"),
+                None => write!(f, "{voter}: free"),
+            },
         }
     }
 }
--- a/lib/src/claims/replica.rs
+++ b/lib/src/claims/replica.rs
@@ -26,6 +26,7 @@
     peer_api::{
         ClaimAction,
         ClaimKey,
+        ClaimReport,
         ClaimRequest,
         ClaimVerdict,
         Claimant,
@@ -167,6 +168,10 @@
                 claimant,
                 fingerprint,
             } => self.acquire(key, claimant, *fingerprint, now),
+            ClaimAction::Probe {
+                claimant,
+                fingerprint,
+            } => said(self.probe(key, claimant, *fingerprint)),
             ClaimAction::Release { claimant } => self.release(key, claimant, now),
             ClaimAction::Complete {
                 claimant,
@@ -257,6 +262,43 @@
         self.change(record, ClaimVerdict::Held, now)
     }
 
+    /// Returns what an `Acquire` would meet; records nothing.
+    fn probe(&mut self, key: &ClaimKey, claimant: &Claimant, fingerprint: u64) -> ClaimVerdict {
+        let attempt = self.runs.holder(claimant);
+        let hash = KeyHash::of(key);
+        match self.known(hash, attempt, fingerprint) {
+            Some(ClaimVerdict::HeldByOther {
+                holder,
+                fingerprint_differs,
+            }) => self.report(hash, Some(holder), fingerprint_differs),
+            Some(verdict) => verdict,
+            None if self.may_hold(hash) => self.report(hash, None, false),
+            None => ClaimVerdict::Unavailable,
+        }
+    }
+
+    fn may_hold(&self, key: KeyHash) -> bool {
+        let has_room = self.keys.contains_key(&key) || self.keys.len() < self.bounds.max_keys;
+        has_room && self.standing.granting_number().is_some()
+    }
+
+    fn report(
+        &self,
+        key: KeyHash,
+        holder: Option<Claimant>,
+        fingerprint_differs: bool,
+    ) -> ClaimVerdict {
+        let state = self.keys.get(&key).into_iter();
+        let released = state.flat_map(KeyState::released);
+        ClaimVerdict::Report(ClaimReport {
+            holder,
+            fingerprint_differs,
+            released: released
+                .filter_map(|attempt| self.runs.claimant(attempt))
+                .collect(),
+        })
+    }
+
     /// Returns the answer that what is known of a key gives; `None` if it is free.
     fn known(&self, key: KeyHash, attempt: Holder, fingerprint: u64) -> Option<ClaimVerdict> {
         let state = self.keys.get(&key)?;
--- a/lib/src/claims/tally.rs
+++ b/lib/src/claims/tally.rs
@@ -1,6 +1,9 @@
-//! What the answers to one `Acquire` add up to.
+//! What the answers to one question, `Probe` or `Acquire`, add up to.
 
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 
 use super::output::VoterAnswer;
 use crate::{
@@ -18,12 +21,16 @@
 pub(super) struct Tally {
     voters: VoterSet,
     answers: BTreeMap<Voter, ClaimVerdict>,
+    /// Attempts that some voter knows to be released.
+    released: BTreeSet<Claimant>,
+    /// Voters that hold the key for a released attempt, of which they have not heard.
+    outdated: BTreeMap<Voter, Claimant>,
 }
 
 /// What the answers prove.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) enum Verdict {
-    /// A majority holds the key for this attempt.
+    /// A majority holds the key for this attempt, or would if it was only probed.
     Granted,
     /// Another attempt has run.
     Completed {
@@ -50,6 +57,18 @@
         Self {
             voters,
             answers: BTreeMap::new(),
+            released: BTreeSet::new(),
+            outdated: BTreeMap::new(),
+        }
+    }
+
+    /// Returns a tally without answers that remembers which attempts are released.
+    pub fn for_next_question(&self, voters: VoterSet) -> Self {
+        Self {
+            voters,
+            answers: BTreeMap::new(),
+            released: self.released.clone(),
+            outdated: self.outdated.clone(),
         }
     }
 
@@ -62,9 +81,37 @@
     /// A control daemon that lost its disk has another number and has forgotten its
     /// claims: counting it could make a second majority.
     pub fn add(&mut self, voter: &Voter, verdict: ClaimVerdict) {
-        if self.voters.voters.contains(voter) {
-            self.answers.insert(voter.clone(), verdict);
+        if !self.voters.voters.contains(voter) {
+            return;
+        }
+        self.answers.insert(voter.clone(), verdict);
+        self.note_released(voter);
+    }
+
+    /// Follows the releases that this answer tells of.
+    ///
+    /// A voter that still holds the key for a released attempt is to be told, and its answer
+    /// to `Acquire` is to be asked for again.
+    fn note_released(&mut self, voter: &Voter) {
+        if let Some(ClaimVerdict::Report(report)) = self.answers.get(voter) {
+            self.released.extend(report.released.iter().cloned());
+        }
+        for (voter, answer) in &self.answers {
+            if let Some((holder, _)) = other_holder(answer)
+                && self.released.contains(holder)
+            {
+                self.outdated.insert(voter.clone(), holder.clone());
+            }
         }
+        let released = &self.released;
+        self.answers.retain(|_, answer| {
+            !matches!(answer, ClaimVerdict::HeldByOther { holder, .. } if released.contains(holder))
+        });
+    }
+
+    /// Returns the released attempt that a voter holds the key for.
+    pub fn outdated_holder(&self, voter: &Voter) -> Option<&Claimant> {
+        self.outdated.get(voter)
     }
 
     /// Returns what each voter has said, for logs.
@@ -87,7 +134,7 @@
             return completed;
         }
         let majority = self.majority();
-        let held = self.count(|answer| matches!(answer, ClaimVerdict::Held));
+        let held = self.count(|answer| self.is_for_this_attempt(answer));
         if !self.voters.voters.is_empty() && held >= majority {
             return Verdict::Granted;
         }
@@ -146,10 +193,8 @@
     fn strongest_other(&self) -> Option<(Claimant, usize, bool)> {
         let mut counts: BTreeMap<&Claimant, (usize, bool)> = BTreeMap::new();
         for answer in self.answers.values() {
-            if let ClaimVerdict::HeldByOther {
-                holder,
-                fingerprint_differs,
-            } = answer
+            if let Some((holder, fingerprint_differs)) = other_holder(answer)
+                && !self.released.contains(holder)
             {
                 let entry = counts.entry(holder).or_default();
                 entry.0 += 1;
@@ -162,6 +207,17 @@
             .map(|(holder, (count, differs))| (holder.clone(), count, differs))
     }
 
+    fn is_for_this_attempt(&self, answer: &ClaimVerdict) -> bool {
+        match answer {
+            ClaimVerdict::Held => true,
+            ClaimVerdict::Report(report) => {
+                let holder = report.holder.as_ref();
+                holder.is_none_or(|holder| self.released.contains(holder))
+            }
+            _ => false,
+        }
+    }
+
     fn majority(&self) -> usize {
         self.voters.voters.len() / 2 + 1
     }
@@ -170,3 +226,18 @@
         self.answers.values().filter(|a| is_counted(a)).count()
     }
 }
+
+/// Returns the other attempt that an answer names, and whether its request differs.
+fn other_holder(answer: &ClaimVerdict) -> Option<(&Claimant, bool)> {
+    match answer {
+        ClaimVerdict::HeldByOther {
+            holder,
+            fingerprint_differs,
+        } => Some((holder, *fingerprint_differs)),
+        ClaimVerdict::Report(report) => {
+            let holder = report.holder.as_ref()?;
+            Some((holder, report.fingerprint_differs))
+        }
+        _ => None,
+    }
+}
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -473,6 +473,13 @@
         /// What the caller got.
         outcome: StoredOutcome,
     },
+    /// Could this attempt hold the key? Nothing is recorded.
+    Probe {
+        /// The attempt.
+        claimant: Claimant,
+        /// As in `Acquire`.
+        fingerprint: u64,
+    },
 }
 
 /// The answer that a resend gets again.
@@ -522,6 +529,19 @@
     Unavailable,
     /// The sender counts by an outdated set of voters; nothing was recorded.
     VotersChanged(VoterSet),
+    /// To `Probe`: how the key stands here.
+    Report(ClaimReport),
+}
+
+/// How a key stands at one replica, unless its request has ended.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ClaimReport {
+    /// The attempt that holds it.
+    pub holder: Option<Claimant>,
+    /// Whether the holder uses the key for a different request.
+    pub fingerprint_differs: bool,
+    /// Attempts that were given up: none of them runs, now or later.
+    pub released: Vec<Claimant>,
 }
 
 /// The control daemons whose answers about claims count.
--- a/lib/tests/test_claims.rs
+++ b/lib/tests/test_claims/main.rs
@@ -5,6 +5,8 @@
     reason = "a fixture that cannot be built fails its test"
 )]
 
+mod search;
+
 use std::{
     collections::{
         BTreeMap,
@@ -32,6 +34,7 @@
         ClaimAction,
         ClaimKey,
         ClaimReply,
+        ClaimReport,
         ClaimRequest,
         ClaimVerdict,
         Claimant,
@@ -331,18 +334,19 @@
     let mut coordinator = coordinator("entry-2");
     coordinator.set_voters(named.clone(), Timestamp(1));
 
-    let (attempt, sent) = coordinator.begin(key("k"), 7, Timestamp(2));
+    let (attempt, mut sent) = coordinator.begin(key("k"), 7, Timestamp(2));
     let mut outputs = Vec::new();
-    for replica in [&mut second, &mut new] {
-        let ClaimOutput::Send { request, .. } = &sent[0] else {
-            panic!("nothing was sent");
-        };
-        let reply = ClaimReply {
-            question: request.question,
-            voter: replica.identity().clone(),
-            verdict: replica.handle(request, &named, Timestamp(3)).verdict,
-        };
-        outputs.extend(coordinator.take_reply(&reply, Timestamp(4)));
+    while let Some(ClaimOutput::Send { request, .. }) = sent.first().cloned() {
+        sent.clear();
+        for replica in [&mut second, &mut new] {
+            let reply = ClaimReply {
+                question: request.question,
+                voter: replica.identity().clone(),
+                verdict: replica.handle(&request, &named, Timestamp(3)).verdict,
+            };
+            sent.extend(coordinator.take_reply(&reply, Timestamp(4)));
+        }
+        outputs.extend(sent.iter().cloned());
     }
 
     let granted = ClaimOutput::Granted { attempt };
@@ -380,13 +384,24 @@
         .unwrap()
 }
 
-/// Begins an attempt on "k" and gives it these answers; `None` is silence until the end.
-fn refusal_after(answers: [Option<ClaimVerdict>; 3]) -> Option<ClaimRefusal> {
-    let mut coordinator = coordinator("entry-1");
-    coordinator.note_boot(&name("entry-2"), BootId(1));
-    coordinator.note_boot(&name("entry-3"), BootId(2));
-    let (_, sent) = coordinator.begin(key("k"), 7, Timestamp(0));
-    let question = question(&sent);
+/// Three answers to one question; `None` is silence.
+type Answers = [Option<ClaimVerdict>; 3];
+
+fn free() -> ClaimVerdict {
+    ClaimVerdict::Report(ClaimReport {
+        holder: None,
+        fingerprint_differs: false,
+        released: Vec::new(),
+    })
+}
+
+/// Gives a coordinator these answers to the question in `sent`; returns what it does.
+fn answer(
+    coordinator: &mut ClaimCoordinator,
+    sent: &[ClaimOutput],
+    answers: Answers,
+) -> Vec<ClaimOutput> {
+    let question = question(sent);
     let mut outputs = Vec::new();
     for (number, verdict) in (1..).zip(answers) {
         if let Some(verdict) = verdict {
@@ -398,13 +413,38 @@
             outputs.extend(coordinator.take_reply(&reply, Timestamp(1)));
         }
     }
-    outputs.extend(coordinator.tick(Timestamp(1_000)));
+    outputs
+}
+
+/// Answers a probe as free, so that the key is claimed.
+fn pass_probe(coordinator: &mut ClaimCoordinator, sent: &[ClaimOutput]) -> Vec<ClaimOutput> {
+    answer(coordinator, sent, [Some(free()), Some(free()), None])
+}
+
+fn coordinator_among_others() -> ClaimCoordinator {
+    let mut coordinator = coordinator("entry-1");
+    coordinator.note_boot(&name("entry-2"), BootId(1));
+    coordinator.note_boot(&name("entry-3"), BootId(2));
+    coordinator
+}
+
+fn refusal(outputs: Vec<ClaimOutput>) -> Option<ClaimRefusal> {
     outputs.into_iter().find_map(|output| match output {
         ClaimOutput::Refused { refusal, .. } => Some(refusal),
         _ => None,
     })
 }
 
+/// Begins an attempt on "k" and answers its claim like this until the end.
+fn refusal_after(answers: Answers) -> Option<ClaimRefusal> {
+    let mut coordinator = coordinator_among_others();
+    let (_, sent) = coordinator.begin(key("k"), 7, Timestamp(0));
+    let sent = pass_probe(&mut coordinator, &sent);
+    let mut outputs = answer(&mut coordinator, &sent, answers);
+    outputs.extend(coordinator.tick(Timestamp(1_000)));
+    refusal(outputs)
+}
+
 const HELD: Option<ClaimVerdict> = Some(ClaimVerdict::Held);
 
 fn by(daemon: &str) -> Option<ClaimVerdict> {
@@ -444,6 +484,100 @@
     assert_eq!(refusal.as_ref().map(ClaimRefusal::name), expected);
 }
 
+fn probed(daemon: &str) -> Option<ClaimVerdict> {
+    Some(ClaimVerdict::Report(ClaimReport {
+        holder: Some(claimant(daemon, 1)),
+        fingerprint_differs: false,
+        released: Vec::new(),
+    }))
+}
+
+// Guards against claims that block a key although the daemon that asked hears no majority: what
+// a probe finds is refused, and no replica is asked to record anything.
+#[rstest]
+#[case::no_answer([None, None, None], "no_majority")]
+#[case::one_answer([Some(free()), None, None], "no_majority")]
+#[case::held_by_living([probed("entry-2"), probed("entry-2"), None], "in_progress")]
+#[case::held_by_gone([probed("entry-3"), Some(free()), None], "outcome_unknown")]
+#[case::ended([None, done(false), None], "already_completed")]
+fn a_probe_that_finds_no_free_majority_claims_nothing(
+    #[case] answers: Answers,
+    #[case] expected: &str,
+) {
+    let mut coordinator = coordinator_among_others();
+    let (attempt, sent) = coordinator.begin(key("k"), 7, Timestamp(0));
+
+    let mut outputs = answer(&mut coordinator, &sent, answers);
+    outputs.extend(coordinator.tick(Timestamp(1_000)));
+    let settled = coordinator.release(attempt, Timestamp(1_000));
+
+    let is_send = |output: &ClaimOutput| matches!(output, ClaimOutput::Send { .. });
+    assert!(!outputs.iter().any(is_send), "{outputs:?}");
+    let refusal = refusal(outputs).unwrap();
+    assert_eq!(refusal.name(), expected);
+    assert_eq!(settled, [ClaimOutput::Settled { attempt }]);
+    assert!(coordinator.is_empty());
+}
+
+// Guards against a released attempt that blocks the key through a replica that has not heard
+// of its release, while the daemon that made it cannot reach that replica.
+#[test]
+fn a_release_is_passed_on_to_a_replica_that_has_not_heard_of_it() {
+    let dead = claimant("entry-2", 1);
+    let mut replicas = [replica(1, Vec::new()), replica(3, Vec::new())];
+    ask(&mut replicas[0], "k", release(&dead));
+    ask(&mut replicas[1], "k", acquire(&dead, 7));
+    let mut coordinator = coordinator("entry-1");
+
+    let (attempt, sent) = coordinator.begin(key("k"), 7, Timestamp(0));
+    let outputs = carry_all(&mut coordinator, &mut replicas, &voters(3), sent);
+
+    assert!(outputs.contains(&ClaimOutput::Granted { attempt }));
+}
+
+/// Carries messages between a coordinator and those replicas that it reaches until none is left.
+fn carry_all(
+    coordinator: &mut ClaimCoordinator,
+    replicas: &mut [ClaimReplica],
+    all: &VoterSet,
+    mut sent: Vec<ClaimOutput>,
+) -> Vec<ClaimOutput> {
+    let mut outputs = Vec::new();
+    while !sent.is_empty() {
+        sent = carry(coordinator, replicas, all, sent);
+        outputs.extend(sent.iter().cloned());
+    }
+    outputs
+}
+
+/// Carries what a coordinator sent to the replicas that it reaches, and the answers back.
+fn carry(
+    coordinator: &mut ClaimCoordinator,
+    replicas: &mut [ClaimReplica],
+    all: &VoterSet,
+    sent: Vec<ClaimOutput>,
+) -> Vec<ClaimOutput> {
+    let mut outputs = Vec::new();
+    for output in sent {
+        let ClaimOutput::Send { to, request } = output else {
+            continue;
+        };
+        let mut reached = replicas.iter_mut();
+        let Some(replica) = reached.find(|replica| replica.identity().daemon == to) else {
+            continue;
+        };
+        let verdict = replica.handle(&request, all, Timestamp(1)).verdict;
+        replica.commit();
+        let reply = ClaimReply {
+            question: request.question,
+            voter: replica.identity().clone(),
+            verdict,
+        };
+        outputs.extend(coordinator.take_reply(&reply, Timestamp(1)));
+    }
+    outputs
+}
+
 #[test]
 fn only_refusals_of_attempts_that_never_held_a_majority_promise_not_run() {
     let contended = refusal_after([HELD, by("entry-2"), by("entry-3")]).unwrap();
@@ -461,6 +595,8 @@
     let mut coordinator = coordinator("entry-1");
     let (paused_asking, sent) = coordinator.begin(key("a"), 7, Timestamp(0));
     let (paused_granted, also_sent) = coordinator.begin(key("b"), 7, Timestamp(0));
+    let sent = pass_probe(&mut coordinator, &sent);
+    let also_sent = pass_probe(&mut coordinator, &also_sent);
     let reply = |question, number| ClaimReply {
         question,
         voter: voter(number),
@@ -493,25 +629,7 @@
     let (attempt, sent) = coordinator.begin(key("k"), 7, Timestamp(0));
     let mut replicas = [replica(1, Vec::new()), replica(2, Vec::new())];
 
-    let mut outputs = Vec::new();
-    let mut to_answer = sent;
-    for _ in 0..2 {
-        let requests: Vec<ClaimOutput> = std::mem::take(&mut to_answer);
-        for (replica, output) in replicas.iter_mut().zip(requests) {
-            let ClaimOutput::Send { request, .. } = output else {
-                continue;
-            };
-            let handled = replica.handle(&request, &voters(3), Timestamp(1));
-            let reply = ClaimReply {
-                question: request.question,
-                voter: replica.identity().clone(),
-                verdict: handled.verdict,
-            };
-            let more = coordinator.take_reply(&reply, Timestamp(1));
-            to_answer.extend(more.iter().cloned());
-            outputs.extend(more);
-        }
-    }
+    let outputs = carry_all(&mut coordinator, &mut replicas, &voters(3), sent);
 
     assert!(outputs.contains(&ClaimOutput::Granted { attempt }));
 }
@@ -524,6 +642,8 @@
     AnswersBeforeSync,
     /// It loses its disk and still answers as the same voter.
     ForgetsAndVotes,
+    /// Callers are told "not run" before a majority knows.
+    ToldBeforeSettled,
     /// The entry daemon gives attempts up that it has sent.
     ReleasesWhatRuns,
 }
@@ -551,7 +671,6 @@
     ToEntry(usize, ClaimReply),
 }
 
-const CONTROLS: usize = 3;
 const ENTRIES: usize = 3;
 const KEYS: usize = 6;
 /// How long the replicas of the schedules remember a key.
@@ -559,57 +678,69 @@
 /// How long the same keys are claimed before new ones come.
 const KEY_ERA_MS: u64 = 1_000;
 
+/// Entry daemon, its run, attempt.
+type Run = (usize, u64, u64);
+
 struct World {
     rng: SmallRng,
     planted: Planted,
     now: Timestamp,
     voters: VoterSet,
+    retention: Duration,
     loses_disks: bool,
     lost_disk: Option<Voter>,
     controls: Vec<Control>,
     entries: Vec<Entry>,
     network: Vec<Message>,
     cut: BTreeSet<(usize, usize)>,
-    runs: BTreeMap<ClaimKey, Vec<(usize, u64, u64)>>,
-    refused: BTreeSet<(usize, u64, u64)>,
+    runs: BTreeMap<ClaimKey, Vec<Run>>,
+    refused: BTreeSet<Run>,
+    /// Refused as not run, and the replicas are being told.
+    withdrawing: BTreeSet<Run>,
+    /// Their callers were told "not run".
+    not_run: BTreeMap<Claimant, ClaimKey>,
     finished: BTreeMap<ClaimKey, String>,
     wrong_outcomes: u32,
 }
 
-fn world(seed: u64, planted: Planted) -> World {
-    let controls = (1..=CONTROLS as u64)
+fn world(seed: u64, planted: Planted, controls: u64) -> World {
+    let all = voters(controls);
+    let controls = (1..=controls)
         .map(|number| Control {
             replica: replica(number, Vec::new()),
             disk: Vec::new(),
             unsynced: Vec::new(),
             unanswered: Vec::new(),
-            voters: voters(3),
+            voters: all.clone(),
         })
         .collect();
     World {
         rng: SmallRng::seed_from_u64(seed),
         planted,
         now: Timestamp(0),
-        voters: voters(3),
+        entries: (0..ENTRIES).map(|index| entry(index, 1, &all)).collect(),
+        voters: all,
+        retention: SHORT_RETENTION,
         // In every other schedule, since the abstaining disks keep much from running.
         loses_disks: seed % 2 == 1,
         lost_disk: None,
         controls,
-        entries: (0..ENTRIES).map(|index| entry(index, 1)).collect(),
         network: Vec::new(),
         cut: BTreeSet::new(),
         runs: BTreeMap::new(),
         refused: BTreeSet::new(),
+        withdrawing: BTreeSet::new(),
+        not_run: BTreeMap::new(),
         finished: BTreeMap::new(),
         wrong_outcomes: 0,
     }
 }
 
-fn entry(index: usize, boot: u64) -> Entry {
-    let control: Vec<DaemonId> = (1..=3).map(|number| voter(number).daemon).collect();
+fn entry(index: usize, boot: u64, all: &VoterSet) -> Entry {
+    let control = all.voters.iter().map(|voter| voter.daemon.clone());
     let timing = ClaimTiming {
-        acquire_timeout: Duration::from_millis(300),
-        start_within: Duration::from_millis(400),
+        acquire_timeout: Duration::from_millis(600),
+        start_within: Duration::from_millis(800),
         ..ClaimTiming::default()
     };
     let daemon = name(&format!("entry-{index}"));
@@ -686,7 +817,7 @@
 
     /// One control daemon syncs, or finds its disk full; then it answers.
     fn sync(&mut self) {
-        let index = self.rng.random_range(0..CONTROLS);
+        let index = self.rng.random_range(0..self.controls.len());
         let control = &mut self.controls[index];
         if self.rng.random_range(0..20) == 0 {
             control.replica.roll_back();
@@ -720,13 +851,14 @@
         for output in outputs {
             match output {
                 ClaimOutput::Send { to, request } => {
-                    let control = (0..CONTROLS)
+                    let control = (0..self.controls.len())
                         .find(|number| voter(*number as u64 + 1).daemon == to)
                         .unwrap();
                     self.network
                         .push(Message::ToControl(index, control, request));
                 }
                 ClaimOutput::Granted { attempt } => self.run(index, attempt),
+                ClaimOutput::Settled { attempt } => self.note_settled(index, attempt),
                 ClaimOutput::Refused {
                     attempt, refusal, ..
                 } => {
@@ -754,14 +886,39 @@
 
     fn note_refusal(&mut self, index: usize, attempt: u64, refusal: &ClaimRefusal) {
         let entry = &self.entries[index];
-        self.refused.insert((index, entry.boot, attempt));
+        let run = (index, entry.boot, attempt);
+        self.refused.insert(run);
         let key = &entry.keys[&attempt];
+        if refusal.code() == Some(ErrorCode::NotRun) {
+            return self.withdraw(run);
+        }
         if let ClaimRefusal::AlreadyCompleted(told) = refusal {
             let told = String::from_utf8(told.body.clone().unwrap()).unwrap();
             self.wrong_outcomes += u32::from(self.finished.get(key) != Some(&told));
         }
     }
 
+    /// Gives an attempt up; its caller is told "not run" once that is settled.
+    fn withdraw(&mut self, run: Run) {
+        let (index, _, attempt) = run;
+        self.withdrawing.insert(run);
+        let coordinator = &mut self.entries[index].coordinator;
+        let outputs = coordinator.release(attempt, self.now);
+        self.follow(index, outputs);
+    }
+
+    fn note_settled(&mut self, index: usize, attempt: u64) {
+        let entry = &self.entries[index];
+        if self.withdrawing.remove(&(index, entry.boot, attempt)) {
+            let claimant = Claimant {
+                daemon: name(&format!("entry-{index}")),
+                boot: BootId(entry.boot),
+                attempt,
+            };
+            self.not_run.insert(claimant, entry.keys[&attempt].clone());
+        }
+    }
+
     /// A run ends: it has an outcome, or the upstream says that it did not start.
     fn end_a_run(&mut self) {
         let index = self.rng.random_range(0..ENTRIES);
@@ -769,23 +926,23 @@
         let Some((attempt, key)) = entry.running.pop_first() else {
             return;
         };
-        let outputs = if self.rng.random_range(0..5) == 0 {
+        if self.rng.random_range(0..5) == 0 {
             let run = (index, entry.boot, attempt);
             self.runs.entry(key).or_default().retain(|one| *one != run);
-            entry.coordinator.release(attempt, self.now)
-        } else {
-            let body = format!("{index}/{}/{attempt}", entry.boot);
-            self.finished.insert(key, body.clone());
-            let outcome = outcome(&body);
-            entry.coordinator.complete(attempt, outcome, self.now)
-        };
+            return self.withdraw(run);
+        }
+        let body = format!("{index}/{}/{attempt}", entry.boot);
+        self.finished.insert(key, body.clone());
+        let outputs = entry
+            .coordinator
+            .complete(attempt, outcome(&body), self.now);
         self.follow(index, outputs);
     }
 
     fn cut_or_mend(&mut self) {
         let link = (
             self.rng.random_range(0..ENTRIES),
-            self.rng.random_range(0..CONTROLS),
+            self.rng.random_range(0..self.controls.len()),
         );
         if !self.cut.remove(&link) {
             self.cut.insert(link);
@@ -795,7 +952,7 @@
     fn crash_entry(&mut self) {
         let index = self.rng.random_range(0..ENTRIES);
         let boot = self.entries[index].boot + 1;
-        self.entries[index] = entry(index, boot);
+        self.entries[index] = entry(index, boot, &self.voters);
         for other in &mut self.entries {
             let daemon = name(&format!("entry-{index}"));
             other.coordinator.note_boot(&daemon, BootId(boot));
@@ -804,7 +961,7 @@
 
     /// What was not synced is lost, or some of it is not.
     fn crash_control(&mut self) {
-        let index = self.rng.random_range(0..CONTROLS);
+        let index = self.rng.random_range(0..self.controls.len());
         let control = &mut self.controls[index];
         let kept = self.rng.random_range(0..=control.unsynced.len());
         control.unsynced.truncate(kept);
@@ -820,7 +977,7 @@
 
     fn recovered(&self, identity: Voter, records: Vec<NumberedRecord>) -> ClaimReplica {
         let bounds = ReplicaBounds {
-            retention: SHORT_RETENTION,
+            retention: self.retention,
             ..BOUNDS
         };
         ClaimReplica::recover(identity, bounds, records, self.now)
@@ -839,10 +996,10 @@
         if !self.loses_disks || self.lost_disk.is_some() || is_rare {
             return;
         }
-        let index = self.rng.random_range(0..CONTROLS);
+        let index = self.rng.random_range(0..self.controls.len());
         let lost = self.controls[index].replica.identity().clone();
         let mut new = lost.clone();
-        new.disk += CONTROLS as u64;
+        new.disk += self.controls.len() as u64;
         self.voters.number += 1;
         self.voters.voters.insert(new.clone());
         self.lost_disk = Some(lost);
@@ -866,11 +1023,79 @@
     }
 }
 
+/// Begins a new attempt that reaches just these replicas; returns which attempts keep the key
+/// from it, if any do.
+fn holders_met(
+    mut reached: Vec<ClaimReplica>,
+    all: &VoterSet,
+    key: &ClaimKey,
+) -> Option<BTreeSet<Claimant>> {
+    let timing = ClaimTiming::default();
+    let mut coordinator = ClaimCoordinator::new(name("asking"), BootId(1), timing, Vec::new());
+    coordinator.set_voters(all.clone(), Timestamp(1));
+    let (_, sent) = coordinator.begin(key.clone(), 7, Timestamp(1));
+    let mut outputs = carry_all(&mut coordinator, &mut reached, all, sent);
+    outputs.extend(coordinator.tick(Timestamp(1_001)));
+    let answers = outputs.into_iter().find_map(|output| match output {
+        ClaimOutput::Refused {
+            refusal: ClaimRefusal::InProgress { .. } | ClaimRefusal::OutcomeUnknown,
+            answers,
+            ..
+        } => Some(answers),
+        _ => None,
+    })?;
+    let verdicts = answers.into_iter().filter_map(|answer| answer.verdict);
+    let holders = verdicts.filter_map(|verdict| match verdict {
+        ClaimVerdict::HeldByOther { holder, .. } => Some(holder),
+        ClaimVerdict::Report(report) => report.holder,
+        _ => None,
+    });
+    Some(holders.collect())
+}
+
+/// Returns every choice of a majority of these replicas.
+fn majorities(replicas: &[&ClaimReplica]) -> Vec<Vec<ClaimReplica>> {
+    let choices = 0..1_u32 << replicas.len();
+    choices
+        .filter(|choice| choice.count_ones() as usize == replicas.len() / 2 + 1)
+        .map(|choice| {
+            let chosen = (0..replicas.len()).filter(|index| choice >> index & 1 == 1);
+            chosen.map(|index| replicas[index].clone()).collect()
+        })
+        .collect()
+}
+
+/// Returns the attempts whose callers were told "not run" and that keep their key from a new
+/// attempt that reaches a majority.
+fn blocking(
+    replicas: &[&ClaimReplica],
+    all: &VoterSet,
+    not_run: &BTreeMap<Claimant, ClaimKey>,
+) -> BTreeSet<Claimant> {
+    let keys: BTreeSet<&ClaimKey> = not_run.values().collect();
+    let mut blocking = BTreeSet::new();
+    for key in keys {
+        for reached in majorities(replicas) {
+            let met = holders_met(reached, all, key).unwrap_or_default();
+            if met.iter().all(|holder| not_run.contains_key(holder)) {
+                blocking.extend(met);
+            }
+        }
+    }
+    blocking
+}
+
 const SEEDS: u64 = 400;
-const STEPS: u32 = 1_500;
+const STEPS: u32 = 3_000;
+
+/// How many schedules are played: more by hand, with `CLAIM_SEEDS`.
+fn seeds() -> u64 {
+    let asked = std::env::var("CLAIM_SEEDS").ok();
+    asked.map_or(SEEDS, |seeds| seeds.parse().unwrap())
+}
 
 fn run_world(seed: u64, planted: Planted) -> World {
-    let mut world = world(seed, planted);
+    let mut world = world(seed, planted, 3);
     for _ in 0..STEPS {
         world.step();
     }
@@ -884,7 +1109,8 @@
 #[test]
 fn no_schedule_makes_a_key_run_twice() {
     let mut runs = 0;
-    for seed in 0..SEEDS {
+    let seeds = seeds();
+    for seed in 0..seeds {
         let world = run_world(seed, Planted::Nothing);
 
         assert_eq!(world.doubled_runs(), 0, "seed {seed}: {:?}", world.runs);
@@ -893,8 +1119,39 @@
         runs += world.runs.values().map(Vec::len).sum::<usize>();
     }
     // The schedules are not so hostile that nothing ever runs.
-    println!("{runs} runs in {SEEDS} schedules");
-    assert!(runs > 4 * SEEDS as usize, "{runs}");
+    println!("{runs} runs in {seeds} schedules");
+    assert!(runs > 4 * seeds as usize, "{runs}");
+}
+
+// Guards against refusals as "not run" that keep the key from everybody else: whoever reaches
+// a majority afterwards, whichever it is, gets the key unless another attempt has it.
+#[rstest]
+#[case::three_voters(3)]
+#[case::five_voters(5)]
+fn what_was_called_not_run_keeps_its_key_from_no_majority(#[case] controls: u64) {
+    const LOOK_EVERY: u32 = 150;
+    let mut not_run = 0;
+    for seed in (0..seeds()).step_by(2) {
+        let mut world = world(seed, Planted::Nothing, controls);
+        world.retention = BOUNDS.retention;
+        for step in 0..STEPS {
+            world.step();
+            if step % LOOK_EVERY == 0 {
+                let replicas = world.controls.iter().map(|control| &control.replica);
+                let replicas: Vec<&ClaimReplica> = replicas.collect();
+                let blocking = blocking(&replicas, &world.voters, &world.not_run);
+                assert!(
+                    blocking.is_empty(),
+                    "seed {seed}, step {step}: {blocking:?}"
+                );
+            }
+        }
+        assert_eq!(world.doubled_runs(), 0, "seed {seed}: {:?}", world.runs);
+        assert_eq!(world.falsely_not_run(), 0, "seed {seed}");
+        not_run += world.not_run.len();
+    }
+    println!("{not_run} attempts were called not run");
+    assert!(not_run > seeds() as usize, "{not_run}");
 }
 
 #[rstest]
--- a/testing/integration/tests/test_at_most_once.rs
+++ b/testing/integration/tests/test_at_most_once.rs
@@ -3,7 +3,8 @@
 
 use std::{
     net::SocketAddr,
-    thread, //
+    thread,
+    time::Duration, //
 };
 
 use cicadabend::caller_api::ErrorCode;
@@ -24,8 +25,12 @@
     },
     wait::eventually, //
 };
+use rstest::rstest;
 use serde_json::json;
 
+/// After which a claim has reached the control daemons, and its daemon still waits for answers.
+const CLAIM_ON_ITS_WAY: Duration = Duration::from_millis(300);
+
 /// Three control daemons, so that a majority outlives one of them.
 fn shape() -> Shape {
     Shape {
@@ -200,6 +205,49 @@
     assert_eq!(ran, 1);
 }
 
+/// Guards against claims of refused requests that keep the key from everybody else: the claim
+/// arrives, the answers to it are lost, and the cut comes before it can be given back.
+#[rstest]
+#[case::one_answer_is_lost(&["cumbaya"], &["carcelen"])]
+#[case::all_answers_are_lost(&["cumbaya", "carcelen"], &[])]
+fn lost_answers_to_a_claim_keep_no_majority_from_giving_the_receipt(
+    #[case] mute: &[&str],
+    #[case] cut: &[&str],
+) {
+    let mut deployment = start();
+    for domain in mute {
+        let link = deployment.peer_link(&format!("{domain}-control-1"), "sangolqui-entry-1");
+        link.cut();
+        link.heal().unwrap();
+        link.inject(Fault::Stall, Direction::ToTarget);
+    }
+    for domain in cut {
+        let control = format!("{domain}-control-1");
+        deployment.peer_link("sangolqui-entry-1", &control).cut();
+        deployment.peer_link(&control, "sangolqui-entry-1").cut();
+    }
+
+    let entry = deployment.entry_address("sangolqui-entry-1");
+    let refused = thread::spawn(move || caller::receipt(entry, "evidence-7"));
+    thread::sleep(CLAIM_ON_ITS_WAY);
+    deployment.cut_off_domain("sangolqui");
+    let refused = refused.join().unwrap().expect("an answer");
+    let given = eventually("the majority gives the receipt", STEP_LIMIT, || {
+        let answer = receipt(&deployment, "cumbaya-entry-1", "evidence-7");
+        (answer.status == 200).then_some(answer)
+    });
+
+    assert_eq!(
+        error_code(&refused),
+        Some(ErrorCode::NotRun),
+        "{}",
+        refused.text()
+    );
+    assert_eq!(given.status, 200);
+    let ran = caller::started_with_key(&plain_vms(&deployment), "evidence-7");
+    assert_eq!(ran, 1);
+}
+
 /// Every control daemon is killed and started again between a request and its resend. The
 /// claims must come back from their disks: the resend gets the first receipt.
 #[test]
--- a/testing/testutils/src/fault_proxy.rs
+++ b/testing/testutils/src/fault_proxy.rs
@@ -7,7 +7,8 @@
 
 use std::{
     io,
-    net::SocketAddr, //
+    net::SocketAddr,
+    sync::OnceLock, //
 };
 
 use bmrng::RequestSender;
@@ -38,6 +39,8 @@
 
 use crate::ports::reserve_address;
 
+/// Threads for all proxies of one test process.
+const PROXY_THREADS: usize = 2;
 /// How many fault changes wait for a proxy.
 const EVENT_BUFFER: usize = 16;
 
@@ -100,13 +103,10 @@
     }
 }
 
-/// A proxy that passes bytes on, with everything that does so.
 struct Running {
-    /// Its own, so that its end is the end of every connection.
-    runtime: Runtime,
+    stopper: Stopper,
     events: RequestSender<ToxicEvent, ToxicEventResult>,
-    _stopper: Stopper,
-    _closed: Close,
+    closed: Close,
 }
 
 /// One proxy: an address to give to clients, and the target behind it.
@@ -139,13 +139,13 @@
         self.listen
     }
 
-    /// Resets all connections and refuses new ones; nothing passes once this returns.
-    ///
-    /// Asked to stop, noxious ends its listener first and each connection a moment later, on a
-    /// busy machine long enough for a message that is sent after the cut to pass. The end of
-    /// the runtime waits until every task, and with it every socket, is gone.
+    /// Resets all connections and refuses new ones.
     pub fn cut(&mut self) {
-        drop(self.running.take());
+        if let Some(running) = self.running.take() {
+            running.stopper.stop();
+            // An error means that the proxy's task is gone, and its connections with it.
+            let _ = runtime().block_on(running.closed.recv());
+        }
     }
 
     /// Removes every fault; connections that a fault has harmed are not repaired.
@@ -157,15 +157,7 @@
         match &self.running {
             Some(_) => self.send(ToxicEventKind::RemoveAllToxics),
             None => {
-                let runtime = runtime()?;
-                let proxy = runtime.block_on(run(self.listen, self.target))?;
-                let (events, stopper, closed) = proxy;
-                self.running = Some(Running {
-                    runtime,
-                    events,
-                    _stopper: stopper,
-                    _closed: closed,
-                });
+                self.running = Some(runtime().block_on(run(self.listen, self.target))?);
             }
         }
         Ok(())
@@ -192,8 +184,7 @@
     fn send(&self, kind: ToxicEventKind) {
         let running = self.running.as_ref().expect("the proxy is cut");
         let event = ToxicEvent::new(self.listen.to_string(), kind);
-        running
-            .runtime
+        runtime()
             .block_on(running.events.send_receive(event))
             .expect("the proxy's task is gone")
             .expect("the proxy refused the fault");
@@ -206,17 +197,18 @@
     }
 }
 
-/// Returns the runtime of one proxy, with one thread.
-fn runtime() -> io::Result<Runtime> {
-    tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(1)
-        .enable_all()
-        .build()
+fn runtime() -> &'static Runtime {
+    static RUNTIME: OnceLock<Runtime> = OnceLock::new();
+    RUNTIME.get_or_init(|| {
+        tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(PROXY_THREADS)
+            .enable_all()
+            .build()
+            .expect("the proxies' runtime")
+    })
 }
 
-type Handles = (RequestSender<ToxicEvent, ToxicEventResult>, Stopper, Close);
-
-async fn run(listen: SocketAddr, target: SocketAddr) -> io::Result<Handles> {
+async fn run(listen: SocketAddr, target: SocketAddr) -> io::Result<Running> {
     let config = ProxyConfig {
         name: listen.to_string(),
         listen: listen.to_string(),
@@ -233,5 +225,9 @@
         // The result repeats what the test sees: the connections are gone.
         let _ = ProxyRunner::run_proxy(listener, info, receiver, stop, closer).await;
     });
-    Ok((events, stopper, closed))
+    Ok(Running {
+        stopper,
+        events,
+        closed,
+    })
 }
