claims: an answer is given once a majority has recorded it

What callers saw: a resend through another entry daemon, right after the first receipt, was answered 409 `in_progress` in place of that receipt (a_resend_through_another_entry_daemon_gets_the_first_receipt failed once on 2026-12-02, its output lost). Worse and not seen yet: a daemon that ended right after giving a receipt left a key whose outcome nobody knew for the whole retention.

Cause: the caller had its whole answer before the outcome was sent to any voter: answer and `Complete` left side by side. A `Complete` that was late, or lost and sent again 0.2 s later, met a resend. Evidence: with the first three outcomes lost the resend gets 409 in the daemon's own process test on the code before (2 of 2 cases), the first receipt now. Ruled out: the connections between daemons (the test has none).

Change: the last of an answer to a claimed request waits until a majority has the outcome, 0.5 s at most; then it is given all the same (CB1129, serving.outcomes_not_recorded). Plain answers whose length is known end with their last bytes, streams with [DONE].

--- a/entry/src/serve/body.rs
+++ b/entry/src/serve/body.rs
@@ -32,6 +32,7 @@
 
 use super::{
     event_body::EventBody,
+    held_claim::Settling,
     passed_body::PassedBody,
     replay::ReplayReader, //
 };
@@ -171,6 +172,15 @@
     pub(super) fn whole(bytes: Bytes) -> Self {
         AnswerBody::Whole(Full::new(bytes))
     }
+
+    /// Returns the claim that is being settled since the last frame was taken, once.
+    pub(super) fn take_settling(&mut self) -> Option<Settling> {
+        match self {
+            AnswerBody::Passed(body) => body.take_settling(),
+            AnswerBody::Events(body) => body.take_settling(),
+            AnswerBody::Whole(_) | AnswerBody::Relayed(_) => None,
+        }
+    }
 }
 
 impl Body for AnswerBody {
--- a/entry/src/serve/claim_desk.rs
+++ b/entry/src/serve/claim_desk.rs
@@ -102,13 +102,23 @@
     }
 
     /// Records the outcome of an attempt that ran, or may have.
-    pub(super) fn complete(&self, attempt: u64, outcome: StoredOutcome) {
+    ///
+    /// The receiver gets word once a majority of the control daemons has it.
+    pub(super) fn complete(&self, attempt: u64, outcome: StoredOutcome) -> oneshot::Receiver<()> {
+        let settled = self.await_settling(attempt);
         let now = self.clock.now();
         let mut coordinator = self.coordinator.borrow_mut();
         let outputs = coordinator.complete(attempt, outcome, now);
         drop(coordinator);
         self.carry_out(outputs);
         self.changed.notify_one();
+        settled
+    }
+
+    fn await_settling(&self, attempt: u64) -> oneshot::Receiver<()> {
+        let (sender, settled) = oneshot::channel();
+        self.settling.borrow_mut().insert(attempt, sender);
+        settled
     }
 
     /// Gives up an attempt that certainly did not run and never will.
@@ -116,8 +126,7 @@
     /// The receiver gets word once a majority of the control daemons knows.
     pub(super) fn release(&self, attempt: u64) -> oneshot::Receiver<()> {
         self.waiting.borrow_mut().remove(&attempt);
-        let (sender, settled) = oneshot::channel();
-        self.settling.borrow_mut().insert(attempt, sender);
+        let settled = self.await_settling(attempt);
         let now = self.clock.now();
         let outputs = self.coordinator.borrow_mut().release(attempt, now);
         self.carry_out(outputs);
--- a/entry/src/serve/counts.rs
+++ b/entry/src/serve/counts.rs
@@ -28,6 +28,8 @@
         Replays,
         /// Requests that did not run, which no majority of the control daemons could be told.
         ClaimsNotWithdrawn,
+        /// Answers given before a majority of the control daemons had recorded them.
+        OutcomesNotRecorded,
         /// Connections closed because there were too many.
         ConnectionsRefused,
     }
--- a/entry/src/serve/detached.rs
+++ b/entry/src/serve/detached.rs
@@ -99,10 +99,12 @@
     let answer = Response::from_parts(head, AnswerBody::Relayed(relayed));
     let is_there = sender.send(Ok(answer)).is_ok();
     let limit = Duration::from_millis(server.settings.callers.first_byte_timeout_ms);
-    read_to_end(body, frames, is_there, limit).await;
+    read_to_end(server, body, frames, is_there, limit).await;
 }
 
+/// Reads an answer to its end; the caller gets the last of it once the outcome is recorded.
 async fn read_to_end(
+    server: &Server,
     mut body: AnswerBody,
     frames: mpsc::Sender<Result<Frame<Bytes>, BodyError>>,
     mut is_there: bool,
@@ -117,6 +119,9 @@
                 Err(_) => return,
             },
         };
+        if let Some(settling) = body.take_settling() {
+            server.await_recorded(settling).await;
+        }
         let Some(frame) = frame else { return };
         if is_there {
             is_there = frames.send(frame).await.is_ok();
--- a/entry/src/serve/drive.rs
+++ b/entry/src/serve/drive.rs
@@ -72,7 +72,7 @@
         next = match next {
             Next::Connect { delay } => match attempt(&mut run, delay).await {
                 Ok(answered) => match run.answered() {
-                    Next::Pass => return Ok(pass(run, answered)),
+                    Next::Pass => return Ok(pass(run, answered).await),
                     other => other,
                 },
                 Err(failure) => run.fail(failure),
@@ -151,8 +151,11 @@
 /// A caller that is told so sends it again, elsewhere; that must not find the key held by an
 /// attempt that nobody but this daemon knows to be dead.
 async fn withdraw(run: &mut RequestRun) -> Next {
-    let server = Rc::clone(&run.server);
-    match run.claim.withdrawn(&server.claims).await {
+    let withdrawn = match run.claim.take_settling() {
+        Some(settling) => settling.wait(&run.server.claims).await,
+        None => Ok(()),
+    };
+    match withdrawn {
         Ok(()) => run.apply(RequestEvent::ClaimWithdrawn),
         Err(attempt) => run.claim_not_withdrawn(attempt),
     }
@@ -183,7 +186,7 @@
 }
 
 /// Turns an upstream's answer into the caller's.
-fn pass(mut run: RequestRun, answered: Answered) -> Response<AnswerBody> {
+async fn pass(mut run: RequestRun, answered: Answered) -> Response<AnswerBody> {
     match answered {
         Answered::Events {
             head,
@@ -202,6 +205,9 @@
             let answer = respond(&mut run, head);
             run.claim.record(&body);
             run.ended(1);
+            if let Some(settling) = run.claim.take_settling() {
+                run.server.await_recorded(settling).await;
+            }
             answer.map(|()| AnswerBody::whole(body))
         }
         Answered::Passed {
--- a/entry/src/serve/event_body.rs
+++ b/entry/src/serve/event_body.rs
@@ -33,6 +33,7 @@
     },
     events::LogEvent,
     exchange::Failure,
+    held_claim::Settling,
     resume::{
         self,
         Resuming, //
@@ -159,6 +160,9 @@
                 let since_last = self.silence.end();
                 self.run.progressed(since_last);
                 self.run.claim.record(&events);
+                if self.tracker.is_done() && self.run.claim.is_held() {
+                    self.run.ended(self.tracker.passed());
+                }
                 self.stage = Stage::Live(source);
                 Some(Poll::Ready(Some(Ok(Frame::data(events)))))
             }
@@ -208,10 +212,17 @@
     }
 
     fn end(&mut self) -> PolledFrame {
-        self.run.ended(self.tracker.passed());
+        if !self.run.is_over() {
+            self.run.ended(self.tracker.passed());
+        }
         Poll::Ready(None)
     }
 
+    /// Returns the claim that is being settled since the answer ended.
+    pub(super) fn take_settling(&mut self) -> Option<Settling> {
+        self.run.claim.take_settling()
+    }
+
     /// Asks for the rest, or tells the caller that the answer is not whole.
     fn broke(&mut self, failure: Failure) -> Option<PolledFrame> {
         let message = failure.to_string();
--- a/entry/src/serve/events.rs
+++ b/entry/src/serve/events.rs
@@ -54,6 +54,9 @@
         request: cicadabend::prelude::RequestId,
         attempt: u64,
     } "claim not withdrawn";
+    /// An answer to a request that runs at most once was given before a majority of the control
+    /// daemons had recorded it; they go on being told.
+    1129 Warn OutcomeNotRecorded { attempt: u64 } "outcome not recorded";
     /// Lines on claims were left out because there were more than the bound in a second.
     1127 Warn ClaimLinesLeftOut { lines: u64 } "lines on claims left out";
     /// A stream broke for good after part of it was delivered.
--- a/entry/src/serve/held_claim.rs
+++ b/entry/src/serve/held_claim.rs
@@ -32,8 +32,8 @@
 /// The largest body that is kept for resends.
 const KEPT_BODY_LIMIT_BYTES: usize = 64 * 1024;
 const CONTENT_TYPE_JSON: &str = "application/json";
-/// How long a refused caller waits until a majority knows that its request did not run.
-const WITHDRAWAL_LIMIT_MS: u64 = 500;
+/// How long a caller waits until a majority knows what became of its request.
+const SETTLING_LIMIT_MS: u64 = 500;
 
 /// What is known of the claim; nothing for a request that needs none.
 #[derive(Default)]
@@ -41,15 +41,31 @@
     attempt: Option<u64>,
     outcome: Option<StoredOutcome>,
     refusal: Option<ClaimRefusal>,
-    withdrawal: Option<Withdrawal>,
+    settling: Option<Settling>,
 }
 
-/// A claim that is being given back.
-struct Withdrawal {
+/// A claim that was given back or got its outcome, while the control daemons are being told.
+pub(super) struct Settling {
     attempt: u64,
     settled: oneshot::Receiver<()>,
 }
 
+impl Settling {
+    /// Waits until a majority of the control daemons knows.
+    ///
+    /// # Errors
+    ///
+    /// Returns the attempt's number if they could not be told in time.
+    pub(super) async fn wait(self, desk: &ClaimDesk) -> Result<(), u64> {
+        let limit = Duration::from_millis(SETTLING_LIMIT_MS);
+        if let Ok(Ok(())) = timeout(limit, self.settled).await {
+            return Ok(());
+        }
+        desk.forget_settling(self.attempt);
+        Err(self.attempt)
+    }
+}
+
 impl HeldClaim {
     /// Notes the attempt that the claim was asked for.
     pub(super) fn asked(&mut self, attempt: u64) {
@@ -61,6 +77,11 @@
         self.refusal = Some(refusal);
     }
 
+    /// Returns whether the claim is held and has no outcome yet.
+    pub(super) fn is_held(&self) -> bool {
+        self.attempt.is_some()
+    }
+
     /// Starts to keep the answer.
     pub(super) fn begin_record(&mut self, status: StatusCode, content_type: &str) {
         if self.attempt.is_some() {
@@ -89,25 +110,13 @@
     pub(super) fn release(&mut self, desk: &ClaimDesk) {
         if let Some(attempt) = self.attempt.take() {
             let settled = desk.release(attempt);
-            self.withdrawal = Some(Withdrawal { attempt, settled });
+            self.settling = Some(Settling { attempt, settled });
         }
     }
 
-    /// Waits until a majority of the control daemons knows that the claim was given back.
-    ///
-    /// # Errors
-    ///
-    /// Returns the attempt's number if they could not be told in time.
-    pub(super) async fn withdrawn(&mut self, desk: &ClaimDesk) -> Result<(), u64> {
-        let Some(Withdrawal { attempt, settled }) = self.withdrawal.take() else {
-            return Ok(());
-        };
-        let limit = Duration::from_millis(WITHDRAWAL_LIMIT_MS);
-        if let Ok(Ok(())) = timeout(limit, settled).await {
-            return Ok(());
-        }
-        desk.forget_settling(attempt);
-        Err(attempt)
+    /// Returns what is to be waited for before the caller has all of its answer.
+    pub(super) fn take_settling(&mut self) -> Option<Settling> {
+        self.settling.take()
     }
 
     /// Leaves the claim taken with the outcome that nobody knows the outcome.
@@ -122,13 +131,16 @@
             body: serde_json::to_vec(&error.body(request_id)).ok(),
         };
         desk.complete(attempt, outcome);
+        // Whoever asks meanwhile learns as little.
+        desk.forget_settling(attempt);
     }
 
     /// Stores the answer under the claim.
     pub(super) fn complete(&mut self, desk: &ClaimDesk) {
         let outcome = self.outcome.take();
         if let Some((attempt, outcome)) = self.attempt.take().zip(outcome) {
-            desk.complete(attempt, outcome);
+            let settled = desk.complete(attempt, outcome);
+            self.settling = Some(Settling { attempt, settled });
         }
     }
 
--- a/entry/src/serve/passed_body.rs
+++ b/entry/src/serve/passed_body.rs
@@ -20,6 +20,7 @@
 use super::{
     body::BodyError,
     exchange::Failure,
+    held_claim::Settling,
     run::RequestRun,
     upstream::{
         Lease,
@@ -56,6 +57,9 @@
                 if let Some(data) = frame.data_ref() {
                     self.run.claim.record(data);
                 }
+                if self.incoming.is_end_stream() {
+                    self.end();
+                }
                 Poll::Ready(Some(Ok(frame)))
             }
             Some(Err(error)) => {
@@ -66,12 +70,21 @@
                 Poll::Ready(Some(Err(BodyError::AnswerBroken)))
             }
             None => {
-                if let Some(lease) = self.lease.take() {
-                    self.run.ended(1);
-                    lease.give_back();
-                }
+                self.end();
                 Poll::Ready(None)
             }
         }
     }
+
+    /// Returns the claim that is being settled since the answer ended.
+    pub(super) fn take_settling(&mut self) -> Option<Settling> {
+        self.run.claim.take_settling()
+    }
+
+    fn end(&mut self) {
+        if let Some(lease) = self.lease.take() {
+            self.run.ended(1);
+            lease.give_back();
+        }
+    }
 }
--- a/entry/src/serve/run/mod.rs
+++ b/entry/src/serve/run/mod.rs
@@ -293,6 +293,11 @@
         self.resumes_without_progress
     }
 
+    /// Returns whether nothing more can happen to the request.
+    pub(super) fn is_over(&self) -> bool {
+        self.life.is_over()
+    }
+
     /// Notes that the whole answer was delivered.
     pub(super) fn ended(&mut self, output_tokens: u64) {
         self.record_timing(output_tokens);
--- a/entry/src/serve/server.rs
+++ b/entry/src/serve/server.rs
@@ -45,11 +45,15 @@
 use super::{
     admission_desk::AdmissionDesk,
     claim_desk::ClaimDesk,
-    counts::Counts,
+    counts::{
+        Counts,
+        Serving, //
+    },
     detached::Detached,
     events::LogEvent,
     figures::Figures,
     headers,
+    held_claim::Settling,
     housekeeping,
     request_ids::RequestIds,
     times::ServiceTimes,
@@ -147,6 +151,17 @@
         self.claim_lines.write(now, || event.emit(), left_out);
     }
 
+    /// Waits until the outcome of a request that runs at most once is recorded, or for long enough.
+    ///
+    /// A caller that has all of its answer may send the request again at once, through any
+    /// daemon, and this one may end: the resend is to find the first answer.
+    pub(super) async fn await_recorded(&self, settling: Settling) {
+        if let Err(attempt) = settling.wait(&self.claims).await {
+            self.counts.count(Serving::OutcomesNotRecorded);
+            self.log_claim(&LogEvent::OutcomeNotRecorded { attempt });
+        }
+    }
+
     /// Returns whether the balancer should send callers here.
     pub(super) fn is_ready(&self) -> bool {
         !self.draining.get() && self.snapshot.load().ready
--- a/entry/tests/test_serve/support/claims.rs
+++ b/entry/tests/test_serve/support/claims.rs
@@ -37,6 +37,8 @@
     reachable: usize,
     /// How many voters can be reached from the first claim on.
     reachable_after_claim: Option<usize>,
+    /// How many outcomes are lost on their way.
+    outcomes_to_lose: usize,
 }
 
 /// The voters; entry daemons that share them share their claims.
@@ -55,6 +57,7 @@
             replicas: replicas.collect(),
             reachable: 3,
             reachable_after_claim: None,
+            outcomes_to_lose: 0,
         };
         Self {
             shared: Arc::new(Mutex::new(shared)),
@@ -71,6 +74,11 @@
         self.shared.lock().unwrap().reachable_after_claim = Some(reachable);
     }
 
+    /// Loses so many outcomes on their way to the voters.
+    pub fn lose_outcomes(&self, count: usize) {
+        self.shared.lock().unwrap().outcomes_to_lose = count;
+    }
+
     /// Returns one entry daemon's way to the voters.
     pub fn link(&self) -> ClaimLink {
         let (answers, replies) = ring::bounded("claim-replies", 1_024);
@@ -88,6 +96,11 @@
 
     fn ask(&self, to: &DaemonId, request: &ClaimRequest) -> Option<ClaimReply> {
         let mut shared = self.shared.lock().unwrap();
+        let is_outcome = matches!(request.action, ClaimAction::Complete { .. });
+        if is_outcome && shared.outcomes_to_lose > 0 {
+            shared.outcomes_to_lose -= 1;
+            return None;
+        }
         let reachable = shared.reachable;
         let mut replicas = shared.replicas.iter_mut().take(reachable);
         let index = replicas.position(|replica| replica.identity().daemon == *to)?;
--- a/entry/tests/test_serve/support/upstream.rs
+++ b/entry/tests/test_serve/support/upstream.rs
@@ -52,6 +52,14 @@
         ))
     }
 
+    /// A whole answer with this body, whose length its head does not tell.
+    pub fn chunked(status: &str, body: &str) -> Step {
+        let length = body.len();
+        Step::send(&format!(
+            "HTTP/1.1 {status}\r\ntransfer-encoding: chunked\r\n\r\n{length:x}\r\n{body}\r\n0\r\n\r\n"
+        ))
+    }
+
     /// The head of an event stream.
     pub fn stream_head() -> Step {
         Step::send(
--- a/entry/tests/test_serve/test_at_most_once.rs
+++ b/entry/tests/test_serve/test_at_most_once.rs
@@ -1,6 +1,7 @@
 //! Requests that must run at most once, over resends, entry daemons and failures.
 
 use cicadabend::caller_api::ErrorCode;
+use rstest::rstest;
 
 use crate::support::{
     Answer,
@@ -165,6 +166,42 @@
     assert_eq!(receipt(&fixture).body, "run 0");
 }
 
+/// Guards against a resend that is told "in progress" although its caller has the first answer:
+/// the outcome's first way to the control daemons is lost.
+#[rstest]
+#[case::length_known(Step::whole("201 Created", "run 0"))]
+#[case::chunked(Step::chunked("201 Created", "run 0"))]
+fn an_answer_is_given_once_a_majority_has_recorded_it(#[case] step: Step) {
+    let upstream = ScriptedUpstream::start(move |_, _| vec![step.clone()]);
+    let voters = ClaimVoters::start();
+    let daemons = [
+        entry(&voters, &upstream, "entry-1"),
+        entry(&voters, &upstream, "entry-2"),
+    ];
+    voters.lose_outcomes(3);
+
+    let first = receipt(&daemons[0]);
+    let resend = receipt(&daemons[1]);
+
+    assert_eq!((first.status, first.body.as_str()), (201, "run 0"));
+    assert_eq!((resend.status, resend.body.as_str()), (201, "run 0"));
+    assert_eq!(upstream.requests().len(), 1);
+}
+
+/// Guards against answers that are held back for as long as a partition lasts.
+#[test]
+fn an_answer_that_cannot_be_recorded_is_given_all_the_same() {
+    let upstream = good_upstream();
+    let voters = ClaimVoters::start();
+    let fixture = entry(&voters, &upstream, "entry-1");
+    voters.lose_outcomes(usize::MAX);
+
+    let first = receipt(&fixture);
+
+    assert_eq!((first.status, first.body.as_str()), (201, "run 0"));
+    assert_eq!(fixture.counter("serving.outcomes_not_recorded"), 1);
+}
+
 /// Guards against "not run" while a majority takes the request for running: the cut comes
 /// between the claim and its answers.
 #[test]
