claims: outcomes and releases are told until a majority has them, however long a partition lasts

What callers would see: a request that runs at most once ends in a failure domain that is cut off for more than 30 s. After the partition its resends are told `in_progress` for the rest of the retention, an hour: the daemon that knows the outcome is alive and has stopped telling it. The same for a claim that was given back. Found while looking for the receipt's fault elsewhere: a release that meets a cut.

Cause: an attempt was dropped 30 s after its end, recorded or not. Evidence: with the hour's partition played on the logic alone the coordinator has nothing left to send (the test's next wake-up is missing on the code before). Partitions of an hour stand in the users' size.

Change: settling ends only with a majority. After 30 s it is tried every 30 s (fewer than 1,000 messages in the hour for one outcome, three voters), and a voter that is heard again after 2 s of silence is told at once. At 1,000 that are overdue new claims are refused, none is dropped.

--- a/lib/src/claims/attempt.rs
+++ b/lib/src/claims/attempt.rs
@@ -127,6 +127,17 @@
         }
     }
 
+    /// Refuses the attempt before anybody was asked.
+    pub fn refuse_unasked(&self, number: u64) -> ClaimOutput {
+        ClaimOutput::Refused {
+            attempt: number,
+            refusal: ClaimRefusal::NoMajority {
+                retry_after: self.jittered_retry_after(),
+            },
+            answers: self.answers(),
+        }
+    }
+
     /// Notes that a voter has recorded what became of the attempt.
     fn record(&mut self, reply: &ClaimReply) -> Decision {
         let was_settled = self.is_settled();
@@ -308,15 +319,13 @@
     }
 
     /// Returns whether nothing more is to be sent.
-    pub fn is_over(&self, now: Timestamp) -> bool {
+    pub fn is_over(&self) -> bool {
         match &self.phase {
             Phase::Settling {
                 voters, recorded, ..
             } => {
                 let is_outvoted = self.is_settled() && self.resends >= RESENDS_BEYOND_MAJORITY;
-                voters.voters.is_subset(recorded)
-                    || is_outvoted
-                    || now >= self.began_at + self.timing.settle_timeout
+                voters.voters.is_subset(recorded) || is_outvoted
             }
             _ => false,
         }
@@ -340,7 +349,21 @@
     }
 
     fn next_resend(&self) -> Timestamp {
-        self.sent_at + self.timing.resend_after * (1 << self.resends.min(5))
+        match self.is_overdue() {
+            true => self.sent_at + self.timing.settle_slowly_after,
+            false => self.sent_at + self.timing.resend_after * (1 << self.resends.min(5)),
+        }
+    }
+
+    /// Returns whether no majority has recorded for long what became of the attempt.
+    pub fn is_overdue(&self) -> bool {
+        let is_late = self.sent_at.since(self.began_at) >= self.timing.settle_slowly_after;
+        !self.is_unsettled() && !self.is_settled() && is_late
+    }
+
+    /// Returns whether a voter has yet to record what became of the attempt.
+    pub fn is_due_to(&self, voter: &Voter) -> bool {
+        !self.is_unsettled() && !self.has_answered(voter)
     }
 
     /// Asks silent voters once more.
--- a/lib/src/claims/coordinator.rs
+++ b/lib/src/claims/coordinator.rs
@@ -1,9 +1,12 @@
 //! An entry daemon's attempts.
 
-use std::collections::{
-    BTreeMap,
-    BTreeSet,
-    HashMap, //
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet,
+        HashMap, //
+    },
+    time::Duration,
 };
 
 use super::{
@@ -30,6 +33,14 @@
     prelude::*,
 };
 
+/// How many attempts may wait for a majority to record what became of them.
+///
+/// Each holds its outcome. None is dropped, which would leave its key without an outcome; new
+/// claims are refused instead, as most are where no majority answers.
+const OVERDUE_LIMIT: usize = 1_000;
+/// After which silence a voter that is heard again is told at once what it has yet to record.
+const SILENCE: Duration = Duration::from_secs(2);
+
 /// Every attempt of one run of an entry daemon that is not recorded everywhere yet.
 #[derive(Clone, Debug)]
 pub struct ClaimCoordinator {
@@ -41,6 +52,8 @@
     questions: HashMap<u64, u64>,
     wakes: BTreeSet<(Timestamp, u64)>,
     last_attempt: u64,
+    overdue: BTreeSet<u64>,
+    heard_at: BTreeMap<Voter, Timestamp>,
     boots: BTreeMap<DaemonId, Option<BootId>>,
 }
 
@@ -66,6 +79,8 @@
             questions: HashMap::new(),
             wakes: BTreeSet::new(),
             last_attempt: 0,
+            overdue: BTreeSet::new(),
+            heard_at: BTreeMap::new(),
             boots: BTreeMap::new(),
         }
     }
@@ -86,6 +101,9 @@
         };
         let voters = self.voters.clone();
         let mut attempt = Attempt::new(key, claimant, fingerprint, voters, self.timing, now);
+        if self.overdue.len() >= OVERDUE_LIMIT {
+            return (number, vec![attempt.refuse_unasked(number)]);
+        }
         let outputs = attempt.questions(now);
         self.keep(number, attempt);
         (number, outputs)
@@ -96,6 +114,15 @@
         if let ClaimVerdict::VotersChanged(voters) = &reply.verdict {
             return self.set_voters(voters.clone(), now);
         }
+        let mut outputs = self.answer_question(reply, now);
+        let heard_before = self.heard_at.insert(reply.voter.clone(), now);
+        if heard_before.is_some_and(|before| now.since(before) >= SILENCE) {
+            outputs.extend(self.tell_what_is_due(&reply.voter, now));
+        }
+        outputs
+    }
+
+    fn answer_question(&mut self, reply: &ClaimReply, now: Timestamp) -> Vec<ClaimOutput> {
         let Some(&number) = self.questions.get(&reply.question) else {
             return Vec::new();
         };
@@ -106,6 +133,21 @@
         self.follow(number, attempt, decision, now)
     }
 
+    /// Tells a voter that was silent what it has yet to record, as after a partition.
+    fn tell_what_is_due(&mut self, voter: &Voter, now: Timestamp) -> Vec<ClaimOutput> {
+        let attempts = self.attempts.iter();
+        let due = attempts.filter(|(_, attempt)| attempt.is_due_to(voter));
+        let due: Vec<u64> = due.map(|(number, _)| *number).collect();
+        let mut outputs = Vec::new();
+        for number in due {
+            if let Some(mut attempt) = self.take(number) {
+                outputs.extend(attempt.resend(now));
+                self.keep(number, attempt);
+            }
+        }
+        outputs
+    }
+
     /// Goes over to a newer set of voters, and asks again by it.
     pub fn set_voters(&mut self, voters: VoterSet, now: Timestamp) -> Vec<ClaimOutput> {
         if voters.number <= self.voters.number {
@@ -153,7 +195,7 @@
             let Some(mut attempt) = self.take(number) else {
                 break;
             };
-            if attempt.is_over(now) {
+            if attempt.is_over() {
                 continue;
             }
             let decision = attempt.time_out(now, |holder| self.is_alive(holder));
@@ -248,7 +290,7 @@
                 outputs.extend(attempt.questions(now));
             }
         }
-        if !attempt.is_over(now) {
+        if !attempt.is_over() {
             self.keep(number, attempt);
         }
         outputs
@@ -268,6 +310,7 @@
     fn take(&mut self, number: u64) -> Option<Attempt> {
         let attempt = self.attempts.remove(&number)?;
         self.questions.remove(&attempt.question());
+        self.overdue.remove(&number);
         if let Some(wake) = attempt.next_wake() {
             self.wakes.remove(&(wake, number));
         }
@@ -279,6 +322,9 @@
             self.wakes.insert((wake, number));
         }
         self.questions.insert(attempt.question(), number);
+        if attempt.is_overdue() {
+            self.overdue.insert(number);
+        }
         self.attempts.insert(number, attempt);
     }
 }
--- a/lib/src/claims/output.rs
+++ b/lib/src/claims/output.rs
@@ -25,8 +25,8 @@
     pub start_within: Duration,
     /// After which silence a question is sent again; doubled each time.
     pub resend_after: Duration,
-    /// How long outcomes and releases are sent again while no majority has them.
-    pub settle_timeout: Duration,
+    /// After which outcomes and releases that no majority has are sent again only this often.
+    pub settle_slowly_after: Duration,
     /// The middle of the time after which a refused caller should come back.
     pub retry_after: Duration,
 }
@@ -37,7 +37,7 @@
             acquire_timeout: Duration::from_millis(1_000),
             start_within: Duration::from_secs(30),
             resend_after: Duration::from_millis(200),
-            settle_timeout: Duration::from_secs(30),
+            settle_slowly_after: Duration::from_secs(30),
             retry_after: Duration::from_millis(500),
         }
     }
--- a/lib/tests/test_claims/main.rs
+++ b/lib/tests/test_claims/main.rs
@@ -578,6 +578,64 @@
     outputs
 }
 
+/// Begins an attempt on "k" that all replicas grant, and lets it end out of their reach.
+fn ended_out_of_reach(replicas: &mut [ClaimReplica]) -> ClaimCoordinator {
+    let mut coordinator = coordinator("entry-1");
+    let (attempt, sent) = coordinator.begin(key("k"), 7, Timestamp(0));
+    carry_all(&mut coordinator, replicas, &voters(3), sent);
+    coordinator.complete(attempt, outcome("receipt 12"), Timestamp(2));
+    coordinator
+}
+
+fn has_ended(replica: &mut ClaimReplica) -> bool {
+    let verdict = ask(replica, "k", acquire(&claimant("entry-2", 1), 7));
+    matches!(verdict, ClaimVerdict::Completed { .. })
+}
+
+// Guards against outcomes that only a daemon knows which was cut off while its request ran: a
+// partition of an hour must not cost the key its outcome.
+#[test]
+fn an_outcome_outlives_a_partition_of_an_hour() {
+    const HOUR_MS: u64 = 3_600_000;
+    let mut replicas = [1, 2, 3].map(|number| replica(number, Vec::new()));
+    let mut coordinator = ended_out_of_reach(&mut replicas);
+    let mut lost = 0;
+    while let Some(at) = coordinator.next_wake().filter(|at| at.0 < HOUR_MS) {
+        lost += coordinator.tick(at).len();
+    }
+
+    let at = coordinator.next_wake().unwrap();
+    let sent = coordinator.tick(at);
+    carry_all(&mut coordinator, &mut replicas, &voters(3), sent);
+
+    assert!(replicas.iter_mut().all(has_ended));
+    assert!(coordinator.is_empty());
+    assert!(lost < 1_000, "{lost} messages in an hour");
+}
+
+// Guards against resends that find nothing for half a minute after a partition, while the
+// daemon that knows the outcome is heard again.
+#[test]
+fn a_voter_that_is_heard_again_learns_outcomes_at_once() {
+    let mut replicas = [1, 2, 3].map(|number| replica(number, Vec::new()));
+    let mut coordinator = ended_out_of_reach(&mut replicas);
+    while let Some(at) = coordinator.next_wake().filter(|at| at.0 < 100_000) {
+        coordinator.tick(at);
+    }
+
+    let now = Timestamp(100_000);
+    let (_, sent) = coordinator.begin(key("another"), 7, now);
+    let reply = ClaimReply {
+        question: question(&sent),
+        voter: voter(1),
+        verdict: free(),
+    };
+    let due = coordinator.take_reply(&reply, now);
+    carry_all(&mut coordinator, &mut replicas, &voters(3), due);
+
+    assert!(replicas.iter_mut().all(has_ended));
+}
+
 #[test]
 fn only_refusals_of_attempts_that_never_held_a_majority_promise_not_run() {
     let contended = refusal_after([HELD, by("entry-2"), by("entry-3")]).unwrap();
