--- a/lib/tests/test_grouping/test_schedules.rs
+++ b/lib/tests/test_grouping/test_schedules.rs
@@ -195,3 +195,13 @@
 fn planned_changes_do_not_follow_each_other() {
     serves_again(490);
 }
+
+// Guards against engines that idle for good: after the troubles of each of these seeds some did.
+#[rstest]
+#[case(149)]
+#[case(406)]
+#[case(1_349)]
+#[case(1_326)]
+fn engines_that_troubles_had_stranded_serve_again(#[case] seed: u64) {
+    serves_again(seed);
+}
