--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -47,7 +47,7 @@
 };
 
 /// The version of this protocol; a process drops messages of another one and counts them.
-pub const PROTOCOL_VERSION: u16 = 6;
+pub const PROTOCOL_VERSION: u16 = 7;
 
 /// A daemon's role, as members that find each other by seeds tell it.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
