dispatch: repeats of what was at an upstream that ended go to upstreams of their daemon's own

Cause: each daemon drew evenly among all upstreams for what had broken off, so two or three suspects meet in one of 17 cases. Ruled out: drawing by a hash of the daemon or of the request, which meets as often; a third attempt, which the route's most attempts forbid.

Change: the control daemons tell each entry daemon its place among them by name, beside their number. A hash of an upstream's name by that number gives it to one daemon; it takes one of its own after the other for such repeats, each at most once a second, then any that is free of them, then any. A refused connection counts like a break.

--- a/entry/src/members/thread.rs
+++ b/entry/src/members/thread.rs
@@ -377,6 +377,7 @@
             has_upstreams: self.discovery.has_upstreams(),
             replicas,
             entries: self.discovery.entries(),
+            place: self.discovery.place(),
             suspects: Arc::clone(&self.suspects),
             rates: Arc::clone(&self.rates),
         }));
--- a/entry/src/members/view.rs
+++ b/entry/src/members/view.rs
@@ -37,6 +37,8 @@
     pub replicas: Arc<BTreeMap<ServiceName, Vec<RoutedReplica>>>,
     /// How many entry daemons there are.
     pub entries: u32,
+    /// Where this daemon stands among them by name, from zero on.
+    pub place: u32,
     /// Requests that upstreams had when they ended.
     pub suspects: Arc<SuspectTable>,
     /// The rates of requests that upstreams name.
--- a/entry/src/serve/routed/account.rs
+++ b/entry/src/serve/routed/account.rs
@@ -144,8 +144,10 @@
     pub(super) fn note_failure(&mut self, failure: &Failure) {
         self.log_failure(failure);
         self.note_outcome(failure);
-        if matches!(failure, Failure::Broken(_)) {
-            self.suspect();
+        match failure {
+            Failure::Broken(_) => self.suspect(),
+            Failure::NotConnected(_) => self.trail.found_none = true,
+            _ => {}
         }
     }
 
--- a/entry/src/serve/routed/run.rs
+++ b/entry/src/serve/routed/run.rs
@@ -101,6 +101,10 @@
         if !self.use_permit(&id, &view) {
             return false;
         }
+        if self.keeps_apart() {
+            let now = self.server.clock.now();
+            self.server.loads.borrow_mut().kept_apart(&id, now);
+        }
         self.tried.push(id);
         let tokens = self.plan.prompt_tokens();
         let reservation = Reservation::make(&self.server, replica, tokens);
@@ -109,6 +113,11 @@
         true
     }
 
+    /// Returns whether it is to meet no others that were at an upstream which ended.
+    fn keeps_apart(&self) -> bool {
+        self.trail.has_met_an_end() || self.standing() != Standing::Trusted
+    }
+
     pub(super) fn best(&self, view: &RoutedView) -> Option<(RoutedReplica, Chosen)> {
         let plan = &self.plan;
         let table = view.routes.as_ref()?.table();
@@ -140,7 +149,8 @@
                 None => self.usual(None).map(|usual| usual.typical_ms),
             },
             daemons: view.entries,
-            keeps_apart: self.trail.is_broken() || self.standing() != Standing::Trusted,
+            place: view.place,
+            keeps_apart: self.keeps_apart(),
         };
         let now = self.server.clock.now();
         let loads = self.server.loads.borrow();
--- a/entry/src/serve/routed/trials.rs
+++ b/entry/src/serve/routed/trials.rs
@@ -41,6 +41,8 @@
     pub(super) known: Known,
     /// The upstreams that broke it off, and may have ended by it.
     pub(super) broken_at: Vec<InstanceId>,
+    /// Whether an upstream could not be reached, as one that another request has just ended.
+    pub(super) found_none: bool,
 }
 
 impl CrashTrail {
@@ -52,6 +54,13 @@
         }
     }
 
+    /// Returns whether an upstream may have ended before it answered the request.
+    ///
+    /// Its repeat is its last chance, and whatever ended that upstream is repeated as well.
+    pub(super) fn has_met_an_end(&self) -> bool {
+        self.is_broken() || self.found_none
+    }
+
     /// Returns whether an upstream broke the request off.
     pub(super) fn is_broken(&self) -> bool {
         !self.broken_at.is_empty()
--- a/lib/src/discovery/control.rs
+++ b/lib/src/discovery/control.rs
@@ -274,11 +274,16 @@
         let controls = others.chain([me.clone()]).collect();
         let mut told_by = &self.controls_here(now) & &self.told_by;
         told_by.insert(me.daemon.clone());
-        let entries = self.members.here(DaemonRole::Entry, now).count();
+        let entries = self.members.here(DaemonRole::Entry, now);
+        let entries: Vec<&DaemonId> = entries.map(|entry| &entry.daemon).collect();
+        let place = entries.iter().position(|entry| *entry == to);
         let news = RosterNews {
             controls,
             told_by,
-            entries: u32::try_from(entries).unwrap_or(u32::MAX),
+            entries: u32::try_from(entries.len()).unwrap_or(u32::MAX),
+            place: place
+                .and_then(|place| u32::try_from(place).ok())
+                .unwrap_or(0),
             routes: routes.number(),
             is_in_touch: routes.is_in_touch,
         };
--- a/lib/src/discovery/entry.rs
+++ b/lib/src/discovery/entry.rs
@@ -85,6 +85,7 @@
     rates: RateSpread,
     has_upstreams: bool,
     entries: u32,
+    place: u32,
     hello_due: Timestamp,
     actions: Vec<Action>,
 }
@@ -107,6 +108,7 @@
             rates: RateSpread::default(),
             has_upstreams: false,
             entries: 1,
+            place: 0,
             hello_due: Timestamp::default(),
             actions: Vec::new(),
         }
@@ -127,6 +129,11 @@
         self.entries
     }
 
+    /// Returns where this daemon stands among all entry daemons by name, from zero on.
+    pub fn place(&self) -> u32 {
+        self.place
+    }
+
     /// Returns whether some control daemon passes reports on to this daemon.
     pub fn has_source(&self) -> bool {
         !self.sources.is_empty()
@@ -168,6 +175,7 @@
         self.members.take_roster(news, now);
         self.told_by.insert(from.clone(), news.told_by.clone());
         self.entries = news.entries.max(1);
+        self.place = news.place;
         for control in &news.controls {
             let known = Action::Know(control.daemon.clone(), control.address);
             self.actions.push(known);
--- a/lib/src/dispatch/choose.rs
+++ b/lib/src/dispatch/choose.rs
@@ -7,6 +7,8 @@
     rngs::SmallRng, //
 };
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::{
     prelude::*,
     registry::InstanceId,
@@ -69,6 +71,8 @@
     pub typical_ms: Option<f64>,
     /// How many daemons choose among the same upstreams.
     pub daemons: u32,
+    /// Where this daemon stands among them by name, from zero on.
+    pub place: u32,
     /// Whether it was at an upstream that ended, so that it must not meet the others again.
     pub keeps_apart: bool,
 }
@@ -97,7 +101,7 @@
     random: u64,
 ) -> Option<Chosen> {
     let by_room = match wanted.daemons > FEW_DAEMONS {
-        _ if wanted.keeps_apart => draw_with_room(candidates, loads, now, random),
+        _ if wanted.keeps_apart => draw_apart(candidates, wanted, loads, now, random),
         _ if let Some(index) = with_permit(candidates, wanted, loads, now) => Some(index),
         true => draw_by_room(candidates, loads, now, random),
         false => None,
@@ -139,27 +143,47 @@
     near.get(usize::try_from(drawn).ok()?).copied()
 }
 
-/// Draws one of the sound candidates that have room, each as likely as another; none if all are
-/// full or unsound.
+/// Draws one of the sound candidates that have room and got no such request lately; none if all
+/// are full or unsound.
 ///
 /// When an upstream ends, all daemons send what it had elsewhere at the same moment. By the
 /// cheapest they agree on one upstream, which the request that ended the first ends too, and
-/// nothing tells it from the rest. Drawn evenly, one in as many as there are upstreams meets it
-/// again.
-fn draw_with_room(
+/// nothing tells it from the rest. So each daemon has upstreams of its own for them, and takes one
+/// after the other. Only where those do not suffice are the others drawn from, evenly.
+fn draw_apart(
     candidates: &[Candidate<'_>],
+    wanted: &Wanted<'_>,
     loads: &Loads,
     now: Timestamp,
     random: u64,
 ) -> Option<usize> {
-    let has_room = |index: &usize| {
-        let candidate = &candidates[*index];
+    let has_room = |candidate: &Candidate<'_>| {
         let room = f64::from(candidate.slots) * FULL_FACTOR;
         is_sound(candidate, loads, now) && loads.outstanding(candidate.id, now) < room
     };
-    let with_room: Vec<usize> = (0..candidates.len()).filter(has_room).collect();
-    let drawn = random.checked_rem(with_room.len() as u64)?;
-    with_room.get(usize::try_from(drawn).ok()?).copied()
+    let is_alone = |candidate: &Candidate<'_>| !loads.has_kept_apart(candidate.id, now);
+    let with_room = (0..candidates.len()).filter(|index| has_room(&candidates[*index]));
+    let with_room: Vec<usize> = with_room.collect();
+    let of = |is_meant: &dyn Fn(&Candidate<'_>) -> bool| -> Vec<usize> {
+        let meant = with_room.iter().copied();
+        meant
+            .filter(|index| is_meant(&candidates[*index]))
+            .collect()
+    };
+    let own = of(&|candidate| is_alone(candidate) && is_own(candidate, wanted));
+    let alone = of(&is_alone);
+    let mut by_preference = [own, alone, with_room].into_iter();
+    let drawn_from = by_preference.find(|some| !some.is_empty())?;
+    let drawn = random.checked_rem(drawn_from.len() as u64)?;
+    drawn_from.get(usize::try_from(drawn).ok()?).copied()
+}
+
+/// Returns whether an upstream is this daemon's own for requests that are to meet no others.
+///
+/// Daemons agree on that without a word, as far as they know of the same daemons.
+fn is_own(candidate: &Candidate<'_>, wanted: &Wanted<'_>) -> bool {
+    let number = xxh3_64(candidate.id.name().as_bytes());
+    number % u64::from(wanted.daemons.max(1)) == u64::from(wanted.place)
 }
 
 /// Returns the best of the candidates that there are permits for, unless others are much better.
--- a/lib/src/dispatch/loads.rs
+++ b/lib/src/dispatch/loads.rs
@@ -43,6 +43,11 @@
 /// Whoever refuses at once has nothing outstanding and looks like the best choice.
 const REFUSING_FACTOR: f64 = 16.0;
 
+/// How long a request that broke off keeps others like it away from its next upstream.
+///
+/// One that ends upstreams mostly does so at once.
+const KEPT_APART_FOR: Duration = Duration::from_secs(1);
+
 /// An upstream's own word on its load.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct LoadReport {
@@ -82,6 +87,8 @@
     paused_until: Timestamp,
     pause: Duration,
     answered_at: Option<Timestamp>,
+    /// When a request was sent to it that is to meet no others.
+    kept_apart_at: Option<Timestamp>,
     progress_at: Option<Timestamp>,
 }
 
@@ -99,6 +106,17 @@
         one.unread_tokens += prompt_tokens;
     }
 
+    /// Notes that a request was sent to it that is to meet no others like it.
+    pub fn kept_apart(&mut self, id: &InstanceId, now: Timestamp) {
+        self.entry(id).kept_apart_at = Some(now);
+    }
+
+    /// Returns whether such a request was sent to it lately.
+    pub(super) fn has_kept_apart(&self, id: &InstanceId, now: Timestamp) -> bool {
+        let kept = self.by_instance.get(id).and_then(|one| one.kept_apart_at);
+        kept.is_some_and(|at| now.since(at) < KEPT_APART_FOR)
+    }
+
     /// Notes that the first event of a request has come.
     pub fn read(&mut self, id: &InstanceId, prompt_tokens: u64) {
         let one = self.entry(id);
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -109,6 +109,8 @@
     pub told_by: BTreeSet<DaemonId>,
     /// How many entry daemons it hears.
     pub entries: u32,
+    /// Where the receiver stands among them by name, from zero on.
+    pub place: u32,
     /// The newest table of routes it has applied.
     pub routes: RouteVersion,
     /// Whether it is in touch with a leader, so that `routes` is the newest but for moments.
--- a/lib/tests/test_dispatch/main.rs
+++ b/lib/tests/test_dispatch/main.rs
@@ -36,6 +36,7 @@
     pub(crate) suspect: Option<usize>,
     pub(crate) prompt_tokens: u64,
     pub(crate) daemons: u32,
+    pub(crate) place: u32,
     pub(crate) keeps_apart: bool,
     /// The one that names a rate and that there is a permit for.
     pub(crate) permitted: Option<usize>,
@@ -50,6 +51,7 @@
             suspect: None,
             prompt_tokens: 700,
             daemons: 1,
+            place: 0,
             keeps_apart: false,
             permitted: None,
         }
@@ -77,6 +79,7 @@
             timing: Some(&timing),
             typical_ms: None,
             daemons: self.daemons,
+            place: self.place,
             keeps_apart: self.keeps_apart,
         };
         choose(&candidates, &wanted, loads, now, random).unwrap()
--- a/lib/tests/test_dispatch/test_crashes.rs
+++ b/lib/tests/test_dispatch/test_crashes.rs
@@ -1,5 +1,7 @@
 //! Where requests go whose upstream has ended.
 
+use std::collections::BTreeSet;
+
 use cicadabend::{
     dispatch::{
         LoadReport,
@@ -47,7 +49,7 @@
 /// Returns the share of the requests that broke off under the guilty one and meet it again.
 fn share_that_meets_again(keeps_apart: bool) -> f64 {
     let ids = heads(HEADS);
-    let choice = Choice {
+    let mut choice = Choice {
         daemons: DAEMONS as u32,
         keeps_apart,
         ..Choice::among(&ids, SLOTS)
@@ -57,11 +59,13 @@
     for _ in 0..ROUNDS {
         let mut loads = loads(choice.ids, &mut random);
         let mut chosen = Vec::new();
-        for loads in loads.iter_mut() {
+        for (place, loads) in loads.iter_mut().enumerate() {
+            choice.place = place as u32;
             for _ in 0..BROKEN_EACH {
                 let drawn = random.random();
                 let head = choice.make(loads, Timestamp(10), drawn).index;
                 loads.started(&choice.ids[head], 700);
+                loads.kept_apart(&choice.ids[head], Timestamp(10));
                 chosen.push(head);
             }
         }
@@ -90,6 +94,36 @@
     );
 }
 
+/// Guards against honest requests that fail twice beside one and the same guilty one, although
+/// there are upstreams enough to keep all that broke off apart.
+#[test]
+fn what_broke_off_at_two_daemons_goes_to_an_upstream_each() {
+    const HEADS_MANY: usize = 18;
+    const BROKEN: usize = 3;
+    let ids = heads(HEADS_MANY);
+    for seed in 0..ROUNDS as u64 {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut chosen = Vec::new();
+        for place in 0..2 {
+            let choice = Choice {
+                daemons: 2,
+                place,
+                keeps_apart: true,
+                ..Choice::among(&ids, SLOTS)
+            };
+            let mut loads = Loads::default();
+            for _ in 0..BROKEN {
+                let head = choice.make(&loads, Timestamp(10), random.random()).index;
+                loads.kept_apart(&ids[head], Timestamp(10));
+                chosen.push(head);
+            }
+        }
+
+        let different: BTreeSet<usize> = chosen.iter().copied().collect();
+        assert_eq!(different.len(), 2 * BROKEN, "seed {seed}: {chosen:?}");
+    }
+}
+
 #[test]
 fn a_request_that_keeps_apart_goes_to_no_head_that_is_full() {
     let ids = heads(2);
