--- a/daemon/tests/test_peers.rs
+++ b/daemon/tests/test_peers.rs
@@ -187,6 +187,8 @@
             thread::spawn(move || {
                 while !is_over.load(Ordering::Relaxed) {
                     sender.send(&daemon("dying"), message());
+                    // Tests of other processes run beside this one.
+                    thread::yield_now();
                 }
             })
         })
