--- a/lib/src/dispatch/choose.rs
+++ b/lib/src/dispatch/choose.rs
@@ -143,8 +143,8 @@
     near.get(usize::try_from(drawn).ok()?).copied()
 }
 
-/// Draws one of the sound candidates that have room and got no such request lately; none if all
-/// are full or unsound.
+/// Draws one of the sound candidates that have room, those first that got no such request lately;
+/// none if all are full or unsound.
 ///
 /// When an upstream ends, all daemons send what it had elsewhere at the same moment. By the
 /// cheapest they agree on one upstream, which the request that ended the first ends too, and
