claims, dispatch: a branch that nothing reached goes, one majority, one error, one draw; plainer names

Found on reading the change once more; behaviour stays as it is. - attempt: a probe cannot be answered by a majority when its time is over, since each answer decides at once and none is taken after its time; the branch for it goes. `is_settling` in place of a negated `is_unsettled` beside `is_settled`. - `VoterSet::majority` in place of two sums in tally and attempt. - the error of an unknown outcome that is safe to send again stood three times in held_claim. - choose: one preference for each candidate in place of three lists and a closure over closures. - `RequestRun::ended` counts once by itself; a stream's body need not ask first. - search.rs: `Sending` in place of a struct that shadowed `Copy`.

--- a/entry/src/serve/event_body.rs
+++ b/entry/src/serve/event_body.rs
@@ -212,9 +212,7 @@
     }
 
     fn end(&mut self) -> PolledFrame {
-        if !self.run.is_over() {
-            self.run.ended(self.tracker.passed());
-        }
+        self.run.ended(self.tracker.passed());
         Poll::Ready(None)
     }
 
--- a/entry/src/serve/held_claim.rs
+++ b/entry/src/serve/held_claim.rs
@@ -155,10 +155,7 @@
 
     /// Returns the error for a request that did not run, while a majority may take it for running.
     pub(super) fn not_withdrawn() -> Refusal {
-        let message = "The request did not run, but that could not be recorded safely.";
-        let mut error = Refusal::new(ErrorCode::OutcomeUnknown, message);
-        error.retry_is_safe = true;
-        error
+        outcome_unknown("The request did not run, but that could not be recorded safely.")
     }
 
     /// Returns the error that tells the caller; `None` where the first outcome does.
@@ -181,7 +178,11 @@
 }
 
 fn unknown() -> Refusal {
-    let message = "The first copy of this request may have run.";
+    outcome_unknown("The first copy of this request may have run.")
+}
+
+/// Returns the error of a request whose claim keeps any further copy from running.
+fn outcome_unknown(message: impl Into<String>) -> Refusal {
     let mut error = Refusal::new(ErrorCode::OutcomeUnknown, message);
     error.retry_is_safe = true;
     error
@@ -191,12 +192,9 @@
 fn replay(outcome: StoredOutcome) -> Result<Response<AnswerBody>, Refusal> {
     let Some(body) = outcome.body else {
         let status = outcome.status;
-        let message = format!(
+        return Err(outcome_unknown(format!(
             "The request ran once, with status {status}; its answer was too large to keep."
-        );
-        let mut error = Refusal::new(ErrorCode::OutcomeUnknown, message);
-        error.retry_is_safe = true;
-        return Err(error);
+        )));
     };
     let mut answer = Response::new(AnswerBody::whole(Bytes::from(body)));
     *answer.status_mut() = StatusCode::from_u16(outcome.status).unwrap_or(StatusCode::BAD_GATEWAY);
--- a/entry/src/serve/run/mod.rs
+++ b/entry/src/serve/run/mod.rs
@@ -293,13 +293,11 @@
         self.resumes_without_progress
     }
 
-    /// Returns whether nothing more can happen to the request.
-    pub(super) fn is_over(&self) -> bool {
-        self.life.is_over()
-    }
-
-    /// Notes that the whole answer was delivered.
+    /// Notes that the whole answer was delivered; once, however often it is told.
     pub(super) fn ended(&mut self, output_tokens: u64) {
+        if self.life.is_over() {
+            return;
+        }
         self.record_timing(output_tokens);
         if let Some(gaps) = u32::try_from(output_tokens).ok().filter(|n| *n > 1) {
             let streaming = self
--- a/lib/src/claims/attempt.rs
+++ b/lib/src/claims/attempt.rs
@@ -160,7 +160,7 @@
         match &self.phase {
             Phase::Settling {
                 voters, recorded, ..
-            } => recorded.intersection(&voters.voters).count() > voters.voters.len() / 2,
+            } => recorded.intersection(&voters.voters).count() >= voters.majority(),
             _ => false,
         }
     }
@@ -221,7 +221,7 @@
             Verdict::HeldBy { is_final, .. } if !is_final && !is_last => {
                 return Decision::Undecided;
             }
-            Verdict::Granted => return self.go_on(is_last),
+            Verdict::Granted => return self.go_on(),
             Verdict::Completed {
                 fingerprint_differs: true,
                 ..
@@ -242,12 +242,8 @@
     }
 
     /// Goes from the probe to the claim, and from the claim to the run.
-    fn go_on(&mut self, is_last: bool) -> Decision {
+    fn go_on(&mut self) -> Decision {
         match &self.phase {
-            // What a probe found before its time was over may be out of date.
-            Phase::Probing(_) if is_last => Decision::Refused(ClaimRefusal::NoMajority {
-                retry_after: self.jittered_retry_after(),
-            }),
             Phase::Probing(tally) => {
                 let tally = tally.for_next_question(tally.voters().clone());
                 self.phase = Phase::Acquiring(tally);
@@ -295,9 +291,9 @@
         self.resends = 0;
     }
 
-    /// Returns whether it is not yet being recorded what became of the attempt.
-    pub fn is_unsettled(&self) -> bool {
-        !matches!(self.phase, Phase::Settling { .. })
+    /// Returns whether the voters are being told what became of the attempt.
+    pub fn is_settling(&self) -> bool {
+        matches!(self.phase, Phase::Settling { .. })
     }
 
     /// Returns whether a voter may hold the key for this attempt.
@@ -358,12 +354,12 @@
     /// Returns whether no majority has recorded for long what became of the attempt.
     pub fn is_overdue(&self) -> bool {
         let is_late = self.sent_at.since(self.began_at) >= self.timing.settle_slowly_after;
-        !self.is_unsettled() && !self.is_settled() && is_late
+        self.is_settling() && !self.is_settled() && is_late
     }
 
     /// Returns whether a voter has yet to record what became of the attempt.
     pub fn is_due_to(&self, voter: &Voter) -> bool {
-        !self.is_unsettled() && !self.has_answered(voter)
+        self.is_settling() && !self.has_answered(voter)
     }
 
     /// Asks silent voters once more.
@@ -446,7 +442,7 @@
     pub fn question(&self) -> u64 {
         self.question_of(match &self.phase {
             Phase::Acquiring(_) => QuestionKind::Acquire,
-            Phase::Running { .. } => QuestionKind::None,
+            Phase::Running { .. } => QuestionKind::Nothing,
             Phase::Settling { .. } => QuestionKind::Settle,
             Phase::Probing(_) => QuestionKind::Probe,
         })
@@ -467,7 +463,7 @@
 #[derive(Clone, Copy)]
 enum QuestionKind {
     Acquire,
-    None,
+    Nothing,
     Settle,
     Probe,
     PassedOnRelease,
--- a/lib/src/claims/coordinator.rs
+++ b/lib/src/claims/coordinator.rs
@@ -255,7 +255,7 @@
             return Vec::new();
         };
         let mut outputs = Vec::new();
-        if attempt.is_unsettled() {
+        if !attempt.is_settling() {
             attempt.settle(end, now);
             outputs = attempt.questions(now);
         }
--- a/lib/src/claims/tally.rs
+++ b/lib/src/claims/tally.rs
@@ -133,7 +133,7 @@
         if let Some(completed) = self.completed() {
             return completed;
         }
-        let majority = self.majority();
+        let majority = self.voters.majority();
         let held = self.count(|answer| self.is_for_this_attempt(answer));
         if !self.voters.voters.is_empty() && held >= majority {
             return Verdict::Granted;
@@ -152,7 +152,7 @@
             Verdict::Open => {
                 let silent = self.voters.voters.len() - self.answers.len();
                 let unavailable = self.count(|answer| matches!(answer, ClaimVerdict::Unavailable));
-                self.not_granted(self.majority(), silent, unavailable)
+                self.not_granted(self.voters.majority(), silent, unavailable)
             }
             verdict => verdict,
         }
@@ -218,10 +218,6 @@
         }
     }
 
-    fn majority(&self) -> usize {
-        self.voters.voters.len() / 2 + 1
-    }
-
     fn count(&self, is_counted: impl Fn(&ClaimVerdict) -> bool) -> usize {
         self.answers.values().filter(|a| is_counted(a)).count()
     }
--- a/lib/src/dispatch/choose.rs
+++ b/lib/src/dispatch/choose.rs
@@ -161,21 +161,24 @@
         let room = f64::from(candidate.slots) * FULL_FACTOR;
         is_sound(candidate, loads, now) && loads.outstanding(candidate.id, now) < room
     };
-    let is_alone = |candidate: &Candidate<'_>| !loads.has_kept_apart(candidate.id, now);
-    let with_room = (0..candidates.len()).filter(|index| has_room(&candidates[*index]));
-    let with_room: Vec<usize> = with_room.collect();
-    let of = |is_meant: &dyn Fn(&Candidate<'_>) -> bool| -> Vec<usize> {
-        let meant = with_room.iter().copied();
-        meant
-            .filter(|index| is_meant(&candidates[*index]))
-            .collect()
+    let preference = |index: usize| {
+        let candidate = &candidates[index];
+        let is_alone = !loads.has_kept_apart(candidate.id, now);
+        match is_alone {
+            true if is_own(candidate, wanted) => 0,
+            true => 1,
+            false => 2,
+        }
     };
-    let own = of(&|candidate| is_alone(candidate) && is_own(candidate, wanted));
-    let alone = of(&is_alone);
-    let mut by_preference = [own, alone, with_room].into_iter();
-    let drawn_from = by_preference.find(|some| !some.is_empty())?;
-    let drawn = random.checked_rem(drawn_from.len() as u64)?;
-    drawn_from.get(usize::try_from(drawn).ok()?).copied()
+    let with_room = (0..candidates.len()).filter(|index| has_room(&candidates[*index]));
+    let with_room: Vec<(usize, u8)> = with_room.map(|index| (index, preference(index))).collect();
+    let best = with_room.iter().map(|(_, preference)| *preference).min()?;
+    let preferred = with_room
+        .iter()
+        .filter(|(_, preference)| *preference == best);
+    let preferred: Vec<usize> = preferred.map(|(index, _)| *index).collect();
+    let drawn = random.checked_rem(preferred.len() as u64)?;
+    preferred.get(usize::try_from(drawn).ok()?).copied()
 }
 
 /// Returns whether an upstream is this daemon's own for requests that are to meet no others.
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -555,6 +555,13 @@
     pub voters: BTreeSet<Voter>,
 }
 
+impl VoterSet {
+    /// Returns how many voters are a majority.
+    pub fn majority(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+}
+
 /// Figures of one policy since the last message.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct FiguresDelta {
--- a/lib/tests/test_claims/search.rs
+++ b/lib/tests/test_claims/search.rs
@@ -19,7 +19,7 @@
 
 /// One copy of the request, as its daemon sees it.
 #[derive(Clone, Debug)]
-struct Copy {
+struct Sending {
     coordinator: ClaimCoordinator,
     attempt: u64,
     /// The question that it has open; answers to others change nothing.
@@ -64,7 +64,7 @@
 
 #[derive(Clone, Debug)]
 struct Scene {
-    copies: Vec<Rc<Copy>>,
+    copies: Vec<Rc<Sending>>,
     replicas: Vec<Rc<ClaimReplica>>,
     /// How the key stands at each replica.
     standings: Vec<u64>,
@@ -91,7 +91,7 @@
         for index in 0..COPIES {
             let mut coordinator = coordinator(&format!("entry-{index}"));
             let (attempt, outputs) = coordinator.begin(key("k"), 7, Timestamp(0));
-            scene.copies.push(Rc::new(Copy {
+            scene.copies.push(Rc::new(Sending {
                 coordinator,
                 attempt,
                 question: 0,
@@ -111,7 +111,7 @@
         });
     }
 
-    fn copy(&mut self, index: usize) -> &mut Copy {
+    fn copy(&mut self, index: usize) -> &mut Sending {
         Rc::make_mut(&mut self.copies[index])
     }
 
