entry: log and count what each retry budget allows, holds and refuses

Nothing said by which count of daemons a budget was divided, how many requests a daemon had counted, or how many broken requests went without a retry, so the hypotheses of docs/incidents/retries_beyond_the_budget.md could not be told apart by logs. CB1439 says it for each service, once a second at most while retries are withdrawn or refused; the counters routed_retry_budget count each refusal by its reason. No decision changes.

--- a/entry/src/serve/routed/counts.rs
+++ b/entry/src/serve/routed/counts.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cicadabend::dispatch::RoutedRetryReason;
 use cicadabend_daemon::metrics::Metrics;
 
 cicadabend_daemon::counters! {
@@ -92,6 +93,31 @@
     }
 }
 
+cicadabend_daemon::counters! {
+    /// Retries that were to be withdrawn from a retry budget.
+    pub enum RetryBudgetUse = "routed_retry_budget" {
+        /// A retry was withdrawn.
+        Withdrawn,
+        /// A retry after a failure was refused because the budget was used up.
+        RefusedBroken,
+        /// A retry of a request that its upstream did not run was refused.
+        RefusedNotRun,
+        /// A hedge or a retry of a late request was refused.
+        RefusedLate,
+    }
+}
+
+impl RetryBudgetUse {
+    /// Returns the counter of refused retries for a reason.
+    pub(super) fn refused(reason: RoutedRetryReason) -> Self {
+        match reason {
+            RoutedRetryReason::Broken => RetryBudgetUse::RefusedBroken,
+            RoutedRetryReason::NotRun => RetryBudgetUse::RefusedNotRun,
+            RoutedRetryReason::Late => RetryBudgetUse::RefusedLate,
+        }
+    }
+}
+
 /// Counts and times routed requests in the process's metrics.
 pub(super) struct Counts {
     metrics: Metrics,
@@ -102,6 +128,7 @@
         metrics.declare::<Routed>();
         metrics.declare::<RoutedRefusal>();
         metrics.declare::<RoutedRetry>();
+        metrics.declare::<RetryBudgetUse>();
         Self { metrics }
     }
 
@@ -121,6 +148,10 @@
         self.metrics.count(reason);
     }
 
+    pub(super) fn count_budget_use(&self, used: RetryBudgetUse) {
+        self.metrics.count(used);
+    }
+
     /// Records the time from a request's arrival to the first chunk of its response.
     pub(super) fn record_first_chunk(&self, time: Duration) {
         self.metrics.time("routed_first_part", time);
--- a/entry/src/serve/routed/events.rs
+++ b/entry/src/serve/routed/events.rs
@@ -1,5 +1,7 @@
 //! The log events of routed requests (CB1420 to CB1439).
 
+use cicadabend::prelude::*;
+
 cicadabend_daemon::events! {
     /// The response to a routed request was passed on to its end. The fields show what decided the
     /// choice of the replica, among them the request rate that the replica names.
@@ -144,4 +146,17 @@
     1438 Info UpstreamRecovered {
         instance: cicadabend::registry::InstanceId,
     } "upstream takes requests again";
+    /// What one service's retry budget at this daemon allows and holds, at most once a second while
+    /// retries are withdrawn or refused. `withdrawn` and `refused` count since the start of the
+    /// process, which was `up_ms` ago; `daemons` share the slack.
+    1439 Info RetryBudgetUsed {
+        service: ServiceName,
+        requests: u32,
+        retries: u32,
+        allowed: u32,
+        daemons: u32,
+        withdrawn: u64,
+        refused: u64,
+        up_ms: u64,
+    } "retry budget used";
 }
--- a/entry/src/serve/routed/server.rs
+++ b/entry/src/serve/routed/server.rs
@@ -52,6 +52,7 @@
     RoutedSetup,
     counts::{
         Counts,
+        RetryBudgetUse,
         Routed, //
     },
     crash_watch::CrashWatch,
@@ -72,6 +73,18 @@
 /// Interval at which the state of removed upstreams is dropped.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Shortest interval between log lines on the retry budget of one service.
+const BUDGET_LINE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Retries of one service since the start of the process.
+#[derive(Clone, Copy, Debug, Default)]
+struct BudgetTotals {
+    withdrawn: u64,
+    refused: u64,
+    /// When the next log line on the budget may be written.
+    line_due: Timestamp,
+}
+
 /// Fingerprints of requests that are on trial at this daemon; one of each runs at a time.
 pub(super) type QuarantineTrials = HashSet<Fingerprint>;
 
@@ -104,6 +117,7 @@
     pub(super) rate_notices: ring::Sender<RateNotice>,
     pub(super) permit_waits: ring::Sender<()>,
     budgets: RefCell<HashMap<ServiceName, WindowBudget>>,
+    budget_totals: RefCell<HashMap<ServiceName, BudgetTotals>>,
     random: RefCell<SmallRng>,
 }
 
@@ -135,6 +149,7 @@
             rate_notices: setup.rate_notices.clone(),
             permit_waits: setup.permit_waits.clone(),
             budgets: RefCell::default(),
+            budget_totals: RefCell::default(),
             random: RefCell::new(SmallRng::seed_from_u64(setup.boot.0)),
         });
         tokio::task::spawn_local(sweep_periodically(Rc::clone(&server)));
@@ -175,7 +190,39 @@
     ) -> bool {
         let entries = self.view.load().entries;
         let now = self.clock.now();
-        self.with_budget(service, |budget| budget.withdraw(reason, entries, now))
+        let is_withdrawn =
+            self.with_budget(service, |budget| budget.withdraw(reason, entries, now));
+        self.counts.count_budget_use(match is_withdrawn {
+            true => RetryBudgetUse::Withdrawn,
+            false => RetryBudgetUse::refused(reason),
+        });
+        self.log_budget_use(service, is_withdrawn);
+        is_withdrawn
+    }
+
+    /// Logs the state of a service's retry budget, at most once per [`BUDGET_LINE_INTERVAL`].
+    fn log_budget_use(&self, service: &ServiceName, is_withdrawn: bool) {
+        let now = self.clock.now();
+        let mut totals = self.budget_totals.borrow_mut();
+        let totals = totals.entry(service.clone()).or_default();
+        totals.withdrawn += u64::from(is_withdrawn);
+        totals.refused += u64::from(!is_withdrawn);
+        if totals.line_due > now {
+            return;
+        }
+        totals.line_due = now + BUDGET_LINE_INTERVAL;
+        let daemons = self.view.load().entries;
+        let usage = self.with_budget(service, |budget| budget.usage(daemons, now));
+        self.log(&LogEvent::RetryBudgetUsed {
+            service: service.clone(),
+            requests: usage.requests,
+            retries: usage.retries,
+            allowed: usage.allowed as u32,
+            daemons,
+            withdrawn: totals.withdrawn,
+            refused: totals.refused,
+            up_ms: now.0,
+        });
     }
 
     /// Returns how many retries the service's retry budget has left in its present window.
--- a/lib/src/dispatch/budget.rs
+++ b/lib/src/dispatch/budget.rs
@@ -69,6 +69,17 @@
     late: u32,
 }
 
+/// What a window holds, as it is logged.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetUsage {
+    /// Callers' requests in the window.
+    pub requests: u32,
+    /// Retries in the window.
+    pub retries: u32,
+    /// Retries that this daemon may have in the window.
+    pub allowed: f64,
+}
+
 /// The retry budget of one service at one daemon.
 #[derive(Clone, Debug)]
 pub struct WindowBudget {
@@ -115,12 +126,25 @@
         allowed.saturating_sub(self.retries())
     }
 
+    /// Returns what the window holds now.
+    pub fn usage(&mut self, daemons: u32, now: Timestamp) -> BudgetUsage {
+        let allowed = self.allowed(daemons, now);
+        BudgetUsage {
+            requests: self.requests(),
+            retries: self.retries(),
+            allowed,
+        }
+    }
+
     /// Returns how many retries this daemon may have in the window.
     fn allowed(&mut self, daemons: u32, now: Timestamp) -> f64 {
         let share = f64::from(self.settings.slack) / f64::from(daemons.max(1));
         self.current_bucket(now);
-        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
-        (f64::from(requests) * self.settings.ratio + share) * USED_SHARE
+        (f64::from(self.requests()) * self.settings.ratio + share) * USED_SHARE
+    }
+
+    fn requests(&self) -> u32 {
+        self.buckets.iter().map(|bucket| bucket.requests).sum()
     }
 
     fn retries(&self) -> u32 {
--- a/lib/src/dispatch/mod.rs
+++ b/lib/src/dispatch/mod.rs
@@ -16,6 +16,7 @@
 
 pub use budget::{
     BudgetSettings,
+    BudgetUsage,
     RoutedRetryReason,
     WindowBudget, //
 };
