--- a/testing/testutils/src/lib.rs
+++ b/testing/testutils/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod operator;
 pub mod ports;
 pub mod process;
+pub mod retry_bound;
 pub mod wait;
