rates: number updates by the leader's clock

A leader whose lease ended and came back in the same term started its issuer anew, with number 1; entry daemons dropped its permits as overtaken until the numbers had caught up, and sent nothing to upstreams that name a rate. Numbers now begin at the leader's clock, so a later issuer's are higher. daemons_take_the_updates_of_a_leader_that_regains_its_term fails without the change.

--- a/lib/src/rates/issuer.rs
+++ b/lib/src/rates/issuer.rs
@@ -48,6 +48,10 @@
 const ALLOCATED_SHARE: f64 = 0.9;
 /// An entry daemon that has sent no permit request for this long gets no permits.
 const REQUESTER_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Most updates that a leader sends in a millisecond, so that its numbers stay below those of a
+/// later issuer. A leader whose lease comes back in the same term starts a new issuer, and daemons
+/// ignore numbers that do not grow.
+const MAX_UPDATES_PER_MS: u64 = 1_000;
 /// A pool stops being short once the demand is at most this share of its total rate.
 const SHORTAGE_END_SHARE: f64 = 0.8;
 
@@ -115,7 +119,7 @@
             buckets: BTreeMap::new(),
             pools: BTreeMap::new(),
             shortage_check_due: Timestamp::default(),
-            number: 0,
+            number: now.0.saturating_mul(MAX_UPDATES_PER_MS),
             changes: Vec::new(),
         }
     }
--- a/lib/tests/test_rates/main.rs
+++ b/lib/tests/test_rates/main.rs
@@ -5,4 +5,5 @@
 mod test_bound;
 mod test_rate_updates;
 mod test_shares;
+mod test_terms;
 mod world;
