--- a/entry/src/serve/routed/attempt.rs
+++ b/entry/src/serve/routed/attempt.rs
@@ -28,7 +28,7 @@
     },
     execution::RoutedExecution,
     failure::Failure,
-    hedge::Lateness,
+    hedge::HedgeStart,
     reservation::Reservation,
 };
 
@@ -55,9 +55,9 @@
             Err(_) if until < deadline => {
                 self.record_late(started_at);
                 match self.answer_or_hedge(work.as_mut(), started_at).await {
-                    Lateness::Answered(outcome) => outcome,
-                    Lateness::Hedged(first) => return self.race(first, work, sent).await,
-                    Lateness::Alone => wait_until_deadline(deadline, sent, work).await,
+                    HedgeStart::Answered(outcome) => outcome,
+                    HedgeStart::Hedged(first) => return self.race(first, work, sent).await,
+                    HedgeStart::Alone => wait_until_deadline(deadline, sent, work).await,
                 }
             }
             Err(_) => Err(deadline_failure(sent)),
--- a/entry/src/serve/routed/hedge.rs
+++ b/entry/src/serve/routed/hedge.rs
@@ -48,7 +48,7 @@
 }
 
 /// What follows an attempt that has become late.
-pub(super) enum Lateness {
+pub(super) enum HedgeStart {
     /// It has ended before a hedge could begin.
     Answered(Result<Answered, Failure>),
     /// A hedge has begun beside this attempt.
@@ -63,24 +63,24 @@
         &mut self,
         work: Pin<&mut W>,
         started_at: Instant,
-    ) -> Lateness
+    ) -> HedgeStart
     where
         W: Future<Output = Result<Answered, Failure>>,
     {
         if !self.may_hedge() {
-            return Lateness::Alone;
+            return HedgeStart::Alone;
         }
         let (server, prepared) = (Rc::clone(&self.server), Rc::clone(&self.prepared));
         let terms = &prepared.terms;
         self.ticket = tokio::select! {
             biased;
-            outcome = work => return Lateness::Answered(outcome),
+            outcome = work => return HedgeStart::Answered(outcome),
             ticket = server.obtain_retry(&terms.service, RoutedRetryReason::Late, terms.deadline)
                 => ticket,
         };
         match self.begin_hedge(started_at) {
-            Some(first) => Lateness::Hedged(first),
-            None => Lateness::Alone,
+            Some(first) => HedgeStart::Hedged(first),
+            None => HedgeStart::Alone,
         }
     }
 
