--- a/entry/src/serve/routed/hedge.rs
+++ b/entry/src/serve/routed/hedge.rs
@@ -49,7 +49,7 @@
 
 /// What follows an attempt that has become late.
 pub(super) enum HedgeStart {
-    /// It has ended before a hedge could begin.
+    /// The attempt has ended before a hedge could begin.
     Answered(Result<Answered, Failure>),
     /// A hedge has begun beside this attempt.
     Hedged(HedgedAttempt),
@@ -86,7 +86,7 @@
 
     /// Returns whether a hedge may begin if the retry budget allows it.
     ///
-    /// It may not if no other replica has room or a permit, the time or the attempts are used up,
+    /// No hedge may begin if no other replica has room or a permit, the time or the attempts are used up,
     /// or the request is suspected of several crashes.
     fn may_hedge(&self) -> bool {
         let best = self.best_replica(&self.server.view.load());
