retry budget: wrap comments, drop a method that nothing calls

From reading the whole change once more: GrantStore::has_waiting_requests had no caller since demands() answers the same, three comments were wider than 100 columns, and one import was not vertical.

--- a/control/src/members/grants.rs
+++ b/control/src/members/grants.rs
@@ -24,7 +24,8 @@
 }
 
 impl Grants {
-    /// Starts a new issuer when this daemon leads in another term; `None` means that another daemon leads.
+    /// Starts a new issuer when this daemon leads in another term; `None` means that another daemon
+    /// leads.
     ///
     /// `has_served` says whether any caller has been served, and hence an earlier leader may have
     /// granted retries.
--- a/entry/src/serve/routed/hedge.rs
+++ b/entry/src/serve/routed/hedge.rs
@@ -86,8 +86,8 @@
 
     /// Returns whether a hedge may begin if the retry budget allows it.
     ///
-    /// No hedge may begin if no other replica has room or a permit, the time or the attempts are used up,
-    /// or the request is suspected of several crashes.
+    /// No hedge may begin if no other replica has room or a permit, the time or the attempts are used
+    /// up, or the request is suspected of several crashes.
     fn may_hedge(&self) -> bool {
         let best = self.best_replica(&self.server.view.load());
         let has_room = best.is_some_and(|(_, chosen)| !chosen.is_full);
--- a/lib/src/retry_budget/equal_part.rs
+++ b/lib/src/retry_budget/equal_part.rs
@@ -11,9 +11,9 @@
 
 /// A token bucket with an equal part of the slack.
 ///
-/// The bucket starts empty, so a daemon that restarts gains nothing by that. What a daemon may save up is
-/// taken off its equal part, and the rest accrues in a window; all daemons together can then send
-/// both in one window. Daemons whose equal part is no more than what they may save get nothing.
+/// The bucket starts empty, so a daemon that restarts gains nothing by that. What a daemon may save
+/// up is taken off its equal part, and the rest accrues in a window; all daemons together can then
+/// send both in one window. Daemons whose equal part is no more than what they may save get nothing.
 #[derive(Clone, Debug)]
 pub struct EqualPart {
     slack: f64,
--- a/lib/src/retry_budget/issuer.rs
+++ b/lib/src/retry_budget/issuer.rs
@@ -9,12 +9,16 @@
 };
 
 use super::{
-    GrantAnswer, GrantDemand, GrantRequest, GrantUpdate, RoutedRetryReason,
+    GrantAnswer,
+    GrantDemand,
+    GrantRequest,
+    GrantUpdate,
+    RoutedRetryReason,
     client::VALID_FOR,
     settings::{
         ARRIVAL_DELAY,
         granted_slack, //
-    },
+    }, //
 };
 use crate::prelude::*;
 
--- a/lib/src/retry_budget/store.rs
+++ b/lib/src/retry_budget/store.rs
@@ -96,11 +96,6 @@
         }
     }
 
-    /// Returns whether any request waits for a grant.
-    pub fn has_waiting_requests(&self) -> bool {
-        !self.waiting.is_empty()
-    }
-
     /// Returns the requests that wait for retries which are not granted yet.
     pub fn demands(&self, now: Timestamp) -> Vec<GrantDemand> {
         let mut unused = self.unused(now);
