platform: test that daemons without links to upstreams serve their callers

The links of one daemon are cut by a proxy that stands before its listener for peers and gives it addresses of its own for upstreams, so that connections hang, are refused or reset as they are in a network.

--- a/testing/testutils/src/lib.rs
+++ b/testing/testutils/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`fault_proxy`]: a TCP proxy in the path, from the library noxious.
 //! - [`caller`] and [`client`]: what callers ask, and whether they got all of it.
 //! - [`operator`]: an operator over HTTP.
+//! - [`upstream_links`]: the links from one daemon to all upstreams, which can be cut.
 //! - [`wait`]: waiting on a condition with a deadline.
 
 pub mod caller;
@@ -14,4 +15,5 @@
 pub mod operator;
 pub mod ports;
 pub mod process;
+pub mod upstream_links;
 pub mod wait;
