--- a/control/src/inbox.rs
+++ b/control/src/inbox.rs
@@ -79,6 +79,7 @@
             | PeerMessage::Routes(_)
             | PeerMessage::Permits(_)
             | PeerMessage::Grants(_)
+            | PeerMessage::Relays(_)
             | PeerMessage::Config(_)
             | PeerMessage::Table(_)
             | PeerMessage::TableAck { .. }
--- a/daemon/src/settings/check.rs
+++ b/daemon/src/settings/check.rs
@@ -54,6 +54,7 @@
             ("callers.ready_listen", self.callers.ready_listen),
             ("upstreams.listen", self.upstreams.listen),
             ("peer_listen", Some(self.peer_listen)),
+            ("relay_listen", self.relay_listen),
             ("metrics.listen", self.metrics.listen),
         ]);
         check.problems
--- a/daemon/src/settings/entry.rs
+++ b/daemon/src/settings/entry.rs
@@ -32,6 +32,9 @@
     pub upstreams: UpstreamSettings,
     /// Where this daemon listens for peers.
     pub peer_listen: Address,
+    /// Where other entry daemons connect to have requests relayed; `None` if this one relays none.
+    #[serde(default)]
+    pub relay_listen: Option<Address>,
     /// All processes of the cluster, if they are listed; this one may be among them.
     #[serde(default)]
     pub peers: Vec<PeerAddress>,
--- a/entry/src/members/thread.rs
+++ b/entry/src/members/thread.rs
@@ -39,6 +39,12 @@
         RateChange,
         RateTable, //
     },
+    reach::{
+        LinkGroup,
+        Relay,
+        RelayOffer,
+        RelayUpdate, //
+    },
     registry::InstanceId,
     retry_budget::{
         BudgetSettings,
@@ -103,6 +109,8 @@
     /// The retries that the leader grants from the slack.
     pub(crate) grants: Grants,
     pub(crate) retry_budget: BudgetSettings,
+    /// This daemon's offer to relay requests; `None` if it takes none.
+    pub(crate) relay: Option<RelayOffer>,
     /// Whether this daemon has served a caller; set by the serving thread.
     pub(crate) has_served: Arc<AtomicBool>,
     pub(crate) clock: Clock,
@@ -120,6 +128,7 @@
     stalled: BTreeMap<InstanceId, Timestamp>,
     suspects: Arc<SuspectTable>,
     rates: Arc<RateTable>,
+    relays: Arc<Vec<Relay>>,
     client: PermitClient,
     grant_client: GrantClient,
 }
@@ -135,6 +144,8 @@
     /// Wakes the thread when requests have begun to wait for a permit or a grant; a full ring drops
     /// entries, since one is enough.
     pub(crate) waits: Receiver<()>,
+    /// All groups of links to upstreams that are lost, after each change.
+    pub(crate) lost_groups: Receiver<Vec<LinkGroup>>,
 }
 
 impl MembersThread {
@@ -149,6 +160,7 @@
             stalled: BTreeMap::new(),
             suspects: Arc::default(),
             rates: Arc::default(),
+            relays: Arc::default(),
             client: PermitClient::new(setup.me.daemon.clone()),
             grant_client: GrantClient::new(setup.retry_budget),
             setup,
@@ -174,6 +186,7 @@
                 Some(notice) = notices.crashes.next() => self.record_crash(&notice),
                 Some(notice) = notices.rates.next() => self.record_rate(&notice),
                 Some(()) = notices.waits.next() => {}
+                Some(lost) = notices.lost_groups.next() => self.record_lost_groups(lost),
                 _ = tick.tick() => self.tick(),
                 _ = ended.wait_for(|ended| *ended) => return,
             }
@@ -216,6 +229,15 @@
         }
     }
 
+    /// Records the groups of links that are lost, so that others choose other relays at once.
+    fn record_lost_groups(&mut self, lost: Vec<LinkGroup>) {
+        if let Some(offer) = &mut self.setup.relay {
+            offer.lost = lost;
+            self.discovery.schedule_hello();
+            self.greet_if_due();
+        }
+    }
+
     /// Passes the serving thread's observations about crashes to discovery, which sends them to the
     /// control daemons.
     fn record_crash(&mut self, notice: &CrashNotice) {
@@ -321,6 +343,7 @@
                 self.add_permits(received);
             }
             PeerMessage::Grants(update) => self.handle_grants(&incoming.from, *update),
+            PeerMessage::Relays(update) => self.replace_relays(*update),
             // All other kinds are for control daemons.
             _ => {}
         }
@@ -371,6 +394,11 @@
         self.greet_if_due();
     }
 
+    fn replace_relays(&mut self, update: RelayUpdate) {
+        self.discovery.handle_relays_message(update.digest);
+        self.relays = Arc::new(update.relays);
+    }
+
     fn tick(&mut self) {
         let now = self.now();
         self.greet_if_due();
@@ -400,6 +428,7 @@
             has_served: self.setup.has_served.load(Ordering::Relaxed),
             demand: self.setup.demand.counts().read(),
             stalled: self.stalled.keys().cloned().collect(),
+            relay: self.setup.relay.clone(),
         };
         self.discovery.send_hellos(status, now);
         self.perform_actions();
@@ -446,6 +475,7 @@
             place: self.discovery.entry_index(),
             suspects: Arc::clone(&self.suspects),
             rates: Arc::clone(&self.rates),
+            relays: Arc::clone(&self.relays),
         }));
     }
 }
--- a/entry/src/members/view.rs
+++ b/entry/src/members/view.rs
@@ -10,6 +10,10 @@
     prelude::*,
     quarantine::SuspectTable,
     rates::RateTable,
+    reach::{
+        LinkGroup,
+        Relay, //
+    },
     registry::{
         EngineStatus,
         InstanceId,
@@ -43,6 +47,8 @@
     pub suspects: Arc<SuspectTable>,
     /// The rate limits that upstreams have announced.
     pub rates: Arc<RateTable>,
+    /// The entry daemons that relay this one's requests.
+    pub relays: Arc<Vec<Relay>>,
 }
 
 /// One replica that can run a routed request: a plain service or a group of engines.
@@ -66,6 +72,16 @@
     pub is_suspect: bool,
 }
 
+impl RoutedReplica {
+    /// Returns the group of links that this daemon's link to the replica belongs to.
+    pub fn link_group(&self) -> LinkGroup {
+        LinkGroup {
+            service: self.service.clone(),
+            failure_domain: self.failure_domain.clone(),
+        }
+    }
+}
+
 impl RoutedView {
     /// Returns whether the daemon has the routes and the upstreams' reports that serving needs.
     pub fn is_ready(&self) -> bool {
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -27,6 +27,10 @@
         PeerMessage, //
     },
     prelude::*,
+    reach::{
+        RelayKey,
+        RelayOffer, //
+    },
     routing::RoutingSnapshot, //
 };
 use cicadabend_daemon::{
@@ -52,6 +56,10 @@
     stop::StopSignal,
 };
 use displaydoc::Display;
+use rand::{
+    TryRngCore,
+    rngs::OsRng, //
+};
 use thiserror::Error;
 use tokio::{
     sync::watch,
@@ -102,6 +110,8 @@
 const RATE_CAPACITY: usize = 1_024;
 /// The number of notices of requests waiting for a permit that can queue for the thread `members`.
 const WAIT_CAPACITY: usize = 16;
+/// The number of lists of lost links that can queue for the thread `members`; the last one counts.
+const LOST_GROUPS_CAPACITY: usize = 4;
 /// How often the daemon checks whether a thread has ended unexpectedly.
 const THREAD_CHECK_MS: u64 = 200;
 
@@ -124,6 +134,8 @@
         /// The name of the thread.
         thread: String,
     },
+    /// the operating system gives no random numbers: {0}
+    Random(io::Error),
     /// {0}
     Chart(#[from] ChartError),
     /// cannot talk to peers: {0}
@@ -202,6 +214,7 @@
     };
     let listener = listen(settings.callers.listen)?;
     let ready_listener = settings.callers.ready_listen.map(listen).transpose()?;
+    let relay_listener = settings.relay_listen.map(listen).transpose()?;
     let boot = random_boot_id();
     let (peers, inbox) = start_peers(&settings, boot)?;
     let view = Arc::new(ArcSwap::from_pointee(RoutedView::default()));
@@ -209,6 +222,7 @@
     let permits = Permits::default();
     let grants = Grants::default();
     let has_served = Arc::new(AtomicBool::new(false));
+    let relay_key = random_relay_key()?;
     let setup = MembersSetup {
         me: members::member_address(
             settings.daemon.clone(),
@@ -223,6 +237,11 @@
         permits: permits.clone(),
         grants: grants.clone(),
         retry_budget: routed::budget_settings(&settings.retries),
+        relay: settings.relay_listen.map(|address| RelayOffer {
+            address,
+            key: relay_key,
+            lost: Vec::new(),
+        }),
         has_served: Arc::clone(&has_served),
         clock: process.clock,
     };
@@ -231,11 +250,13 @@
     let (crashes, crashed) = ring::bounded("crashes", CRASH_CAPACITY);
     let (rate_notices, rates) = ring::bounded("rates", RATE_CAPACITY);
     let (waits, waiting) = ring::bounded("waits", WAIT_CAPACITY);
+    let (lost_groups, lost) = ring::bounded("lost-groups", LOST_GROUPS_CAPACITY);
     let notices = Notices {
         stalls: stalled,
         crashes: crashed,
         rates,
         waits: waiting,
+        lost_groups: lost,
     };
     let membership = duty::spawn("members", move || {
         MembersThread::new(setup).run(inbox, notices, members_stopped)
@@ -245,6 +266,8 @@
         settings,
         listener,
         ready_listener,
+        relay_listener,
+        relay_key,
         view,
         edge,
         clock: process.clock,
@@ -258,6 +281,7 @@
         grants,
         rate_notices,
         waits,
+        lost_groups,
     };
     let serving = routed::start(setup, stopped)?;
     // The thread `members` runs until the last request has ended, since resuming a stream needs
@@ -344,6 +368,14 @@
     BootId(RandomState::new().hash_one(std::process::id()))
 }
 
+/// Returns a secret that no other process can guess.
+fn random_relay_key() -> Result<RelayKey, ProcessError> {
+    let mut bytes = [0; 16];
+    let drawn = OsRng.try_fill_bytes(&mut bytes);
+    drawn.map_err(|error| ProcessError::Random(io::Error::other(error)))?;
+    Ok(RelayKey(u128::from_ne_bytes(bytes)))
+}
+
 /// Waits for the request to stop, then ends the serving thread, the other threads and, last, the
 /// connections to peers.
 fn run_until_stopped(
--- a/entry/src/serve/connections.rs
+++ b/entry/src/serve/connections.rs
@@ -37,7 +37,7 @@
 
 /// Counts open connections, and notifies when one closes.
 #[derive(Default)]
-struct OpenConnections {
+pub(super) struct OpenConnections {
     count: Cell<u32>,
     closed: Notify,
 }
@@ -66,7 +66,7 @@
     }
 
     /// Waits until no connection is open.
-    async fn all_closed(&self) {
+    pub(super) async fn all_closed(&self) {
         while self.count.get() > 0 {
             self.closed.notified().await;
         }
@@ -76,7 +76,7 @@
     ///
     /// A connection above the limit is closed at once, after a call of `on_refused`: its caller has
     /// to reconnect, but the other callers are not slowed down.
-    async fn accept_all<F>(
+    pub(super) async fn accept_all<F>(
         self: &Rc<Self>,
         listener: &TcpListener,
         max_connections: u32,
--- a/entry/src/serve/routed/account.rs
+++ b/entry/src/serve/routed/account.rs
@@ -5,7 +5,8 @@
 use cicadabend::{
     chart::RequestEvent,
     dispatch::Outcome,
-    prelude::*, //
+    prelude::*,
+    reach::RelayFailure, //
 };
 
 use super::{
@@ -107,19 +108,44 @@
         });
     }
 
-    /// Records that more events of the stream arrived.
-    pub(super) fn record_progress(&self) {
+    /// Records that more events of the stream arrived, through `relay` if there is one.
+    pub(super) fn record_progress(&self, relay: Option<&DaemonId>) {
         if let Some(reservation) = &self.reservation {
+            if relay.is_none() {
+                self.server.record_heard(&reservation.replica);
+            }
             let now = self.server.clock.now();
             let mut loads = self.server.loads.borrow_mut();
             loads.record_progress(&reservation.replica.id, now);
         }
     }
 
-    /// Returns whether all streams of the replica are stalled; reports the replica if so.
+    /// Returns whether the replica, or the way to it, is the cause of a stream's pause, and reports it
+    /// then. `pause` is the time since the stream's last event.
     ///
-    /// `pause` is the time since the last event of this request's stream.
-    pub(super) fn report_if_stalled(&self, pause: Duration) -> bool {
+    /// A replica behind a lost link is not reported: others may reach it.
+    pub(super) fn report_pause(&self, pause: Duration, relay: Option<&DaemonId>) -> bool {
+        let Some(reservation) = &self.reservation else {
+            return false;
+        };
+        let replica = &reservation.replica;
+        match relay {
+            Some(relay) => {
+                let failure = RelayFailure::Unreached(replica.link_group());
+                self.server.record_relay_failure(relay, failure);
+            }
+            None => {
+                let now = self.server.clock.now();
+                if self.server.record_unanswered(replica, now.before(pause)) {
+                    return true;
+                }
+            }
+        }
+        self.report_if_stalled(pause)
+    }
+
+    /// Returns whether all streams of the replica are stalled; reports the replica if so.
+    fn report_if_stalled(&self, pause: Duration) -> bool {
         let Some(reservation) = &self.reservation else {
             return false;
         };
--- a/entry/src/serve/routed/availability.rs
+++ b/entry/src/serve/routed/availability.rs
@@ -44,6 +44,16 @@
         selected.map(|(replica, _)| replica).collect()
     }
 
+    /// Returns whether there are replicas, and none can be reached directly or through a relay.
+    pub(super) fn is_out_of_reach(&self) -> bool {
+        let view = self.server.view.load();
+        let model = self.prepared.caller_headers.model.as_deref();
+        let replicas = view.replicas_of(&self.prepared.terms.service, model);
+        let mut replicas = replicas.peekable();
+        replicas.peek().is_some()
+            && replicas.all(|replica| !self.server.is_in_reach(&view, replica))
+    }
+
     /// Counts and logs the request if it is a trial request to a replica after its backoff.
     pub(super) fn record_trial(&self, reservation: &Reservation) {
         if !reservation.is_trial() {
--- a/entry/src/serve/routed/counts.rs
+++ b/entry/src/serve/routed/counts.rs
@@ -31,6 +31,16 @@
         BackoffsAsked,
         /// Trial requests sent to upstreams after their backoff.
         TrialsSent,
+        /// Links to upstreams that were found lost.
+        LinksLost,
+        /// Requests that were given to a relay, because this daemon's own link is lost.
+        SentToRelays,
+        /// Requests of other entry daemons that were to be sent on.
+        Relayed,
+        /// Requests of other daemons without a valid relay key.
+        RelayStrangers,
+        /// Connections of other entry daemons that were closed because there are too many.
+        RelayConnectionsRefused,
     }
 }
 
@@ -67,6 +77,8 @@
         NotStarted,
         /// No upstream could be reached.
         NotConnected,
+        /// All links to upstreams are lost, and no relay reaches any.
+        OutOfReach,
         /// The deadline passed before the request was sent.
         TooLate,
         /// The deadline passed after the request was sent.
--- a/entry/src/serve/routed/crash_probe.rs
+++ b/entry/src/serve/routed/crash_probe.rs
@@ -9,20 +9,16 @@
     time::Duration, //
 };
 
-use cicadabend::{
-    ids::Address,
-    quarantine::Observation,
-    registry::InstanceId, //
-};
+use cicadabend::quarantine::Observation;
 use tokio::time::sleep;
 
 use super::{
     counts::Routed,
     crash_watch::BrokenRequest,
     events::LogEvent,
-    server::Server,
-    source::DEFAULT_KEEP_ALIVE, //
+    server::Server, //
 };
+use crate::members::RoutedReplica;
 
 /// Time for which further broken-off requests of the same upstream are collected.
 ///
@@ -32,23 +28,25 @@
 /// Records a request that an upstream broke off; the first one starts a probe of the upstream.
 pub(super) fn record_broken_request(
     server: &Rc<Server>,
-    (upstream, address): (&InstanceId, Address),
+    upstream: &RoutedReplica,
     broken: BrokenRequest,
 ) {
-    if server.crash_watch.add_broken(upstream, broken) {
-        let probe = probe_upstream(Rc::clone(server), upstream.clone(), address);
+    if server.crash_watch.add_broken(&upstream.id, broken) {
+        let probe = probe_upstream(Rc::clone(server), upstream.clone());
         tokio::task::spawn_local(probe);
     }
 }
 
 /// Checks whether the upstream has crashed, and reports its broken-off requests if so.
-async fn probe_upstream(server: Rc<Server>, upstream: InstanceId, address: Address) {
+async fn probe_upstream(server: Rc<Server>, replica: RoutedReplica) {
     sleep(GATHER).await;
-    let has_crashed = server
-        .pool
-        .is_connection_refused(address, DEFAULT_KEEP_ALIVE)
-        .await;
+    let has_crashed = has_crashed(&server, &replica).await;
     let watch = &server.crash_watch;
+    let RoutedReplica {
+        id: upstream,
+        address,
+        ..
+    } = replica;
     let broken_requests = watch.take(&upstream);
     if !has_crashed {
         return;
@@ -74,3 +72,9 @@
     // A full ring drops the notice; the next crash sends another one.
     let _ = server.crashes.push(observations);
 }
+
+/// Returns whether nothing listens at an upstream's address.
+async fn has_crashed(server: &Rc<Server>, replica: &RoutedReplica) -> bool {
+    let connected = server.connect_fully(replica).await;
+    connected.is_err_and(|error| error.is_refused())
+}
--- a/entry/src/serve/routed/events.rs
+++ b/entry/src/serve/routed/events.rs
@@ -1,4 +1,4 @@
-//! The log events of routed requests (CB1420 to CB1439).
+//! The log events of routed requests (CB1420 to CB1459).
 
 use cicadabend::prelude::*;
 
@@ -162,4 +162,43 @@
         refused: u64,
         up_ms: u64,
     } "retry budget used";
+    /// This daemon's link to an upstream is lost, by its own connections and requests; `why` names
+    /// the evidence, and `silent_ms` the time since anything came by this link. Requests for the
+    /// upstream go through relays until CB1441.
+    1440 Warn LinkLost {
+        instance: cicadabend::registry::InstanceId,
+        group: String,
+        why: String,
+        silent_ms: String,
+    } "link to an upstream lost";
+    /// This daemon's link to an upstream is whole again.
+    1441 Info LinkRegained {
+        instance: cicadabend::registry::InstanceId,
+        group: String,
+        lost_ms: u128,
+    } "link to an upstream whole again";
+    /// So many links of a group were found lost, and none whole, that all count as lost. A group is
+    /// a service and the failure domain of its upstreams.
+    1442 Warn LinkGroupLost { group: String, links: usize } "links to a group of upstreams lost";
+    /// One link of a lost group is whole again, so all of them are used again.
+    1443 Info LinkGroupRegained {
+        group: String,
+        lost_ms: u128,
+    } "links to a group of upstreams whole again";
+    /// A request was given to a relay, because this daemon's own link to the upstream is lost.
+    /// `outcome` is what the relay reported, or why it could not be reached.
+    1444 Info SentToRelay {
+        request: String,
+        instance: cicadabend::registry::InstanceId,
+        relay: DaemonId,
+        outcome: String,
+    } "request given to a relay";
+    /// This daemon was asked to relay a request, and either passed on an upstream's response or
+    /// reported why not.
+    1445 Info Relayed {
+        request: String,
+        instance: cicadabend::registry::InstanceId,
+        outcome: &'static str,
+        took_ms: u128,
+    } "request relayed";
 }
--- a/entry/src/serve/routed/exchange.rs
+++ b/entry/src/serve/routed/exchange.rs
@@ -1,6 +1,9 @@
 //! One attempt: from the connection to the first chunk of the response.
 
-use std::time::Duration;
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
 
 use bytes::{
     Bytes,
@@ -12,17 +15,17 @@
 };
 
 use super::{
-    super::upstream::{
-        AttemptError,
-        SentBytes, //
-    },
+    super::upstream::SentBytes,
     failure::Failure,
     prepared_request::PreparedRequest,
     server::Server,
     source::{
         AnswerRest,
-        DEFAULT_KEEP_ALIVE, //
-        EventSource,
+        EventSource, //
+    },
+    transport::{
+        self,
+        Delivered, //
     },
     upstream_signals,
 };
@@ -38,10 +41,8 @@
 ///
 /// If such a response breaks off, the request can still be retried at another replica.
 const BUFFERED_ANSWER_LIMIT_BYTES: usize = 256 * 1024;
-/// Time that is subtracted from the upstream's keep-alive time for pooled connections.
-///
-/// Covers the network delay and a daemon that the kernel doesn't schedule for a while.
-const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
+/// Time for which a connection to a relay stays pooled; relays keep theirs longer.
+const RELAY_KEEP_ALIVE: Duration = Duration::from_secs(4);
 
 /// A response whose first chunk is here and may be passed on.
 pub(super) enum Answered {
@@ -76,32 +77,18 @@
 ///
 /// `last_event` is the id of the last event that the caller has, to get the rest of a stream.
 pub(super) async fn exchange(
-    server: &Server,
+    server: &Rc<Server>,
     prepared: &PreparedRequest,
     replica: &RoutedReplica,
     sent: &SentBytes,
     last_event: Option<u64>,
 ) -> Result<Answered, Failure> {
-    // A request that may run only once must not go over a connection that its upstream may be
-    // closing: nobody could tell afterwards whether the upstream has read the request.
-    let is_idempotent = prepared.terms.route.kind.is_repeatable();
-    let lease = match is_idempotent {
-        true => server.pool.lease(replica.address).await?,
-        false => server.pool.lease_recently_used(replica.address).await?,
-    };
-    let is_reused = lease.is_reused();
-    upstream_signals::check_admission(server, &replica.id)?;
-    let sent_at = server.clock.now();
-    let request = prepared.request_to(&*server.edge, replica, last_event);
-    let (response, lease) = match lease.send(request, sent).await {
-        Err(AttemptError::NothingWritten { .. }) if is_reused => {
-            let lease = server.pool.lease_new(replica.address).await?;
-            upstream_signals::check_admission(server, &replica.id)?;
-            let request = prepared.request_to(&*server.edge, replica, last_event);
-            lease.send(request, sent).await?
-        }
-        outcome => outcome?,
-    };
+    let Delivered {
+        response,
+        lease,
+        sent_at,
+        relay,
+    } = transport::send(server, prepared, replica, sent, last_event).await?;
     let (parts, incoming) = response.into_parts();
     let signals = server.edge.read_answer(parts.status, &parts.headers);
     upstream_signals::record_availability(server, prepared.id(), &replica.id, &signals);
@@ -119,11 +106,11 @@
             .borrow_mut()
             .observe_load_report(&replica.id, load, now);
     }
-    let keep_for = signals
-        .keeps_for
-        .unwrap_or(DEFAULT_KEEP_ALIVE)
-        .saturating_sub(KEEP_ALIVE_MARGIN);
-    let rest = AnswerRest::new(incoming, lease, keep_for);
+    let keep_for = match relay {
+        Some(_) => RELAY_KEEP_ALIVE,
+        None => upstream_signals::keep_alive(&signals),
+    };
+    let rest = AnswerRest::new(incoming, lease, keep_for).through(relay);
     if signals.did_not_run && parts.status != StatusCode::BAD_REQUEST {
         rest.drain();
         return Err(Failure::NotStarted {
--- a/entry/src/serve/routed/execution.rs
+++ b/entry/src/serve/routed/execution.rs
@@ -146,6 +146,7 @@
             .replicas_of(&prepared.terms.service, model)
             .filter(|replica| !self.tried.contains(&replica.id))
             .filter(|replica| self.has_needed_permit(replica, view))
+            .filter(|replica| self.server.is_in_reach(view, replica))
             .collect();
         let replicas: Vec<&RoutedReplica> = self.select_admitted(replicas);
         let candidates: Vec<Candidate<'_>> = replicas
--- a/entry/src/serve/routed/mod.rs
+++ b/entry/src/serve/routed/mod.rs
@@ -15,12 +15,16 @@
 //! - `execution`: holds a request's state and chooses its replica.
 //! - `admission`: checks a request's body, route and team.
 //! - `exchange`: sends one request and reads the first chunk of its response.
+//! - `relay_server`: sends requests of other entry daemons on.
+//! - `transport`: sends a request by this daemon's own link, or through a relay.
 //! - `upstream_signals`: records what upstreams signal by their response headers.
 //! - `crash_probe`: finds out whether an upstream that broke off requests has crashed.
 //! - `reservation`, `trials`: count a request at its replica; limit trials of a request after its
 //!   quarantine.
+//! - `links`: what connections show about this daemon's links to upstreams; trials of lost ones.
 //! - `server`: holds the state that all requests share.
 //! - `retry_budget`: limits retries, and keeps a ticket for each until it has arrived.
+//! - `relay_headers`: what daemons tell each other of a relayed request.
 //! - `failure`, `source`, `prepared_request`: why an attempt failed; the remaining bytes of a
 //!   response; a request in a form that can be sent several times.
 //! - `crash_watch`, `counts`, `events`, `lines`: requests that were broken off; counters; log
@@ -42,16 +46,20 @@
 mod handler;
 mod hedge;
 mod lines;
+mod links;
 mod listener;
 mod prepared_request;
 mod quarantine;
 mod rates;
 mod refusal;
+mod relay_headers;
+mod relay_server;
 mod reservation;
 mod retry_budget;
 mod server;
 mod source;
 mod stream;
+mod transport;
 mod trials;
 mod upstream_signals;
 
@@ -69,6 +77,10 @@
 use cicadabend::{
     breaker::Breakers,
     prelude::*,
+    reach::{
+        LinkGroup,
+        RelayKey, //
+    },
     registry::InstanceId, //
 };
 use cicadabend_daemon::{
@@ -100,6 +112,10 @@
     pub(crate) listener: TcpListener,
     /// Listener for the load balancer's readiness checks; `None` if there is none of its own.
     pub(crate) ready_listener: Option<TcpListener>,
+    /// Listener for requests of other entry daemons; `None` if this daemon relays none.
+    pub(crate) relay_listener: Option<TcpListener>,
+    /// The key that requests of other entry daemons must carry.
+    pub(crate) relay_key: RelayKey,
     pub(crate) view: Arc<ArcSwap<RoutedView>>,
     pub(crate) edge: Arc<dyn CallerEdge>,
     pub(crate) clock: Clock,
@@ -121,6 +137,8 @@
     pub(crate) rate_notices: ring::Sender<RateNotice>,
     /// Notifies the thread `members` that a request waits for a permit or a grant.
     pub(crate) waits: ring::Sender<()>,
+    /// Reports the groups of lost links to upstreams to the thread `members`.
+    pub(crate) lost_groups: ring::Sender<Vec<LinkGroup>>,
 }
 
 /// Starts the serving thread, which drains its connections and ends once `stopped` turns true.
@@ -135,7 +153,8 @@
 ) -> io::Result<JoinHandle<()>> {
     let breakers = Breakers::new().map_err(io::Error::other)?;
     setup.listener.set_nonblocking(true)?;
-    if let Some(listener) = &setup.ready_listener {
+    let others = [&setup.ready_listener, &setup.relay_listener];
+    for listener in others.into_iter().flatten() {
         listener.set_nonblocking(true)?;
     }
     duty::spawn("serve", move || listener::run(setup, breakers, stopped))
--- a/entry/src/serve/routed/prepared_request.rs
+++ b/entry/src/serve/routed/prepared_request.rs
@@ -1,7 +1,10 @@
 //! An admitted request in a form that can be sent to several upstreams.
 
 use std::{
-    cell::OnceCell,
+    cell::{
+        Cell,
+        OnceCell, //
+    },
     time::Duration, //
 };
 
@@ -63,6 +66,7 @@
     parts: Parts,
     body: Bytes,
     fingerprint: OnceCell<Fingerprint>,
+    unanswered_since: Cell<Option<Timestamp>>,
 }
 
 impl PreparedRequest {
@@ -85,6 +89,7 @@
             parts,
             body,
             fingerprint: OnceCell::new(),
+            unanswered_since: Cell::new(None),
         }
     }
 
@@ -105,6 +110,17 @@
             .unwrap_or_default()
     }
 
+    /// Records that an attempt, which was sent at `sent_at`, has no response yet although it is late.
+    pub(super) fn record_unanswered(&self, sent_at: Timestamp) {
+        let since = self.unanswered_since.get().unwrap_or(sent_at);
+        self.unanswered_since.set(Some(since));
+    }
+
+    /// Returns when the first attempt was sent that had no response when it was late, if any.
+    pub(super) fn unanswered_since(&self) -> Option<Timestamp> {
+        self.unanswered_since.get()
+    }
+
     /// Returns the time until the deadline.
     pub(super) fn time_left(&self) -> Duration {
         self.terms
--- a/entry/src/serve/routed/quarantine.rs
+++ b/entry/src/serve/routed/quarantine.rs
@@ -30,7 +30,7 @@
             known: self.crash_history.known,
             broken_before: self.crash_history.broken_off_by.clone(),
         };
-        crash_probe::record_broken_request(&self.server, (&replica.id, replica.address), broken);
+        crash_probe::record_broken_request(&self.server, replica, broken);
         self.crash_history.broken_off_by.push(replica.id.clone());
     }
 
--- a/entry/src/serve/routed/rates.rs
+++ b/entry/src/serve/routed/rates.rs
@@ -153,6 +153,13 @@
                 "all replicas ask for backoff or are shutting down",
             );
         }
+        if self.is_out_of_reach() {
+            self.record_unserved();
+            return (
+                RoutedRefusal::OutOfReach,
+                "all links to the replicas are lost, and no relay reaches one",
+            );
+        }
         if self.limited_pool().is_none() {
             return (
                 RoutedRefusal::NoReplica,
--- a/entry/src/serve/routed/refusal.rs
+++ b/entry/src/serve/routed/refusal.rs
@@ -57,6 +57,7 @@
         let (status, retry_after) = match reason {
             RoutedRefusal::NoReplica
             | RoutedRefusal::NotConnected
+            | RoutedRefusal::OutOfReach
             | RoutedRefusal::NoRoom
             | RoutedRefusal::RateUsedUp
             | RoutedRefusal::BackoffAsked
--- /dev/null
+++ b/entry/src/serve/routed/relay_server.rs
@@ -0,0 +1,485 @@
+//! Sends requests of other entry daemons on to upstreams that they can't reach themselves.
+//!
+//! A relay makes one attempt, at the upstream that is named, and decides nothing else: route, team,
+//! retries and permits are those of the daemon that asks. It checks what only it can know: its own
+//! link, and whether the upstream takes requests from it.
+
+use std::{
+    cell::Cell,
+    convert::Infallible,
+    pin::{
+        Pin,
+        pin, //
+    },
+    rc::Rc,
+    task::{
+        Context,
+        Poll, //
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use cicadabend::{
+    breaker::Admission,
+    reach::{
+        LinkUse,
+        RelayKey, //
+    },
+};
+use http::{
+    HeaderValue,
+    Request,
+    Response,
+    StatusCode,
+    header,
+    request::Parts, //
+};
+use http_body::{
+    Body,
+    Frame, //
+};
+use http_body_util::{
+    BodyExt,
+    Full,
+    Limited, //
+};
+use hyper::{
+    body::Incoming,
+    server::conn::http1,
+    service::service_fn, //
+};
+use hyper_util::rt::{
+    TokioIo,
+    TokioTimer, //
+};
+use tokio::{
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    sync::watch,
+    time::{
+        Instant,
+        timeout, //
+    },
+};
+
+use super::{
+    super::{
+        body::{
+            BodyError,
+            RequestBody,
+            poll_whole, //
+        },
+        connections::{
+            OpenConnections,
+            header_buffer, //
+        },
+        headers,
+        upstream::{
+            AttemptError,
+            Lease,
+            SentBytes, //
+        },
+    },
+    counts::Routed,
+    events::LogEvent,
+    links::{
+        Liveness,
+        check_liveness, //
+    },
+    relay_headers::{
+        RelayAction,
+        RelayReport,
+        RelayRequest,
+        write_report, //
+    },
+    reservation::Reservation,
+    server::Server,
+    source::AnswerRest,
+    upstream_signals,
+};
+use crate::members::RoutedReplica;
+
+/// Connections of other daemons that are open at once.
+const MAX_CONNECTIONS: u32 = 512;
+/// Requests that are relayed at once.
+const MAX_REQUESTS: u32 = 384;
+/// Bodies of requests that are in memory at once.
+const MAX_BODY_BYTES: u64 = 32 * 1024 * 1024;
+/// Time for which a connection may be idle; longer than daemons keep it in their pools.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for which the rest of a request's body may stay away.
+const BODY_TIMEOUT: Duration = Duration::from_secs(2);
+/// An idle connection is used only if the upstream was heard so recently; otherwise it may have
+/// gone silent, and a new one shows that before the request is sent.
+const HEARD_RECENTLY: Duration = Duration::from_millis(300);
+/// Time after which a missing response raises the question whether the link is lost.
+const LATE_AFTER: Duration = Duration::from_millis(400);
+
+/// What is relayed at the moment, and the key that other daemons must show.
+pub(super) struct RelayState {
+    key: RelayKey,
+    requests: Cell<u32>,
+    body_bytes: Cell<u64>,
+}
+
+impl RelayState {
+    pub(super) fn new(key: RelayKey) -> Self {
+        Self {
+            key,
+            requests: Cell::new(0),
+            body_bytes: Cell::new(0),
+        }
+    }
+}
+
+/// A relayed request, counted until this is dropped.
+struct RelayedRequest {
+    server: Rc<Server>,
+    body_bytes: u64,
+}
+
+impl RelayedRequest {
+    /// Counts a request; `None` if there are too many.
+    fn begin(server: &Rc<Server>, body_bytes: u64) -> Option<Self> {
+        let state = &server.relay;
+        let bytes = state.body_bytes.get().saturating_add(body_bytes);
+        if state.requests.get() >= MAX_REQUESTS || bytes > MAX_BODY_BYTES {
+            return None;
+        }
+        state.requests.set(state.requests.get() + 1);
+        state.body_bytes.set(bytes);
+        Some(Self {
+            server: Rc::clone(server),
+            body_bytes,
+        })
+    }
+}
+
+impl Drop for RelayedRequest {
+    fn drop(&mut self) {
+        let state = &self.server.relay;
+        state.requests.set(state.requests.get() - 1);
+        state
+            .body_bytes
+            .set(state.body_bytes.get() - self.body_bytes);
+    }
+}
+
+/// The body of a relay's response.
+enum RelayBody {
+    /// Nothing: the response is the relay's own.
+    Empty(Full<Bytes>),
+    /// The upstream's response body.
+    Passed(Box<PassedAnswer>),
+}
+
+/// An upstream's response body that is passed on unchanged.
+struct PassedAnswer {
+    rest: Option<AnswerRest>,
+    server: Rc<Server>,
+    reservation: Reservation,
+    _counted: RelayedRequest,
+}
+
+impl Body for RelayBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self.get_mut() {
+            RelayBody::Empty(empty) => poll_whole(empty, context),
+            RelayBody::Passed(passed) => passed.poll_frame(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, RelayBody::Empty(_))
+    }
+}
+
+impl PassedAnswer {
+    fn poll_frame(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let Some(rest) = &mut self.rest else {
+            return Poll::Ready(None);
+        };
+        match rest.poll_data(context) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Some(Ok(data))) => {
+                self.server.record_heard(&self.reservation.replica);
+                Poll::Ready(Some(Ok(Frame::data(data))))
+            }
+            Poll::Ready(Some(Err(_))) => {
+                self.rest = None;
+                // The error closes the connection before the body's end, so that the daemon that
+                // asked can't mistake it for complete.
+                Poll::Ready(Some(Err(BodyError::AnswerBroken)))
+            }
+            Poll::Ready(None) => {
+                if let Some(rest) = self.rest.take() {
+                    rest.return_to_pool();
+                }
+                Poll::Ready(None)
+            }
+        }
+    }
+}
+
+/// Accepts connections of other daemons until the listener is dropped.
+pub(super) async fn serve(
+    listener: TcpListener,
+    open: Rc<OpenConnections>,
+    server: Rc<Server>,
+    draining: watch::Receiver<bool>,
+) {
+    let on_refused = || server.counts.count(Routed::RelayConnectionsRefused);
+    let accepting = open.accept_all(&listener, MAX_CONNECTIONS, on_refused, |stream| {
+        serve_daemon(stream, Rc::clone(&server), draining.clone())
+    });
+    accepting.await;
+}
+
+async fn serve_daemon(stream: TcpStream, server: Rc<Server>, mut draining: watch::Receiver<bool>) {
+    let _ = stream.set_nodelay(true);
+    let buffer = header_buffer(server.settings.callers.max_header_bytes.0);
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE_TIMEOUT)
+        .max_buf_size(buffer);
+    let service = service_fn(move |request| {
+        let server = Rc::clone(&server);
+        async move { Ok::<_, Infallible>(answer(server, request).await) }
+    });
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let mut shutting_down = false;
+    loop {
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            _ = draining.wait_for(|drain| *drain), if !shutting_down => {
+                shutting_down = true;
+                connection.as_mut().graceful_shutdown();
+            }
+        }
+    }
+}
+
+async fn answer(server: Rc<Server>, request: Request<Incoming>) -> Response<RelayBody> {
+    let arrived = Instant::now();
+    let (mut parts, body) = request.into_parts();
+    let asked = RelayRequest::take(&mut parts.headers);
+    let Some(asked) = asked.filter(|asked| asked.key == server.relay.key) else {
+        server.counts.count(Routed::RelayStrangers);
+        return own_answer(RelayReport::Stranger);
+    };
+    let id = server.edge.read_caller(&parts.headers).request_id;
+    let outcome = relay(&server, &asked, parts, body).await;
+    let report = match &outcome {
+        Ok(_) => RelayReport::Passed,
+        Err(report) => *report,
+    };
+    server.counts.count(Routed::Relayed);
+    server.log(&LogEvent::Relayed {
+        request: id.unwrap_or_default(),
+        instance: asked.instance,
+        outcome: report.name(),
+        took_ms: arrived.elapsed().as_millis(),
+    });
+    outcome.unwrap_or_else(own_answer)
+}
+
+/// Returns a response of the relay's own.
+fn own_answer(report: RelayReport) -> Response<RelayBody> {
+    let mut response = Response::new(RelayBody::Empty(Full::default()));
+    *response.status_mut() = match report {
+        RelayReport::Passed | RelayReport::Connected => StatusCode::NO_CONTENT,
+        RelayReport::Stranger => StatusCode::FORBIDDEN,
+        RelayReport::Broken => StatusCode::BAD_GATEWAY,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    write_report(response.headers_mut(), report);
+    response
+}
+
+/// Makes one attempt at the upstream that is named.
+async fn relay(
+    server: &Rc<Server>,
+    asked: &RelayRequest,
+    mut parts: Parts,
+    body: Incoming,
+) -> Result<Response<RelayBody>, RelayReport> {
+    if server.draining.get() {
+        return Err(RelayReport::Stopping);
+    }
+    let replica = find_replica(server, asked)?;
+    if asked.action == RelayAction::Connect {
+        return Err(match check_liveness(server, &replica).await {
+            Liveness::Alive => RelayReport::Connected,
+            Liveness::Ended => RelayReport::Refused,
+            Liveness::Unknown => RelayReport::Unreached,
+        });
+    }
+    check_link(server, &replica)?;
+    check_admission(server, &replica)?;
+    let length = body.size_hint().exact().unwrap_or(MAX_BODY_BYTES);
+    let counted = RelayedRequest::begin(server, length).ok_or(RelayReport::NoRoom)?;
+    let caller = server.edge.read_caller(&parts.headers);
+    let body = read_body(body, length).await?;
+    headers::remove_hop_by_hop(&mut parts.headers);
+    let tokens = caller.prompt_tokens.unwrap_or(0);
+    let mut reservation = Reservation::for_relay(server, replica.clone(), tokens);
+    let outgoing = Outgoing {
+        parts,
+        body,
+        request_id: caller.request_id.unwrap_or_default(),
+        is_idempotent: asked.action == RelayAction::SendIdempotent,
+    };
+    let (response, rest) = send(server, &replica, &outgoing).await?;
+    reservation.read();
+    reservation.end_trial(true);
+    let answer = PassedAnswer {
+        rest: Some(rest),
+        server: Rc::clone(server),
+        reservation,
+        _counted: counted,
+    };
+    let (mut parts, ()) = response.into_parts();
+    headers::remove_hop_by_hop(&mut parts.headers);
+    write_report(&mut parts.headers, RelayReport::Passed);
+    let body = RelayBody::Passed(Box::new(answer));
+    Ok(Response::from_parts(parts, body))
+}
+
+fn find_replica(server: &Server, asked: &RelayRequest) -> Result<RoutedReplica, RelayReport> {
+    let view = server.view.load();
+    let mut all = view.replicas.values().flatten();
+    let found = all.find(|replica| replica.id == asked.instance);
+    found.cloned().ok_or(RelayReport::UnknownInstance)
+}
+
+/// Checks that this daemon's own link is whole, so that requests go over one relay at most.
+fn check_link(server: &Server, replica: &RoutedReplica) -> Result<(), RelayReport> {
+    let view = server.view.load();
+    if server.link_use(&view, replica) != LinkUse::Relayed {
+        return Ok(());
+    }
+    Err(match server.is_group_lost(&replica.link_group()) {
+        true => RelayReport::GroupLost,
+        false => RelayReport::Unreached,
+    })
+}
+
+fn check_admission(server: &Server, replica: &RoutedReplica) -> Result<(), RelayReport> {
+    let now = server.clock.now();
+    let admission = server.breakers.borrow_mut().admission(&replica.id, now);
+    match admission {
+        Admission::Admitted | Admission::OnTrial => Ok(()),
+        Admission::TrialsTaken | Admission::BackoffUntil(_) => Err(RelayReport::BackoffAsked),
+        Admission::Leaving => Err(RelayReport::UnknownInstance),
+    }
+}
+
+async fn read_body(body: Incoming, length: u64) -> Result<Bytes, RelayReport> {
+    let limit = usize::try_from(length).unwrap_or(usize::MAX);
+    match timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(_)) | Err(_) => Err(RelayReport::BodyIncomplete),
+    }
+}
+
+async fn open(server: &Rc<Server>, replica: &RoutedReplica) -> Result<Lease, RelayReport> {
+    let opened = server.connect(replica).await;
+    opened.map_err(|error| match error.is_refused() {
+        true => RelayReport::Refused,
+        false => RelayReport::Unreached,
+    })
+}
+
+/// A request as it is sent to the upstream.
+struct Outgoing {
+    parts: Parts,
+    body: Bytes,
+    request_id: String,
+    is_idempotent: bool,
+}
+
+impl Outgoing {
+    fn request(&self) -> Request<RequestBody> {
+        let body = RequestBody::whole(self.body.clone());
+        let mut request = Request::from_parts(self.parts.clone(), body);
+        // The daemon that asked has given the body's length, if the request has a body.
+        if !self.body.is_empty() {
+            let length = HeaderValue::from(self.body.len());
+            let headers = request.headers_mut();
+            headers.insert(header::CONTENT_LENGTH, length);
+        }
+        request
+    }
+}
+
+/// Sends the request and waits for the head of its response.
+async fn send(
+    server: &Rc<Server>,
+    replica: &RoutedReplica,
+    outgoing: &Outgoing,
+) -> Result<(Response<()>, AnswerRest), RelayReport> {
+    let is_heard = server.was_heard_within(replica, HEARD_RECENTLY);
+    let idle = is_heard.then(|| {
+        let pool = &server.pool;
+        pool.idle_lease(replica.address, outgoing.is_idempotent)
+    });
+    let lease = match idle.flatten() {
+        Some(lease) => lease,
+        None => open(server, replica).await?,
+    };
+    let is_reused = lease.is_reused();
+    check_admission(server, replica)?;
+    let (response, lease) = match send_by(server, replica, lease, outgoing).await {
+        Err(AttemptError::NothingWritten { .. }) if is_reused => {
+            let lease = open(server, replica).await?;
+            check_admission(server, replica)?;
+            send_by(server, replica, lease, outgoing).await
+        }
+        outcome => outcome,
+    }
+    .map_err(|error| match error {
+        AttemptError::Broken { .. } => RelayReport::Broken,
+        _ => RelayReport::Unreached,
+    })?;
+    server.record_heard(replica);
+    let (parts, incoming) = response.into_parts();
+    let signals = server.edge.read_answer(parts.status, &parts.headers);
+    let id = &outgoing.request_id;
+    upstream_signals::record_availability(server, id, &replica.id, &signals);
+    let is_own = match &signals.request_id {
+        Some(answered) => answered == id,
+        None => !lease.is_reused(),
+    };
+    if !is_own {
+        return Err(RelayReport::Broken);
+    }
+    let keep_for = upstream_signals::keep_alive(&signals);
+    let rest = AnswerRest::new(incoming, lease, keep_for);
+    Ok((Response::from_parts(parts, ()), rest))
+}
+
+async fn send_by(
+    server: &Server,
+    replica: &RoutedReplica,
+    lease: Lease,
+    outgoing: &Outgoing,
+) -> Result<(Response<Incoming>, Lease), AttemptError> {
+    let sent = SentBytes::default();
+    let sending = lease.send(outgoing.request(), &sent);
+    server
+        .watch_link(replica, LATE_AFTER, |_| {}, sending)
+        .await
+}
--- a/entry/src/serve/routed/reservation.rs
+++ b/entry/src/serve/routed/reservation.rs
@@ -42,21 +42,34 @@
         if let Some(ticket) = &mut retry {
             ticket.set_used(true);
         }
+        let model = replica.model.as_ref();
+        let demanded = model.map(|model| server.demand.count(&replica.service, model));
+        let mut reservation = Self::for_relay(server, replica, prompt_tokens);
+        reservation._demanded = demanded;
+        reservation.retry = retry;
+        reservation
+    }
+
+    /// Counts an attempt that another entry daemon makes through this one; its demand and its retry
+    /// are counted there.
+    pub(super) fn for_relay(
+        server: &Rc<Server>,
+        replica: RoutedReplica,
+        prompt_tokens: u64,
+    ) -> Self {
         server
             .loads
             .borrow_mut()
             .record_start(&replica.id, prompt_tokens);
-        let model = replica.model.as_ref();
-        let demanded = model.map(|model| server.demand.count(&replica.service, model));
         let trial = server.breakers.borrow_mut().record_sent(&replica.id);
         Self {
-            _demanded: demanded,
+            _demanded: None,
             server: Rc::clone(server),
             replica,
             prompt_tokens,
             is_read: false,
             trial,
-            retry,
+            retry: None,
         }
     }
 
--- a/entry/src/serve/routed/server.rs
+++ b/entry/src/serve/routed/server.rs
@@ -57,6 +57,11 @@
     crash_watch::CrashWatch,
     events::LogEvent,
     lines::RequestLines,
+    links::{
+        self,
+        Links, //
+    },
+    relay_server::RelayState,
     retry_budget::{
         RetryBudgets,
         RetryTicket, //
@@ -95,6 +100,8 @@
     pub(super) loads: RefCell<LoadTracker>,
     pub(super) latency_baselines: RefCell<LatencyBaselines>,
     pub(super) crash_watch: CrashWatch,
+    pub(super) links: Links,
+    pub(super) relay: RelayState,
     pub(super) draining: Cell<bool>,
     lines: RequestLines,
     pub(super) demand: Demand,
@@ -126,6 +133,8 @@
                 setup.settings.retries.late_quantile,
             )),
             crash_watch: CrashWatch::default(),
+            links: Links::new(setup.lost_groups.clone()),
+            relay: RelayState::new(setup.relay_key),
             draining: Cell::new(false),
             lines: RequestLines::default(),
             demand: setup.demand.clone(),
@@ -147,6 +156,7 @@
             random: RefCell::new(SmallRng::seed_from_u64(setup.boot.0)),
         });
         tokio::task::spawn_local(sweep_periodically(Rc::clone(&server)));
+        tokio::task::spawn_local(links::try_lost_links(Rc::clone(&server)));
         server
     }
 
@@ -250,6 +260,7 @@
         server.breakers.borrow_mut().forget(is_in_view, now);
         server.latency_baselines.borrow_mut().forget_old(now);
         server.drop_ended_permits();
+        server.forget_relays();
         server.rates.borrow_mut().retain(|id, _| is_in_view(id));
         server.pool.close_expired();
     }
--- a/entry/src/serve/routed/source.rs
+++ b/entry/src/serve/routed/source.rs
@@ -14,13 +14,19 @@
     Bytes,
     BytesMut, //
 };
-use cicadabend::request::first_event_len;
+use cicadabend::{
+    prelude::*,
+    request::first_event_len, //
+};
 use http_body::Body;
 use hyper::body::Incoming;
 
-use super::super::upstream::{
-    Lease,
-    error_with_causes, //
+use super::{
+    super::upstream::{
+        Lease,
+        error_with_causes, //
+    },
+    links::RelayUse,
 };
 
 /// Time for which an idle connection stays pooled if the upstream names none.
@@ -32,6 +38,8 @@
     incoming: Incoming,
     lease: Lease,
     keep_for: Duration,
+    /// The relay that the response comes through, if any.
+    relay: Option<RelayUse>,
 }
 
 impl AnswerRest {
@@ -40,9 +48,20 @@
             incoming,
             lease,
             keep_for,
+            relay: None,
         }
     }
 
+    /// Names the relay that the response comes through.
+    pub(super) fn through(self, relay: Option<RelayUse>) -> Self {
+        Self { relay, ..self }
+    }
+
+    /// Returns the relay that the response comes through, if any.
+    pub(super) fn relay(&self) -> Option<&DaemonId> {
+        self.relay.as_ref().map(RelayUse::daemon)
+    }
+
     /// Polls for more bytes of the body; `None` is its end.
     pub(super) fn poll_data(
         &mut self,
@@ -112,6 +131,11 @@
         self.last_event
     }
 
+    /// Returns the relay that the events come through, if any.
+    pub(super) fn relay(&self) -> Option<&DaemonId> {
+        self.rest.relay()
+    }
+
     /// Returns the connection to the pool; the stream must have ended.
     pub(super) fn return_to_pool(self) {
         self.rest.return_to_pool();
--- a/entry/src/serve/routed/stream.rs
+++ b/entry/src/serve/routed/stream.rs
@@ -208,7 +208,7 @@
         match source.poll_events(context) {
             Poll::Ready(Some(Ok(events))) => {
                 self.last_event_at = Instant::now();
-                execution.record_progress();
+                execution.record_progress(source.relay());
                 self.stage = Stage::Live(execution, source);
                 Some(Poll::Ready(Some(Ok(Frame::data(events)))))
             }
@@ -229,7 +229,7 @@
                     Some(Poll::Pending)
                 }
                 Lateness::Pause
-                    if !execution.report_if_stalled(self.last_event_at.elapsed())
+                    if !execution.report_pause(self.last_event_at.elapsed(), source.relay())
                         && !self.waits_alone =>
                 {
                     // Other streams of the replica progress, so the replica still works.
--- a/entry/src/serve/routed/upstream_signals.rs
+++ b/entry/src/serve/routed/upstream_signals.rs
@@ -1,6 +1,8 @@
 //! Records what upstreams signal by their response headers beyond the single request: backoff,
 //! shutdown and request rates.
 
+use std::time::Duration;
+
 use cicadabend::{
     breaker::{
         Admission,
@@ -10,6 +12,7 @@
     registry::InstanceId,
 };
 
+use super::source::DEFAULT_KEEP_ALIVE;
 use super::{
     counts::Routed,
     events::LogEvent,
@@ -25,6 +28,11 @@
     UpstreamSignals,
 };
 
+/// Time that is subtracted from the upstream's keep-alive time for pooled connections.
+///
+/// Covers the network delay and a daemon that the kernel doesn't schedule for a while.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
+
 /// Records the backoff and the shutdown that an upstream's response signals.
 pub(super) fn record_availability(
     server: &Server,
@@ -85,6 +93,12 @@
     });
 }
 
+/// Returns the time for which a connection may be pooled after a response with these signals.
+pub(super) fn keep_alive(signals: &UpstreamSignals) -> Duration {
+    let keeps_for = signals.keeps_for.unwrap_or(DEFAULT_KEEP_ALIVE);
+    keeps_for.saturating_sub(KEEP_ALIVE_MARGIN)
+}
+
 /// Checks that the upstream still takes requests, after the request has waited for a connection.
 ///
 /// # Errors
--- a/entry/src/serve/upstream.rs
+++ b/entry/src/serve/upstream.rs
@@ -88,6 +88,19 @@
     },
 }
 
+impl AttemptError {
+    /// Returns whether the connection was refused, which means that nothing listens there.
+    pub(super) fn is_refused(&self) -> bool {
+        matches!(
+            self,
+            AttemptError::NotConnected {
+                is_refused: true,
+                ..
+            }
+        )
+    }
+}
+
 /// The writes of one connection; shared between the connection's owner and its task.
 #[derive(Default)]
 struct WriteState {
@@ -217,6 +230,11 @@
 }
 
 impl SentBytes {
+    /// Forgets a connection on which, as its other end reports, nothing was sent on.
+    pub(super) fn forget(&self) {
+        self.current.take();
+    }
+
     /// Stops all writes of the attempt and returns the number of bytes that it has written.
     ///
     /// The writes are stopped before they are counted. No byte can follow, so zero proves that the
@@ -254,26 +272,27 @@
 
     /// Takes an idle connection from the pool, or opens a new one.
     pub(super) async fn lease(&self, address: Address) -> Result<Lease, AttemptError> {
-        match self.take_idle(address) {
-            Some(connection) => Ok(self.make_lease(address, connection, true)),
+        match self.idle_lease(address, true) {
+            Some(lease) => Ok(lease),
             None => self.lease_new(address).await,
         }
     }
 
-    /// Takes a recently used connection from the pool, or opens a new one.
+    /// Takes an idle connection from the pool; only a recently used one if the request is not
+    /// idempotent.
     ///
-    /// Meant for requests that are not idempotent. If the upstream closes an idle connection just
-    /// as the request is written, nobody can tell whether the upstream has read the request.
-    pub(super) async fn lease_recently_used(
-        &self,
-        address: Address,
-    ) -> Result<Lease, AttemptError> {
+    /// If the upstream closes an idle connection just as the request is written, nobody can tell
+    /// whether the upstream has read the request.
+    pub(super) fn idle_lease(&self, address: Address, is_idempotent: bool) -> Option<Lease> {
         let now = Instant::now();
         let taken = self.take_idle(address);
-        match taken.filter(|connection| connection.is_recently_used(now)) {
-            Some(connection) => Ok(self.make_lease(address, connection, true)),
-            None => self.lease_new(address).await,
-        }
+        let usable = taken.filter(|taken| is_idempotent || taken.is_recently_used(now));
+        usable.map(|connection| self.make_lease(address, connection, true))
+    }
+
+    /// Closes the idle connections to an upstream.
+    pub(super) fn close_idle(&self, address: Address) {
+        self.idle.borrow_mut().remove(&address);
     }
 
     /// Closes connections that were idle for longer than their upstream keeps them open.
@@ -292,26 +311,6 @@
         Ok(self.make_lease(address, connection, false))
     }
 
-    /// Connects to an address and returns whether the connection was refused, which means that
-    /// nothing listens there.
-    ///
-    /// A connection that is made goes into the pool for `keep_for`.
-    pub(super) async fn is_connection_refused(&self, address: Address, keep_for: Duration) -> bool {
-        match self.lease_new(address).await {
-            Ok(lease) => {
-                lease.return_to_pool_for(keep_for);
-                false
-            }
-            Err(error) => matches!(
-                error,
-                AttemptError::NotConnected {
-                    is_refused: true,
-                    ..
-                }
-            ),
-        }
-    }
-
     fn make_lease(&self, address: Address, connection: Connection, is_reused: bool) -> Lease {
         Lease {
             address,
--- a/lib/src/discovery/control.rs
+++ b/lib/src/discovery/control.rs
@@ -43,6 +43,11 @@
         RateTable,
         RateUpdate, //
     },
+    reach::{
+        Relay,
+        RelayOffer,
+        relays_for, //
+    },
     registry::{
         Ended,
         InstanceId,
@@ -89,6 +94,19 @@
     sent: Option<(RouteVersion, Timestamp)>,
     /// When this daemon first saw that the entry daemon's table is outdated; `None` if it is not.
     behind_since: Option<Timestamp>,
+    failure_domain: FailureDomain,
+    /// The daemon's offer to relay requests.
+    relay: Option<RelayOffer>,
+    /// The digest of the relays to name to the daemon, and the version of the offers that it was
+    /// computed from.
+    relays: Option<(u64, u64)>,
+}
+
+impl EntryDaemon {
+    /// Returns whether a `Hello` has arrived within the silence limit.
+    fn is_live(&self, now: Timestamp) -> bool {
+        now.since(self.last_contact) <= MembersSettings::default().silent_limit
+    }
 }
 
 /// Discovery at a control daemon.
@@ -115,6 +133,8 @@
     crashes: CrashSpread,
     /// The request rates that upstreams name in their answers.
     rates: RateSpread,
+    /// The number of changes of the offers to relay requests, and of the daemons that are live.
+    offers_version: u64,
     /// Whether any caller has been served since the fleet's first start.
     has_served: bool,
     alive_due: Timestamp,
@@ -143,6 +163,7 @@
             ends: RecentEnds::default(),
             receives_from: BTreeSet::new(),
             synced_with: BTreeSet::new(),
+            offers_version: 0,
             has_served,
             alive_due: Timestamp::default(),
             ends_due: Timestamp::default(),
@@ -238,6 +259,34 @@
             }
         }
         self.send_routes(&daemon, routes, now);
+        if let Some(digest) = hello.relays {
+            self.send_relays(&daemon, digest, now);
+        }
+    }
+
+    /// Sends an entry daemon the relays that it may use, unless `digest` shows that it has them.
+    fn send_relays(&mut self, to: &DaemonId, digest: u64, now: Timestamp) {
+        let version = self.offers_version;
+        let Some(entry) = self.entries.get(to) else {
+            return;
+        };
+        if entry.relays == Some((version, digest)) {
+            return;
+        }
+        let offers = self.live_entries(now).filter_map(|(daemon, entry)| {
+            Some(Relay {
+                daemon: daemon.clone(),
+                failure_domain: entry.failure_domain.clone(),
+                offer: entry.relay.clone()?,
+            })
+        });
+        let update = relays_for(to, &entry.failure_domain, offers);
+        if let Some(entry) = self.entries.get_mut(to) {
+            entry.relays = Some((version, update.digest));
+        }
+        if update.digest != digest {
+            self.send(to, PeerMessage::Relays(Box::new(update)));
+        }
     }
 
     fn record_entry_daemon(
@@ -247,6 +296,11 @@
         newest: NewestRoutes,
         now: Timestamp,
     ) {
+        let before = self.entries.get(daemon);
+        let is_live = before.is_some_and(|entry| entry.is_live(now));
+        if !is_live || before.is_some_and(|entry| entry.relay != hello.relay) {
+            self.offers_version += 1;
+        }
         let known = self.entries.entry(daemon.clone());
         let known = known.or_insert(EntryDaemon {
             routes: hello.routes,
@@ -255,6 +309,9 @@
             demand: Vec::new(),
             sent: None,
             behind_since: None,
+            failure_domain: hello.member.failure_domain.clone(),
+            relay: None,
+            relays: None,
         });
         if hello.routes < known.routes {
             // The entry daemon has restarted and lost the table that was sent to it before.
@@ -264,6 +321,10 @@
         known.subscribes = hello.subscribes;
         known.last_contact = now;
         known.demand.clone_from(&hello.demand);
+        known
+            .failure_domain
+            .clone_from(&hello.member.failure_domain);
+        known.relay.clone_from(&hello.relay);
         match hello.routes < newest.version_or_default() {
             true => {
                 known.behind_since.get_or_insert(now);
@@ -450,6 +511,8 @@
                 has_served: self.has_served,
                 demand: Vec::new(),
                 stalled: Vec::new(),
+                relay: None,
+                relays: None,
             };
             self.add_peer(&daemon, address);
             self.send(&daemon, PeerMessage::Hello(Box::new(hello)));
@@ -476,6 +539,7 @@
 
     fn log_silent_daemons(&mut self, now: Timestamp) {
         for (daemon, silence) in self.members.newly_silent(now) {
+            self.offers_version += 1;
             self.log(DiscoveryEvent::DaemonSilent(daemon, silence));
         }
     }
@@ -537,9 +601,8 @@
 
     /// Returns the live entry daemons: those with a `Hello` within the silence limit.
     fn live_entries(&self, now: Timestamp) -> impl Iterator<Item = (&DaemonId, &EntryDaemon)> {
-        let limit = MembersSettings::default().silent_limit;
         let entries = self.entries.iter();
-        entries.filter(move |(_, entry)| now.since(entry.last_contact) <= limit)
+        entries.filter(move |(_, entry)| entry.is_live(now))
     }
 
     fn add_peer(&mut self, daemon: &DaemonId, address: Address) {
--- a/lib/src/discovery/entry.rs
+++ b/lib/src/discovery/entry.rs
@@ -43,6 +43,7 @@
         RateTable,
         RateUpdate, //
     },
+    reach::RelayOffer,
     registry::{
         InstanceId,
         ReceivedReport,
@@ -66,6 +67,8 @@
     pub demand: Vec<(ServiceName, ModelName, u32)>,
     /// Heads of groups all of whose response streams have made no progress recently.
     pub stalled: Vec<InstanceId>,
+    /// This daemon's offer to relay requests; `None` if it takes none.
+    pub relay: Option<RelayOffer>,
 }
 
 /// Discovery at an entry daemon.
@@ -88,6 +91,8 @@
     has_upstreams: bool,
     entry_count: u32,
     entry_index: u32,
+    /// The digest of the relays that a control daemon has named last.
+    relays_digest: u64,
     hello_due: Timestamp,
     actions: Vec<Action>,
 }
@@ -111,6 +116,7 @@
             has_upstreams: false,
             entry_count: 1,
             entry_index: 0,
+            relays_digest: 0,
             hello_due: Timestamp::default(),
             actions: Vec::new(),
         }
@@ -137,6 +143,11 @@
         self.entry_index
     }
 
+    /// Takes in the digest of the relays that a control daemon has named.
+    pub fn handle_relays_message(&mut self, digest: u64) {
+        self.relays_digest = digest;
+    }
+
     /// Returns whether this daemon subscribes to the reports of any control daemon.
     pub fn has_source(&self) -> bool {
         !self.sources.is_empty()
@@ -322,7 +333,9 @@
             self.receives_from.remove(&daemon);
             self.actions.push(Action::RemovePeer(daemon));
         }
+        let preferred = self.members.controls_by_preference(now).into_iter().next();
         for (daemon, address) in self.members.hello_targets() {
+            let names_relays = preferred.as_ref() == Some(&daemon);
             let hello = Hello {
                 member: self.members.me().clone(),
                 routes: status.routes.unwrap_or_default(),
@@ -332,6 +345,8 @@
                 has_served: status.has_served,
                 demand: status.demand.clone(),
                 stalled: status.stalled.clone(),
+                relay: status.relay.clone(),
+                relays: names_relays.then_some(self.relays_digest),
             };
             self.actions.push(Action::AddPeer(daemon.clone(), address));
             let message = PeerMessage::Hello(Box::new(hello));
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`discovery`]: how daemons forward the reports of upstreams to each other.
 //! - [`dispatch`]: the choice of an upstream for a routed request.
 //! - [`rates`]: the rates that upstreams name, and the permits that keep daemons within them.
+//! - [`reach`]: which upstreams a daemon reaches itself, and which daemons relay its requests.
 //! - [`breaker`]: circuit breakers that follow upstreams' own refusals.
 //! - [`quarantine`]: requests that crash the upstreams which run them.
 //! - [`routing`], [`admission`], [`claims`], [`request`]: the handling of one request.
@@ -41,6 +42,7 @@
 pub mod prelude;
 pub mod quarantine;
 pub mod rates;
+pub mod reach;
 mod rebroadcast_queue;
 pub mod registry;
 pub mod request;
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -30,6 +30,10 @@
         PermitUpdate,
         RateUpdate, //
     },
+    reach::{
+        RelayOffer,
+        RelayUpdate, //
+    },
     registry::{
         Alive,
         Ended,
@@ -51,7 +55,7 @@
 };
 
 /// The version of this protocol; a process drops and counts messages of another version.
-pub const PROTOCOL_VERSION: u16 = 7;
+pub const PROTOCOL_VERSION: u16 = 8;
 
 /// A daemon's role, as cluster members that find each other by seeds announce it.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
@@ -101,6 +105,10 @@
     pub demand: Vec<(ServiceName, ModelName, u32)>,
     /// Heads of groups all of whose streams through the sender have recently stalled.
     pub stalled: Vec<InstanceId>,
+    /// The sender's offer to relay other entry daemons' requests.
+    pub relay: Option<RelayOffer>,
+    /// The digest of the relays that the sender knows, if it asks the receiver to name them.
+    pub relays: Option<u64>,
 }
 
 /// The cluster members that a control daemon knows.
@@ -223,6 +231,8 @@
     GrantRequest(Box<GrantRequest>),
     /// The leader of the control daemons to entry: retries from the slack.
     Grants(Box<GrantUpdate>),
+    /// Control to entry: the entry daemons that relay the receiver's requests.
+    Relays(Box<RelayUpdate>),
 }
 
 /// A control daemon's heartbeat to the other control daemons.
--- a/lib/src/time.rs
+++ b/lib/src/time.rs
@@ -23,6 +23,12 @@
     pub fn since(self, earlier: Timestamp) -> Duration {
         Duration::from_millis(self.0.saturating_sub(earlier.0))
     }
+
+    /// Returns the time that is `length` before this one, not earlier than zero.
+    pub fn before(self, length: Duration) -> Timestamp {
+        let length_ms = u64::try_from(length.as_millis()).unwrap_or(u64::MAX);
+        Timestamp(self.0.saturating_sub(length_ms))
+    }
 }
 
 impl Add<Duration> for Timestamp {
--- a/lib/tests/test_discovery/main.rs
+++ b/lib/tests/test_discovery/main.rs
@@ -5,4 +5,5 @@
 mod test_crashes;
 mod test_cuts;
 mod test_rates;
+mod test_relays;
 mod world;
--- a/lib/tests/test_discovery/world.rs
+++ b/lib/tests/test_discovery/world.rs
@@ -32,6 +32,12 @@
         SuspectTable, //
     },
     rates::RateTable,
+    reach::{
+        LinkGroup,
+        Relay,
+        RelayKey,
+        RelayOffer, //
+    },
     registry::{
         InstanceId,
         Registration,
@@ -87,6 +93,10 @@
     rates: BTreeMap<DaemonId, RateTable>,
     /// The number of rate updates that each entry daemon has received.
     rate_messages: BTreeMap<DaemonId, usize>,
+    /// What each entry daemon offers to relay; none if it has no entry.
+    offers: BTreeMap<DaemonId, RelayOffer>,
+    /// The relays that were last named to each entry daemon, and how often any were.
+    relays: BTreeMap<DaemonId, (Vec<Relay>, usize)>,
 }
 
 pub fn daemon(name: &str) -> DaemonId {
@@ -145,6 +155,8 @@
             suspects: BTreeMap::new(),
             rates: BTreeMap::new(),
             rate_messages: BTreeMap::new(),
+            offers: BTreeMap::new(),
+            relays: BTreeMap::new(),
         };
         for me in members {
             let (name, seeds) = (me.daemon.clone(), seeds.clone());
@@ -304,6 +316,30 @@
         tables.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Has an entry daemon offer to relay requests, except for lost groups of links.
+    pub fn offer_relay(&mut self, entry: &str, lost: Vec<LinkGroup>) {
+        let offer = RelayOffer {
+            address: address(1),
+            key: RelayKey(1),
+            lost,
+        };
+        self.offers.insert(daemon(entry), offer);
+        let discovery = self.entries.get_mut(&daemon(entry));
+        discovery.unwrap().schedule_hello();
+    }
+
+    /// Returns the relays that an entry daemon knows.
+    pub fn relays(&self, entry: &str) -> &[Relay] {
+        let known = self.relays.get(&daemon(entry));
+        known.map_or(&[], |(relays, _)| relays)
+    }
+
+    /// Returns how often relays were named to an entry daemon.
+    pub fn relay_messages(&self, entry: &str) -> usize {
+        let known = self.relays.get(&daemon(entry));
+        known.map_or(0, |(_, messages)| *messages)
+    }
+
     /// Returns the number of rate updates that an entry daemon has received.
     pub fn rate_messages(&self, entry: &str) -> usize {
         let messages = self.rate_messages.get(&daemon(entry));
@@ -474,6 +510,11 @@
                 *self.rate_messages.entry(delivery.to.clone()).or_default() += 1;
                 entry.handle_rates_message(&update, now);
             }
+            PeerMessage::Relays(update) => {
+                entry.handle_relays_message(update.digest);
+                let known = self.relays.entry(delivery.to.clone()).or_default();
+                *known = (update.relays, known.1 + 1);
+            }
             other => panic!("an entry daemon got {other:?}"),
         }
         let actions = entry.take_actions();
@@ -497,6 +538,7 @@
         for (name, entry) in &mut self.entries {
             if entry.is_hello_due(now) {
                 let status = EntryStatus {
+                    relay: self.offers.get(name).cloned(),
                     routes: Some(RouteVersion(1)),
                     ..EntryStatus::default()
                 };
