entry: a refused connection is proof of a crash only if another upstream is in reach

Found beside the lost links: links that are reset and then refuse connections look like upstreams that crashed with their requests. A daemon reported each of them, and requests of honest callers became suspects at all daemons.

A refusal now counts only if this daemon reaches another upstream; otherwise a relay is asked to connect, which answers by the same rule. test_lost_links counts no crash; requests that end upstreams are still found (test_crashes).

--- a/entry/src/serve/routed/crash_probe.rs
+++ b/entry/src/serve/routed/crash_probe.rs
@@ -16,7 +16,13 @@
     counts::Routed,
     crash_watch::BrokenRequest,
     events::LogEvent,
-    server::Server, //
+    links::{
+        Liveness,
+        check_liveness, //
+    },
+    relay_headers::RelayReport,
+    server::Server,
+    transport::ask_to_connect, //
 };
 use crate::members::RoutedReplica;
 
@@ -73,8 +79,11 @@
     let _ = server.crashes.push(observations);
 }
 
-/// Returns whether nothing listens at an upstream's address.
+/// Returns whether an upstream has ended; asks relays if this daemon can't tell.
 async fn has_crashed(server: &Rc<Server>, replica: &RoutedReplica) -> bool {
-    let connected = server.connect_fully(replica).await;
-    connected.is_err_and(|error| error.is_refused())
+    match check_liveness(server, replica).await {
+        Liveness::Alive => false,
+        Liveness::Ended => true,
+        Liveness::Unknown => ask_to_connect(server, replica).await == Some(RelayReport::Refused),
+    }
 }
--- a/entry/src/serve/routed/links.rs
+++ b/entry/src/serve/routed/links.rs
@@ -287,10 +287,7 @@
     }
 
     /// Opens a connection to a replica and records what that shows of the link.
-    pub(super) async fn connect_fully(
-        &self,
-        replica: &RoutedReplica,
-    ) -> Result<Lease, AttemptError> {
+    async fn connect_fully(&self, replica: &RoutedReplica) -> Result<Lease, AttemptError> {
         let outcome = self.pool.lease_new(replica.address).await;
         match &outcome {
             Ok(_) => self.record_connected(replica),
