platform, lib: the soak cuts links to upstreams; late relays are preferred less, not left out

A slow upstream made each of its relays look useless for 0.7 s in turn; with all left out, requests would have been refused although upstreams were in reach. Found by reading, not seen in a run. Silence of a relay's own link no longer refuses a relayed request either: a new connection decides.

--- a/entry/src/serve/routed/account.rs
+++ b/entry/src/serve/routed/account.rs
@@ -131,7 +131,7 @@
         let replica = &reservation.replica;
         match relay {
             Some(relay) => {
-                let failure = RelayFailure::Unreached(replica.link_group());
+                let failure = RelayFailure::Late(replica.link_group());
                 self.server.record_relay_failure(relay, failure);
             }
             None => {
--- a/entry/src/serve/routed/links.rs
+++ b/entry/src/serve/routed/links.rs
@@ -143,8 +143,13 @@
         if self.choose_relay(view, &group, &[]).is_some() {
             return true;
         }
+        !self.has_failed_connection(replica)
+    }
+
+    /// Returns whether connections have failed by a lost link, or by others of its lost group.
+    pub(super) fn has_failed_connection(&self, replica: &RoutedReplica) -> bool {
         let tracker = self.links.tracker.borrow();
-        !tracker.has_failed_connection(&replica.id, &group)
+        tracker.has_failed_connection(&replica.id, &replica.link_group())
     }
 
     /// Returns the relay to use for a replica, apart from those in `tried`.
@@ -336,7 +341,7 @@
                 LinkChange::GroupRegained { .. } => has_changed_groups = true,
                 LinkChange::Regained { .. } => {}
             }
-            log_change(change);
+            self.log_link_change(change);
         }
         if has_changed_groups {
             let lost = self.links.tracker.borrow().lost_groups();
@@ -344,6 +349,46 @@
         }
     }
 
+    fn log_link_change(&self, change: LinkChange) {
+        let is_of_group = matches!(
+            change,
+            LinkChange::GroupLost { .. } | LinkChange::GroupRegained { .. }
+        );
+        let event = match change {
+            LinkChange::Lost {
+                id,
+                group,
+                evidence,
+                silent,
+            } => LogEvent::LinkLost {
+                instance: id,
+                group: group.to_string(),
+                why: evidence.to_string(),
+                silent_ms: silent.map_or("never heard".to_owned(), |silent| {
+                    silent.as_millis().to_string()
+                }),
+            },
+            LinkChange::Regained { id, group, lost } => LogEvent::LinkRegained {
+                instance: id,
+                group: group.to_string(),
+                lost_ms: lost.as_millis(),
+            },
+            LinkChange::GroupLost { group, links } => LogEvent::LinkGroupLost {
+                group: group.to_string(),
+                links,
+            },
+            LinkChange::GroupRegained { group, lost } => LogEvent::LinkGroupRegained {
+                group: group.to_string(),
+                lost_ms: lost.as_millis(),
+            },
+        };
+        // Links may be many; the lines on groups are few.
+        match is_of_group {
+            true => event.emit(),
+            false => self.log(&event),
+        }
+    }
+
     /// Closes idle connections to upstreams, which would swallow the next requests.
     fn discard_idle(&self, is_lost: impl Fn(&RoutedReplica) -> bool) {
         let known = Arc::clone(&self.links.known.borrow());
@@ -392,38 +437,6 @@
     }
 }
 
-fn log_change(change: LinkChange) {
-    let event = match change {
-        LinkChange::Lost {
-            id,
-            group,
-            evidence,
-            silent,
-        } => LogEvent::LinkLost {
-            instance: id,
-            group: group.to_string(),
-            why: evidence.to_string(),
-            silent_ms: silent.map_or("never heard".to_owned(), |silent| {
-                silent.as_millis().to_string()
-            }),
-        },
-        LinkChange::Regained { id, group, lost } => LogEvent::LinkRegained {
-            instance: id,
-            group: group.to_string(),
-            lost_ms: lost.as_millis(),
-        },
-        LinkChange::GroupLost { group, links } => LogEvent::LinkGroupLost {
-            group: group.to_string(),
-            links,
-        },
-        LinkChange::GroupRegained { group, lost } => LogEvent::LinkGroupRegained {
-            group: group.to_string(),
-            lost_ms: lost.as_millis(),
-        },
-    };
-    event.emit();
-}
-
 /// What connections show of an upstream that broke off requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Liveness {
--- a/entry/src/serve/routed/relay_server.rs
+++ b/entry/src/serve/routed/relay_server.rs
@@ -365,10 +365,12 @@
     found.cloned().ok_or(RelayReport::UnknownInstance)
 }
 
-/// Checks that this daemon's own link is whole, so that requests go over one relay at most.
+/// Checks that no connection has failed by this daemon's own link, so that requests go over one
+/// relay at most. Silence is no proof; a new connection is, which is made before a request is sent.
 fn check_link(server: &Server, replica: &RoutedReplica) -> Result<(), RelayReport> {
     let view = server.view.load();
-    if server.link_use(&view, replica) != LinkUse::Relayed {
+    let is_lost = server.link_use(&view, replica) == LinkUse::Relayed;
+    if !is_lost || !server.has_failed_connection(replica) {
         return Ok(());
     }
     Err(match server.is_group_lost(&replica.link_group()) {
--- a/entry/src/serve/routed/transport.rs
+++ b/entry/src/serve/routed/transport.rs
@@ -315,7 +315,7 @@
         Ok(outcome) => outcome,
         Err(_) => {
             prepared.record_unanswered(sent_at);
-            let failure = RelayFailure::Unreached(replica.link_group());
+            let failure = RelayFailure::Late(replica.link_group());
             server.record_relay_failure(&relay.daemon, failure);
             sending.await
         }
--- a/lib/src/reach/relays.rs
+++ b/lib/src/reach/relays.rs
@@ -15,10 +15,15 @@
 const FAILURE_PAUSE: Duration = Duration::from_millis(700);
 /// How long a relay that has no room is not asked again.
 const NO_ROOM_PAUSE: Duration = Duration::from_millis(150);
+/// How long a relay without a response in the usual time is chosen only if others have far more
+/// requests. It is not left out: the upstream may be slow, also for all others.
+const LATE_PAUSE: Duration = Duration::from_millis(700);
 /// A relay in another failure domain is chosen as if it had this many requests more.
 const FAR_REQUESTS: u32 = 8;
+/// A relay without a response in the usual time is chosen as if it had this many requests more.
+const LATE_REQUESTS: u32 = 24;
 
-/// Why a relay did not send a request on.
+/// Why a relay was of no use for a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum RelayFailure {
     /// The relay could not be reached, or takes nothing from this daemon.
@@ -27,6 +32,8 @@
     NoRoom,
     /// The relay reaches no upstream of this group either.
     Unreached(LinkGroup),
+    /// Nothing has come from an upstream of this group in the usual time.
+    Late(LinkGroup),
 }
 
 #[derive(Clone, Debug, Default)]
@@ -34,6 +41,7 @@
     in_flight: u32,
     paused_until: Timestamp,
     unreached_until: HashMap<LinkGroup, Timestamp>,
+    late_until: HashMap<LinkGroup, Timestamp>,
 }
 
 impl RelayState {
@@ -41,6 +49,15 @@
         let unreached = self.unreached_until.get(group);
         now >= self.paused_until && unreached.is_none_or(|until| now >= *until)
     }
+
+    /// Returns the relay's requests, and those that count for being late.
+    fn cost(&self, group: &LinkGroup, now: Timestamp) -> u32 {
+        let late_until = self.late_until.get(group);
+        match late_until.is_some_and(|until| now < *until) {
+            true => self.in_flight + LATE_REQUESTS,
+            false => self.in_flight,
+        }
+    }
 }
 
 /// What one daemon knows of its relays by the requests that it has given them.
@@ -72,7 +89,7 @@
                 true => 0,
                 false => FAR_REQUESTS,
             };
-            state.map_or(0, |state| state.in_flight) + far
+            state.map_or(0, |state| state.cost(group, now)) + far
         };
         let usable: Vec<&Relay> = relays.iter().filter(is_usable).collect();
         let least = usable.iter().map(|relay| cost(relay)).min()?;
@@ -95,7 +112,7 @@
         state.in_flight = state.in_flight.saturating_sub(1);
     }
 
-    /// Records why a relay did not send a request on, so that it is not asked again for a while.
+    /// Records why a relay was of no use for a request, so that others are preferred for a while.
     pub fn record_failure(&mut self, daemon: &DaemonId, failure: RelayFailure, now: Timestamp) {
         let state = self.state(daemon);
         match failure {
@@ -105,6 +122,9 @@
                 let until = now + FAILURE_PAUSE;
                 state.unreached_until.insert(group, until);
             }
+            RelayFailure::Late(group) => {
+                state.late_until.insert(group, now + LATE_PAUSE);
+            }
         }
     }
 
@@ -112,6 +132,7 @@
     pub fn forget(&mut self, is_named: impl Fn(&DaemonId) -> bool, now: Timestamp) {
         for state in self.states.values_mut() {
             state.unreached_until.retain(|_, until| now < *until);
+            state.late_until.retain(|_, until| now < *until);
         }
         self.states
             .retain(|daemon, state| state.in_flight > 0 || is_named(daemon));
--- a/lib/tests/test_reach.rs
+++ b/lib/tests/test_reach.rs
@@ -316,6 +316,21 @@
     );
 }
 
+/// Guards against requests that are refused because slow upstreams make all relays look useless.
+#[test]
+fn a_late_relay_is_chosen_only_if_there_is_no_other() {
+    let mut table = RelayTable::default();
+    let relays = [relay("late", "a", &[]), relay("far", "b", &[])];
+    let late: DaemonId = "late".parse().unwrap();
+
+    table.record_failure(&late, RelayFailure::Late(group("a")), ms(1_000));
+
+    let of_two = choose(&table, &relays, ms(1_100), 0);
+    let of_one = choose(&table, &relays[..1], ms(1_100), 0);
+    assert_eq!(of_two.as_deref(), Some("far"));
+    assert_eq!(of_one.as_deref(), Some("late"));
+}
+
 /// Guards against a relay that is shut out for all upstreams although it has lost one group.
 #[test]
 fn a_relay_that_reaches_no_upstream_of_one_group_serves_the_others() {
--- a/testing/testutils/src/upstream_links.rs
+++ b/testing/testutils/src/upstream_links.rs
@@ -52,6 +52,8 @@
 const BUFFER_BYTES: usize = 64 * 1024;
 /// The queue of a listener that accepts connections.
 const USUAL_BACKLOG: u32 = 1_024;
+/// After this long it is seen whether an upstream that had ended listens again.
+const LISTEN_AGAIN_AFTER: Duration = Duration::from_millis(50);
 /// After this long a connection on loopback has not been made because the queue is full.
 const QUEUE_IS_FULL_AFTER: Duration = Duration::from_millis(60);
 
@@ -147,7 +149,13 @@
         let listener = listen(SocketAddr::new(self.ip, 0), USUAL_BACKLOG)?;
         let address = listener.local_addr()?;
         by_target.insert(target, address);
-        tokio::spawn(serve_link(listener, address, target, self.state.clone()));
+        let link = Link {
+            address,
+            target,
+            state: self.state.clone(),
+            is_ended: Arc::new(watch::Sender::new(false)),
+        };
+        tokio::spawn(serve_link(link, listener));
         Ok(address)
     }
 
@@ -186,51 +194,80 @@
     }
 }
 
-/// Serves the link to one upstream, whole or cut.
-async fn serve_link(
-    mut listener: TcpListener,
+/// The link to one upstream.
+#[derive(Clone)]
+struct Link {
     address: SocketAddr,
     target: SocketAddr,
-    mut state: State,
-) {
+    state: State,
+    /// Whether nothing listens at the upstream's address any more.
+    is_ended: Arc<watch::Sender<bool>>,
+}
+
+/// How a link treats new connections.
+enum Accepting {
+    All(TcpListener),
+    None,
+    Hanging {
+        _queue: (TcpListener, Vec<TcpStream>),
+    },
+}
+
+/// Serves the link to one upstream, whole or cut, for as long as the test runs.
+async fn serve_link(link: Link, listener: TcpListener) {
+    let mut state = link.state.clone();
+    let mut ended = link.is_ended.subscribe();
+    let mut accepting = Accepting::All(listener);
     loop {
-        let cut = *state.borrow_and_update();
-        match cut {
-            None => {
-                let observed = state.clone();
-                let accepting = accept_all(&listener, target, &observed);
-                tokio::select! {
-                    () = accepting => {}
-                    changed = state.changed() => if changed.is_err() { return },
-                }
-                continue;
-            }
-            Some(cut) => {
-                drop(listener);
-                let _queue = match cut.refuses_new() {
-                    true => None,
-                    false => full_queue(address).await.ok(),
-                };
-                if state.changed().await.is_err() {
-                    return;
-                }
-            }
+        tokio::select! {
+            () = link.accept(&accepting) => {}
+            changed = state.changed() => if changed.is_err() { return },
+            _ = ended.changed() => {}
         }
-        listener = loop {
-            match listen(address, USUAL_BACKLOG) {
-                Ok(listener) => break listener,
-                Err(_) => sleep(Duration::from_millis(10)).await,
-            }
+        // What accepted before ends first, for the address is used again.
+        drop(std::mem::replace(&mut accepting, Accepting::None));
+        let cut = *state.borrow_and_update();
+        let is_ended = *ended.borrow_and_update();
+        accepting = match cut {
+            Some(cut) if !cut.refuses_new() => match full_queue(link.address).await {
+                Ok(queue) => Accepting::Hanging { _queue: queue },
+                Err(_) => Accepting::None,
+            },
+            None if !is_ended => match listen(link.address, USUAL_BACKLOG) {
+                Ok(listener) => Accepting::All(listener),
+                Err(_) => Accepting::None,
+            },
+            _ => Accepting::None,
         };
     }
 }
 
-async fn accept_all(listener: &TcpListener, target: SocketAddr, state: &State) {
-    loop {
-        if let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(pass(stream, target, state.clone()));
+impl Link {
+    /// Accepts connections; without a listener, waits until another one may be made.
+    async fn accept(&self, accepting: &Accepting) {
+        match accepting {
+            Accepting::All(listener) => loop {
+                if let Ok((stream, _)) = listener.accept().await {
+                    tokio::spawn(pass(stream, self.clone()));
+                }
+            },
+            Accepting::Hanging { .. } => std::future::pending().await,
+            Accepting::None => {
+                sleep(LISTEN_AGAIN_AFTER).await;
+                self.check_target().await;
+            }
         }
     }
+
+    /// Finds out whether the upstream has ended, so that new connections are refused as its own.
+    async fn check_target(&self) {
+        let is_ended = TcpStream::connect(self.target).await.is_err();
+        self.is_ended.send_if_modified(|known| {
+            let is_changed = *known != is_ended;
+            *known = is_ended;
+            is_changed
+        });
+    }
 }
 
 /// Returns a listener that accepts nothing and the connections that fill its queue.
@@ -246,23 +283,32 @@
 }
 
 /// Passes the bytes of one connection both ways until it ends or is reset.
-async fn pass(from: TcpStream, target: SocketAddr, state: State) {
-    let Ok(onward) = TcpStream::connect(target).await else {
+async fn pass(from: TcpStream, link: Link) {
+    let Ok(onward) = TcpStream::connect(link.target).await else {
+        link.check_target().await;
         return;
     };
     for stream in [&from, &onward] {
         // A connection that has ended shows that when it is read.
         let _ = stream.set_nodelay(true);
     }
+    let state = link.state.clone();
     let mut resets = state.clone();
     let (from_read, from_write) = from.into_split();
     let (onward_read, onward_write) = onward.into_split();
     let requests = copy(from_read, onward_write, state.clone(), Cut::holds_requests);
     let answers = copy(onward_read, from_write, state, Cut::holds_answers);
-    tokio::select! {
-        _ = requests => {}
-        _ = answers => {}
-        _ = resets.wait_for(|cut| *cut == Some(Cut::Reset)) => {}
+    let reset = async {
+        // An error means that the test is over, which ends the connection too.
+        let _ = resets.wait_for(|cut| *cut == Some(Cut::Reset)).await;
+    };
+    let is_ended_by_upstream = tokio::select! {
+        _ = requests => false,
+        _ = answers => true,
+        () = reset => false,
+    };
+    if is_ended_by_upstream {
+        link.check_target().await;
     }
 }
 
