lib, docs: relays are told of in messages of their own, so that both versions hear each other

Hello had gained fields, so daemons of protocol 7 and 8 would not have heard each other while a fleet is replaced one by one: entry daemons without routes, upstreams without an acknowledgement.

A group's loss ends with its last upstream: other daemons went on hearing of it (test added, failed before).

--- a/control/src/inbox.rs
+++ b/control/src/inbox.rs
@@ -68,7 +68,8 @@
             | PeerMessage::Crashes(_)
             | PeerMessage::Rates(_)
             | PeerMessage::PermitAsk(_)
-            | PeerMessage::GrantRequest(_) => {
+            | PeerMessage::GrantRequest(_)
+            | PeerMessage::RelayHello(_) => {
                 let Some(members) = &self.members else {
                     return Err(InboxDrop::NotForControl);
                 };
--- a/control/src/members/thread.rs
+++ b/control/src/members/thread.rs
@@ -200,6 +200,10 @@
                 self.grants
                     .handle_request(&incoming.from, &request, known_entries, peers, now);
             }
+            PeerMessage::RelayHello(hello) => {
+                self.discovery
+                    .handle_relay_hello(&incoming.from, *hello, now);
+            }
             // The thread `inbox` passes only the kinds above to this thread.
             _ => {}
         }
--- a/lib/src/discovery/control.rs
+++ b/lib/src/discovery/control.rs
@@ -45,6 +45,7 @@
     },
     reach::{
         Relay,
+        RelayHello,
         RelayOffer,
         relays_for, //
     },
@@ -259,8 +260,19 @@
             }
         }
         self.send_routes(&daemon, routes, now);
-        if let Some(digest) = hello.relays {
-            self.send_relays(&daemon, digest, now);
+    }
+
+    /// Takes in an entry daemon's offer to relay requests, and names relays to it if it asks.
+    pub fn handle_relay_hello(&mut self, from: &DaemonId, hello: RelayHello, now: Timestamp) {
+        let Some(entry) = self.entries.get_mut(from) else {
+            return;
+        };
+        if entry.relay != hello.offer {
+            entry.relay = hello.offer;
+            self.offers_version += 1;
+        }
+        if let Some(digest) = hello.known {
+            self.send_relays(from, digest, now);
         }
     }
 
@@ -298,7 +310,7 @@
     ) {
         let before = self.entries.get(daemon);
         let is_live = before.is_some_and(|entry| entry.is_live(now));
-        if !is_live || before.is_some_and(|entry| entry.relay != hello.relay) {
+        if !is_live {
             self.offers_version += 1;
         }
         let known = self.entries.entry(daemon.clone());
@@ -324,7 +336,6 @@
         known
             .failure_domain
             .clone_from(&hello.member.failure_domain);
-        known.relay.clone_from(&hello.relay);
         match hello.routes < newest.version_or_default() {
             true => {
                 known.behind_since.get_or_insert(now);
@@ -511,8 +522,6 @@
                 has_served: self.has_served,
                 demand: Vec::new(),
                 stalled: Vec::new(),
-                relay: None,
-                relays: None,
             };
             self.add_peer(&daemon, address);
             self.send(&daemon, PeerMessage::Hello(Box::new(hello)));
--- a/lib/src/discovery/entry.rs
+++ b/lib/src/discovery/entry.rs
@@ -43,7 +43,10 @@
         RateTable,
         RateUpdate, //
     },
-    reach::RelayOffer,
+    reach::{
+        RelayHello,
+        RelayOffer, //
+    },
     registry::{
         InstanceId,
         ReceivedReport,
@@ -345,11 +348,15 @@
                 has_served: status.has_served,
                 demand: status.demand.clone(),
                 stalled: status.stalled.clone(),
-                relay: status.relay.clone(),
-                relays: names_relays.then_some(self.relays_digest),
             };
             self.actions.push(Action::AddPeer(daemon.clone(), address));
             let message = PeerMessage::Hello(Box::new(hello));
+            self.actions.push(Action::Send(daemon.clone(), message));
+            let relay_hello = RelayHello {
+                offer: status.relay.clone(),
+                known: names_relays.then_some(self.relays_digest),
+            };
+            let message = PeerMessage::RelayHello(Box::new(relay_hello));
             self.actions.push(Action::Send(daemon, message));
         }
     }
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -31,7 +31,7 @@
         RateUpdate, //
     },
     reach::{
-        RelayOffer,
+        RelayHello,
         RelayUpdate, //
     },
     registry::{
@@ -55,7 +55,7 @@
 };
 
 /// The version of this protocol; a process drops and counts messages of another version.
-pub const PROTOCOL_VERSION: u16 = 8;
+pub const PROTOCOL_VERSION: u16 = 7;
 
 /// A daemon's role, as cluster members that find each other by seeds announce it.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
@@ -105,10 +105,6 @@
     pub demand: Vec<(ServiceName, ModelName, u32)>,
     /// Heads of groups all of whose streams through the sender have recently stalled.
     pub stalled: Vec<InstanceId>,
-    /// The sender's offer to relay other entry daemons' requests.
-    pub relay: Option<RelayOffer>,
-    /// The digest of the relays that the sender knows, if it asks the receiver to name them.
-    pub relays: Option<u64>,
 }
 
 /// The cluster members that a control daemon knows.
@@ -231,6 +227,9 @@
     GrantRequest(Box<GrantRequest>),
     /// The leader of the control daemons to entry: retries from the slack.
     Grants(Box<GrantUpdate>),
+    /// Entry to control, after each `Hello`: the sender's offer to relay requests, and the relays
+    /// that it knows.
+    RelayHello(Box<RelayHello>),
     /// Control to entry: the entry daemons that relay the receiver's requests.
     Relays(Box<RelayUpdate>),
 }
--- a/lib/src/reach/mod.rs
+++ b/lib/src/reach/mod.rs
@@ -23,6 +23,7 @@
 };
 pub use offers::{
     Relay,
+    RelayHello,
     RelayKey,
     RelayOffer,
     RelayUpdate,
--- a/lib/src/reach/offers.rs
+++ b/lib/src/reach/offers.rs
@@ -81,6 +81,16 @@
     }
 }
 
+/// What an entry daemon tells control daemons of relays; apart from its hello, so that daemons of
+/// the version before drop this alone.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RelayHello {
+    /// The sender's offer; `None` if it relays nothing.
+    pub offer: Option<RelayOffer>,
+    /// The digest of the relays that the sender knows, if it asks the receiver to name them.
+    pub known: Option<u64>,
+}
+
 /// The relays that a control daemon names to an entry daemon.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RelayUpdate {
--- a/lib/src/reach/tracker.rs
+++ b/lib/src/reach/tracker.rs
@@ -83,10 +83,10 @@
         }
         self.links = links;
         self.count_lost_links();
+        self.end_group_losses_without_links(now);
         let links = &self.links;
         self.groups
             .retain(|group, _| links.values().any(|link| link.group == *group));
-        self.end_group_losses_without_links(now);
     }
 
     /// Gives up the loss of groups none of whose remaining links was found lost itself.
--- a/lib/tests/test_discovery/world.rs
+++ b/lib/tests/test_discovery/world.rs
@@ -483,6 +483,9 @@
             }
             PeerMessage::Crashes(update) => control.handle_crashes_message(&update, now),
             PeerMessage::Rates(update) => control.handle_rates_message(&update, now),
+            PeerMessage::RelayHello(hello) => {
+                control.handle_relay_hello(&delivery.from, *hello, now);
+            }
             other => panic!("a control daemon got {other:?}"),
         }
         let actions = control.take_actions();
--- a/lib/tests/test_reach.rs
+++ b/lib/tests/test_reach.rs
@@ -221,6 +221,26 @@
     assert!(!tracker.has_losses());
 }
 
+/// Guards against a loss that other daemons go on hearing of after its upstreams have left.
+#[test]
+fn the_loss_of_a_group_ends_with_its_last_upstream() {
+    let mut tracker = tracker();
+    for id in ["a-0", "a-1", "a-2"] {
+        fail_connection(&mut tracker, id, "a", ms(1_000));
+    }
+    tracker.take_changes();
+    let other = upstream("b-0");
+
+    tracker.set_upstreams([(&other, group("b"))].into_iter(), ms(2_000));
+
+    let group = group("a");
+    let lost = Duration::from_secs(1);
+    assert_eq!(
+        tracker.take_changes(),
+        [LinkChange::GroupRegained { group, lost }]
+    );
+}
+
 /// Guards against thousands of connections that are tried while a daemon is cut off.
 #[test]
 fn a_lost_group_is_tried_by_one_link_at_a_time() {
