entry: a daemon that stops keeps its connections from other entry daemons

A daemon that stops shut down its connections from other daemons as it does callers', also new ones before a request was read. The daemon at the other end can't tell whether such a request has run.

Now these connections stay open until the process ends, answering that it stops; running requests are waited for, and a relay that stops is left alone for 4 s.

--- a/entry/src/serve/routed/listener.rs
+++ b/entry/src/serve/routed/listener.rs
@@ -28,7 +28,6 @@
     super::{
         caller_stream::CallerStream,
         connections::{
-            OpenConnections,
             accept,
             header_buffer,
             serve_until_drained, //
@@ -68,44 +67,22 @@
         tokio::task::spawn_local(serve_readiness(ready, Rc::clone(&server)));
     }
     let callers = server.settings.callers.clone();
-    let relaying = Relaying::start(relay_listener, &server);
-    let (drain_relays, others_done) = (relaying.drain, relaying.open);
+    if let Some(Ok(listener)) = relay_listener.map(TcpListener::from_std) {
+        let serving = relay_server::serve(listener, Rc::clone(&server));
+        tokio::task::spawn_local(serving);
+    }
     serve_until_drained(
         listener,
         &callers,
         stopped,
-        || {
-            server.draining.set(true);
-            // Requests that are being relayed end; no new ones are taken.
-            let _ = drain_relays.send(true);
-        },
+        || server.draining.set(true),
         || {},
         |stream, draining| serve_caller(stream, Rc::clone(&server), draining),
-        others_done.all_closed(),
+        server.relay.all_ended(),
     )
     .await;
 }
 
-/// The connections of other entry daemons, and the signal that ends them.
-struct Relaying {
-    open: Rc<OpenConnections>,
-    drain: watch::Sender<bool>,
-}
-
-impl Relaying {
-    /// Accepts connections of other entry daemons, if there is a listener for them.
-    fn start(listener: Option<std::net::TcpListener>, server: &Rc<Server>) -> Self {
-        let open = Rc::new(OpenConnections::default());
-        let (drain, draining) = watch::channel(false);
-        if let Some(Ok(listener)) = listener.map(TcpListener::from_std) {
-            let server = Rc::clone(server);
-            let serving = relay_server::serve(listener, Rc::clone(&open), server, draining);
-            tokio::task::spawn_local(serving);
-        }
-        Self { open, drain }
-    }
-}
-
 async fn serve_caller(stream: TcpStream, server: Rc<Server>, mut draining: watch::Receiver<bool>) {
     // Events are small; Nagle's algorithm would delay them.
     let _ = stream.set_nodelay(true);
--- a/entry/src/serve/routed/relay_server.rs
+++ b/entry/src/serve/routed/relay_server.rs
@@ -7,10 +7,7 @@
 use std::{
     cell::Cell,
     convert::Infallible,
-    pin::{
-        Pin,
-        pin, //
-    },
+    pin::Pin,
     rc::Rc,
     task::{
         Context,
@@ -58,7 +55,7 @@
         TcpListener,
         TcpStream, //
     },
-    sync::watch,
+    sync::Notify,
     time::{
         Instant,
         timeout, //
@@ -123,6 +120,8 @@
     key: RelayKey,
     requests: Cell<u32>,
     body_bytes: Cell<u64>,
+    /// Notified when a request ends.
+    ended: Notify,
 }
 
 impl RelayState {
@@ -131,6 +130,14 @@
             key,
             requests: Cell::new(0),
             body_bytes: Cell::new(0),
+            ended: Notify::new(),
+        }
+    }
+
+    /// Waits until no request is being relayed.
+    pub(super) async fn all_ended(&self) {
+        while self.requests.get() > 0 {
+            self.ended.notified().await;
         }
     }
 }
@@ -165,6 +172,7 @@
         state
             .body_bytes
             .set(state.body_bytes.get() - self.body_bytes);
+        state.ended.notify_one();
     }
 }
 
@@ -234,20 +242,20 @@
 }
 
 /// Accepts connections of other daemons until the listener is dropped.
-pub(super) async fn serve(
-    listener: TcpListener,
-    open: Rc<OpenConnections>,
-    server: Rc<Server>,
-    draining: watch::Receiver<bool>,
-) {
+///
+/// A daemon that stops goes on answering here that it does. If it closed these connections instead,
+/// requests that are just being written would be lost with them, and nobody could tell whether
+/// they had run.
+pub(super) async fn serve(listener: TcpListener, server: Rc<Server>) {
+    let open = Rc::new(OpenConnections::default());
     let on_refused = || server.counts.count(Routed::RelayConnectionsRefused);
     let accepting = open.accept_all(&listener, MAX_CONNECTIONS, on_refused, |stream| {
-        serve_daemon(stream, Rc::clone(&server), draining.clone())
+        serve_daemon(stream, Rc::clone(&server))
     });
     accepting.await;
 }
 
-async fn serve_daemon(stream: TcpStream, server: Rc<Server>, mut draining: watch::Receiver<bool>) {
+async fn serve_daemon(stream: TcpStream, server: Rc<Server>) {
     let _ = stream.set_nodelay(true);
     let buffer = header_buffer(server.settings.callers.max_header_bytes.0);
     let mut builder = http1::Builder::new();
@@ -259,17 +267,10 @@
         let server = Rc::clone(&server);
         async move { Ok::<_, Infallible>(answer(server, request).await) }
     });
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
-    let mut shutting_down = false;
-    loop {
-        tokio::select! {
-            _ = connection.as_mut() => return,
-            _ = draining.wait_for(|drain| *drain), if !shutting_down => {
-                shutting_down = true;
-                connection.as_mut().graceful_shutdown();
-            }
-        }
-    }
+    // The daemon that asked sees by itself that its connection broke.
+    let _ = builder
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
 }
 
 async fn answer(server: Rc<Server>, request: Request<Incoming>) -> Response<RelayBody> {
@@ -305,7 +306,11 @@
         RelayReport::Broken => StatusCode::BAD_GATEWAY,
         _ => StatusCode::SERVICE_UNAVAILABLE,
     };
-    write_report(response.headers_mut(), report);
+    let headers = response.headers_mut();
+    write_report(headers, report);
+    if report == RelayReport::Stopping {
+        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
     response
 }
 
--- a/entry/src/serve/routed/transport.rs
+++ b/entry/src/serve/routed/transport.rs
@@ -257,9 +257,8 @@
         // Neither side has written a byte that reached an upstream.
         sent.forget();
         let relay_failure = match report {
-            None | Some(RelayReport::Stranger | RelayReport::Stopping) => {
-                Some(RelayFailure::Unusable)
-            }
+            None | Some(RelayReport::Stranger) => Some(RelayFailure::Unusable),
+            Some(RelayReport::Stopping) => Some(RelayFailure::Stopping),
             Some(RelayReport::NoRoom) => Some(RelayFailure::NoRoom),
             Some(RelayReport::GroupLost) => Some(RelayFailure::Unreached(group.clone())),
             Some(RelayReport::BackoffAsked) => {
--- a/lib/src/reach/relays.rs
+++ b/lib/src/reach/relays.rs
@@ -13,6 +13,8 @@
 
 /// How long a relay that failed is not asked again, for all upstreams or for those of one group.
 const FAILURE_PAUSE: Duration = Duration::from_millis(700);
+/// How long a relay that is being stopped is not asked again; about as long as a stop takes.
+const STOPPING_PAUSE: Duration = Duration::from_secs(4);
 /// How long a relay that has no room is not asked again.
 const NO_ROOM_PAUSE: Duration = Duration::from_millis(150);
 /// How long a relay without a response in the usual time is chosen only if others have far more
@@ -30,6 +32,8 @@
     Unusable,
     /// The relay has too many requests.
     NoRoom,
+    /// The relay is being stopped.
+    Stopping,
     /// The relay reaches no upstream of this group either.
     Unreached(LinkGroup),
     /// Nothing has come from an upstream of this group in the usual time.
@@ -117,6 +121,7 @@
         let state = self.state(daemon);
         match failure {
             RelayFailure::Unusable => state.paused_until = now + FAILURE_PAUSE,
+            RelayFailure::Stopping => state.paused_until = now + STOPPING_PAUSE,
             RelayFailure::NoRoom => state.paused_until = now + NO_ROOM_PAUSE,
             RelayFailure::Unreached(group) => {
                 let until = now + FAILURE_PAUSE;
