entry: relays, liveness and the way of a request in modules of their own; stricter tests of relays

Mutations of the code before showed that the test of backoff through relays passed without the relay noting it: it left the relay 300 ms to find out by itself. Now no request may reach the upstream after the one answer. New: a stream whose link is cut midway (hang, reset, answers lost) reaches its caller whole, and no head is called stalled for it.

--- a/entry/src/serve/routed/crash_probe.rs
+++ b/entry/src/serve/routed/crash_probe.rs
@@ -16,13 +16,13 @@
     counts::Routed,
     crash_watch::BrokenRequest,
     events::LogEvent,
-    links::{
+    liveness::{
         Liveness,
         check_liveness, //
     },
+    relay_client::ask_to_connect,
     relay_headers::RelayReport,
-    server::Server,
-    transport::ask_to_connect, //
+    server::Server, //
 };
 use crate::members::RoutedReplica;
 
--- a/entry/src/serve/routed/exchange.rs
+++ b/entry/src/serve/routed/exchange.rs
@@ -16,6 +16,7 @@
 
 use super::{
     super::upstream::SentBytes,
+    delivered::Delivered,
     failure::Failure,
     prepared_request::PreparedRequest,
     server::Server,
@@ -23,11 +24,7 @@
         AnswerRest,
         EventSource, //
     },
-    transport::{
-        self,
-        Delivered, //
-    },
-    upstream_signals,
+    transport, upstream_signals,
 };
 use crate::{
     edge::{
--- a/entry/src/serve/routed/links.rs
+++ b/entry/src/serve/routed/links.rs
@@ -56,10 +56,6 @@
 const CONNECT_PATIENCE: Duration = Duration::from_millis(80);
 /// The interval at which a link is checked while a response is late.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Upstreams that are compared with one that refuses a connection.
-const MAX_COMPARED: usize = 4;
-/// An upstream that was heard so recently is in reach.
-const HEARD_JUST_NOW: Duration = Duration::from_millis(20);
 /// The interval at which trials of lost links are considered.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(100);
 /// Connections that are tried at once, so that the loss of thousands of links costs little.
@@ -176,17 +172,22 @@
         relays.record_failure(daemon, failure, now);
     }
 
+    /// Returns when anything was last received from a replica by its own link.
+    pub(super) fn heard_at(&self, replica: &RoutedReplica) -> Option<Timestamp> {
+        self.links.tracker.borrow().heard_at(&replica.id)
+    }
+
     /// Returns whether anything was received from a replica after `since` by its own link.
     pub(super) fn was_heard_after(&self, replica: &RoutedReplica, since: Timestamp) -> bool {
-        let heard_at = self.links.tracker.borrow().heard_at(&replica.id);
-        heard_at.is_some_and(|heard_at| heard_at > since)
+        self.heard_at(replica)
+            .is_some_and(|heard_at| heard_at > since)
     }
 
     /// Returns whether anything was received from a replica by its own link within `time`.
     pub(super) fn was_heard_within(&self, replica: &RoutedReplica, time: Duration) -> bool {
-        let heard_at = self.links.tracker.borrow().heard_at(&replica.id);
         let now = self.clock.now();
-        heard_at.is_some_and(|heard_at| now.since(heard_at) <= time)
+        self.heard_at(replica)
+            .is_some_and(|heard_at| now.since(heard_at) <= time)
     }
 
     /// Returns whether all links of a group count as lost.
@@ -292,7 +293,10 @@
     }
 
     /// Opens a connection to a replica and records what that shows of the link.
-    async fn connect_fully(&self, replica: &RoutedReplica) -> Result<Lease, AttemptError> {
+    pub(super) async fn connect_fully(
+        &self,
+        replica: &RoutedReplica,
+    ) -> Result<Lease, AttemptError> {
         let outcome = self.pool.lease_new(replica.address).await;
         match &outcome {
             Ok(_) => self.record_connected(replica),
@@ -436,61 +440,3 @@
         }
     }
 }
-
-/// What connections show of an upstream that broke off requests.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Liveness {
-    /// It accepts connections.
-    Alive,
-    /// Nothing listens at its address.
-    Ended,
-    /// This daemon's own links may be the cause.
-    Unknown,
-}
-
-/// Connects to an upstream to see whether it has ended.
-///
-/// A daemon whose links are cut may be refused, too. So a refusal is a proof only if another
-/// upstream can be reached.
-pub(super) async fn check_liveness(server: &Rc<Server>, replica: &RoutedReplica) -> Liveness {
-    match connect_and_pool(server, replica).await {
-        Ok(()) => Liveness::Alive,
-        Err(error) if error.is_refused() => match reaches_another(server, replica).await {
-            true => Liveness::Ended,
-            false => Liveness::Unknown,
-        },
-        Err(_) => Liveness::Unknown,
-    }
-}
-
-/// Returns whether any upstream but this one can be reached, or there is no other.
-async fn reaches_another(server: &Rc<Server>, replica: &RoutedReplica) -> bool {
-    let known = Arc::clone(&server.view.load().replicas);
-    let others = known.values().flatten();
-    let mut others: Vec<&RoutedReplica> = others.filter(|other| other.id != replica.id).collect();
-    if others.is_empty() {
-        return true;
-    }
-    let was_heard = |other: &&RoutedReplica| server.was_heard_within(other, HEARD_JUST_NOW);
-    if others.iter().any(was_heard) {
-        return true;
-    }
-    // Those heard last come first: they most likely still run.
-    let tracker = &server.links.tracker;
-    others.sort_by_key(|other| std::cmp::Reverse(tracker.borrow().heard_at(&other.id)));
-    for other in others.into_iter().take(MAX_COMPARED) {
-        if connect_and_pool(server, other).await.is_ok() {
-            return true;
-        }
-    }
-    false
-}
-
-async fn connect_and_pool(
-    server: &Rc<Server>,
-    replica: &RoutedReplica,
-) -> Result<(), AttemptError> {
-    let lease = server.connect_fully(replica).await?;
-    lease.return_to_pool_for(DEFAULT_KEEP_ALIVE);
-    Ok(())
-}
--- a/entry/src/serve/routed/mod.rs
+++ b/entry/src/serve/routed/mod.rs
@@ -15,15 +15,16 @@
 //! - `execution`: holds a request's state and chooses its replica.
 //! - `admission`: checks a request's body, route and team.
 //! - `exchange`: sends one request and reads the first chunk of its response.
-//! - `relay_server`: sends requests of other entry daemons on.
-//! - `transport`: sends a request by this daemon's own link, or through a relay.
+//! - `transport`, `relay_client`: send a request by this daemon's own link, or through a relay.
+//! - `relay_server`, `relay_body`: send requests of other entry daemons on; pass the responses back.
 //! - `upstream_signals`: records what upstreams signal by their response headers.
-//! - `crash_probe`: finds out whether an upstream that broke off requests has crashed.
+//! - `crash_probe`, `liveness`: find out whether an upstream that broke off requests has crashed.
 //! - `reservation`, `trials`: count a request at its replica; limit trials of a request after its
 //!   quarantine.
 //! - `links`: what connections show about this daemon's links to upstreams; trials of lost ones.
 //! - `server`: holds the state that all requests share.
 //! - `retry_budget`: limits retries, and keeps a ticket for each until it has arrived.
+//! - `delivered`, `relay_state`: a response whose head is here; the requests that are being relayed.
 //! - `relay_headers`: what daemons tell each other of a relayed request.
 //! - `failure`, `source`, `prepared_request`: why an attempt failed; the remaining bytes of a
 //!   response; a request in a form that can be sent several times.
@@ -38,6 +39,7 @@
 mod counts;
 mod crash_probe;
 mod crash_watch;
+mod delivered;
 mod drive;
 mod events;
 mod exchange;
@@ -48,12 +50,16 @@
 mod lines;
 mod links;
 mod listener;
+mod liveness;
 mod prepared_request;
 mod quarantine;
 mod rates;
 mod refusal;
+mod relay_body;
+mod relay_client;
 mod relay_headers;
 mod relay_server;
+mod relay_state;
 mod reservation;
 mod retry_budget;
 mod server;
--- a/entry/src/serve/routed/relay_server.rs
+++ b/entry/src/serve/routed/relay_server.rs
@@ -5,24 +5,15 @@
 //! link, and whether the upstream takes requests from it.
 
 use std::{
-    cell::Cell,
     convert::Infallible,
-    pin::Pin,
     rc::Rc,
-    task::{
-        Context,
-        Poll, //
-    },
-    time::Duration,
+    time::Duration, //
 };
 
 use bytes::Bytes;
 use cicadabend::{
     breaker::Admission,
-    reach::{
-        LinkUse,
-        RelayKey, //
-    },
+    reach::LinkUse, //
 };
 use http::{
     HeaderValue,
@@ -32,10 +23,7 @@
     header,
     request::Parts, //
 };
-use http_body::{
-    Body,
-    Frame, //
-};
+use http_body::Body;
 use http_body_util::{
     BodyExt,
     Full,
@@ -55,7 +43,6 @@
         TcpListener,
         TcpStream, //
     },
-    sync::Notify,
     time::{
         Instant,
         timeout, //
@@ -64,11 +51,7 @@
 
 use super::{
     super::{
-        body::{
-            BodyError,
-            RequestBody,
-            poll_whole, //
-        },
+        body::RequestBody,
         connections::{
             OpenConnections,
             header_buffer, //
@@ -82,16 +65,24 @@
     },
     counts::Routed,
     events::LogEvent,
-    links::{
+    liveness::{
         Liveness,
         check_liveness, //
     },
+    relay_body::{
+        PassedAnswer,
+        RelayBody, //
+    },
     relay_headers::{
         RelayAction,
         RelayReport,
         RelayRequest,
         write_report, //
     },
+    relay_state::{
+        MAX_BODY_BYTES,
+        RelayedRequest, //
+    },
     reservation::Reservation,
     server::Server,
     source::AnswerRest,
@@ -101,10 +92,6 @@
 
 /// Connections of other daemons that are open at once.
 const MAX_CONNECTIONS: u32 = 512;
-/// Requests that are relayed at once.
-const MAX_REQUESTS: u32 = 384;
-/// Bodies of requests that are in memory at once.
-const MAX_BODY_BYTES: u64 = 32 * 1024 * 1024;
 /// Time for which a connection may be idle; longer than daemons keep it in their pools.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for which the rest of a request's body may stay away.
@@ -115,132 +102,6 @@
 /// Time after which a missing response raises the question whether the link is lost.
 const LATE_AFTER: Duration = Duration::from_millis(400);
 
-/// What is relayed at the moment, and the key that other daemons must show.
-pub(super) struct RelayState {
-    key: RelayKey,
-    requests: Cell<u32>,
-    body_bytes: Cell<u64>,
-    /// Notified when a request ends.
-    ended: Notify,
-}
-
-impl RelayState {
-    pub(super) fn new(key: RelayKey) -> Self {
-        Self {
-            key,
-            requests: Cell::new(0),
-            body_bytes: Cell::new(0),
-            ended: Notify::new(),
-        }
-    }
-
-    /// Waits until no request is being relayed.
-    pub(super) async fn all_ended(&self) {
-        while self.requests.get() > 0 {
-            self.ended.notified().await;
-        }
-    }
-}
-
-/// A relayed request, counted until this is dropped.
-struct RelayedRequest {
-    server: Rc<Server>,
-    body_bytes: u64,
-}
-
-impl RelayedRequest {
-    /// Counts a request; `None` if there are too many.
-    fn begin(server: &Rc<Server>, body_bytes: u64) -> Option<Self> {
-        let state = &server.relay;
-        let bytes = state.body_bytes.get().saturating_add(body_bytes);
-        if state.requests.get() >= MAX_REQUESTS || bytes > MAX_BODY_BYTES {
-            return None;
-        }
-        state.requests.set(state.requests.get() + 1);
-        state.body_bytes.set(bytes);
-        Some(Self {
-            server: Rc::clone(server),
-            body_bytes,
-        })
-    }
-}
-
-impl Drop for RelayedRequest {
-    fn drop(&mut self) {
-        let state = &self.server.relay;
-        state.requests.set(state.requests.get() - 1);
-        state
-            .body_bytes
-            .set(state.body_bytes.get() - self.body_bytes);
-        state.ended.notify_one();
-    }
-}
-
-/// The body of a relay's response.
-enum RelayBody {
-    /// Nothing: the response is the relay's own.
-    Empty(Full<Bytes>),
-    /// The upstream's response body.
-    Passed(Box<PassedAnswer>),
-}
-
-/// An upstream's response body that is passed on unchanged.
-struct PassedAnswer {
-    rest: Option<AnswerRest>,
-    server: Rc<Server>,
-    reservation: Reservation,
-    _counted: RelayedRequest,
-}
-
-impl Body for RelayBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        match self.get_mut() {
-            RelayBody::Empty(empty) => poll_whole(empty, context),
-            RelayBody::Passed(passed) => passed.poll_frame(context),
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        matches!(self, RelayBody::Empty(_))
-    }
-}
-
-impl PassedAnswer {
-    fn poll_frame(
-        &mut self,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let Some(rest) = &mut self.rest else {
-            return Poll::Ready(None);
-        };
-        match rest.poll_data(context) {
-            Poll::Pending => Poll::Pending,
-            Poll::Ready(Some(Ok(data))) => {
-                self.server.record_heard(&self.reservation.replica);
-                Poll::Ready(Some(Ok(Frame::data(data))))
-            }
-            Poll::Ready(Some(Err(_))) => {
-                self.rest = None;
-                // The error closes the connection before the body's end, so that the daemon that
-                // asked can't mistake it for complete.
-                Poll::Ready(Some(Err(BodyError::AnswerBroken)))
-            }
-            Poll::Ready(None) => {
-                if let Some(rest) = self.rest.take() {
-                    rest.return_to_pool();
-                }
-                Poll::Ready(None)
-            }
-        }
-    }
-}
-
 /// Accepts connections of other daemons until the listener is dropped.
 ///
 /// A daemon that stops goes on answering here that it does. If it closed these connections instead,
@@ -350,12 +211,7 @@
     let (response, rest) = send(server, &replica, &outgoing).await?;
     reservation.read();
     reservation.end_trial(true);
-    let answer = PassedAnswer {
-        rest: Some(rest),
-        server: Rc::clone(server),
-        reservation,
-        _counted: counted,
-    };
+    let answer = PassedAnswer::new(server, rest, reservation, counted);
     let (mut parts, ()) = response.into_parts();
     headers::remove_hop_by_hop(&mut parts.headers);
     write_report(&mut parts.headers, RelayReport::Passed);
--- a/entry/src/serve/routed/server.rs
+++ b/entry/src/serve/routed/server.rs
@@ -61,7 +61,7 @@
         self,
         Links, //
     },
-    relay_server::RelayState,
+    relay_state::RelayState,
     retry_budget::{
         RetryBudgets,
         RetryTicket, //
