entry: a stream whose link is lost asks for a retry until it gets one

The budget of a daemon with little traffic is often empty for a moment, and a paused stream does not ask for grants, as it may go on by itself. One whose link is lost can't.

Now such a stream asks the leader for a grant and looks for it every 50 ms, while events may still come.

--- a/entry/src/members/mod.rs
+++ b/entry/src/members/mod.rs
@@ -18,7 +18,10 @@
     Demand,
     Demanded, //
 };
-pub(crate) use grants::Grants;
+pub(crate) use grants::{
+    GrantWait,
+    Grants, //
+};
 pub(crate) use permits::{
     Permits,
     RateNotice, //
--- a/entry/src/serve/routed/account.rs
+++ b/entry/src/serve/routed/account.rs
@@ -21,6 +21,17 @@
     reservation::replica_name,
 };
 
+/// Why a stream pauses.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum PauseCause {
+    /// Other streams of its replica progress.
+    StreamAlone,
+    /// All streams of its replica are stalled.
+    ReplicaStalled,
+    /// This daemon's link to the replica is lost.
+    LinkLost,
+}
+
 impl RoutedExecution {
     /// Records that the whole response was passed on; only the first call counts.
     pub(super) fn record_answer_ended(&mut self, outcome: &'static str) {
@@ -120,13 +131,13 @@
         }
     }
 
-    /// Returns whether the replica, or the way to it, is the cause of a stream's pause, and reports it
-    /// then. `pause` is the time since the stream's last event.
+    /// Returns the cause of a stream's pause, and reports it. `pause` is the time since the stream's
+    /// last event.
     ///
     /// A replica behind a lost link is not reported: others may reach it.
-    pub(super) fn report_pause(&self, pause: Duration, relay: Option<&DaemonId>) -> bool {
+    pub(super) fn report_pause(&self, pause: Duration, relay: Option<&DaemonId>) -> PauseCause {
         let Some(reservation) = &self.reservation else {
-            return false;
+            return PauseCause::StreamAlone;
         };
         let replica = &reservation.replica;
         match relay {
@@ -137,11 +148,14 @@
             None => {
                 let now = self.server.clock.now();
                 if self.server.record_unanswered(replica, now.before(pause)) {
-                    return true;
+                    return PauseCause::LinkLost;
                 }
             }
         }
-        self.report_if_stalled(pause)
+        match self.report_if_stalled(pause) {
+            true => PauseCause::ReplicaStalled,
+            false => PauseCause::StreamAlone,
+        }
     }
 
     /// Returns whether all streams of the replica are stalled; reports the replica if so.
--- a/entry/src/serve/routed/attempt.rs
+++ b/entry/src/serve/routed/attempt.rs
@@ -31,6 +31,7 @@
     hedge::HedgeStart,
     reservation::Reservation,
 };
+use crate::members::GrantWait;
 
 /// Number of attempts that failed before the request was sent, after which it is refused.
 const MAX_CONNECT_FAILURES: u32 = 4;
@@ -223,6 +224,11 @@
         self.ticket.is_some()
     }
 
+    /// Requests a retry by which a stream may be resumed, for as long as the returned value exists.
+    pub(super) fn request_grant(&self) -> Option<GrantWait> {
+        self.server.request_grant(&self.prepared.terms.service)
+    }
+
     pub(super) fn record_first_chunk(&mut self, started_at: Instant) {
         self.attempts += 1;
         self.first_chunk = Some(self.prepared.terms.arrived.elapsed());
--- a/entry/src/serve/routed/retry_budget.rs
+++ b/entry/src/serve/routed/retry_budget.rs
@@ -28,7 +28,10 @@
 };
 
 use super::events::LogEvent;
-use crate::members::Grants;
+use crate::members::{
+    GrantWait,
+    Grants, //
+};
 
 /// Longest time that a request waits for a grant; the leader answers within a few milliseconds.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(100);
@@ -173,6 +176,16 @@
         }
     }
 
+    /// Requests a grant for as long as the returned value exists, unless none can be had.
+    pub(super) fn request_grant(
+        &self,
+        service: &ServiceName,
+        reason: RoutedRetryReason,
+    ) -> Option<GrantWait> {
+        let may_wait = self.may_wait(service, reason);
+        may_wait.then(|| self.grants.wait(service, reason, &self.waits))
+    }
+
     /// Returns how many retries the daemon's own requests for the service still pay for.
     pub(super) fn retries_left(&self, service: &ServiceName) -> u32 {
         let now = self.clock.now();
--- a/entry/src/serve/routed/server.rs
+++ b/entry/src/serve/routed/server.rs
@@ -72,6 +72,7 @@
     members::{
         CrashNotice,
         Demand,
+        GrantWait,
         Permits,
         RateNotice,
         RoutedView, //
@@ -209,6 +210,12 @@
         ticket
     }
 
+    /// Requests a retry for a broken request for as long as the returned value exists.
+    pub(super) fn request_grant(&self, service: &ServiceName) -> Option<GrantWait> {
+        let reason = RoutedRetryReason::Broken;
+        self.retry_budgets.request_grant(service, reason)
+    }
+
     /// Returns how many retries the daemon's own requests for the service still pay for.
     pub(super) fn retries_left(&self, service: &ServiceName) -> u32 {
         self.retry_budgets.retries_left(service)
--- a/entry/src/serve/routed/stream.rs
+++ b/entry/src/serve/routed/stream.rs
@@ -28,6 +28,7 @@
         body::BodyError,
         upstream::SentBytes, //
     },
+    account::PauseCause,
     counts::{
         Routed,
         RoutedRetry, //
@@ -43,6 +44,7 @@
         EventSource, //
     },
 };
+use crate::members::GrantWait;
 
 /// Shortest pause between events after which another replica is asked for the rest of a stream.
 const MIN_PAUSE_TIMEOUT: Duration = Duration::from_millis(600);
@@ -55,6 +57,9 @@
 /// Longest time for another replica to send the next event of a stream.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Interval at which a stream without its link looks for a retry.
+const GRANT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 type PolledFrame = Poll<Option<Result<Frame<Bytes>, BodyError>>>;
 
 /// An upstream's response body that is passed on unchanged.
@@ -144,6 +149,8 @@
     last_event_at: Instant,
     /// Whether this stream paused while other streams of its replica progressed.
     waits_alone: bool,
+    /// Asks for a retry while the stream's link is lost and none is at hand.
+    grant_wait: Option<GrantWait>,
     timer: Pin<Box<Sleep>>,
 }
 
@@ -172,6 +179,7 @@
             pause_timeout,
             last_event_at,
             waits_alone: false,
+            grant_wait: None,
             timer: Box::pin(sleep_until(due)),
         }
     }
@@ -228,30 +236,8 @@
                     self.stage = Stage::Live(execution, source);
                     Some(Poll::Pending)
                 }
-                Lateness::Pause
-                    if !execution.report_pause(self.last_event_at.elapsed(), source.relay())
-                        && !self.waits_alone =>
-                {
-                    // Other streams of the replica progress, so the replica still works.
-                    self.waits_alone = true;
-                    self.pause_timeout = self
-                        .pause_timeout
-                        .map(|timeout| timeout * SINGLE_STREAM_FACTOR);
-                    self.stage = Stage::Live(execution, source);
-                    None
-                }
-                Lateness::Pause if execution.withdraw_resume() => {
-                    self.resume(
-                        execution,
-                        source.last_event(),
-                        "no event arrived within the pause timeout",
-                    );
-                    None
-                }
                 Lateness::Pause => {
-                    // No other replica may resume the stream, but its own may still continue.
-                    self.pause_timeout = None;
-                    self.stage = Stage::Live(execution, source);
+                    self.handle_pause(execution, source);
                     None
                 }
                 Lateness::DeadlinePassed => {
@@ -262,6 +248,31 @@
         }
     }
 
+    /// Moves a stream that pauses elsewhere, or decides how long to wait for its next event.
+    fn handle_pause(&mut self, mut execution: RoutedExecution, source: EventSource) {
+        let pause = self.last_event_at.elapsed();
+        let cause = execution.report_pause(pause, source.relay());
+        if cause == PauseCause::StreamAlone && !self.waits_alone {
+            // Other streams of the replica progress, so the replica still works.
+            self.waits_alone = true;
+            self.pause_timeout = self
+                .pause_timeout
+                .map(|timeout| timeout * SINGLE_STREAM_FACTOR);
+        } else if execution.withdraw_resume() {
+            let why = "no event arrived within the pause timeout";
+            self.resume(execution, source.last_event(), why);
+            return;
+        } else if cause == PauseCause::LinkLost && execution.may_resume() {
+            // Nothing more will come by the lost link, so the stream asks for a retry meanwhile.
+            self.grant_wait = execution.request_grant();
+            self.pause_timeout = Some(pause + GRANT_CHECK_INTERVAL);
+        } else {
+            // No other replica may resume the stream, but its own may still continue.
+            self.pause_timeout = None;
+        }
+        self.stage = Stage::Live(execution, source);
+    }
+
     /// Returns whether the stream is late.
     ///
     /// The timer is reset only when it fires, not at each event.
@@ -302,6 +313,7 @@
 
     fn resume(&mut self, mut execution: RoutedExecution, last_event: Option<u64>, why: &str) {
         execution.record_stream_broken(last_event, why);
+        self.grant_wait = None;
         let why = why.to_owned();
         self.stage = Stage::Resuming(Box::pin(resume(execution, last_event, why)), last_event);
     }
