entry: one way to send by a link for callers' and relayed requests; smaller repetitions gone

Read-through of the change; nothing that callers see is meant to differ.

- direct.rs: an idle connection or a new one, admission asked before each sending, once more over a new one if the idle one had closed unwritten.
It stood twice, at the daemon that takes a request and at the relay.
- Whether a response belongs to its request is one check (upstream_signals).
The relay's own let a success without an id pass on a new connection; the daemon that asked refused it then, so its caller sees the same.
The relay now logs broken where it logged passed.
- One key for baselines (PreparedRequest::answer_class), one wait for a grant (RetryBudgets::request_grant), one connection that is made only to see whether it can be (Server::connect_and_pool); a relay reads a request's headers once.
- Comments that could not be read alone.

--- a/entry/src/serve/connections.rs
+++ b/entry/src/serve/connections.rs
@@ -66,7 +66,7 @@
     }
 
     /// Waits until no connection is open.
-    pub(super) async fn all_closed(&self) {
+    async fn all_closed(&self) {
         while self.count.get() > 0 {
             self.closed.notified().await;
         }
--- a/entry/src/serve/routed/attempt.rs
+++ b/entry/src/serve/routed/attempt.rs
@@ -8,7 +8,6 @@
 
 use cicadabend::{
     dispatch::{
-        AnswerClass,
         Chosen,
         LatencyBaseline, //
     },
@@ -31,7 +30,6 @@
     hedge::HedgeStart,
     reservation::Reservation,
 };
-use crate::members::GrantWait;
 
 /// Number of attempts that failed before the request was sent, after which it is refused.
 const MAX_CONNECT_FAILURES: u32 = 4;
@@ -69,18 +67,10 @@
         outcome
     }
 
-    /// Returns the key under which response times of such requests are learnt for a model.
-    fn answer_class(&self, model: Option<&ModelName>) -> AnswerClass {
-        AnswerClass {
-            service: self.prepared.terms.service.clone(),
-            model: model.cloned(),
-            is_stream: self.prepared.terms.route.kind.is_stream(),
-        }
-    }
-
     /// Returns the baseline latency of such requests; `None` if too few responses were seen.
     pub(super) fn latency_baseline(&self, model: Option<&ModelName>) -> Option<LatencyBaseline> {
-        self.server.latency_baseline(&self.answer_class(model))
+        self.server
+            .latency_baseline(&self.prepared.answer_class(model))
     }
 
     /// Returns the time after which a missing first chunk counts as late.
@@ -133,7 +123,7 @@
         let now = self.server.clock.now();
         let replica = &reservation.replica;
         let slowness = self.server.loads.borrow().slowness(&replica.id, now);
-        let class = self.answer_class(replica.model.as_ref());
+        let class = self.prepared.answer_class(replica.model.as_ref());
         let mut latency_baselines = self.server.latency_baselines.borrow_mut();
         latency_baselines.record_latency(&class, started_at.elapsed(), slowness, now);
     }
@@ -224,11 +214,6 @@
         self.ticket.is_some()
     }
 
-    /// Requests a retry by which a stream may be resumed, for as long as the returned value exists.
-    pub(super) fn request_grant(&self) -> Option<GrantWait> {
-        self.server.request_grant(&self.prepared.terms.service)
-    }
-
     pub(super) fn record_first_chunk(&mut self, started_at: Instant) {
         self.attempts += 1;
         self.first_chunk = Some(self.prepared.terms.arrived.elapsed());
--- a/entry/src/serve/routed/exchange.rs
+++ b/entry/src/serve/routed/exchange.rs
@@ -138,11 +138,7 @@
     is_reused: bool,
     status: StatusCode,
 ) -> Result<(), Failure> {
-    let is_own = match &signals.request_id {
-        Some(id) => id == prepared.id(),
-        // A new connection can't hold a response to an earlier request.
-        None => !is_reused && !status.is_success(),
-    };
+    let is_own = upstream_signals::is_answer_to(prepared.id(), signals, is_reused, status);
     match is_own {
         true => Ok(()),
         false => Err(Failure::Broken(
--- a/entry/src/serve/routed/links.rs
+++ b/entry/src/serve/routed/links.rs
@@ -293,10 +293,7 @@
     }
 
     /// Opens a connection to a replica and records what that shows of the link.
-    pub(super) async fn connect_fully(
-        &self,
-        replica: &RoutedReplica,
-    ) -> Result<Lease, AttemptError> {
+    async fn connect_fully(&self, replica: &RoutedReplica) -> Result<Lease, AttemptError> {
         let outcome = self.pool.lease_new(replica.address).await;
         match &outcome {
             Ok(_) => self.record_connected(replica),
@@ -308,6 +305,16 @@
         outcome
     }
 
+    /// Opens a connection to a replica, to see whether that is possible, and pools it.
+    pub(super) async fn connect_and_pool(
+        &self,
+        replica: &RoutedReplica,
+    ) -> Result<(), AttemptError> {
+        let lease = self.connect_fully(replica).await?;
+        lease.return_to_pool_for(DEFAULT_KEEP_ALIVE);
+        Ok(())
+    }
+
     /// Tells the tracker which upstreams there are, if they have changed.
     fn update_links(&self, view: &RoutedView) {
         if Arc::ptr_eq(&self.links.known.borrow(), &view.replicas) {
@@ -431,11 +438,8 @@
             };
             for replica in due.iter().filter_map(|id| server.replica_of(id)) {
                 let server = Rc::clone(&server);
-                tokio::task::spawn_local(async move {
-                    if let Ok(lease) = server.connect_fully(&replica).await {
-                        lease.return_to_pool_for(DEFAULT_KEEP_ALIVE);
-                    }
-                });
+                // The outcome is recorded, and tried again if the link is still lost.
+                tokio::task::spawn_local(async move { server.connect_and_pool(&replica).await });
             }
         }
     }
--- a/entry/src/serve/routed/liveness.rs
+++ b/entry/src/serve/routed/liveness.rs
@@ -7,23 +7,20 @@
     time::Duration, //
 };
 
-use super::{
-    super::upstream::AttemptError,
-    server::Server,
-    source::DEFAULT_KEEP_ALIVE, //
-};
+use super::server::Server;
 use crate::members::RoutedReplica;
 
 /// Upstreams that are compared with one that refuses a connection.
 const MAX_COMPARED: usize = 4;
 /// An upstream that was heard so recently is in reach.
 const HEARD_JUST_NOW: Duration = Duration::from_millis(20);
+
 /// What connections show of an upstream that broke off requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Liveness {
-    /// It accepts connections.
+    /// The upstream accepts connections, so it runs.
     Alive,
-    /// Nothing listens at its address.
+    /// Nothing listens at the upstream's address.
     Ended,
     /// This daemon's own links may be the cause.
     Unknown,
@@ -34,7 +31,7 @@
 /// A daemon whose links are cut may be refused, too. So a refusal is a proof only if another
 /// upstream can be reached.
 pub(super) async fn check_liveness(server: &Rc<Server>, replica: &RoutedReplica) -> Liveness {
-    match connect_and_pool(server, replica).await {
+    match server.connect_and_pool(replica).await {
         Ok(()) => Liveness::Alive,
         Err(error) if error.is_refused() => match reaches_another(server, replica).await {
             true => Liveness::Ended,
@@ -59,18 +56,9 @@
     // Those heard last come first: they most likely still run.
     others.sort_by_key(|other| Reverse(server.heard_at(other)));
     for other in others.into_iter().take(MAX_COMPARED) {
-        if connect_and_pool(server, other).await.is_ok() {
+        if server.connect_and_pool(other).await.is_ok() {
             return true;
         }
     }
     false
 }
-
-async fn connect_and_pool(
-    server: &Rc<Server>,
-    replica: &RoutedReplica,
-) -> Result<(), AttemptError> {
-    let lease = server.connect_fully(replica).await?;
-    lease.return_to_pool_for(DEFAULT_KEEP_ALIVE);
-    Ok(())
-}
--- a/entry/src/serve/routed/mod.rs
+++ b/entry/src/serve/routed/mod.rs
@@ -15,7 +15,8 @@
 //! - `execution`: holds a request's state and chooses its replica.
 //! - `admission`: checks a request's body, route and team.
 //! - `exchange`: sends one request and reads the first chunk of its response.
-//! - `transport`, `relay_client`: send a request by this daemon's own link, or through a relay.
+//! - `transport`, `direct`, `relay_client`: send a request; by this daemon's own link; through a
+//!   relay.
 //! - `relay_server`, `relay_body`: send requests of other entry daemons on; pass the responses back.
 //! - `upstream_signals`: records what upstreams signal by their response headers.
 //! - `crash_probe`, `liveness`: find out whether an upstream that broke off requests has crashed.
@@ -40,6 +41,7 @@
 mod crash_probe;
 mod crash_watch;
 mod delivered;
+mod direct;
 mod drive;
 mod events;
 mod exchange;
--- a/entry/src/serve/routed/prepared_request.rs
+++ b/entry/src/serve/routed/prepared_request.rs
@@ -10,7 +10,10 @@
 
 use bytes::Bytes;
 use cicadabend::{
-    dispatch::most_urgent,
+    dispatch::{
+        AnswerClass,
+        most_urgent, //
+    },
     prelude::*,
     quarantine::Fingerprint,
     routes::Route, //
@@ -121,6 +124,15 @@
         self.unanswered_since.get()
     }
 
+    /// Returns the key under which response times of such requests are learnt for a model.
+    pub(super) fn answer_class(&self, model: Option<&ModelName>) -> AnswerClass {
+        AnswerClass {
+            service: self.terms.service.clone(),
+            model: model.cloned(),
+            is_stream: self.terms.route.kind.is_stream(),
+        }
+    }
+
     /// Returns the time until the deadline.
     pub(super) fn time_left(&self) -> Duration {
         self.terms
--- a/entry/src/serve/routed/relay_headers.rs
+++ b/entry/src/serve/routed/relay_headers.rs
@@ -10,9 +10,9 @@
 
 /// The key of the relay's process.
 const HEADER_KEY: &str = "x-cicadabend-relay-key";
-/// The instance that the request is for.
+/// The instance of the upstream that is to get the request.
 const HEADER_INSTANCE: &str = "x-cicadabend-relay-instance";
-/// What is asked of the relay.
+/// The name of the [`RelayAction`] that the relay is to take.
 const HEADER_ACTION: &str = "x-cicadabend-relay-action";
 /// The relay's report on what it did.
 const HEADER_REPORT: &str = "x-cicadabend-relay-report";
--- a/entry/src/serve/routed/relay_server.rs
+++ b/entry/src/serve/routed/relay_server.rs
@@ -59,11 +59,11 @@
         headers,
         upstream::{
             AttemptError,
-            Lease,
             SentBytes, //
         },
     },
     counts::Routed,
+    direct::DirectRequest,
     events::LogEvent,
     liveness::{
         Liveness,
@@ -88,7 +88,10 @@
     source::AnswerRest,
     upstream_signals,
 };
-use crate::members::RoutedReplica;
+use crate::{
+    edge::CallerHeaders,
+    members::RoutedReplica, //
+};
 
 /// Connections of other daemons that are open at once.
 const MAX_CONNECTIONS: u32 = 512;
@@ -99,7 +102,7 @@
 /// An idle connection is used only if the upstream was heard so recently; otherwise it may have
 /// gone silent, and a new one shows that before the request is sent.
 const HEARD_RECENTLY: Duration = Duration::from_millis(300);
-/// Time after which a missing response raises the question whether the link is lost.
+/// Time after which a missing response counts as late; a relay knows no baseline of such requests.
 const LATE_AFTER: Duration = Duration::from_millis(400);
 
 /// Accepts connections of other daemons until the listener is dropped.
@@ -142,15 +145,15 @@
         server.counts.count(Routed::RelayStrangers);
         return own_answer(RelayReport::Stranger);
     };
-    let id = server.edge.read_caller(&parts.headers).request_id;
-    let outcome = relay(&server, &asked, parts, body).await;
+    let caller = server.edge.read_caller(&parts.headers);
+    let outcome = relay(&server, &asked, &caller, parts, body).await;
     let report = match &outcome {
         Ok(_) => RelayReport::Passed,
         Err(report) => *report,
     };
     server.counts.count(Routed::Relayed);
     server.log(&LogEvent::Relayed {
-        request: id.unwrap_or_default(),
+        request: caller.request_id.unwrap_or_default(),
         instance: asked.instance,
         outcome: report.name(),
         took_ms: arrived.elapsed().as_millis(),
@@ -179,6 +182,7 @@
 async fn relay(
     server: &Rc<Server>,
     asked: &RelayRequest,
+    caller: &CallerHeaders,
     mut parts: Parts,
     body: Incoming,
 ) -> Result<Response<RelayBody>, RelayReport> {
@@ -197,7 +201,6 @@
     check_admission(server, &replica)?;
     let length = body.size_hint().exact().unwrap_or(MAX_BODY_BYTES);
     let counted = RelayedRequest::begin(server, length).ok_or(RelayReport::NoRoom)?;
-    let caller = server.edge.read_caller(&parts.headers);
     let body = read_body(body, length).await?;
     headers::remove_hop_by_hop(&mut parts.headers);
     let tokens = caller.prompt_tokens.unwrap_or(0);
@@ -205,7 +208,7 @@
     let outgoing = Outgoing {
         parts,
         body,
-        request_id: caller.request_id.unwrap_or_default(),
+        request_id: caller.request_id.as_deref().unwrap_or_default(),
         is_idempotent: asked.action == RelayAction::SendIdempotent,
     };
     let (response, rest) = send(server, &replica, &outgoing).await?;
@@ -258,23 +261,27 @@
     }
 }
 
-async fn open(server: &Rc<Server>, replica: &RoutedReplica) -> Result<Lease, RelayReport> {
-    let opened = server.connect(replica).await;
-    opened.map_err(|error| match error.is_refused() {
-        true => RelayReport::Refused,
-        false => RelayReport::Unreached,
-    })
+impl From<AttemptError> for RelayReport {
+    fn from(error: AttemptError) -> Self {
+        match error {
+            AttemptError::Broken { .. } => RelayReport::Broken,
+            error if error.is_refused() => RelayReport::Refused,
+            AttemptError::NotConnected { .. } | AttemptError::NothingWritten { .. } => {
+                RelayReport::Unreached
+            }
+        }
+    }
 }
 
 /// A request as it is sent to the upstream.
-struct Outgoing {
+struct Outgoing<'a> {
     parts: Parts,
     body: Bytes,
-    request_id: String,
+    request_id: &'a str,
     is_idempotent: bool,
 }
 
-impl Outgoing {
+impl Outgoing<'_> {
     fn request(&self) -> Request<RequestBody> {
         let body = RequestBody::whole(self.body.clone());
         let mut request = Request::from_parts(self.parts.clone(), body);
@@ -292,40 +299,30 @@
 async fn send(
     server: &Rc<Server>,
     replica: &RoutedReplica,
-    outgoing: &Outgoing,
+    outgoing: &Outgoing<'_>,
 ) -> Result<(Response<()>, AnswerRest), RelayReport> {
-    let is_heard = server.was_heard_within(replica, HEARD_RECENTLY);
-    let idle = is_heard.then(|| {
-        let pool = &server.pool;
-        pool.idle_lease(replica.address, outgoing.is_idempotent)
-    });
-    let lease = match idle.flatten() {
-        Some(lease) => lease,
-        None => open(server, replica).await?,
-    };
-    let is_reused = lease.is_reused();
-    check_admission(server, replica)?;
-    let (response, lease) = match send_by(server, replica, lease, outgoing).await {
-        Err(AttemptError::NothingWritten { .. }) if is_reused => {
-            let lease = open(server, replica).await?;
-            check_admission(server, replica)?;
-            send_by(server, replica, lease, outgoing).await
+    let idle = match server.was_heard_within(replica, HEARD_RECENTLY) {
+        true => {
+            let pool = &server.pool;
+            pool.idle_lease(replica.address, outgoing.is_idempotent)
         }
-        outcome => outcome,
-    }
-    .map_err(|error| match error {
-        AttemptError::Broken { .. } => RelayReport::Broken,
-        _ => RelayReport::Unreached,
-    })?;
-    server.record_heard(replica);
+        false => None,
+    };
+    let direct = DirectRequest {
+        replica,
+        request: &|| outgoing.request(),
+        sent: &SentBytes::default(),
+        late_after: LATE_AFTER,
+        on_late: &|_| {},
+    };
+    let check_admission = || check_admission(server, replica);
+    let (response, lease, _) = direct.send(server, idle, check_admission).await?;
     let (parts, incoming) = response.into_parts();
     let signals = server.edge.read_answer(parts.status, &parts.headers);
-    let id = &outgoing.request_id;
+    let id = outgoing.request_id;
     upstream_signals::record_availability(server, id, &replica.id, &signals);
-    let is_own = match &signals.request_id {
-        Some(answered) => answered == id,
-        None => !lease.is_reused(),
-    };
+    let is_reused = lease.is_reused();
+    let is_own = upstream_signals::is_answer_to(id, &signals, is_reused, parts.status);
     if !is_own {
         return Err(RelayReport::Broken);
     }
@@ -333,16 +330,3 @@
     let rest = AnswerRest::new(incoming, lease, keep_for);
     Ok((Response::from_parts(parts, ()), rest))
 }
-
-async fn send_by(
-    server: &Server,
-    replica: &RoutedReplica,
-    lease: Lease,
-    outgoing: &Outgoing,
-) -> Result<(Response<Incoming>, Lease), AttemptError> {
-    let sent = SentBytes::default();
-    let sending = lease.send(outgoing.request(), &sent);
-    server
-        .watch_link(replica, LATE_AFTER, |_| {}, sending)
-        .await
-}
--- a/entry/src/serve/routed/relay_state.rs
+++ b/entry/src/serve/routed/relay_state.rs
@@ -15,7 +15,8 @@
 /// Bodies of requests that are in memory at once.
 pub(super) const MAX_BODY_BYTES: u64 = 32 * 1024 * 1024;
 
-/// What is relayed at the moment, and the key that other daemons must show.
+/// Counts of the requests that are being relayed, and the key by which this daemon knows a request
+/// as one of an entry daemon of its cluster.
 pub(super) struct RelayState {
     pub(super) key: RelayKey,
     requests: Cell<u32>,
--- a/entry/src/serve/routed/retry_budget.rs
+++ b/entry/src/serve/routed/retry_budget.rs
@@ -158,11 +158,8 @@
         if let Some(ticket) = self.withdraw(service, reason) {
             return Some(ticket);
         }
-        if !self.may_wait(service, reason) {
-            return None;
-        }
+        let _wait = self.request_grant(service, reason)?;
         let until = deadline.min(Instant::now() + GRANT_TIMEOUT);
-        let _wait = self.grants.wait(service, reason, &self.waits);
         loop {
             let mut filled = pin!(self.grants.filled().notified());
             filled.as_mut().enable();
--- a/entry/src/serve/routed/stream.rs
+++ b/entry/src/serve/routed/stream.rs
@@ -264,7 +264,8 @@
             return;
         } else if cause == PauseCause::LinkLost && execution.may_resume() {
             // Nothing more will come by the lost link, so the stream asks for a retry meanwhile.
-            self.grant_wait = execution.request_grant();
+            let service = &execution.prepared.terms.service;
+            self.grant_wait = execution.server.request_grant(service);
             self.pause_timeout = Some(pause + GRANT_CHECK_INTERVAL);
         } else {
             // No other replica may resume the stream, but its own may still continue.
--- a/entry/src/serve/routed/transport.rs
+++ b/entry/src/serve/routed/transport.rs
@@ -5,20 +5,15 @@
     time::Duration, //
 };
 
-use cicadabend::{
-    dispatch::AnswerClass,
-    reach::LinkUse, //
-};
-use http::Response;
-use hyper::body::Incoming;
+use cicadabend::reach::LinkUse;
 
 use super::{
     super::upstream::{
         AttemptError,
-        Lease,
         SentBytes, //
     },
     delivered::Delivered,
+    direct::DirectRequest,
     failure::Failure,
     prepared_request::PreparedRequest,
     relay_client::send_relayed,
@@ -103,24 +98,15 @@
             None
         }
     };
-    let lease = match idle {
-        Some(lease) => lease,
-        None => server.connect(replica).await?,
-    };
-    let is_reused = lease.is_reused();
-    upstream_signals::check_admission(server, &replica.id)?;
-    let mut sent_at = server.clock.now();
-    let sending = send_by(server, prepared, (replica, lease), sent, last_event);
-    let (response, lease) = match sending.await {
-        Err(AttemptError::NothingWritten { .. }) if is_reused => {
-            let lease = server.connect(replica).await?;
-            upstream_signals::check_admission(server, &replica.id)?;
-            sent_at = server.clock.now();
-            send_by(server, prepared, (replica, lease), sent, last_event).await?
-        }
-        outcome => outcome?,
+    let direct = DirectRequest {
+        replica,
+        request: &|| prepared.request_to(&*server.edge, replica, last_event),
+        sent,
+        late_after: late_after(server, prepared, replica),
+        on_late: &|sent_at| prepared.record_unanswered(sent_at),
     };
-    server.record_heard(replica);
+    let check_admission = || upstream_signals::check_admission(server, &replica.id);
+    let (response, lease, sent_at) = direct.send(server, idle, check_admission).await?;
     Ok(Delivered {
         response,
         lease,
@@ -129,29 +115,8 @@
     })
 }
 
-/// Sends the request by a connection; while its response is late, checks whether the link is lost.
-async fn send_by(
-    server: &Server,
-    prepared: &PreparedRequest,
-    (replica, lease): (&RoutedReplica, Lease),
-    sent: &SentBytes,
-    last_event: Option<u64>,
-) -> Result<(Response<Incoming>, Lease), AttemptError> {
-    let late_after = late_after(server, prepared, replica);
-    let request = prepared.request_to(&*server.edge, replica, last_event);
-    let on_late = |sent_at| prepared.record_unanswered(sent_at);
-    let sending = lease.send(request, sent);
-    server
-        .watch_link(replica, late_after, on_late, sending)
-        .await
-}
-
 fn late_after(server: &Server, prepared: &PreparedRequest, replica: &RoutedReplica) -> Duration {
-    let class = AnswerClass {
-        service: replica.service.clone(),
-        model: replica.model.clone(),
-        is_stream: prepared.terms.route.kind.is_stream(),
-    };
+    let class = prepared.answer_class(replica.model.as_ref());
     let Some(usual) = server.latency_baseline(&class) else {
         return DEFAULT_LATE_AFTER;
     };
--- a/entry/src/serve/routed/upstream_signals.rs
+++ b/entry/src/serve/routed/upstream_signals.rs
@@ -13,6 +13,8 @@
 };
 
 use super::source::DEFAULT_KEEP_ALIVE;
+use http::StatusCode;
+
 use super::{
     counts::Routed,
     events::LogEvent,
@@ -93,6 +95,20 @@
     });
 }
 
+/// Returns whether a response belongs to the request with this id.
+pub(super) fn is_answer_to(
+    request: &str,
+    signals: &UpstreamSignals,
+    is_reused: bool,
+    status: StatusCode,
+) -> bool {
+    match &signals.request_id {
+        Some(id) => id == request,
+        // A new connection can't hold a response to an earlier request.
+        None => !is_reused && !status.is_success(),
+    }
+}
+
 /// Returns the time for which a connection may be pooled after a response with these signals.
 pub(super) fn keep_alive(signals: &UpstreamSignals) -> Duration {
     let keeps_for = signals.keeps_for.unwrap_or(DEFAULT_KEEP_ALIVE);
