entry, platform: a crash's lines name the prompt parts of the requests that broke off

CB1430 told the fingerprint of each, by which no two of them are alike, so the lines could not tell a shared part that crashes upstreams from a whole kind of request that does. The edge now reads the names of a prompt's shared parts, and CB1430 lists them. Nothing is decided by them yet.

--- a/entry/src/edge.rs
+++ b/entry/src/edge.rs
@@ -34,6 +34,9 @@
     pub answer_tokens: Option<u64>,
     /// The number of the last event that the caller has received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// The names of the prompt's parts that other requests may share, in order; equal parts have
+    /// equal names.
+    pub prompt_parts: Vec<String>,
 }
 
 /// The values that this daemon adds to the headers of a request to an upstream.
--- a/entry/src/serve/routed/crash_probe.rs
+++ b/entry/src/serve/routed/crash_probe.rs
@@ -72,6 +72,7 @@
             request: broken.request,
             fingerprint: broken.fingerprint,
             crashes,
+            parts: broken.parts.join(","),
             instance: upstream.clone(),
         });
     }
--- a/entry/src/serve/routed/crash_watch.rs
+++ b/entry/src/serve/routed/crash_watch.rs
@@ -23,6 +23,8 @@
     pub(super) request: String,
     /// Hash of team, path and body, which is the same when the caller sends the request again.
     pub(super) fingerprint: Fingerprint,
+    /// Names of the parts of its prompt that other requests may share.
+    pub(super) parts: Vec<String>,
     /// Numbers of crashes with this fingerprint that were known when the request was sent.
     pub(super) known: KnownCrashes,
     /// Upstreams that broke off earlier attempts of this request.
--- a/entry/src/serve/routed/events.rs
+++ b/entry/src/serve/routed/events.rs
@@ -87,11 +87,12 @@
     } "upstream crashed with requests";
     /// A request was at an upstream when the upstream crashed. The fingerprint is a hash of team,
     /// path and body, so it recognizes the request under another id; `crashes` counts successive
-    /// crashes.
+    /// crashes; `parts` are the parts of its prompt that other requests may share.
     1430 Info RequestSuspected {
         request: String,
         fingerprint: cicadabend::quarantine::Fingerprint,
         crashes: u32,
+        parts: String,
         instance: cicadabend::registry::InstanceId,
     } "request suspected";
     /// A request is not run because its fingerprint is quarantined or on trial: `crashes` upstreams
--- a/entry/src/serve/routed/quarantine.rs
+++ b/entry/src/serve/routed/quarantine.rs
@@ -27,6 +27,7 @@
         let broken = BrokenRequest {
             request: self.prepared.id().to_owned(),
             fingerprint: self.prepared.fingerprint(),
+            parts: self.prepared.caller_headers.prompt_parts.clone(),
             known: self.crash_history.known,
             broken_before: self.crash_history.broken_off_by.clone(),
         };
