lib, entry, control: requests with a prompt part that crashes upstreams are refused, and no others

Cause: a request was known again only as a whole (team, path, body), so a trait that different requests share was never counted. Class: what failed is identified by the whole, though only a trait of it is to blame.

Ruled out: a whole kind of request that ends its engines (answers of the same route end well beside the crashes), and overload (the first ten heads end out of a calm second with fewer requests than usual).

Change: each crash is recorded with the prompt parts that the upstream had and when they had been sent (lib/src/quarantine/parts). A part is cleared of a crash by a request with it that was sent 2 s before the crash or later and has been answered, or written on for a second. Crashes are attributed to the part that was present at most of them, by at least three crashes that followed each other; before five only if no other part was present at nearly as many. Parts that were never answered are judged before those that were, and a crash that is attributed to one part is not held against others. Parts that were always together are refused only together. Each daemon derives this from the same observations, which are spread like crashes of whole requests. Before a request is sent, its quarantine is looked up again, since it may have waited for a permit or a retry.

--- a/control/src/inbox.rs
+++ b/control/src/inbox.rs
@@ -66,6 +66,7 @@
             | PeerMessage::Roster(_)
             | PeerMessage::Upstreams(_)
             | PeerMessage::Crashes(_)
+            | PeerMessage::Parts(_)
             | PeerMessage::Rates(_)
             | PeerMessage::PermitAsk(_)
             | PeerMessage::GrantRequest(_)
--- a/control/src/members/events.rs
+++ b/control/src/members/events.rs
@@ -110,4 +110,19 @@
     1615 Info VotersWanted { voters: String } "voter change proposed";
     /// A newer table of routes is being sent to the entry daemons that subscribe to this daemon.
     1616 Info RoutesSpreading { version: u64, daemons: usize } "sending routes";
+    /// Several upstreams crashed one after the other while they had requests with this prompt part:
+    /// these are refused for `hold_ms` after the last of `crashes` crashes; the first was
+    /// `since_ms` ago. If there are several parts, only requests with all of them are refused, until
+    /// it is known which one it is. CB1430 and CB1446 have the parts' names.
+    1620 Warn PartQuarantined {
+        parts: String,
+        crashes: u32,
+        since_ms: u128,
+        hold_ms: u128,
+    } "prompt part quarantined";
+    /// Requests with these prompt parts are no longer refused for them: one was answered, the crashes
+    /// are attributed to other parts or to fewer of them, or they were long ago.
+    1621 Info PartReleased {
+        parts: String,
+    } "prompt part released";
 }
--- a/control/src/members/thread.rs
+++ b/control/src/members/thread.rs
@@ -29,7 +29,11 @@
         PeerMessage, //
     },
     prelude::*,
-    quarantine::Change,
+    quarantine::{
+        Change,
+        PartChange,
+        PartId, //
+    },
     rates::{
         PermitAsk,
         RateChange, //
@@ -190,6 +194,7 @@
                     .handle_upstreams_message(&incoming.from, *update, now);
             }
             PeerMessage::Crashes(update) => self.discovery.handle_crashes_message(&update, now),
+            PeerMessage::Parts(update) => self.discovery.handle_parts_message(&update, now),
             PeerMessage::Rates(update) => self.discovery.handle_rates_message(&update, now),
             PeerMessage::PermitAsk(ask) => self.handle_permit_request(&incoming.from, &ask, now),
             PeerMessage::GrantRequest(request) => {
@@ -390,6 +395,7 @@
             LogEvent::UpstreamEnded { instance, how }.emit();
         }
         DiscoveryEvent::Quarantine(change) => log_quarantine_change(&change),
+        DiscoveryEvent::PartQuarantine(change) => log_part_change(change),
         DiscoveryEvent::Rate(change) => log_rate_change(change),
         // Only entry daemons choose the control daemons from which they get updates.
         DiscoveryEvent::SourcesChanged(_) => {}
@@ -422,6 +428,27 @@
     }
 }
 
+fn log_part_change(change: PartChange) {
+    match change {
+        PartChange::Quarantined {
+            parts,
+            crashes,
+            since,
+            hold,
+        } => LogEvent::PartQuarantined {
+            parts: PartId::text(&parts),
+            crashes,
+            since_ms: since.as_millis(),
+            hold_ms: hold.as_millis(),
+        }
+        .emit(),
+        PartChange::Released { parts } => LogEvent::PartReleased {
+            parts: PartId::text(&parts),
+        }
+        .emit(),
+    }
+}
+
 fn log_upstream_change(report: &Registration) {
     LogEvent::UpstreamChanged {
         instance: report.id.clone(),
--- a/entry/src/members/crashes.rs
+++ b/entry/src/members/crashes.rs
@@ -1,10 +1,22 @@
 //! The notices by which the serving thread reports crashes of upstreams.
 
-use cicadabend::quarantine::{
-    Fingerprint,
-    Observation, //
+use cicadabend::{
+    prelude::*,
+    quarantine::{
+        CrashReport,
+        Fingerprint,
+        Observation,
+        PartId, //
+    },
 };
 
-/// The observations about requests that the serving thread reports together: which requests ran on
-/// an upstream when it crashed, or have completed since.
-pub(crate) type CrashNotice = Vec<(Fingerprint, Observation)>;
+/// What the serving thread observed about requests and the parts of their prompts.
+#[derive(Clone, Debug)]
+pub(crate) enum CrashNotice {
+    /// Requests that ran on an upstream when it crashed, or that have completed since.
+    Requests(Vec<(Fingerprint, Observation)>),
+    /// Prompt parts of the requests that an upstream had when it crashed.
+    Parts(CrashReport),
+    /// A suspected part, and when the request with it had been sent that is being answered.
+    Answered(PartId, Timestamp),
+}
--- a/entry/src/members/thread.rs
+++ b/entry/src/members/thread.rs
@@ -30,6 +30,9 @@
     prelude::*,
     quarantine::{
         Change,
+        PartChange,
+        PartId,
+        PartTable,
         SuspectTable, //
     },
     rates::{
@@ -127,6 +130,7 @@
     /// The group heads whose streams make no progress here, with the time of the last notice.
     stalled: BTreeMap<InstanceId, Timestamp>,
     suspects: Arc<SuspectTable>,
+    suspect_parts: Arc<PartTable>,
     rates: Arc<RateTable>,
     relays: Arc<Vec<Relay>>,
     client: PermitClient,
@@ -159,6 +163,7 @@
             was_certain: false,
             stalled: BTreeMap::new(),
             suspects: Arc::default(),
+            suspect_parts: Arc::default(),
             rates: Arc::default(),
             relays: Arc::default(),
             client: PermitClient::new(setup.me.daemon.clone()),
@@ -242,7 +247,13 @@
     /// control daemons.
     fn record_crash(&mut self, notice: &CrashNotice) {
         let now = self.now();
-        self.discovery.observe(notice, now);
+        match notice {
+            CrashNotice::Requests(observations) => self.discovery.observe(observations, now),
+            CrashNotice::Parts(report) => self.discovery.observe_crashed_parts(report, now),
+            CrashNotice::Answered(part, sent_at) => {
+                self.discovery.observe_answered_part(*part, *sent_at, now);
+            }
+        }
     }
 
     /// Passes a rate limit that an upstream named to discovery, which sends a changed one to the
@@ -335,6 +346,7 @@
                     .handle_upstreams_message(&incoming.from, *update, now);
             }
             PeerMessage::Crashes(update) => self.discovery.handle_crashes_message(&update, now),
+            PeerMessage::Parts(update) => self.discovery.handle_parts_message(&update, now),
             PeerMessage::Rates(update) => self.discovery.handle_rates_message(&update, now),
             PeerMessage::Permits(update) => {
                 let received = self
@@ -463,6 +475,9 @@
         if let Some(suspects) = self.discovery.changed_suspects() {
             self.suspects = Arc::new(suspects);
         }
+        if let Some(parts) = self.discovery.changed_parts() {
+            self.suspect_parts = Arc::new(parts);
+        }
         if let Some(rates) = self.discovery.changed_rates() {
             self.rates = Arc::new(rates);
         }
@@ -474,6 +489,7 @@
             entries: self.discovery.entry_count(),
             place: self.discovery.entry_index(),
             suspects: Arc::clone(&self.suspects),
+            suspect_parts: Arc::clone(&self.suspect_parts),
             rates: Arc::clone(&self.rates),
             relays: Arc::clone(&self.relays),
         }));
@@ -496,6 +512,7 @@
             LogEvent::SourceChanged { daemon }.emit();
         }
         DiscoveryEvent::Quarantine(change) => log_quarantine_change(&change),
+        DiscoveryEvent::PartQuarantine(change) => log_part_change(change),
         DiscoveryEvent::Rate(change) => log_rate_change(change),
         // `changes` logs the effect of these changes on the replicas instead.
         DiscoveryEvent::UpstreamFound(_)
@@ -538,6 +555,27 @@
     }
 }
 
+fn log_part_change(change: PartChange) {
+    match change {
+        PartChange::Quarantined {
+            parts,
+            crashes,
+            since,
+            hold,
+        } => LogEvent::PartQuarantined {
+            parts: PartId::text(&parts),
+            crashes,
+            since_ms: since.as_millis(),
+            hold_ms: hold.as_millis(),
+        }
+        .emit(),
+        PartChange::Released { parts } => LogEvent::PartReleased {
+            parts: PartId::text(&parts),
+        }
+        .emit(),
+    }
+}
+
 /// Returns this daemon's entry in the list of cluster members.
 pub(crate) fn member_address(
     daemon: DaemonId,
--- a/entry/src/members/view.rs
+++ b/entry/src/members/view.rs
@@ -8,7 +8,10 @@
 use cicadabend::{
     ids::Address,
     prelude::*,
-    quarantine::SuspectTable,
+    quarantine::{
+        PartTable,
+        SuspectTable, //
+    },
     rates::RateTable,
     reach::{
         LinkGroup,
@@ -45,6 +48,8 @@
     pub place: u32,
     /// The requests that ran on upstreams when these crashed.
     pub suspects: Arc<SuspectTable>,
+    /// The prompt parts that upstreams had when they crashed, but for those answered since.
+    pub suspect_parts: Arc<PartTable>,
     /// The rate limits that upstreams have announced.
     pub rates: Arc<RateTable>,
     /// The entry daemons that relay this one's requests.
--- a/entry/src/serve/routed/account.rs
+++ b/entry/src/serve/routed/account.rs
@@ -41,6 +41,7 @@
         self.life.apply(RequestEvent::AnswerEnded, |_| false);
         if self.is_success {
             self.report_cleared();
+            self.record_parts_answered();
         }
         self.server
             .counts
@@ -120,7 +121,8 @@
     }
 
     /// Records that more events of the stream arrived, through `relay` if there is one.
-    pub(super) fn record_progress(&self, relay: Option<&DaemonId>) {
+    pub(super) fn record_progress(&mut self, relay: Option<&DaemonId>) {
+        self.record_writing();
         if let Some(reservation) = &self.reservation {
             if relay.is_none() {
                 self.server.record_heard(&reservation.replica);
--- a/entry/src/serve/routed/counts.rs
+++ b/entry/src/serve/routed/counts.rs
@@ -67,6 +67,8 @@
         NoReplica,
         /// The request is quarantined because several upstreams crashed with it.
         Quarantined,
+        /// Several upstreams crashed with a part of the request's prompt, which is quarantined.
+        PartQuarantined,
         /// Every upstream is full, so the request would have had to wait for others there.
         NoRoom,
         /// Every upstream limits its request rate, and the rate is used up.
--- a/entry/src/serve/routed/crash_probe.rs
+++ b/entry/src/serve/routed/crash_probe.rs
@@ -5,11 +5,21 @@
 //! nothing listens at its address for seconds. Only then do its requests become suspects.
 
 use std::{
+    collections::BTreeMap,
     rc::Rc,
     time::Duration, //
 };
 
-use cicadabend::quarantine::Observation;
+use cicadabend::{
+    prelude::*,
+    quarantine::{
+        CrashId,
+        CrashReport,
+        Observation,
+        PartId, //
+    },
+    registry::InstanceId, //
+};
 use tokio::time::sleep;
 
 use super::{
@@ -24,12 +34,21 @@
     relay_headers::RelayReport,
     server::Server, //
 };
-use crate::members::RoutedReplica;
+use crate::members::{
+    CrashNotice,
+    RoutedReplica, //
+};
 
 /// Time for which further broken-off requests of the same upstream are collected.
 ///
 /// When an upstream crashes, one daemon's connections to it break within half of this time.
 const GATHER: Duration = Duration::from_millis(20);
+/// A part that was answered at most this long before a crash is not reported for it.
+const JUST_BEFORE: Duration = Duration::from_secs(2);
+/// Maximum number of parts in the report of one crash; suspected ones go first.
+const MAX_REPORTED_PARTS: usize = 512;
+/// Maximum number of characters of a part's name in logs.
+pub(super) const MAX_NAME_CHARS: usize = 32;
 
 /// Records a request that an upstream broke off; the first one starts a probe of the upstream.
 pub(super) fn record_broken_request(
@@ -64,6 +83,7 @@
         address,
         requests: broken_requests.len(),
     });
+    report_parts(&server, &upstream, &broken_requests);
     let mut observations = Vec::new();
     for broken in broken_requests {
         let crashes = watch.crash_number(&broken);
@@ -72,12 +92,61 @@
             request: broken.request,
             fingerprint: broken.fingerprint,
             crashes,
-            parts: broken.parts.join(","),
+            parts: parts_text(&broken.parts),
             instance: upstream.clone(),
         });
     }
     // A full ring drops the notice; the next crash sends another one.
-    let _ = server.crashes.push(observations);
+    let _ = server.crashes.push(CrashNotice::Requests(observations));
+}
+
+/// Reports the prompt parts that a crashed upstream had and that may have crashed it.
+///
+/// Parts that were answered just before are left out; if there is an older answer, it is reported
+/// as well.
+fn report_parts(server: &Rc<Server>, upstream: &InstanceId, broken: &[BrokenRequest]) {
+    let Some(at) = broken.iter().map(|broken| broken.broken_at).min() else {
+        return;
+    };
+    let mut sent: BTreeMap<PartId, Timestamp> = BTreeMap::new();
+    for request in broken {
+        for (_, part) in &request.parts {
+            let last = sent.entry(*part).or_default();
+            *last = request.sent_at.max(*last);
+        }
+    }
+    let answered_before = |part: &PartId| server.part_watch.last_answered(*part);
+    let was_sound = |part: &PartId| {
+        answered_before(part).is_some_and(|sent_at| at.since(sent_at) < JUST_BEFORE)
+    };
+    sent.retain(|part, _| !was_sound(part));
+    let mut sent: Vec<(PartId, Timestamp)> = sent.into_iter().collect();
+    let view = server.view.load();
+    sent.sort_by_key(|(part, _)| !view.suspect_parts.contains(*part));
+    sent.truncate(MAX_REPORTED_PARTS);
+    if sent.is_empty() {
+        return;
+    }
+    for (part, _) in &sent {
+        server.report_answered(*part);
+    }
+    let crash = CrashId::of(upstream);
+    // A full ring drops the report; the next crash sends another one.
+    let _ = server
+        .crashes
+        .push(CrashNotice::Parts(CrashReport { crash, at, sent }));
+}
+
+/// Returns the names and ids of parts for logs.
+fn parts_text(parts: &[(String, PartId)]) -> String {
+    let texts: Vec<String> = parts
+        .iter()
+        .map(|(name, part)| {
+            let name: String = name.chars().take(MAX_NAME_CHARS).collect();
+            format!("{name}={part}")
+        })
+        .collect();
+    texts.join(",")
 }
 
 /// Returns whether an upstream has ended; asks relays if this daemon can't tell.
--- a/entry/src/serve/routed/crash_watch.rs
+++ b/entry/src/serve/routed/crash_watch.rs
@@ -9,9 +9,11 @@
 };
 
 use cicadabend::{
+    prelude::*,
     quarantine::{
         Fingerprint,
-        KnownCrashes, //
+        KnownCrashes,
+        PartId, //
     },
     registry::InstanceId, //
 };
@@ -23,8 +25,12 @@
     pub(super) request: String,
     /// Hash of team, path and body, which is the same when the caller sends the request again.
     pub(super) fingerprint: Fingerprint,
-    /// Names of the parts of its prompt that other requests may share.
-    pub(super) parts: Vec<String>,
+    /// Names and ids of the parts of its prompt that other requests may share.
+    pub(super) parts: Vec<(String, PartId)>,
+    /// When it had been sent to the upstream.
+    pub(super) sent_at: Timestamp,
+    /// When it broke off.
+    pub(super) broken_at: Timestamp,
     /// Numbers of crashes with this fingerprint that were known when the request was sent.
     pub(super) known: KnownCrashes,
     /// Upstreams that broke off earlier attempts of this request.
--- a/entry/src/serve/routed/drive.rs
+++ b/entry/src/serve/routed/drive.rs
@@ -45,6 +45,9 @@
         }
         self.record_permit_demand();
         if !self.choose_or_request_permit().await {
+            if self.is_quarantined() {
+                return self.refuse_quarantined();
+            }
             let (reason, why) = self.refusal_without_replica();
             return self.refuse(reason, why);
         }
@@ -149,6 +152,7 @@
             crash_history: std::mem::take(&mut self.crash_history),
             is_success: self.is_success,
             trial: self.trial.take(),
+            is_writing_proven: self.is_writing_proven,
             verdict: self.verdict,
             rate: self.rate,
         };
--- a/entry/src/serve/routed/events.rs
+++ b/entry/src/serve/routed/events.rs
@@ -87,7 +87,8 @@
     } "upstream crashed with requests";
     /// A request was at an upstream when the upstream crashed. The fingerprint is a hash of team,
     /// path and body, so it recognizes the request under another id; `crashes` counts successive
-    /// crashes; `parts` are the parts of its prompt that other requests may share.
+    /// crashes; `parts` are the names and ids of its prompt's parts that other requests may
+    /// share.
     1430 Info RequestSuspected {
         request: String,
         fingerprint: cicadabend::quarantine::Fingerprint,
@@ -202,4 +203,13 @@
         outcome: &'static str,
         took_ms: u128,
     } "request relayed";
+    /// A request is not run because a part of its prompt is quarantined or on trial: `crashes`
+    /// upstreams crashed that had requests with this part. The refusal is the request's next line.
+    1446 Warn PartHeld {
+        request: String,
+        part: cicadabend::quarantine::PartId,
+        name: String,
+        crashes: u32,
+        left_ms: u128,
+    } "request held by a quarantined part";
 }
--- a/entry/src/serve/routed/execution.rs
+++ b/entry/src/serve/routed/execution.rs
@@ -62,6 +62,8 @@
     /// Whether the response that is passed on has a success status.
     pub(super) is_success: bool,
     pub(super) trial: Option<QuarantineTrial>,
+    /// Whether the current replica's answer has shown that the prompt's parts crash no upstream.
+    pub(super) is_writing_proven: bool,
     /// Whether the request may use permits, which upstreams with a request rate require.
     pub(super) verdict: Verdict,
     /// Request rate that the current replica names; `None` if it names none.
@@ -90,6 +92,7 @@
             crash_history: CrashHistory::default(),
             is_success: false,
             trial: None,
+            is_writing_proven: false,
             verdict: Verdict::MayUse,
             rate: None,
         })
@@ -104,6 +107,10 @@
         if is_retry && self.ticket.is_none() {
             return false;
         }
+        // The request may have waited for a permit or a retry since this was checked.
+        if self.is_quarantined() {
+            return false;
+        }
         let view = self.server.view.load_full();
         let Some((replica, chosen)) = self.best_replica(&view) else {
             return false;
@@ -124,6 +131,7 @@
         let tokens = self.prepared.prompt_tokens();
         let retry = self.ticket.take();
         let reservation = Reservation::make(&self.server, replica, tokens, retry);
+        self.is_writing_proven = false;
         self.record_trial(&reservation);
         self.reservation = Some(reservation);
         true
--- a/entry/src/serve/routed/mod.rs
+++ b/entry/src/serve/routed/mod.rs
@@ -29,8 +29,8 @@
 //! - `relay_headers`: what daemons tell each other of a relayed request.
 //! - `failure`, `source`, `prepared_request`: why an attempt failed; the remaining bytes of a
 //!   response; a request in a form that can be sent several times.
-//! - `crash_watch`, `counts`, `events`, `lines`: requests that were broken off; counters; log
-//!   events; their rate limit.
+//! - `crash_watch`, `part_watch`, `counts`, `events`, `lines`: requests that were broken off; prompt
+//!   parts that were answered; counters; log events; their rate limit.
 
 mod account;
 mod admission;
@@ -53,6 +53,7 @@
 mod links;
 mod listener;
 mod liveness;
+mod part_watch;
 mod prepared_request;
 mod quarantine;
 mod rates;
--- a/entry/src/serve/routed/prepared_request.rs
+++ b/entry/src/serve/routed/prepared_request.rs
@@ -15,7 +15,10 @@
         most_urgent, //
     },
     prelude::*,
-    quarantine::Fingerprint,
+    quarantine::{
+        Fingerprint,
+        PartId, //
+    },
     routes::Route, //
 };
 use http::{
@@ -40,6 +43,9 @@
     members::RoutedReplica,
 };
 
+/// Maximum number of a prompt's parts that are told from each other.
+const MAX_PARTS: usize = 16;
+
 /// A request's priority among the requests that wait at an upstream.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Precedence {
@@ -69,6 +75,7 @@
     parts: Parts,
     body: Bytes,
     fingerprint: OnceCell<Fingerprint>,
+    prompt_parts: OnceCell<Vec<PartId>>,
     unanswered_since: Cell<Option<Timestamp>>,
 }
 
@@ -92,6 +99,7 @@
             parts,
             body,
             fingerprint: OnceCell::new(),
+            prompt_parts: OnceCell::new(),
             unanswered_since: Cell::new(None),
         }
     }
@@ -105,6 +113,24 @@
         })
     }
 
+    /// Returns the ids of the prompt's parts that other requests may share, in the order of
+    /// [`Self::part_names`].
+    pub(super) fn prompt_parts(&self) -> &[PartId] {
+        self.prompt_parts.get_or_init(|| {
+            let model = self.caller_headers.model.as_deref();
+            let names = self.part_names().iter();
+            names
+                .map(|name| PartId::of(&self.terms.service, model, name))
+                .collect()
+        })
+    }
+
+    /// Returns the names of the prompt's parts that other requests may share, as far as they count.
+    pub(super) fn part_names(&self) -> &[String] {
+        let names = &self.caller_headers.prompt_parts;
+        &names[..names.len().min(MAX_PARTS)]
+    }
+
     /// Returns the caller's request id for logs; empty if the caller sent none.
     pub(super) fn id(&self) -> &str {
         self.caller_headers
--- a/entry/src/serve/routed/refusal.rs
+++ b/entry/src/serve/routed/refusal.rs
@@ -62,7 +62,8 @@
             | RoutedRefusal::RateUsedUp
             | RoutedRefusal::BackoffAsked
             | RoutedRefusal::NotStarted
-            | RoutedRefusal::Quarantined => (
+            | RoutedRefusal::Quarantined
+            | RoutedRefusal::PartQuarantined => (
                 StatusCode::SERVICE_UNAVAILABLE,
                 Some(self.caller_retry_after()),
             ),
--- a/entry/src/serve/routed/reservation.rs
+++ b/entry/src/serve/routed/reservation.rs
@@ -1,6 +1,9 @@
 //! Counts a request at its replica while an attempt lasts.
 
-use std::rc::Rc;
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
 
 use cicadabend::{
     breaker::TrialTicket,
@@ -25,6 +28,10 @@
     pub(super) replica: RoutedReplica,
     prompt_tokens: u64,
     is_read: bool,
+    /// When the attempt was made.
+    pub(super) made_at: Timestamp,
+    /// When the first chunk of the response arrived.
+    first_chunk_at: Option<Timestamp>,
     trial: Option<TrialTicket>,
     /// The ticket of the attempt until its first response, if it is a retry.
     retry: Option<RetryTicket>,
@@ -68,6 +75,8 @@
             replica,
             prompt_tokens,
             is_read: false,
+            made_at: server.clock.now(),
+            first_chunk_at: None,
             trial,
             retry: None,
         }
@@ -87,12 +96,20 @@
 
     /// Records that the engine has read the prompt: the first chunk of the response is here.
     pub(super) fn read(&mut self) {
+        let now = self.server.clock.now();
+        self.first_chunk_at.get_or_insert(now);
         if !std::mem::replace(&mut self.is_read, true) {
             let mut loads = self.server.loads.borrow_mut();
             loads.read(&self.replica.id, self.prompt_tokens);
         }
     }
 
+    /// Returns the time since the first chunk of the response, zero if there was none.
+    pub(super) fn writing_for(&self) -> Duration {
+        let first_chunk_at = self.first_chunk_at;
+        first_chunk_at.map_or(Duration::ZERO, |at| self.server.clock.now().since(at))
+    }
+
     /// Returns whether this is a trial request, which tests a replica after its backoff.
     pub(super) fn is_trial(&self) -> bool {
         self.trial.is_some()
--- a/entry/src/serve/routed/server.rs
+++ b/entry/src/serve/routed/server.rs
@@ -30,7 +30,6 @@
         LoadTracker, //
     },
     prelude::*,
-    quarantine::Fingerprint,
     registry::InstanceId,
     retry_budget::RoutedRetryReason, //
 };
@@ -61,11 +60,13 @@
         self,
         Links, //
     },
+    part_watch::PartWatch,
     relay_state::RelayState,
     retry_budget::{
         RetryBudgets,
         RetryTicket, //
     },
+    trials::Suspect,
 };
 use crate::{
     edge::CallerEdge,
@@ -82,8 +83,8 @@
 /// Interval at which the state of removed upstreams is dropped.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Fingerprints of requests that are on trial at this daemon; one of each runs at a time.
-pub(super) type QuarantineTrials = HashSet<Fingerprint>;
+/// Requests and prompt parts that are on trial at this daemon; one of each runs at a time.
+pub(super) type QuarantineTrials = HashSet<Suspect>;
 
 /// Request rate that each upstream named in its last response to this daemon.
 ///
@@ -101,6 +102,7 @@
     pub(super) loads: RefCell<LoadTracker>,
     pub(super) latency_baselines: RefCell<LatencyBaselines>,
     pub(super) crash_watch: CrashWatch,
+    pub(super) part_watch: PartWatch,
     pub(super) links: Links,
     pub(super) relay: RelayState,
     pub(super) draining: Cell<bool>,
@@ -134,6 +136,7 @@
                 setup.settings.retries.late_quantile,
             )),
             crash_watch: CrashWatch::default(),
+            part_watch: PartWatch::default(),
             links: Links::new(setup.lost_groups.clone()),
             relay: RelayState::new(setup.relay_key),
             draining: Cell::new(false),
@@ -264,6 +267,7 @@
         server.loads.borrow_mut().forget(is_in_view);
         server.crash_watch.retain_upstreams(is_in_view);
         let now = server.clock.now();
+        server.part_watch.forget_old(now);
         server.breakers.borrow_mut().forget(is_in_view, now);
         server.latency_baselines.borrow_mut().forget_old(now);
         server.drop_ended_permits();
--- a/entry/src/serve/routed/trials.rs
+++ b/entry/src/serve/routed/trials.rs
@@ -5,38 +5,50 @@
 use cicadabend::{
     quarantine::{
         Fingerprint,
-        KnownCrashes, //
+        KnownCrashes,
+        PartId, //
     },
     registry::InstanceId, //
 };
 
 use super::server::Server;
 
-/// The trial run of a request after its quarantine, which shows whether it still crashes upstreams.
+/// What a trial run tests: a request, or a part of its prompt.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(super) enum Suspect {
+    Request(Fingerprint),
+    Part(PartId),
+}
+
+/// The trial run of a request after a quarantine, which shows whether it still crashes upstreams.
 ///
 /// Dropping this ends the trial.
 pub(super) struct QuarantineTrial {
     server: Rc<Server>,
-    fingerprint: Fingerprint,
+    suspects: Vec<Suspect>,
 }
 
 impl QuarantineTrial {
-    /// Begins a trial; returns `None` while another request of the same fingerprint is on trial.
-    pub(super) fn begin(server: &Rc<Server>, fingerprint: Fingerprint) -> Option<Self> {
-        let is_first = server.quarantine_trials.borrow_mut().insert(fingerprint);
-        is_first.then(|| Self {
+    /// Begins a trial; returns `None` while another request tests any of the suspects.
+    pub(super) fn begin(server: &Rc<Server>, suspects: Vec<Suspect>) -> Option<Self> {
+        let mut trials = server.quarantine_trials.borrow_mut();
+        if suspects.iter().any(|suspect| trials.contains(suspect)) {
+            return None;
+        }
+        trials.extend(&suspects);
+        Some(Self {
             server: Rc::clone(server),
-            fingerprint,
+            suspects,
         })
     }
 }
 
 impl Drop for QuarantineTrial {
     fn drop(&mut self) {
-        self.server
-            .quarantine_trials
-            .borrow_mut()
-            .remove(&self.fingerprint);
+        let mut trials = self.server.quarantine_trials.borrow_mut();
+        for suspect in &self.suspects {
+            trials.remove(suspect);
+        }
     }
 }
 
--- a/lib/src/discovery/action.rs
+++ b/lib/src/discovery/action.rs
@@ -9,7 +9,10 @@
         PeerMessage, //
     },
     prelude::*,
-    quarantine::Change,
+    quarantine::{
+        Change,
+        PartChange, //
+    },
     rates::RateChange,
     registry::{
         Ended,
@@ -54,6 +57,8 @@
     SourcesChanged(Vec<DaemonId>),
     /// A request is now quarantined, or no longer is.
     Quarantine(Change),
+    /// Requests with a prompt part are now refused, or no longer are.
+    PartQuarantine(PartChange),
     /// The request rate that an upstream names has changed.
     Rate(RateChange),
 }
--- a/lib/src/discovery/control.rs
+++ b/lib/src/discovery/control.rs
@@ -36,7 +36,9 @@
     prelude::*,
     quarantine::{
         CrashSpread,
-        CrashUpdate, //
+        CrashUpdate,
+        PartSpread,
+        PartUpdate, //
     },
     rates::{
         RateSpread,
@@ -132,6 +134,8 @@
     synced_with: BTreeSet<DaemonId>,
     /// The crashes of upstreams, with the requests that were running.
     crashes: CrashSpread,
+    /// The prompt parts that upstreams had when they crashed, and those that were answered.
+    parts: PartSpread,
     /// The request rates that upstreams name in their answers.
     rates: RateSpread,
     /// The number of changes of the offers to relay requests, and of the daemons that are live.
@@ -154,6 +158,7 @@
     ) -> Self {
         Self {
             crashes: CrashSpread::new(&me.daemon),
+            parts: PartSpread::new(&me.daemon),
             rates: RateSpread::default(),
             members: Members::new(me, seeds, MembersSettings::default()),
             hello_every,
@@ -254,8 +259,9 @@
             let all = updates::all(&self.registry, now);
             self.send(&daemon, PeerMessage::Upstreams(Box::new(all)));
             let crashes = updates::crashes_message(self.crashes.all(now));
+            let parts = updates::parts_message(self.parts.all(now));
             let rates = updates::rates_message(self.rates.all(now));
-            for message in crashes.into_iter().chain(rates) {
+            for message in [crashes, parts, rates].into_iter().flatten() {
                 self.send(&daemon, message);
             }
         }
@@ -438,12 +444,20 @@
         }
     }
 
+    /// Takes in observations of prompt parts by another daemon, and relays new ones.
+    pub fn handle_parts_message(&mut self, update: &PartUpdate, now: Timestamp) {
+        for change in self.parts.handle_and_relay_update(update, now) {
+            self.log(DiscoveryEvent::PartQuarantine(change));
+        }
+        self.relay_observations(now);
+    }
+
     /// Takes in rates that another daemon has received in upstreams' answers, and relays changes.
     pub fn handle_rates_message(&mut self, update: &RateUpdate, now: Timestamp) {
         for change in self.rates.handle_rate_update(update, true, now) {
             self.log(DiscoveryEvent::Rate(change));
         }
-        self.relay_crashes_and_rates(now);
+        self.relay_observations(now);
     }
 
     /// Returns the current rates if they may have changed since the last call.
@@ -507,7 +521,7 @@
             self.log_silent_daemons(now);
         }
         self.relay_reports(now);
-        self.relay_crashes_and_rates(now);
+        self.relay_observations(now);
     }
 
     fn send_hellos(&mut self, routes: NewestRoutes, now: Timestamp) {
@@ -536,6 +550,7 @@
             self.actions.push(Action::RemovePeer(daemon));
         }
         self.crashes.forget_old(now);
+        self.parts.forget_old(now);
         let registry = &self.registry;
         let forgotten = self.rates.forget(|id| registry.ended(id).is_some(), now);
         for change in forgotten {
@@ -580,11 +595,12 @@
         }
     }
 
-    /// Sends the crashes and rates that are due to the subscribers and live control daemons.
-    fn relay_crashes_and_rates(&mut self, now: Timestamp) {
+    /// Sends the crashes, parts and rates that are due to the subscribers and live control daemons.
+    fn relay_observations(&mut self, now: Timestamp) {
         let crashes = updates::crashes_message(self.crashes.take_due_update(now));
+        let parts = updates::parts_message(self.parts.take_due_update(now));
         let rates = updates::rates_message(self.rates.take_due_update(now));
-        for message in crashes.into_iter().chain(rates) {
+        for message in [crashes, parts, rates].into_iter().flatten() {
             let mut to = self.subscribers(now);
             to.extend(self.live_controls(now));
             for daemon in to {
--- a/lib/src/discovery/entry.rs
+++ b/lib/src/discovery/entry.rs
@@ -32,10 +32,15 @@
     },
     prelude::*,
     quarantine::{
+        CrashReport,
         CrashSpread,
         CrashUpdate,
         Fingerprint,
         Observation,
+        PartId,
+        PartSpread,
+        PartTable,
+        PartUpdate,
         SuspectTable, //
     },
     rates::{
@@ -89,6 +94,8 @@
     receives_from: BTreeMap<DaemonId, BTreeSet<DaemonId>>,
     /// The crashes of upstreams, with the requests that were running.
     crashes: CrashSpread,
+    /// The prompt parts that upstreams had when they crashed, and those that were answered.
+    parts: PartSpread,
     /// The request rates that upstreams name in their answers.
     rates: RateSpread,
     has_upstreams: bool,
@@ -109,6 +116,7 @@
     ) -> Self {
         Self {
             crashes: CrashSpread::new(&me.daemon),
+            parts: PartSpread::new(&me.daemon),
             members: Members::new(me, seeds, MembersSettings::default()),
             hello_every,
             registry: Registry::default(),
@@ -192,8 +200,10 @@
             self.actions.push(Action::Log(event));
             // The control daemon has missed what was sent while it was unreachable.
             let crashes = updates::crashes_message(self.crashes.own_update(now));
+            let parts = updates::parts_message(self.parts.own_update(now));
             let rates = updates::rates_message(self.rates.all(now));
-            self.send_each(std::slice::from_ref(from), crashes.into_iter().chain(rates));
+            let missed = [crashes, parts, rates].into_iter().flatten();
+            self.send_each(std::slice::from_ref(from), missed);
         }
         self.members.handle_update(update, now);
         self.receives_from
@@ -252,6 +262,28 @@
         self.send_due_updates(now);
     }
 
+    /// Takes in observations of prompt parts by other daemons.
+    pub fn handle_parts_message(&mut self, update: &PartUpdate, now: Timestamp) {
+        let changes = self.parts.handle_update(update, now);
+        self.log(changes.into_iter().map(DiscoveryEvent::PartQuarantine));
+    }
+
+    /// Records the prompt parts that an upstream had of this daemon when it crashed, and sends them
+    /// to control daemons at once.
+    pub fn observe_crashed_parts(&mut self, report: &CrashReport, now: Timestamp) {
+        let changes = self.parts.observe_crash(report, now);
+        self.log(changes.into_iter().map(DiscoveryEvent::PartQuarantine));
+        self.send_due_updates(now);
+    }
+
+    /// Records that a request with the part, which this daemon had sent at `sent_at`, was answered,
+    /// and tells control daemons at once.
+    pub fn observe_answered_part(&mut self, part: PartId, sent_at: Timestamp, now: Timestamp) {
+        let changes = self.parts.observe_answer(part, sent_at, now);
+        self.log(changes.into_iter().map(DiscoveryEvent::PartQuarantine));
+        self.send_due_updates(now);
+    }
+
     /// Takes in rates that upstreams named in answers to other daemons.
     pub fn handle_rates_message(&mut self, update: &RateUpdate, now: Timestamp) {
         let changes = self.rates.handle_rate_update(update, false, now);
@@ -288,16 +320,22 @@
         self.crashes.changed_table()
     }
 
+    /// Returns the table of suspected prompt parts if it may have changed since the last call.
+    pub fn changed_parts(&mut self) -> Option<PartTable> {
+        self.parts.changed_table()
+    }
+
     fn log(&mut self, events: impl Iterator<Item = DiscoveryEvent>) {
         self.actions.extend(events.map(Action::Log));
     }
 
-    /// Sends the crashes and rates that are due to all live control daemons.
+    /// Sends the crashes, parts and rates that are due to all live control daemons.
     fn send_due_updates(&mut self, now: Timestamp) {
         let crashes = updates::crashes_message(self.crashes.take_due_update(now));
+        let parts = updates::parts_message(self.parts.take_due_update(now));
         let rates = updates::rates_message(self.rates.take_due_update(now));
         let controls = self.members.controls_by_preference(now);
-        self.send_each(&controls, crashes.into_iter().chain(rates));
+        self.send_each(&controls, [crashes, parts, rates].into_iter().flatten());
     }
 
     fn send_each(&mut self, to: &[DaemonId], messages: impl Iterator<Item = PeerMessage>) {
@@ -313,6 +351,7 @@
     pub fn tick(&mut self, now: Timestamp) {
         self.registry.forget_old(now);
         self.crashes.forget_old(now);
+        self.parts.forget_old(now);
         let registry = &self.registry;
         let forgotten = self.rates.forget(|id| registry.ended(id).is_some(), now);
         self.log(forgotten.into_iter().map(DiscoveryEvent::Rate));
--- a/lib/src/discovery/updates.rs
+++ b/lib/src/discovery/updates.rs
@@ -11,7 +11,10 @@
         UpstreamUpdate, //
     },
     prelude::*,
-    quarantine::CrashUpdate,
+    quarantine::{
+        CrashUpdate,
+        PartUpdate, //
+    },
     rates::RateUpdate,
     registry::{
         Alive,
@@ -115,6 +118,11 @@
     (!update.is_empty()).then(|| PeerMessage::Crashes(Box::new(update)))
 }
 
+/// Returns the message with these observations of prompt parts; `None` if there are none.
+pub(super) fn parts_message(update: PartUpdate) -> Option<PeerMessage> {
+    (!update.is_empty()).then(|| PeerMessage::Parts(Box::new(update)))
+}
+
 /// Returns the message with these rates; `None` if there are none.
 pub(super) fn rates_message(update: RateUpdate) -> Option<PeerMessage> {
     (!update.is_empty()).then(|| PeerMessage::Rates(Box::new(update)))
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -24,7 +24,10 @@
     },
     ids::Address,
     prelude::*,
-    quarantine::CrashUpdate,
+    quarantine::{
+        CrashUpdate,
+        PartUpdate, //
+    },
     rates::{
         PermitAsk,
         PermitUpdate,
@@ -232,6 +235,9 @@
     RelayHello(Box<RelayHello>),
     /// Control to entry: the entry daemons that relay the receiver's requests.
     Relays(Box<RelayUpdate>),
+    /// Entry to control, control to control and entry: prompt parts that upstreams had when they
+    /// crashed, and parts that were answered.
+    Parts(Box<PartUpdate>),
 }
 
 /// A control daemon's heartbeat to the other control daemons.
--- a/lib/src/quarantine/table.rs
+++ b/lib/src/quarantine/table.rs
@@ -71,10 +71,32 @@
     }
 }
 
-/// The crashes known of one request.
+impl SuspectStatus {
+    /// Returns the stricter one of two statuses.
+    #[must_use]
+    pub fn stricter(self, other: Self) -> Self {
+        match other.strictness() > self.strictness() {
+            true => other,
+            false => self,
+        }
+    }
+
+    /// Returns the position in the order of strictness, and the end of the quarantine if there is one.
+    pub(super) fn strictness(self) -> (u8, Timestamp) {
+        match self {
+            SuspectStatus::Trusted => (0, Timestamp::default()),
+            SuspectStatus::Suspected => (1, Timestamp::default()),
+            SuspectStatus::Doubtful => (2, Timestamp::default()),
+            SuspectStatus::OnTrial => (3, Timestamp::default()),
+            SuspectStatus::Quarantined { until } => (4, until),
+        }
+    }
+}
+
+/// The crashes known of one request or prompt part.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Suspicion {
-    /// Number of consecutive crashes during which the request was being executed.
+    /// Number of consecutive crashes during which it was being executed.
     pub crashes: u32,
     /// End of the quarantine; `None` if there were too few crashes for one.
     pub held_until: Option<Timestamp>,
--- a/lib/src/signed_timestamp.rs
+++ b/lib/src/signed_timestamp.rs
@@ -33,11 +33,15 @@
         u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
     }
 
+    /// Returns the point in time `length` after `self`.
+    pub(crate) fn after(self, length: Duration) -> Self {
+        let length_ms = i64::try_from(length.as_millis()).unwrap_or(i64::MAX);
+        Self(self.0.saturating_add(length_ms))
+    }
+
     /// Returns the time `length` after `self`, but at least the start of this process.
     pub(crate) fn timestamp_after(self, length: Duration) -> Timestamp {
-        let length_ms = i64::try_from(length.as_millis()).unwrap_or(i64::MAX);
-        let at_ms = self.0.saturating_add(length_ms);
-        Timestamp(u64::try_from(at_ms).unwrap_or_default())
+        Timestamp(u64::try_from(self.after(length).0).unwrap_or_default())
     }
 }
 
