entry: a response that breaks off doesn't look complete to callers of HTTP/1.0

A caller of HTTP/1.0 knows the end of a body without a length by the end of its connection. A large response that broke off at its upstream, with 614,497 bytes passed on, ended with an orderly close, so the caller had no sign that the rest was missing. The connection is reset now, on the listener of routed requests and on the product's own; callers of later versions miss the last chunk and are closed as before.

--- a/entry/src/serve/caller_stream.rs
+++ b/entry/src/serve/caller_stream.rs
@@ -1,9 +1,11 @@
 //! A caller's socket with a timeout for writes.
 
 use std::{
+    cell::Cell,
     future::Future,
     io,
     pin::Pin,
+    rc::Rc,
     task::{
         Context,
         Poll, //
@@ -11,6 +13,7 @@
     time::Duration,
 };
 
+use http::Version;
 use tokio::{
     io::{
         AsyncRead,
@@ -24,6 +27,28 @@
     },
 };
 
+/// How a connection is to be closed that ends in the middle of a response.
+///
+/// A response to HTTP/1.0 ends with its connection, so a caller would take one that broke off for
+/// complete if the connection were closed in order. It is reset instead.
+#[derive(Clone, Debug, Default)]
+pub(super) struct BrokenEnd {
+    is_unframed: Rc<Cell<bool>>,
+    resets: Rc<Cell<bool>>,
+}
+
+impl BrokenEnd {
+    /// Records the HTTP version of the request that is being answered.
+    pub(super) fn record_request(&self, version: Version) {
+        self.is_unframed.set(version == Version::HTTP_10);
+    }
+
+    /// Records that the response broke off.
+    pub(super) fn record_broken(&self) {
+        self.resets.set(self.is_unframed.get());
+    }
+}
+
 /// A socket on which a write fails if it makes no progress for `limit`.
 ///
 /// Without this, a caller that stops reading would keep its slot at the engine for as long as its
@@ -34,14 +59,16 @@
     limit: Duration,
     /// Runs while writes make no progress.
     stalled: Option<Pin<Box<Sleep>>>,
+    broken_end: BrokenEnd,
 }
 
 impl CallerStream {
-    pub(super) fn new(stream: TcpStream, limit: Duration) -> Self {
+    pub(super) fn new(stream: TcpStream, limit: Duration, broken_end: BrokenEnd) -> Self {
         Self {
             stream,
             limit,
             stalled: None,
+            broken_end,
         }
     }
 
@@ -64,6 +91,15 @@
     }
 }
 
+impl Drop for CallerStream {
+    fn drop(&mut self) {
+        if self.broken_end.resets.get() {
+            // Without it, the caller sees an orderly end; nothing better is left to do.
+            let _ = self.stream.set_zero_linger();
+        }
+    }
+}
+
 impl AsyncRead for CallerStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/entry/src/serve/listener.rs
+++ b/entry/src/serve/listener.rs
@@ -9,7 +9,9 @@
     time::Duration, //
 };
 
+use http::Request;
 use hyper::{
+    body::Incoming,
     rt::Executor,
     service::service_fn, //
 };
@@ -30,7 +32,10 @@
 };
 
 use super::{
-    caller_stream::CallerStream,
+    caller_stream::{
+        BrokenEnd,
+        CallerStream, //
+    },
     connections::{
         header_buffer,
         serve_until_drained, //
@@ -90,22 +95,30 @@
     let builder = connection_builder(&server, read_timeout);
     let has_request = Rc::new(Cell::new(false));
     let request_seen = Rc::clone(&has_request);
-    let service = service_fn(move |request| {
+    let broken_end = BrokenEnd::default();
+    let of_request = broken_end.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
         request_seen.set(true);
+        of_request.record_request(request.version());
         let server = Rc::clone(&server);
         async move {
             let answer = handler::answer(Rc::clone(&server), request).await;
             Ok::<_, Infallible>(answer.map(|body| server.bodies.watch(body)))
         }
     });
-    let stream = TokioIo::new(CallerStream::new(stream, read_timeout));
+    let stream = TokioIo::new(CallerStream::new(stream, read_timeout, broken_end.clone()));
     let mut connection = pin!(builder.serve_connection(stream, service));
     let mut first_request_timer = pin!(sleep(read_timeout));
     let mut shutting_down = false;
     let mut first_request_checked = false;
     loop {
         tokio::select! {
-            _ = connection.as_mut() => return,
+            ended = connection.as_mut() => {
+                if ended.is_err() {
+                    broken_end.record_broken();
+                }
+                return;
+            }
             _ = draining.wait_for(|drain| *drain), if !shutting_down => {
                 shutting_down = true;
                 connection.as_mut().graceful_shutdown();
--- a/entry/src/serve/routed/listener.rs
+++ b/entry/src/serve/routed/listener.rs
@@ -8,7 +8,9 @@
 };
 
 use cicadabend::breaker::Breakers;
+use http::Request;
 use hyper::{
+    body::Incoming,
     server::conn::http1,
     service::service_fn, //
 };
@@ -26,7 +28,10 @@
 
 use super::{
     super::{
-        caller_stream::CallerStream,
+        caller_stream::{
+            BrokenEnd,
+            CallerStream, //
+        },
         connections::{
             accept,
             header_buffer,
@@ -88,16 +93,24 @@
     let _ = stream.set_nodelay(true);
     let builder = connection_builder(&server);
     let stall = Duration::from_millis(server.settings.callers.read_timeout_ms);
-    let service = service_fn(move |request| {
+    let broken_end = BrokenEnd::default();
+    let of_request = broken_end.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        of_request.record_request(request.version());
         let server = Rc::clone(&server);
         async move { Ok::<_, Infallible>(handler::answer(server, request).await) }
     });
-    let stream = TokioIo::new(CallerStream::new(stream, stall));
+    let stream = TokioIo::new(CallerStream::new(stream, stall, broken_end.clone()));
     let mut connection = pin!(builder.serve_connection(stream, service));
     let mut shutting_down = false;
     loop {
         tokio::select! {
-            _ = connection.as_mut() => return,
+            ended = connection.as_mut() => {
+                if ended.is_err() {
+                    broken_end.record_broken();
+                }
+                return;
+            }
             _ = draining.wait_for(|drain| *drain), if !shutting_down => {
                 shutting_down = true;
                 connection.as_mut().graceful_shutdown();
