entry: listeners hold the connections that come while the daemon pauses

The kernel held 128 connections that the daemon had not accepted; while it paused, 129 of 600 callers got a connection, and the others tried again after a second. connections_that_come_while_a_daemon_pauses_are_all_made failed with 129 of 600 and passes with all 600 now that the listeners hold 4,096.

callers_who_all_come_to_one_daemon_are_served_like_those_of_four passed before, too: neither room, nor retries, nor connections to upstreams are bounded by an even part of the callers.

--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -92,6 +92,9 @@
     },
 };
 
+/// The number of connections that the kernel holds until they are accepted. It drops further ones,
+/// whose callers try again after a second.
+const LISTEN_BACKLOG: i32 = 4_096;
 /// The number of peer messages that can queue; senders retransmit dropped ones.
 const PEER_INBOX_CAPACITY: usize = 4_096;
 /// The number of replies to claims that can queue for the serving thread, which asks again if one
@@ -295,7 +298,12 @@
 }
 
 fn listen(address: Address) -> Result<TcpListener, ProcessError> {
-    TcpListener::bind(address).map_err(|source| ProcessError::Listen { address, source })
+    let listen = || -> io::Result<TcpListener> {
+        let listener = TcpListener::bind(address)?;
+        rustix::net::listen(&listener, LISTEN_BACKLOG)?;
+        Ok(listener)
+    };
+    listen().map_err(|source| ProcessError::Listen { address, source })
 }
 
 /// The rings between the serving thread and the other threads.
