entry, lib: a daemon without processor time closes new connections unread

While one daemon gets most new connections, what it reads and can't serve in time is lost, though others idle; a caller whose connection is closed unread goes to another daemon. The serving thread now measures how late its timers fire while connections arrive. Kept connections go on.

--- a/entry/src/serve/connections.rs
+++ b/entry/src/serve/connections.rs
@@ -74,21 +74,19 @@
 
     /// Accepts connections forever, and serves each in a task of its own.
     ///
-    /// A connection above the limit is closed at once, after a call of `on_refused`: its caller has
-    /// to reconnect, but the other callers are not slowed down.
+    /// `admits` is asked with the number of open connections. One that it refuses is closed at once:
+    /// its caller has to reconnect, but the other callers are not slowed down.
     pub(super) async fn accept_all<F>(
         self: &Rc<Self>,
         listener: &TcpListener,
-        max_connections: u32,
-        mut on_refused: impl FnMut(),
+        mut admits: impl FnMut(u32) -> bool,
         mut serve: impl FnMut(TcpStream) -> F,
     ) where
         F: Future<Output = ()> + 'static,
     {
         loop {
             let stream = accept(listener).await;
-            if self.count.get() >= max_connections {
-                on_refused();
+            if !admits(self.count.get()) {
                 continue;
             }
             let guard = OpenConnection::open(self);
@@ -110,13 +108,13 @@
 /// 3. The listener closes. The daemon waits for all connections and then for `others_done`, at
 ///    most for `drain_timeout_ms`.
 ///
-/// Each call of `serve` gets a receiver that turns true when draining begins.
+/// `admits` is asked with the number of open connections before each one is served. Each call of `serve` gets a receiver that turns true when draining begins.
 pub(super) async fn serve_until_drained<F>(
     listener: TcpListener,
     callers: &CallerSettings,
     mut stopped: watch::Receiver<bool>,
     on_stop: impl FnOnce(),
-    on_refused: impl FnMut(),
+    admits: impl FnMut(u32) -> bool,
     mut serve: impl FnMut(TcpStream, watch::Receiver<bool>) -> F,
     others_done: impl Future<Output = ()>,
 ) where
@@ -131,9 +129,7 @@
         LogEvent::Draining {}.emit();
         sleep(Duration::from_millis(callers.drain_notice_ms)).await;
     };
-    let accepting = open.accept_all(&listener, callers.max_connections, on_refused, |stream| {
-        serve(stream, draining.clone())
-    });
+    let accepting = open.accept_all(&listener, admits, |stream| serve(stream, draining.clone()));
     tokio::select! {
         () = accepting => {}
         () = notice => {}
--- a/entry/src/serve/listener.rs
+++ b/entry/src/serve/listener.rs
@@ -76,13 +76,22 @@
         &callers,
         stopped,
         || server.draining.set(true),
-        || server.counts.count(Serving::ConnectionsRefused),
+        |open| admits_connection(&server, open),
         |stream, draining| serve_connection(stream, Rc::clone(&server), draining),
         others_done,
     )
     .await;
 }
 
+/// Returns whether a connection is served besides those that are open; counts it if it isn't.
+fn admits_connection(server: &Server, open: u32) -> bool {
+    let has_room = open < server.settings.callers.max_connections;
+    if !has_room {
+        server.counts.count(Serving::ConnectionsRefused);
+    }
+    has_room
+}
+
 /// Serves one connection; closes it if no request arrives within the read timeout.
 async fn serve_connection(
     stream: TcpStream,
--- a/entry/src/serve/routed/counts.rs
+++ b/entry/src/serve/routed/counts.rs
@@ -39,6 +39,8 @@
         Relayed,
         /// Requests of other daemons without a valid relay key.
         RelayStrangers,
+        /// Callers' connections that were closed unread: the daemon was overloaded or had too many.
+        ConnectionsShed,
         /// Connections of other entry daemons that were closed because there are too many.
         RelayConnectionsRefused,
     }
--- a/entry/src/serve/routed/events.rs
+++ b/entry/src/serve/routed/events.rs
@@ -212,4 +212,9 @@
         crashes: u32,
         left_ms: u128,
     } "request held by a quarantined part";
+    /// The serving thread's timers have been late for half a second, the last one by `delay_ms`: the
+    /// daemon has more work than processor time. New connections are closed unread until CB1448.
+    1447 Warn OverloadBegins { delay_ms: u128 } "new connections closed for overload";
+    /// A timer fired in time again; new connections are served.
+    1448 Info OverloadEnds { delay_ms: u128 } "new connections served again";
 }
--- a/entry/src/serve/routed/listener.rs
+++ b/entry/src/serve/routed/listener.rs
@@ -39,7 +39,7 @@
         },
         events::LogEvent, //
     },
-    RoutedSetup, handler, relay_server,
+    RoutedSetup, handler, overload, relay_server,
     server::Server,
 };
 
@@ -81,7 +81,7 @@
         &callers,
         stopped,
         || server.draining.set(true),
-        || {},
+        |open| overload::admits_connection(&server, open),
         |stream, draining| serve_caller(stream, Rc::clone(&server), draining),
         server.relay.all_ended(),
     )
--- a/entry/src/serve/routed/mod.rs
+++ b/entry/src/serve/routed/mod.rs
@@ -22,6 +22,7 @@
 //! - `crash_probe`, `liveness`: find out whether an upstream that broke off requests has crashed.
 //! - `reservation`, `trials`: count a request at its replica; limit trials of a request after its
 //!   quarantine.
+//! - `overload`: closes new connections unread while the daemon has no processor time left.
 //! - `links`: what connections show about this daemon's links to upstreams; trials of lost ones.
 //! - `server`: holds the state that all requests share.
 //! - `retry_budget`: limits retries, and keeps a ticket for each until it has arrived.
@@ -53,6 +54,7 @@
 mod links;
 mod listener;
 mod liveness;
+mod overload;
 mod part_watch;
 mod prepared_request;
 mod quarantine;
--- a/entry/src/serve/routed/relay_server.rs
+++ b/entry/src/serve/routed/relay_server.rs
@@ -112,10 +112,15 @@
 /// they had run.
 pub(super) async fn serve(listener: TcpListener, server: Rc<Server>) {
     let open = Rc::new(OpenConnections::default());
-    let on_refused = || server.counts.count(Routed::RelayConnectionsRefused);
-    let accepting = open.accept_all(&listener, MAX_CONNECTIONS, on_refused, |stream| {
-        serve_daemon(stream, Rc::clone(&server))
-    });
+    let admits = |open| {
+        let has_room = open < MAX_CONNECTIONS;
+        if !has_room {
+            server.counts.count(Routed::RelayConnectionsRefused);
+        }
+        has_room
+    };
+    let serve = |stream| serve_daemon(stream, Rc::clone(&server));
+    let accepting = open.accept_all(&listener, admits, serve);
     accepting.await;
 }
 
--- a/entry/src/serve/routed/server.rs
+++ b/entry/src/serve/routed/server.rs
@@ -60,6 +60,7 @@
         self,
         Links, //
     },
+    overload::Overload,
     part_watch::PartWatch,
     relay_state::RelayState,
     retry_budget::{
@@ -103,6 +104,7 @@
     pub(super) latency_baselines: RefCell<LatencyBaselines>,
     pub(super) crash_watch: CrashWatch,
     pub(super) part_watch: PartWatch,
+    pub(super) overload: Overload,
     pub(super) links: Links,
     pub(super) relay: RelayState,
     pub(super) draining: Cell<bool>,
@@ -137,6 +139,7 @@
             )),
             crash_watch: CrashWatch::default(),
             part_watch: PartWatch::default(),
+            overload: Overload::default(),
             links: Links::new(setup.lost_groups.clone()),
             relay: RelayState::new(setup.relay_key),
             draining: Cell::new(false),
--- a/lib/src/admission/mod.rs
+++ b/lib/src/admission/mod.rs
@@ -4,10 +4,12 @@
 //! weight, a team's own requests by priority and deadline. [`divide_shares`] splits a
 //! team's limits between daemons. [`RetryBudget`] bounds the extra load that retries
 //! and hedges cause; [`HedgeTimer`] says after which time a request is hedged.
+//! [`OverloadDetector`] says when a thread must take no new connections.
 
 mod hedge;
 mod limits;
 mod offer;
+mod overload;
 mod queue;
 mod retry;
 mod service_queue;
@@ -23,6 +25,10 @@
     Started,
     Ticket, //
 };
+pub use overload::{
+    OverloadChange,
+    OverloadDetector, //
+};
 pub use queue::AdmissionQueue;
 pub use retry::{
     Backoff,
