lib, entry: a quarantined part is refused for all models that have not answered it

Crashes by a part were counted for each model apart, so a part that crashes the engines of two models was to be found out twice; requests of the second model could have gone on when the first one's were known for long. Parts are now identified by their name alone; answers still clear a part only of crashes of the same model, and a model that answers a part goes on being asked. a_part_is_refused_for_all_models_that_have_not_answered_it and crashes_of_several_models_count_together fail on the code before: a part of another model was another part there.

--- a/entry/src/members/crashes.rs
+++ b/entry/src/members/crashes.rs
@@ -5,8 +5,8 @@
     quarantine::{
         CrashReport,
         Fingerprint,
-        Observation,
-        PartId, //
+        ModelPart,
+        Observation, //
     },
 };
 
@@ -18,5 +18,5 @@
     /// Prompt parts of the requests that an upstream had when it crashed.
     Parts(CrashReport),
     /// A suspected part, and when the request with it had been sent that is being answered.
-    Answered(PartId, Timestamp),
+    Answered(ModelPart, Timestamp),
 }
--- a/entry/src/serve/routed/crash_probe.rs
+++ b/entry/src/serve/routed/crash_probe.rs
@@ -15,8 +15,8 @@
     quarantine::{
         CrashId,
         CrashReport,
-        Observation,
-        PartId, //
+        ModelPart,
+        Observation, //
     },
     registry::InstanceId, //
 };
@@ -108,21 +108,21 @@
     let Some(at) = broken.iter().map(|broken| broken.broken_at).min() else {
         return;
     };
-    let mut sent: BTreeMap<PartId, Timestamp> = BTreeMap::new();
+    let mut sent: BTreeMap<ModelPart, Timestamp> = BTreeMap::new();
     for request in broken {
         for (_, part) in &request.parts {
             let last = sent.entry(*part).or_default();
             *last = request.sent_at.max(*last);
         }
     }
-    let answered_before = |part: &PartId| server.part_watch.last_answered(*part);
-    let was_sound = |part: &PartId| {
+    let answered_before = |part: &ModelPart| server.part_watch.last_answered(*part);
+    let was_sound = |part: &ModelPart| {
         answered_before(part).is_some_and(|sent_at| at.since(sent_at) < JUST_BEFORE)
     };
     sent.retain(|part, _| !was_sound(part));
-    let mut sent: Vec<(PartId, Timestamp)> = sent.into_iter().collect();
+    let mut sent: Vec<(ModelPart, Timestamp)> = sent.into_iter().collect();
     let view = server.view.load();
-    sent.sort_by_key(|(part, _)| !view.suspect_parts.contains(*part));
+    sent.sort_by_key(|(part, _)| !view.suspect_parts.contains(part.part));
     sent.truncate(MAX_REPORTED_PARTS);
     if sent.is_empty() {
         return;
@@ -138,12 +138,12 @@
 }
 
 /// Returns the names and ids of parts for logs.
-fn parts_text(parts: &[(String, PartId)]) -> String {
+fn parts_text(parts: &[(String, ModelPart)]) -> String {
     let texts: Vec<String> = parts
         .iter()
         .map(|(name, part)| {
             let name: String = name.chars().take(MAX_NAME_CHARS).collect();
-            format!("{name}={part}")
+            format!("{name}={}", part.part)
         })
         .collect();
     texts.join(",")
--- a/entry/src/serve/routed/crash_watch.rs
+++ b/entry/src/serve/routed/crash_watch.rs
@@ -13,7 +13,7 @@
     quarantine::{
         Fingerprint,
         KnownCrashes,
-        PartId, //
+        ModelPart, //
     },
     registry::InstanceId, //
 };
@@ -26,7 +26,7 @@
     /// Hash of team, path and body, which is the same when the caller sends the request again.
     pub(super) fingerprint: Fingerprint,
     /// Names and ids of the parts of its prompt that other requests may share.
-    pub(super) parts: Vec<(String, PartId)>,
+    pub(super) parts: Vec<(String, ModelPart)>,
     /// When it had been sent to the upstream.
     pub(super) sent_at: Timestamp,
     /// When it broke off.
--- a/entry/src/serve/routed/part_watch.rs
+++ b/entry/src/serve/routed/part_watch.rs
@@ -8,7 +8,7 @@
 
 use cicadabend::{
     prelude::*,
-    quarantine::PartId, //
+    quarantine::ModelPart, //
 };
 
 /// How long an upstream must have written an answer until the answer counts as evidence.
@@ -34,12 +34,12 @@
 /// The parts of requests that upstreams have answered.
 #[derive(Debug, Default)]
 pub(super) struct PartWatch {
-    answered: RefCell<HashMap<PartId, Answered>>,
+    answered: RefCell<HashMap<ModelPart, Answered>>,
 }
 
 impl PartWatch {
     /// Records that a request with the part, sent at `sent_at`, is being answered.
-    pub(super) fn record_answered(&self, part: PartId, sent_at: Timestamp) {
+    pub(super) fn record_answered(&self, part: ModelPart, sent_at: Timestamp) {
         let mut answered = self.answered.borrow_mut();
         if answered.len() >= MAX_PARTS && !answered.contains_key(&part) {
             drop_oldest(&mut answered);
@@ -53,13 +53,13 @@
 
     /// Returns when the last request with the part had been sent that was answered; `None` if none
     /// is remembered.
-    pub(super) fn last_answered(&self, part: PartId) -> Option<Timestamp> {
+    pub(super) fn last_answered(&self, part: ModelPart) -> Option<Timestamp> {
         let answered = self.answered.borrow();
         answered.get(&part).map(|known| known.sent_at)
     }
 
     /// Returns the same if it is to be reported now; the caller reports it.
-    pub(super) fn take_report(&self, part: PartId, now: Timestamp) -> Option<Timestamp> {
+    pub(super) fn take_report(&self, part: ModelPart, now: Timestamp) -> Option<Timestamp> {
         let mut answered = self.answered.borrow_mut();
         let known = answered.get_mut(&part)?;
         let is_due = |reported_at: Timestamp| now.since(reported_at) >= REPORT_INTERVAL;
@@ -77,7 +77,7 @@
     }
 }
 
-fn drop_oldest(answered: &mut HashMap<PartId, Answered>) {
+fn drop_oldest(answered: &mut HashMap<ModelPart, Answered>) {
     let mut times: Vec<Timestamp> = answered.values().map(|known| known.sent_at).collect();
     let dropped = times.len() / DROPPED_SHARE;
     let (_, limit, _) = times.select_nth_unstable(dropped);
--- a/entry/src/serve/routed/prepared_request.rs
+++ b/entry/src/serve/routed/prepared_request.rs
@@ -17,7 +17,7 @@
     prelude::*,
     quarantine::{
         Fingerprint,
-        PartId, //
+        ModelPart, //
     },
     routes::Route, //
 };
@@ -75,7 +75,7 @@
     parts: Parts,
     body: Bytes,
     fingerprint: OnceCell<Fingerprint>,
-    prompt_parts: OnceCell<Vec<PartId>>,
+    prompt_parts: OnceCell<Vec<ModelPart>>,
     unanswered_since: Cell<Option<Timestamp>>,
 }
 
@@ -115,12 +115,12 @@
 
     /// Returns the ids of the prompt's parts that other requests may share, in the order of
     /// [`Self::part_names`].
-    pub(super) fn prompt_parts(&self) -> &[PartId] {
+    pub(super) fn prompt_parts(&self) -> &[ModelPart] {
         self.prompt_parts.get_or_init(|| {
             let model = self.caller_headers.model.as_deref();
             let names = self.part_names().iter();
             names
-                .map(|name| PartId::of(&self.terms.service, model, name))
+                .map(|name| ModelPart::of(&self.terms.service, model, name))
                 .collect()
         })
     }
--- a/entry/src/serve/routed/quarantine.rs
+++ b/entry/src/serve/routed/quarantine.rs
@@ -1,8 +1,8 @@
 //! Whether a request may run, judged by the upstreams that crashed with it or with its prompt parts.
 
 use cicadabend::quarantine::{
+    ModelPart,
     Observation,
-    PartId,
     PartLimit,
     SuspectStatus,
     Suspicion, //
@@ -31,7 +31,7 @@
 impl Server {
     /// Reports that a request with the part was answered, unless that was reported just now or no
     /// such request is remembered.
-    pub(super) fn report_answered(&self, part: PartId) {
+    pub(super) fn report_answered(&self, part: ModelPart) {
         if let Some(sent_at) = self.part_watch.take_report(part, self.clock.now()) {
             // A full ring drops the notice; the next answer sends another one.
             let _ = self.crashes.push(CrashNotice::Answered(part, sent_at));
@@ -88,7 +88,7 @@
     }
 
     /// Returns the names and ids of the prompt's parts that other requests may share.
-    fn named_parts(&self) -> Vec<(String, PartId)> {
+    fn named_parts(&self) -> Vec<(String, ModelPart)> {
         let names = self.prepared.part_names().iter().cloned();
         names
             .zip(self.prepared.prompt_parts().iter().copied())
@@ -152,7 +152,7 @@
         let part = limit.part;
         let crashes = limit.suspicion.crashes;
         let named = self.named_parts().into_iter();
-        let mut named = named.filter(|(_, id)| *id == part);
+        let mut named = named.filter(|(_, named)| named.part == part);
         let name = named.next().map_or(String::new(), |(name, _)| name);
         self.server.log(&LogEvent::PartHeld {
             request: self.prepared.id().to_owned(),
@@ -207,7 +207,7 @@
             self.server
                 .part_watch
                 .record_answered(*part, reservation.made_at);
-            if view.suspect_parts.contains(*part) {
+            if view.suspect_parts.contains(part.part) {
                 self.server.report_answered(*part);
             }
         }
--- a/lib/src/discovery/entry.rs
+++ b/lib/src/discovery/entry.rs
@@ -36,8 +36,8 @@
         CrashSpread,
         CrashUpdate,
         Fingerprint,
+        ModelPart,
         Observation,
-        PartId,
         PartSpread,
         PartTable,
         PartUpdate,
@@ -278,7 +278,7 @@
 
     /// Records that a request with the part, which this daemon had sent at `sent_at`, was answered,
     /// and tells control daemons at once.
-    pub fn observe_answered_part(&mut self, part: PartId, sent_at: Timestamp, now: Timestamp) {
+    pub fn observe_answered_part(&mut self, part: ModelPart, sent_at: Timestamp, now: Timestamp) {
         let changes = self.parts.observe_answer(part, sent_at, now);
         self.log(changes.into_iter().map(DiscoveryEvent::PartQuarantine));
         self.send_due_updates(now);
--- a/lib/src/quarantine/mod.rs
+++ b/lib/src/quarantine/mod.rs
@@ -22,6 +22,7 @@
 pub use parts::{
     CrashId,
     CrashReport,
+    ModelPart,
     PartChange,
     PartId,
     PartLimit,
--- a/lib/src/quarantine/parts/id.rs
+++ b/lib/src/quarantine/parts/id.rs
@@ -16,26 +16,39 @@
     registry::InstanceId, //
 };
 
-/// Identifies a prompt part by a hash of its name, the service and the model.
+/// Identifies a prompt part by a hash of its name.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct PartId(u64);
+
+/// A part in prompts for one model of a service.
 ///
 /// A part that crashes the engines of one model may be harmless to another one, so answers of the
-/// other model are no evidence about it.
+/// other model are no evidence for it. Crashes of both are evidence against it.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
-pub struct PartId(u64);
+pub struct ModelPart {
+    /// The part.
+    pub part: PartId,
+    /// Hash of the service and the model.
+    model: u64,
+}
 
-impl PartId {
-    /// Returns the id of the part `name` of requests for a model of a service; `model` is `None` if
-    /// the requests name none.
+impl ModelPart {
+    /// Returns the part `name` of requests for a model of a service; `model` is `None` if the
+    /// requests name none.
     pub fn of(service: &ServiceName, model: Option<&str>, name: &str) -> Self {
         let mut hash = Xxh3::new();
-        for text in [service.as_str(), model.unwrap_or_default(), name] {
-            // The length marks the border to the next text.
-            hash.update(&(text.len() as u64).to_le_bytes());
-            hash.update(text.as_bytes());
+        // The length marks the border between service and model.
+        hash.update(&(service.as_str().len() as u64).to_le_bytes());
+        hash.update(service.as_str().as_bytes());
+        hash.update(model.unwrap_or_default().as_bytes());
+        Self {
+            part: PartId(xxh3_64(name.as_bytes())),
+            model: hash.digest(),
         }
-        Self(hash.digest())
     }
+}
 
+impl PartId {
     /// Returns the ids of several parts as one text.
     pub fn text(parts: &[Self]) -> String {
         let ids: Vec<String> = parts.iter().map(Self::to_string).collect();
--- a/lib/src/quarantine/parts/ledger.rs
+++ b/lib/src/quarantine/parts/ledger.rs
@@ -1,12 +1,15 @@
 //! Record of the prompt parts that upstreams had when they crashed, and of those answered since.
 
 use std::{
-    collections::BTreeMap,
-    time::Duration, //
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    time::Duration,
 };
 
 use super::{
-    CrashId, PartId, PartTable,
+    CrashId, ModelPart, PartId, PartTable,
     attribution::{
         Attribution,
         Culprit,
@@ -52,7 +55,7 @@
 struct Crash {
     at: SignedTimestamp,
     /// When the last request with the part had been sent to the upstream.
-    sent: BTreeMap<PartId, SignedTimestamp>,
+    sent: BTreeMap<ModelPart, SignedTimestamp>,
 }
 
 /// Records crashes and answers, as far as this daemon knows of them.
@@ -62,7 +65,7 @@
 pub(super) struct PartLedger {
     crashes: BTreeMap<CrashId, Crash>,
     /// When the last request with the part had been sent that was answered.
-    answered: BTreeMap<PartId, SignedTimestamp>,
+    answered: BTreeMap<ModelPart, SignedTimestamp>,
     attribution: Attribution,
     /// This daemon's position within [`END_SPREAD`], from 0 to 1.
     end_position: f64,
@@ -83,7 +86,7 @@
         &mut self,
         id: CrashId,
         at: SignedTimestamp,
-        parts: impl IntoIterator<Item = (PartId, SignedTimestamp)>,
+        parts: impl IntoIterator<Item = (ModelPart, SignedTimestamp)>,
     ) -> bool {
         let sent = BTreeMap::new();
         let crash = self.crashes.entry(id).or_insert(Crash { at, sent });
@@ -107,7 +110,7 @@
 
     /// Records that a request with the part, sent at `sent_at`, was answered; returns whether this
     /// is news.
-    pub(super) fn record_answered(&mut self, part: PartId, sent_at: SignedTimestamp) -> bool {
+    pub(super) fn record_answered(&mut self, part: ModelPart, sent_at: SignedTimestamp) -> bool {
         let known = self.answered.get(&part);
         let is_new = known.is_none_or(|known| known.precedes_by_more_than(sent_at, ANSWER_STEP));
         if !is_new {
@@ -152,19 +155,41 @@
         PartTable::new(
             culprits.map(|culprit| (culprit.parts.clone(), self.suspicion_of(culprit))),
             suspects.map(|(part, crashes)| (*part, count(*crashes))),
+            self.sound_parts(),
         )
     }
 
+    /// Returns the parts that were answered and are suspected of no crash of the same model.
+    fn sound_parts(&self) -> BTreeSet<ModelPart> {
+        let mut sound: BTreeSet<ModelPart> = self.answered.keys().copied().collect();
+        for crash in self.crashes.values() {
+            let suspected = crash
+                .sent
+                .keys()
+                .filter(|part| !self.is_cleared(crash, part));
+            for part in suspected {
+                sound.remove(part);
+            }
+        }
+        sound
+    }
+
     /// Returns all crashes with their parts and times.
     pub(super) fn crashes(
         &self,
-    ) -> impl Iterator<Item = (CrashId, SignedTimestamp, &BTreeMap<PartId, SignedTimestamp>)> {
+    ) -> impl Iterator<
+        Item = (
+            CrashId,
+            SignedTimestamp,
+            &BTreeMap<ModelPart, SignedTimestamp>,
+        ),
+    > {
         let crashes = self.crashes.iter();
         crashes.map(|(id, crash)| (*id, crash.at, &crash.sent))
     }
 
     /// Returns the parts that were answered, with the times at which the requests had been sent.
-    pub(super) fn answered(&self) -> impl Iterator<Item = (PartId, SignedTimestamp)> {
+    pub(super) fn answered(&self) -> impl Iterator<Item = (ModelPart, SignedTimestamp)> {
         self.answered.iter().map(|(part, at)| (*part, *at))
     }
 
@@ -186,24 +211,24 @@
             .map(|crash| self.open(crash))
             .collect();
         open.sort_by_key(|crash| crash.at);
-        let answered = self.answered.keys().copied().collect();
+        let answered = self.answered.keys().map(|answered| answered.part).collect();
         self.attribution = attribute(&open, &answered);
     }
 
     /// Returns a crash with only those parts that may have caused it.
     fn open(&self, crash: &Crash) -> OpenCrash {
-        let is_cleared = |part: &PartId| {
-            let answered = self.answered.get(part);
-            answered.is_some_and(|sent_at| crash.at.since(*sent_at) <= ANSWER_VALIDITY)
-        };
-        let sent = crash.sent.iter();
-        OpenCrash {
-            at: crash.at,
-            sent: sent
-                .filter(|(part, _)| !is_cleared(part))
-                .map(|(part, sent_at)| (*part, *sent_at))
-                .collect(),
+        let mut sent: BTreeMap<PartId, SignedTimestamp> = BTreeMap::new();
+        let suspected = crash.sent.iter();
+        for (part, sent_at) in suspected.filter(|(part, _)| !self.is_cleared(crash, part)) {
+            sent.insert(part.part, *sent_at);
         }
+        OpenCrash { at: crash.at, sent }
+    }
+
+    /// Returns whether a part was answered so late that it did not cause a crash.
+    fn is_cleared(&self, crash: &Crash, part: &ModelPart) -> bool {
+        let answered = self.answered.get(part);
+        answered.is_some_and(|sent_at| crash.at.since(*sent_at) <= ANSWER_VALIDITY)
     }
 
     /// Returns until when the crashes of culprits are retained, by their times.
--- a/lib/src/quarantine/parts/mod.rs
+++ b/lib/src/quarantine/parts/mod.rs
@@ -14,6 +14,7 @@
 
 pub use id::{
     CrashId,
+    ModelPart,
     PartId, //
 };
 pub use spread::{
--- a/lib/src/quarantine/parts/spread.rs
+++ b/lib/src/quarantine/parts/spread.rs
@@ -14,7 +14,7 @@
 };
 
 use super::{
-    CrashId, PartId, PartTable,
+    CrashId, ModelPart, PartId, PartTable,
     ledger::{
         PartLedger,
         hold, //
@@ -37,7 +37,7 @@
     /// When the daemon's connections broke.
     pub at: Timestamp,
     /// The parts, with the times at which the last requests with them had been sent.
-    pub sent: Vec<(PartId, Timestamp)>,
+    pub sent: Vec<(ModelPart, Timestamp)>,
 }
 
 /// What a daemon observed about parts, with ages in milliseconds.
@@ -51,12 +51,12 @@
         age_ms: u32,
         /// The parts of the daemon's requests that the upstream had, and the ages of the last
         /// requests with them.
-        parts: Vec<(PartId, u32)>,
+        parts: Vec<(ModelPart, u32)>,
     },
     /// An upstream answered a request with the part.
     Answered {
         /// The part.
-        part: PartId,
+        part: ModelPart,
         /// The age of the request.
         age_ms: u32,
     },
@@ -105,10 +105,10 @@
     Crashed {
         crash: CrashId,
         at: SignedTimestamp,
-        sent: Vec<(PartId, SignedTimestamp)>,
+        sent: Vec<(ModelPart, SignedTimestamp)>,
     },
     Answered {
-        part: PartId,
+        part: ModelPart,
         sent_at: SignedTimestamp,
     },
 }
@@ -191,7 +191,7 @@
     /// was answered; returns the changes that result.
     pub fn observe_answer(
         &mut self,
-        part: PartId,
+        part: ModelPart,
         sent_at: Timestamp,
         now: Timestamp,
     ) -> Vec<PartChange> {
--- a/lib/src/quarantine/parts/table.rs
+++ b/lib/src/quarantine/parts/table.rs
@@ -5,7 +5,10 @@
     BTreeSet, //
 };
 
-use super::PartId;
+use super::{
+    ModelPart,
+    PartId, //
+};
 use crate::{
     prelude::*,
     quarantine::{
@@ -34,21 +37,28 @@
     suspects: BTreeMap<PartId, u32>,
     /// All parts in the table.
     parts: BTreeSet<PartId>,
+    /// Parts that a model answers, so that they crash none of its engines, whatever others crash.
+    sound: BTreeSet<ModelPart>,
 }
 
 impl PartTable {
-    /// Returns a table of parts that are quarantined together, and of other suspects.
+    /// Returns a table of parts that are quarantined together, of other suspects, and of those that a
+    /// model answers all the same.
     pub(super) fn new(
         culprits: impl Iterator<Item = (Vec<PartId>, Suspicion)>,
         suspects: impl Iterator<Item = (PartId, u32)>,
+        mut sound: BTreeSet<ModelPart>,
     ) -> Self {
         let culprits: Vec<(Vec<PartId>, Suspicion)> = culprits.collect();
         let suspects: BTreeMap<PartId, u32> = suspects.collect();
         let quarantined = culprits.iter().flat_map(|(parts, _)| parts);
+        let parts: BTreeSet<PartId> = quarantined.chain(suspects.keys()).copied().collect();
+        sound.retain(|sound| parts.contains(&sound.part));
         Self {
-            parts: quarantined.chain(suspects.keys()).copied().collect(),
+            parts,
             culprits,
             suspects,
+            sound,
         }
     }
 
@@ -65,7 +75,13 @@
     /// Returns the strictest limit that applies to a request with these parts; `None` if none does.
     ///
     /// A part that was present at one crash limits nothing: many are, and few cause crashes.
-    pub fn limit(&self, parts: &[PartId], now: Timestamp) -> Option<PartLimit> {
+    pub fn limit(&self, parts: &[ModelPart], now: Timestamp) -> Option<PartLimit> {
+        let parts: Vec<PartId> = parts
+            .iter()
+            .filter(|part| !self.sound.contains(part))
+            .map(|part| part.part)
+            .collect();
+        let parts = parts.as_slice();
         let of_culprits = self.culprits.iter();
         let of_culprits = of_culprits
             .filter_map(|(together, suspicion)| limit_by(together, suspicion, parts, now));
--- a/lib/tests/test_prompt_parts.rs
+++ b/lib/tests/test_prompt_parts.rs
@@ -7,8 +7,8 @@
     quarantine::{
         CrashId,
         CrashReport,
+        ModelPart,
         PartChange,
-        PartId,
         PartSpread,
         PartTable,
         SuspectStatus, //
@@ -37,8 +37,8 @@
     PartSpread::new(&name.parse().unwrap())
 }
 
-fn part(name: &str) -> PartId {
-    PartId::of(&"portal".parse().unwrap(), Some("large"), name)
+fn part(name: &str) -> ModelPart {
+    ModelPart::of(&"portal".parse().unwrap(), Some("large"), name)
 }
 
 fn crash_id(number: u64) -> CrashId {
@@ -82,7 +82,7 @@
 }
 
 fn status_by(table: &PartTable, names: &[&str], at_ms: u64) -> SuspectStatus {
-    let parts: Vec<PartId> = names.iter().map(|name| part(name)).collect();
+    let parts: Vec<ModelPart> = names.iter().map(|name| part(name)).collect();
     let limit = table.limit(&parts, Timestamp(at_ms));
     limit.map_or(SuspectStatus::Trusted, |limit| limit.status)
 }
@@ -114,7 +114,7 @@
     #[case] model: Option<&str>,
     #[case] name: &str,
 ) {
-    let other = PartId::of(&service.parse().unwrap(), model, name);
+    let other = ModelPart::of(&service.parse().unwrap(), model, name);
 
     assert_ne!(other, part("fatal"));
 }
@@ -143,7 +143,7 @@
     };
     assert_eq!(
         (parts.as_slice(), *crashes),
-        ([part("fatal")].as_slice(), 3)
+        ([part("fatal").part].as_slice(), 3)
     );
     assert_eq!(hold.as_millis(), u128::from(FIRST_HOLD_MS));
     assert!(is_refused(&spread, "fatal", 3_000));
@@ -228,6 +228,49 @@
     );
 }
 
+fn part_of_small_model(name: &str) -> ModelPart {
+    ModelPart::of(&"portal".parse().unwrap(), Some("small"), name)
+}
+
+/// Returns whether requests for the other model are refused for the part.
+fn is_refused_for_small_model(spread: &PartSpread, name: &str, at_ms: u64) -> bool {
+    let limit = table(spread, at_ms).limit(&[part_of_small_model(name)], Timestamp(at_ms));
+    limit.is_some_and(|limit| matches!(limit.status, SuspectStatus::Quarantined { .. }))
+}
+
+/// Guards against five more crashes for each model that requests with the part ask for.
+#[test]
+fn a_part_is_refused_for_all_models_that_have_not_answered_it() {
+    let mut spread = after_five_crashes();
+    assert!(is_refused_for_small_model(&spread, "fatal", 5_000));
+
+    spread.observe_answer(
+        part_of_small_model("fatal"),
+        Timestamp(4_900),
+        Timestamp(5_900),
+    );
+
+    assert!(!is_refused_for_small_model(&spread, "fatal", 6_000));
+    assert!(is_refused(&spread, "fatal", 6_000));
+}
+
+#[test]
+fn crashes_of_several_models_count_together() {
+    let mut spread = daemon("entry");
+
+    for number in 1..=4 {
+        let at_ms = number * 1_000;
+        let mut seen = report(number, at_ms, &["fatal"]);
+        if number % 2 == 0 {
+            seen.sent[0].0 = part_of_small_model("fatal");
+        }
+        spread.observe_crash(&seen, Timestamp(at_ms));
+    }
+
+    assert!(is_refused(&spread, "fatal", 4_000));
+    assert!(is_refused_for_small_model(&spread, "fatal", 4_000));
+}
+
 /// Guards against a quarantine after a failure domain lost power: many upstreams had the part.
 #[test]
 fn crashes_at_one_moment_count_as_one() {
@@ -266,7 +309,7 @@
     assert_eq!(
         changes,
         [PartChange::Released {
-            parts: vec![part("fatal")]
+            parts: vec![part("fatal").part]
         }]
     );
     let after = status(&spread, &["fatal"], trial_ms);
@@ -326,7 +369,7 @@
 
     let table = table(&hub, 1_000);
 
-    assert!(table.contains(part("fatal")));
+    assert!(table.contains(part("fatal").part));
     assert_eq!(status_by(&table, &["fatal"], 1_000), SuspectStatus::Trusted);
 }
 
