lib, entry: crashes of an ill model, or of one whole request, are not held against shared parts

Five heads of one model had crashed by two requests that crash upstreams as a whole, and the model answered nothing for four seconds, so no answer cleared that part, and no part that was never answered explained the crashes. A part that was answered before is now held responsible only if its model has answered others since its first crash, and a whole request stands among the parts as what may have caused a crash.

Tests: a_part_that_all_requests_share_is_not_held_responsible_while_its_model_answers_nothing, crashes_by_one_request_that_is_sent_again_are_not_held_against_its_parts. The test of a part that was answered before now also asks that it isn't refused while nothing is answered.

--- a/entry/src/serve/routed/crash_probe.rs
+++ b/entry/src/serve/routed/crash_probe.rs
@@ -110,8 +110,11 @@
     };
     let mut sent: BTreeMap<ModelPart, Timestamp> = BTreeMap::new();
     for request in broken {
-        for (_, part) in &request.parts {
-            let last = sent.entry(*part).or_default();
+        let named = request.parts.iter().map(|(_, part)| *part);
+        let whole = named.clone().next();
+        let whole = whole.map(|part| part.of_request(request.fingerprint));
+        for part in named.chain(whole) {
+            let last = sent.entry(part).or_default();
             *last = request.sent_at.max(*last);
         }
     }
--- a/lib/src/quarantine/parts/attribution.rs
+++ b/lib/src/quarantine/parts/attribution.rs
@@ -24,6 +24,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct OpenCrash {
     pub(super) at: SignedTimestamp,
+    /// When the last request was sent that the same model has answered, as far as is known.
+    pub(super) model_answered: Option<SignedTimestamp>,
     pub(super) sent: BTreeMap<PartId, SignedTimestamp>,
 }
 
@@ -55,7 +57,9 @@
 /// The part that causes the crashes is present at all of them, other parts only at some. Parts are
 /// therefore judged in the order of the number of their crashes, and a crash that is attributed to
 /// one part is not held against any other. A part that all requests share is present at all crashes
-/// as well, so parts that were never answered are judged first.
+/// as well, so parts that were never answered are judged first. One that was answered is held
+/// responsible only if its model still answers requests without it; else the model is ill, or
+/// nothing can be told.
 pub(super) fn attribute(crashes: &[OpenCrash], answered: &BTreeSet<PartId>) -> Attribution {
     let mut evidence = Evidence::new(crashes, answered);
     let mut culprits = Vec::new();
@@ -132,6 +136,9 @@
             return false;
         }
         let was_answered = self.was_answered(part);
+        if was_answered && !self.model_answers_others(indices) {
+            return false;
+        }
         let rivals = self.presence_of_others(part, indices);
         let mut rivals = rivals
             .iter()
@@ -145,6 +152,15 @@
         })
     }
 
+    /// Returns whether a part's model has answered requests that were sent after the first of the
+    /// part's crashes. None of these had the part, since their answers would have cleared it.
+    fn model_answers_others(&self, indices: &[usize]) -> bool {
+        let first_at = indices.first().map(|first| self.crashes[*first].at);
+        indices
+            .iter()
+            .any(|index| self.crashes[*index].model_answered > first_at)
+    }
+
     /// Returns at how many of a part's crashes each other part was present.
     fn presence_of_others(&self, part: PartId, indices: &[usize]) -> BTreeMap<PartId, usize> {
         let present = indices
--- a/lib/src/quarantine/parts/id.rs
+++ b/lib/src/quarantine/parts/id.rs
@@ -13,12 +13,21 @@
 
 use crate::{
     prelude::*,
+    quarantine::Fingerprint,
     registry::InstanceId, //
 };
 
-/// Identifies a prompt part by a hash of its name.
+/// Identifies what an upstream had when it crashed and what may have crashed it.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
-pub struct PartId(u64);
+pub enum PartId {
+    /// A prompt part, by a hash of its name.
+    Named(u64),
+    /// A whole request, by a hash of its fingerprint.
+    ///
+    /// A request that crashes upstreams whenever it is sent has the same parts each time. The crashes
+    /// are attributed to the request, so that they are not held against its parts.
+    Request(u64),
+}
 
 /// A part in prompts for one model of a service.
 ///
@@ -42,13 +51,33 @@
         hash.update(service.as_str().as_bytes());
         hash.update(model.unwrap_or_default().as_bytes());
         Self {
-            part: PartId(xxh3_64(name.as_bytes())),
+            part: PartId::Named(xxh3_64(name.as_bytes())),
             model: hash.digest(),
         }
     }
+
+    /// Returns whether another part is in prompts for the same model of the same service.
+    pub(super) fn is_of_same_model(&self, other: &Self) -> bool {
+        self.model == other.model
+    }
+
+    /// Returns what stands for a whole request with this part's service and model.
+    #[must_use]
+    pub fn of_request(self, fingerprint: Fingerprint) -> Self {
+        let request = xxh3_64(fingerprint.to_string().as_bytes());
+        Self {
+            part: PartId::Request(request),
+            ..self
+        }
+    }
 }
 
 impl PartId {
+    /// Returns whether this is a prompt part.
+    pub fn is_named(self) -> bool {
+        matches!(self, PartId::Named(_))
+    }
+
     /// Returns the ids of several parts as one text.
     pub fn text(parts: &[Self]) -> String {
         let ids: Vec<String> = parts.iter().map(Self::to_string).collect();
@@ -58,7 +87,8 @@
 
 impl fmt::Display for PartId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:016x}", self.0)
+        let (PartId::Named(hash) | PartId::Request(hash)) = self;
+        write!(f, "{hash:016x}")
     }
 }
 
--- a/lib/src/quarantine/parts/ledger.rs
+++ b/lib/src/quarantine/parts/ledger.rs
@@ -143,14 +143,16 @@
         is_changed
     }
 
-    /// Returns the parts that are held responsible for crashes.
-    pub(super) fn culprits(&self) -> &[Culprit] {
-        &self.attribution.culprits
+    /// Returns the prompt parts that are held responsible for crashes.
+    pub(super) fn culprits(&self) -> impl Iterator<Item = &Culprit> {
+        let culprits = self.attribution.culprits.iter();
+        // The ledger of whole requests decides on these.
+        culprits.filter(|culprit| culprit.parts.iter().all(|part| part.is_named()))
     }
 
     /// Returns the table of suspected and quarantined parts.
     pub(super) fn table(&self) -> PartTable {
-        let culprits = self.attribution.culprits.iter();
+        let culprits = self.culprits();
         let suspects = self.attribution.suspects.iter();
         PartTable::new(
             culprits.map(|culprit| (culprit.parts.clone(), self.suspicion_of(culprit))),
@@ -222,7 +224,16 @@
         for (part, sent_at) in suspected.filter(|(part, _)| !self.is_cleared(crash, part)) {
             sent.insert(part.part, *sent_at);
         }
-        OpenCrash { at: crash.at, sent }
+        let model = crash.sent.keys().next();
+        let of_model = self
+            .answered
+            .iter()
+            .filter(|(part, _)| model.is_some_and(|model| model.is_of_same_model(part)));
+        OpenCrash {
+            at: crash.at,
+            model_answered: of_model.map(|(_, sent_at)| *sent_at).max(),
+            sent,
+        }
     }
 
     /// Returns whether a part was answered so late that it did not cause a crash.
--- a/lib/src/quarantine/parts/spread.rs
+++ b/lib/src/quarantine/parts/spread.rs
@@ -294,7 +294,7 @@
 
     /// Returns the parts that are quarantined together, with the numbers of their crashes.
     fn quarantined(&self) -> BTreeMap<Vec<PartId>, usize> {
-        let culprits = self.ledger.culprits().iter();
+        let culprits = self.ledger.culprits();
         culprits
             .map(|culprit| (culprit.parts.clone(), culprit.crashed_at.len()))
             .collect()
@@ -306,7 +306,7 @@
         now: Timestamp,
     ) -> Vec<PartChange> {
         let after = self.quarantined();
-        let culprits = self.ledger.culprits().iter();
+        let culprits = self.ledger.culprits();
         let new = culprits
             .filter(|culprit| before.get(&culprit.parts) != Some(&culprit.crashed_at.len()));
         let quarantined = new.map(|culprit| {
--- a/lib/tests/test_prompt_parts.rs
+++ b/lib/tests/test_prompt_parts.rs
@@ -7,6 +7,7 @@
     quarantine::{
         CrashId,
         CrashReport,
+        Fingerprint,
         ModelPart,
         PartChange,
         PartSpread,
@@ -185,10 +186,45 @@
         let at_ms = 1_000 + ANSWER_VALIDITY_MS + number * 1_000;
         crash(&mut spread, number, at_ms, &["fatal", &bystander]);
     }
+    let while_nothing_is_answered = is_refused(&spread, "fatal", 8_000);
+    answer(&mut spread, "another", 7_000);
 
+    assert!(!while_nothing_is_answered);
     assert!(is_refused(&spread, "fatal", 8_000));
 }
 
+/// Guards against the refusal of all requests of a model whose engines crash for another reason.
+#[test]
+fn a_part_that_all_requests_share_is_not_held_responsible_while_its_model_answers_nothing() {
+    let mut spread = daemon("entry");
+    answer(&mut spread, "shared", 1_000);
+
+    for number in 1..=12 {
+        let at_ms = 1_000 + ANSWER_VALIDITY_MS + number * 1_000;
+        crash(&mut spread, number, at_ms, &["shared"]);
+    }
+
+    assert!(!is_refused(&spread, "shared", 16_000));
+}
+
+/// Guards against the refusal of sound requests that share a part with a request which crashes
+/// upstreams as a whole.
+#[test]
+fn crashes_by_one_request_that_is_sent_again_are_not_held_against_its_parts() {
+    let team: TeamName = "team-a".parse().unwrap();
+    let fingerprint = Fingerprint::of(Some(&team), "/path", b"what ends an upstream");
+    let mut spread = daemon("entry");
+
+    for number in 1..=8 {
+        let mut seen = report(number, number * 1_000, &["rare"]);
+        let sent_at = seen.sent[0].1;
+        seen.sent
+            .push((part("rare").of_request(fingerprint), sent_at));
+        spread.observe_crash(&seen, Timestamp(number * 1_000));
+        assert!(!is_refused(&spread, "rare", number * 1_000));
+    }
+}
+
 /// Guards against a session that is refused because its request and both retries met crashes.
 #[test]
 fn a_part_whose_requests_met_some_of_the_crashes_is_released() {
