--- a/lib/src/quarantine/parts/attribution.rs
+++ b/lib/src/quarantine/parts/attribution.rs
@@ -8,7 +8,10 @@
     },
 };
 
-use super::PartId;
+use super::{
+    PartId,
+    answers::AnswerTimes, //
+};
 use crate::signed_timestamp::SignedTimestamp;
 
 /// Number of successive crashes from which on a part may be held responsible.
@@ -24,8 +27,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct OpenCrash {
     pub(super) at: SignedTimestamp,
-    /// When the last request was sent that the same model has answered, as far as is known.
-    pub(super) model_answered: Option<SignedTimestamp>,
+    /// The upstream's service and model; `None` if the upstream had no parts.
+    pub(super) model: Option<u64>,
     pub(super) sent: BTreeMap<PartId, SignedTimestamp>,
 }
 
@@ -50,18 +53,26 @@
 /// Indices of the crashes that each part may have caused.
 type Charges = BTreeMap<PartId, Vec<usize>>;
 
-/// Attributes crashes, which must be in the order of time, to parts; `answered` are the parts for
-/// which an answer is known, however old.
+/// What is known of answers.
+#[derive(Clone, Debug)]
+pub(super) struct Answers<'a> {
+    /// Parts for which an answer is known, however old.
+    pub(super) parts: BTreeSet<PartId>,
+    /// When answered requests had been sent.
+    pub(super) times: &'a AnswerTimes,
+}
+
+/// Attributes crashes, which must be in the order of time, to parts.
 ///
 /// Many requests break off at a crash, and some of them meet another crash when they are retried.
 /// The part that causes the crashes is present at all of them, other parts only at some. Parts are
 /// therefore judged in the order of the number of their crashes, and a crash that is attributed to
 /// one part is not held against any other. A part that all requests share is present at all crashes
 /// as well, so parts that were never answered are judged first. One that was answered is held
-/// responsible only if its model still answers requests without it; else the model is ill, or
-/// nothing can be told.
-pub(super) fn attribute(crashes: &[OpenCrash], answered: &BTreeSet<PartId>) -> Attribution {
-    let mut evidence = Evidence::new(crashes, answered);
+/// responsible only if its model answered requests without it between the crashes; else the model is
+/// ill, or nothing can be told.
+pub(super) fn attribute(crashes: &[OpenCrash], answers: &Answers<'_>) -> Attribution {
+    let mut evidence = Evidence::new(crashes, answers);
     let mut culprits = Vec::new();
     while let Some((parts, indices)) = evidence.next_culprit() {
         let crashed_at = indices.iter().map(|index| crashes[*index].at);
@@ -83,12 +94,12 @@
 /// The crashes that are not attributed yet.
 struct Evidence<'a> {
     crashes: &'a [OpenCrash],
-    answered: &'a BTreeSet<PartId>,
+    answers: &'a Answers<'a>,
     charges: Charges,
 }
 
 impl<'a> Evidence<'a> {
-    fn new(crashes: &'a [OpenCrash], answered: &'a BTreeSet<PartId>) -> Self {
+    fn new(crashes: &'a [OpenCrash], answers: &'a Answers<'a>) -> Self {
         let mut charges = Charges::new();
         for (index, crash) in crashes.iter().enumerate() {
             for part in crash.sent.keys() {
@@ -97,7 +108,7 @@
         }
         Self {
             crashes,
-            answered,
+            answers,
             charges,
         }
     }
@@ -152,13 +163,20 @@
         })
     }
 
-    /// Returns whether a part's model has answered requests that were sent after the first of the
-    /// part's crashes. None of these had the part, since their answers would have cleared it.
+    /// Returns whether the model of some of a part's crashes answered requests that were sent between
+    /// the first and the last of them.
+    ///
+    /// None of these requests had the part, since their answers would have cleared it. Answers after
+    /// the last crash show nothing: those of the part may be on their way.
     fn model_answers_others(&self, indices: &[usize]) -> bool {
-        let first_at = indices.first().map(|first| self.crashes[*first].at);
-        indices
+        let (Some(first), Some(last)) = (indices.first(), indices.last()) else {
+            return false;
+        };
+        let (from, until) = (self.crashes[*first].at, self.crashes[*last].at);
+        let mut models = indices
             .iter()
-            .any(|index| self.crashes[*index].model_answered > first_at)
+            .filter_map(|index| self.crashes[*index].model);
+        models.any(|model| self.answers.times.has_between(model, from, until))
     }
 
     /// Returns at how many of a part's crashes each other part was present.
@@ -192,6 +210,6 @@
     }
 
     fn was_answered(&self, part: PartId) -> bool {
-        self.answered.contains(&part)
+        self.answers.parts.contains(&part)
     }
 }
--- a/lib/src/quarantine/parts/id.rs
+++ b/lib/src/quarantine/parts/id.rs
@@ -56,9 +56,9 @@
         }
     }
 
-    /// Returns whether another part is in prompts for the same model of the same service.
-    pub(super) fn is_of_same_model(&self, other: &Self) -> bool {
-        self.model == other.model
+    /// Returns the hash of the service and the model.
+    pub(super) fn model(&self) -> u64 {
+        self.model
     }
 
     /// Returns what stands for a whole request with this part's service and model.
--- a/lib/src/quarantine/parts/ledger.rs
+++ b/lib/src/quarantine/parts/ledger.rs
@@ -10,7 +10,9 @@
 
 use super::{
     CrashId, ModelPart, PartId, PartTable,
+    answers::AnswerTimes,
     attribution::{
+        Answers,
         Attribution,
         Culprit,
         OpenCrash,
@@ -66,6 +68,7 @@
     crashes: BTreeMap<CrashId, Crash>,
     /// When the last request with the part had been sent that was answered.
     answered: BTreeMap<ModelPart, SignedTimestamp>,
+    answer_times: AnswerTimes,
     attribution: Attribution,
     /// This daemon's position within [`END_SPREAD`], from 0 to 1.
     end_position: f64,
@@ -117,6 +120,7 @@
             return false;
         }
         self.answered.insert(part, sent_at);
+        self.answer_times.record(&part, sent_at);
         self.drop_oldest_answered();
         self.attribute();
         true
@@ -136,6 +140,7 @@
         });
         self.answered
             .retain(|_, sent_at| now.since(*sent_at) < MIN_RETENTION);
+        self.answer_times.remove_expired(now, MIN_RETENTION);
         let is_changed = self.crashes.len() < before;
         if is_changed {
             self.attribute();
@@ -213,8 +218,11 @@
             .map(|crash| self.open(crash))
             .collect();
         open.sort_by_key(|crash| crash.at);
-        let answered = self.answered.keys().map(|answered| answered.part).collect();
-        self.attribution = attribute(&open, &answered);
+        let answers = Answers {
+            parts: self.answered.keys().map(|answered| answered.part).collect(),
+            times: &self.answer_times,
+        };
+        self.attribution = attribute(&open, &answers);
     }
 
     /// Returns a crash with only those parts that may have caused it.
@@ -224,14 +232,9 @@
         for (part, sent_at) in suspected.filter(|(part, _)| !self.is_cleared(crash, part)) {
             sent.insert(part.part, *sent_at);
         }
-        let model = crash.sent.keys().next();
-        let of_model = self
-            .answered
-            .iter()
-            .filter(|(part, _)| model.is_some_and(|model| model.is_of_same_model(part)));
         OpenCrash {
             at: crash.at,
-            model_answered: of_model.map(|(_, sent_at)| *sent_at).max(),
+            model: crash.sent.keys().next().map(ModelPart::model),
             sent,
         }
     }
--- a/lib/src/quarantine/parts/mod.rs
+++ b/lib/src/quarantine/parts/mod.rs
@@ -6,6 +6,7 @@
 //! Each daemon attributes the crashes to parts by the same rules. [`PartTable`] is the result, by
 //! which requests are admitted.
 
+mod answers;
 mod attribution;
 mod id;
 mod ledger;
--- a/lib/tests/test_prompt_parts.rs
+++ b/lib/tests/test_prompt_parts.rs
@@ -193,6 +193,23 @@
     assert!(is_refused(&spread, "fatal", 8_000));
 }
 
+/// Guards against the refusal of a part whose requests have not been answered yet, while others have,
+/// after a model that crashed for another reason is back.
+#[test]
+fn answers_of_others_after_the_last_crash_are_no_evidence_against_a_part() {
+    let mut spread = daemon("entry");
+    answer(&mut spread, "shared", 1_000);
+    answer(&mut spread, "popular", 1_000);
+    for number in 1..=4 {
+        let at_ms = 1_000 + ANSWER_VALIDITY_MS + number * 1_000;
+        crash(&mut spread, number, at_ms, &["shared", "popular"]);
+    }
+
+    answer(&mut spread, "shared", 10_000);
+
+    assert!(!is_refused(&spread, "popular", 11_000));
+}
+
 /// Guards against the refusal of all requests of a model whose engines crash for another reason.
 #[test]
 fn a_part_that_all_requests_share_is_not_held_responsible_while_its_model_answers_nothing() {
