entry: lines and counters tell by what a response ended before its end

On call had, for a stream that broke off, CB1426 alone: the attempts, and a text on the last thing that failed. Why the stream was asked for elsewhere in the first place (CB1424, an information line) was not in the users' record, nor how late the daemon itself had been, nor which configuration the request had been routed by. So three hypotheses could not be told apart: a stream that is given up for a pause, one that a change of the configuration ends, and a daemon that takes its own delay for an upstream's silence.

- CB1426 names the reason by which the response counts (`ended_by`), the first replica, how it paused or broke off and after which event, and the versions of the routes at the request's start and now.
- CB1424 has the pause and by how much the daemon noticed it too late, CB1440 by how much its check of a silent link was late.
- `routed_broken_answers` counts each reason.

No decision changes.

--- a/entry/src/members/view.rs
+++ b/entry/src/members/view.rs
@@ -88,6 +88,11 @@
 }
 
 impl RoutedView {
+    /// Returns the version of the table of routes in use; 0 until the first one has arrived.
+    pub(crate) fn routes_version(&self) -> u64 {
+        self.routes.as_ref().map_or(0, |routes| routes.version().0)
+    }
+
     /// Returns whether the daemon has the routes and the upstreams' reports that serving needs.
     pub fn is_ready(&self) -> bool {
         self.routes.is_some() && self.has_upstreams
--- a/entry/src/serve/routed/account.rs
+++ b/entry/src/serve/routed/account.rs
@@ -11,12 +11,16 @@
 
 use super::{
     counts::{
+        BrokenAnswer,
         Routed,
         RoutedRefusal,
         RoutedRetry, //
     },
     events::LogEvent,
-    execution::RoutedExecution, //
+    execution::{
+        RoutedExecution,
+        StreamBreak, //
+    },
     failure::Failure,
     reservation::replica_name,
 };
@@ -70,7 +74,12 @@
     }
 
     /// Records that the response broke off for good; the caller sees an incomplete response.
-    pub(super) fn record_answer_lost(&mut self, after_event: Option<u64>, why: &str) {
+    pub(super) fn record_answer_lost(
+        &mut self,
+        after_event: Option<u64>,
+        ended_by: BrokenAnswer,
+        why: &str,
+    ) {
         if std::mem::replace(&mut self.is_over, true) {
             return;
         }
@@ -78,29 +87,41 @@
         self.server
             .counts
             .count_refusal(RoutedRefusal::StreamBroken);
+        self.server.counts.count_broken_answer(ended_by);
+        let first = self.first_break.take().unwrap_or_default();
+        let routes_now = self.server.view.load().routes_version();
         self.server.log(&LogEvent::StreamLost {
             request: self.prepared.id().to_owned(),
             replica: self.current_replica_name(),
             after_event: after_event.unwrap_or_default(),
             attempts: self.attempts,
             took_ms: self.took_ms(),
+            ended_by: format!("{ended_by:?}"),
             why: why.to_owned(),
+            first_replica: first.replica,
+            first_after_event: first.after_event.unwrap_or_default(),
+            first_why: first.why,
+            routes: self.prepared.terms.routes,
+            routes_now,
         });
         self.reservation = None;
     }
 
     /// Records that a stream broke off and is to be resumed (state `resuming` of the chart).
-    pub(super) fn record_stream_broken(&mut self, after_event: Option<u64>, why: &str) {
+    pub(super) fn record_stream_broken(&mut self, stream_break: StreamBreak) {
         self.life.apply(RequestEvent::AnswerBroke, |_| true);
         if let Some(reservation) = &self.reservation {
             reservation.record_outcome(Outcome::Broken);
         }
         self.server.log(&LogEvent::StreamBroke {
             request: self.prepared.id().to_owned(),
-            replica: self.current_replica_name(),
-            after_event: after_event.unwrap_or_default(),
-            why: why.to_owned(),
+            replica: stream_break.replica.clone(),
+            after_event: stream_break.after_event.unwrap_or_default(),
+            pause_ms: stream_break.pause.as_millis(),
+            timer_late_ms: stream_break.timer_delay.as_millis(),
+            why: stream_break.why.clone(),
         });
+        self.first_break.get_or_insert(stream_break);
         self.reservation = None;
     }
 
--- a/entry/src/serve/routed/counts.rs
+++ b/entry/src/serve/routed/counts.rs
@@ -94,6 +94,24 @@
     }
 }
 
+cicadabend_daemon::counters! {
+    /// Responses that ended before their end was passed on, by the reason.
+    pub enum BrokenAnswer = "routed_broken_answers" {
+        /// The request's deadline passed while the response was being passed on.
+        DeadlinePassed,
+        /// The upstream broke off, and no other one may be asked for the rest.
+        UpstreamBroke,
+        /// Another upstream was to be asked for the rest, but the retry budget was used up.
+        NoRetry,
+        /// Another upstream was to be asked for the rest, but none could take the request.
+        NoReplica,
+        /// Another upstream was asked for the rest, and sent nothing in time.
+        ResumeLate,
+        /// Another upstream was asked for the rest, and refused or broke off.
+        ResumeFailed,
+    }
+}
+
 cicadabend_daemon::counters! {
     /// Further attempts for routed requests, by the reason for them.
     pub enum RoutedRetry = "routed_retries" {
@@ -159,6 +177,7 @@
     pub(super) fn new(metrics: Metrics) -> Self {
         metrics.declare::<Routed>();
         metrics.declare::<RoutedRefusal>();
+        metrics.declare::<BrokenAnswer>();
         metrics.declare::<RoutedRetry>();
         metrics.declare::<RetryBudgetUse>();
         Self { metrics }
@@ -176,6 +195,10 @@
         self.metrics.count(reason);
     }
 
+    pub(super) fn count_broken_answer(&self, reason: BrokenAnswer) {
+        self.metrics.count(reason);
+    }
+
     pub(super) fn count_retry(&self, reason: RoutedRetry) {
         self.metrics.count(reason);
     }
--- a/entry/src/serve/routed/drive.rs
+++ b/entry/src/serve/routed/drive.rs
@@ -155,6 +155,7 @@
             is_writing_proven: self.is_writing_proven,
             verdict: self.verdict,
             rate: self.rate,
+            first_break: self.first_break.take(),
         };
         self.is_over = true;
         left
--- a/entry/src/serve/routed/events.rs
+++ b/entry/src/serve/routed/events.rs
@@ -55,23 +55,37 @@
         learnt_ms_ago: u128,
         window_left: u32,
     } "request sent again";
-    /// A stream broke off; another replica is asked for the events after `after_event`.
+    /// A stream broke off or paused; another replica is asked for the events after `after_event`.
+    /// `pause_ms` is the time since the stream's last event, and `timer_late_ms` by how much the
+    /// daemon noticed the pause too late; 0 if the stream did not pause.
     1424 Info StreamBroke {
         request: String,
         replica: String,
         after_event: u64,
+        pause_ms: u128,
+        timer_late_ms: u128,
         why: String,
     } "stream broke off";
     /// Another replica continues a stream that broke off.
     1425 Info StreamResumed { request: String, replica: String, after_event: u64 } "stream resumed";
     /// A response broke off for good; the caller's connection is closed so that the caller notices.
+    /// `ended_by` is the reason by which it is counted, and `why` the details. If another replica
+    /// was asked for the rest, `first_replica` and `first_why` name the one that paused or broke
+    /// off and how, and `first_after_event` the last event passed on by then. `routes` is the
+    /// version by which the request was routed, `routes_now` the one in force.
     1426 Warn StreamLost {
         request: String,
         replica: String,
         after_event: u64,
         attempts: u32,
         took_ms: u64,
+        ended_by: String,
         why: String,
+        first_replica: String,
+        first_after_event: u64,
+        first_why: String,
+        routes: u64,
+        routes_now: u64,
     } "response lost";
     /// A caller closed its connection before the response was complete; the request's connection to
     /// an upstream, if there is one, is closed.
@@ -165,13 +179,15 @@
         up_ms: u64,
     } "retry budget used";
     /// This daemon's link to an upstream is lost, by its own connections and requests; `why` names
-    /// the evidence, and `silent_ms` the time since anything came by this link. Requests for the
-    /// upstream go through relays until CB1441.
+    /// the evidence, and `silent_ms` the time since anything came by this link. `timer_late_ms` is
+    /// by how much the daemon's last check of a silent link was late. Requests for the upstream go
+    /// through relays until CB1441.
     1440 Warn LinkLost {
         instance: cicadabend::registry::InstanceId,
         group: String,
         why: String,
         silent_ms: String,
+        timer_late_ms: u128,
     } "link to an upstream lost";
     /// This daemon's link to an upstream is whole again.
     1441 Info LinkRegained {
--- a/entry/src/serve/routed/execution.rs
+++ b/entry/src/serve/routed/execution.rs
@@ -68,6 +68,22 @@
     pub(super) verdict: Verdict,
     /// Request rate that the current replica names; `None` if it names none.
     pub(super) rate: Option<RequestRate>,
+    /// How the response's stream first broke off or paused; `None` if it did not.
+    pub(super) first_break: Option<StreamBreak>,
+}
+
+/// How a stream broke off or paused, after which another replica was asked for the rest.
+#[derive(Clone, Debug, Default)]
+pub(super) struct StreamBreak {
+    /// Name of the replica that was writing the stream.
+    pub(super) replica: String,
+    /// Number of the last event that had been passed on; `None` if no event had a number.
+    pub(super) after_event: Option<u64>,
+    /// Time since the stream's last event.
+    pub(super) pause: Duration,
+    /// By how much the daemon noticed the pause too late; zero if the stream broke off.
+    pub(super) timer_delay: Duration,
+    pub(super) why: String,
 }
 
 impl RoutedExecution {
@@ -95,6 +111,7 @@
             is_writing_proven: false,
             verdict: Verdict::MayUse,
             rate: None,
+            first_break: None,
         })
     }
 
--- a/entry/src/serve/routed/handler.rs
+++ b/entry/src/serve/routed/handler.rs
@@ -99,7 +99,7 @@
         },
         arrived,
         deadline: arrived + asked.unwrap_or(timeout).min(timeout),
-        routes: view.routes.as_ref().map_or(0, |routes| routes.version().0),
+        routes: view.routes_version(),
         route,
     }
 }
--- a/entry/src/serve/routed/links.rs
+++ b/entry/src/serve/routed/links.rs
@@ -1,7 +1,10 @@
 //! The daemon's links to upstreams: what its connections show, and trials of lost ones.
 
 use std::{
-    cell::RefCell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     collections::BTreeMap,
     pin::pin,
     rc::Rc,
@@ -74,6 +77,8 @@
     lost_groups: ring::Sender<Vec<LinkGroup>>,
     /// Wakes the task that tries lost links.
     has_lost: Notify,
+    /// By how much the last check of a silent link was late.
+    check_delay: Cell<Duration>,
 }
 
 impl Links {
@@ -84,6 +89,7 @@
             known: RefCell::default(),
             lost_groups,
             has_lost: Notify::new(),
+            check_delay: Cell::default(),
         }
     }
 }
@@ -249,6 +255,7 @@
             if let Ok(outcome) = timeout_at(check_due, sending.as_mut()).await {
                 return outcome;
             }
+            self.links.check_delay.set(check_due.elapsed());
             on_late(sent_at);
             if self.record_unanswered(replica, sent_at) {
                 return sending.await;
@@ -378,6 +385,7 @@
                 silent_ms: silent.map_or("never heard".to_owned(), |silent| {
                     silent.as_millis().to_string()
                 }),
+                timer_late_ms: self.links.check_delay.get().as_millis(),
             },
             LinkChange::Regained { id, group, lost } => LogEvent::LinkRegained {
                 instance: id,
--- a/entry/src/serve/routed/stream.rs
+++ b/entry/src/serve/routed/stream.rs
@@ -30,6 +30,7 @@
     },
     account::PauseCause,
     counts::{
+        BrokenAnswer,
         Routed,
         RoutedRetry, //
     },
@@ -37,7 +38,10 @@
         Answered,
         exchange, //
     },
-    execution::RoutedExecution,
+    execution::{
+        RoutedExecution,
+        StreamBreak, //
+    },
     failure::Failure,
     source::{
         AnswerRest,
@@ -95,7 +99,8 @@
             Poll::Ready(Some(Err(why))) => {
                 self.rest = None;
                 self.execution.record_broken_off();
-                self.execution.record_answer_lost(None, &why);
+                let ended_by = BrokenAnswer::UpstreamBroke;
+                self.execution.record_answer_lost(None, ended_by, &why);
                 // The error closes the caller's connection without the last HTTP chunk, so the
                 // caller can't mistake the truncated body for a complete one.
                 Poll::Ready(Some(Err(BodyError::AnswerBroken)))
@@ -114,12 +119,19 @@
 /// The first events of a resumed stream, and the source of the rest; `None` if it ends there.
 type ResumedStream = (Bytes, Option<EventSource>);
 
-/// Why a stream was not resumed.
-enum NotResumed {
-    /// The retry budget is used up.
-    NoRetry(String),
-    /// A replica failed to resume it, or there was none.
-    Failed(String),
+/// Why a stream was not resumed, and the reason by which it counts if it is lost.
+struct NotResumed {
+    reason: BrokenAnswer,
+    why: String,
+}
+
+impl NotResumed {
+    fn new(reason: BrokenAnswer, why: impl Into<String>) -> Self {
+        Self {
+            reason,
+            why: why.into(),
+        }
+    }
 }
 
 type Resuming = Pin<Box<dyn Future<Output = (RoutedExecution, Result<ResumedStream, NotResumed>)>>>;
@@ -229,19 +241,22 @@
             }
             Poll::Ready(Some(Err(why))) => {
                 execution.record_broken_off();
-                self.resume_or_break(execution, source.last_event(), &why)
+                let failure = NotResumed::new(BrokenAnswer::UpstreamBroke, why);
+                self.resume_or_break(execution, source.last_event(), failure)
             }
             Poll::Pending => match self.poll_lateness(context) {
                 Lateness::No => {
                     self.stage = Stage::Live(execution, source);
                     Some(Poll::Pending)
                 }
-                Lateness::Pause => {
-                    self.handle_pause(execution, source);
+                Lateness::Pause(timer_delay) => {
+                    self.handle_pause(execution, source, timer_delay);
                     None
                 }
                 Lateness::DeadlinePassed => {
-                    execution.record_answer_lost(source.last_event(), "the deadline passed");
+                    let ended_by = BrokenAnswer::DeadlinePassed;
+                    let why = "the deadline passed";
+                    execution.record_answer_lost(source.last_event(), ended_by, why);
                     Some(Poll::Ready(Some(Err(BodyError::AnswerBroken))))
                 }
             },
@@ -249,7 +264,14 @@
     }
 
     /// Moves a stream that pauses elsewhere, or decides how long to wait for its next event.
-    fn handle_pause(&mut self, mut execution: RoutedExecution, source: EventSource) {
+    ///
+    /// `timer_delay` is by how much the pause was noticed too late.
+    fn handle_pause(
+        &mut self,
+        mut execution: RoutedExecution,
+        source: EventSource,
+        timer_delay: Duration,
+    ) {
         let pause = self.last_event_at.elapsed();
         let cause = execution.report_pause(pause, source.relay());
         if cause == PauseCause::StreamAlone && !self.waits_alone {
@@ -260,7 +282,7 @@
                 .map(|timeout| timeout * SINGLE_STREAM_FACTOR);
         } else if execution.withdraw_resume() {
             let why = "no event arrived within the pause timeout";
-            self.resume(execution, source.last_event(), why);
+            self.resume(execution, source.last_event(), timer_delay, why);
             return;
         } else if cause == PauseCause::LinkLost && execution.may_resume() {
             // Nothing more will come by the lost link, so the stream asks for a retry meanwhile.
@@ -290,7 +312,8 @@
                 .pause_timeout
                 .map(|pause_timeout| self.last_event_at + pause_timeout);
             if pause_ends.is_some_and(|ends| now >= ends) {
-                return Lateness::Pause;
+                let due = self.timer.deadline();
+                return Lateness::Pause(now.duration_since(due));
             }
             let due = pause_ends.map_or(self.deadline, |ends| ends.min(self.deadline));
             self.timer.as_mut().reset(due);
@@ -302,18 +325,30 @@
         &mut self,
         mut execution: RoutedExecution,
         last_event: Option<u64>,
-        why: &str,
+        failure: NotResumed,
     ) -> Option<PolledFrame> {
         if execution.may_resume() {
-            self.resume(execution, last_event, why);
+            self.resume(execution, last_event, Duration::ZERO, &failure.why);
             return None;
         }
-        execution.record_answer_lost(last_event, why);
+        execution.record_answer_lost(last_event, failure.reason, &failure.why);
         Some(Poll::Ready(Some(Err(BodyError::AnswerBroken))))
     }
 
-    fn resume(&mut self, mut execution: RoutedExecution, last_event: Option<u64>, why: &str) {
-        execution.record_stream_broken(last_event, why);
+    fn resume(
+        &mut self,
+        mut execution: RoutedExecution,
+        last_event: Option<u64>,
+        timer_delay: Duration,
+        why: &str,
+    ) {
+        execution.record_stream_broken(StreamBreak {
+            replica: execution.current_replica_name(),
+            after_event: last_event,
+            pause: self.last_event_at.elapsed(),
+            timer_delay,
+            why: why.to_owned(),
+        });
         self.grant_wait = None;
         let why = why.to_owned();
         self.stage = Stage::Resuming(Box::pin(resume(execution, last_event, why)), last_event);
@@ -345,13 +380,13 @@
                 }
             }
             // The next replica must continue after the same event: the caller has those before.
-            Poll::Ready((execution, Err(NotResumed::Failed(why)))) => {
-                self.resume_or_break(execution, last_event, &why)
-            }
-            Poll::Ready((mut execution, Err(NotResumed::NoRetry(why)))) => {
-                execution.record_answer_lost(last_event, &why);
-                Some(Poll::Ready(Some(Err(BodyError::AnswerBroken))))
-            }
+            Poll::Ready((mut execution, Err(failure))) => match failure.reason {
+                BrokenAnswer::NoRetry => {
+                    execution.record_answer_lost(last_event, failure.reason, &failure.why);
+                    Some(Poll::Ready(Some(Err(BodyError::AnswerBroken))))
+                }
+                _ => self.resume_or_break(execution, last_event, failure),
+            },
         }
     }
 }
@@ -360,8 +395,8 @@
 enum Lateness {
     /// The stream isn't late.
     No,
-    /// No event arrived within the pause timeout.
-    Pause,
+    /// No event arrived within the pause timeout, whose timer fired this much too late.
+    Pause(Duration),
     /// The request's deadline has passed.
     DeadlinePassed,
 }
@@ -374,7 +409,8 @@
     why: String,
 ) -> (RoutedExecution, Result<ResumedStream, NotResumed>) {
     if !execution.obtain_retry(RoutedRetryReason::Broken).await {
-        return (execution, Err(NotResumed::NoRetry(why)));
+        let failure = NotResumed::new(BrokenAnswer::NoRetry, why);
+        return (execution, Err(failure));
     }
     execution
         .server
@@ -382,18 +418,19 @@
         .count_retry(RoutedRetry::StreamBroke);
     execution.attempts += 1;
     let outcome = ask_for_rest(&mut execution, last_event).await;
-    (execution, outcome.map_err(NotResumed::Failed))
+    (execution, outcome)
 }
 
 /// Asks a replica that was not tried for the events after `last_event`.
 async fn ask_for_rest(
     execution: &mut RoutedExecution,
     last_event: Option<u64>,
-) -> Result<ResumedStream, String> {
+) -> Result<ResumedStream, NotResumed> {
     let is_chosen = execution.choose_or_request_permit().await;
     let reservation = execution.reservation.as_ref().filter(|_| is_chosen);
     let Some(replica) = reservation.map(|reservation| reservation.replica.clone()) else {
-        return Err("no other replica can resume the stream".to_owned());
+        let why = "no other replica can resume the stream";
+        return Err(NotResumed::new(BrokenAnswer::NoReplica, why));
     };
     let sent = SentBytes::default();
     let prepared = Rc::clone(&execution.prepared);
@@ -410,7 +447,10 @@
             execution.record_resumed(last_event);
             Ok((body, None))
         }
-        Ok(Ok(_)) => Err("another replica could not resume the stream".to_owned()),
+        Ok(Ok(_)) => {
+            let why = "another replica could not resume the stream";
+            Err(NotResumed::new(BrokenAnswer::ResumeFailed, why))
+        }
         Ok(Err(failure)) => {
             if !failure.is_sent() {
                 execution.take_back_retry();
@@ -418,8 +458,12 @@
             if matches!(failure, Failure::Broken(_)) {
                 execution.record_broken_off();
             }
-            Err(failure.to_string())
+            let why = failure.to_string();
+            Err(NotResumed::new(BrokenAnswer::ResumeFailed, why))
+        }
+        Err(_) => {
+            let why = "another replica did not resume the stream in time";
+            Err(NotResumed::new(BrokenAnswer::ResumeLate, why))
         }
-        Err(_) => Err("another replica did not resume the stream in time".to_owned()),
     }
 }
