entry: a stream's own replica is kept until another one has taken the stream over

Callers saw streams broken off with "another replica did not resume the stream in time" although the upstreams that wrote them were sound: they had only paused, for 0.6 s and more. Cause: once a stream paused, the connection to its replica was closed, and only then was another one asked for the rest. If that one was late, full, failed or could not be had, nothing was left to go back to.

Now the connection is kept while another replica is asked. The stream goes on by whichever sends events first, from the last event passed on, and the other one is let go at once; nothing of it follows, so the pieces of two runs are never joined. If no other replica takes the stream over, its own is waited for until the request's deadline. A replica that breaks off meanwhile is recorded as before. One that was asked for the rest is given up for its silence only if a further one may be asked.

Another replica is asked at the same time as before, and as often.

CB1449 and CB1450 tell what became of a request for the rest.

--- a/entry/src/serve/routed/account.rs
+++ b/entry/src/serve/routed/account.rs
@@ -23,6 +23,7 @@
     },
     failure::Failure,
     reservation::replica_name,
+    resume::NotResumed,
 };
 
 /// Why a stream pauses.
@@ -122,7 +123,29 @@
             why: stream_break.why.clone(),
         });
         self.first_break.get_or_insert(stream_break);
-        self.reservation = None;
+    }
+
+    /// Records that another replica was asked for the rest of a stream and did not take it over.
+    pub(super) fn record_not_resumed(&self, after_event: Option<u64>, failure: &NotResumed) {
+        self.server.log(&LogEvent::StreamNotResumed {
+            request: self.prepared.id().to_owned(),
+            replica: self.current_replica_name(),
+            after_event: after_event.unwrap_or_default(),
+            reason: format!("{:?}", failure.reason),
+            why: failure.why.clone(),
+        });
+    }
+
+    /// Records that a replica continues its stream after a pause, before the replica `asked` for
+    /// the rest has sent any of it.
+    pub(super) fn record_continued(&self, last_event: Option<u64>, asked: String) {
+        self.server.counts.count(Routed::Continued);
+        self.server.log(&LogEvent::StreamContinued {
+            request: self.prepared.id().to_owned(),
+            replica: self.current_replica_name(),
+            last_event: last_event.unwrap_or_default(),
+            asked,
+        });
     }
 
     /// Records that another replica continues the stream.
--- a/entry/src/serve/routed/body.rs
+++ b/entry/src/serve/routed/body.rs
@@ -18,12 +18,13 @@
 
 use super::{
     super::body::{BodyError, poll_whole},
-    stream::{
-        PassedBody,
-        StreamBody, //
-    },
+    passed_body::PassedBody,
+    stream::StreamBody,
 };
 
+/// What polling a response body for its next frame returns.
+pub(super) type PolledFrame = Poll<Option<Result<Frame<Bytes>, BodyError>>>;
+
 /// A response body that is being sent to a caller.
 pub(super) enum RoutedBody {
     /// A body that is completely in memory.
--- a/entry/src/serve/routed/counts.rs
+++ b/entry/src/serve/routed/counts.rs
@@ -19,6 +19,8 @@
         StreamsWhole,
         /// Streams that broke off and were continued by another replica.
         Resumed,
+        /// Streams that paused and were continued by their own replica while another was asked.
+        Continued,
         /// Callers that closed their connection before the end of the response.
         CallersLeft,
         /// Upstreams that crashed while they had requests of this daemon.
--- a/entry/src/serve/routed/drive.rs
+++ b/entry/src/serve/routed/drive.rs
@@ -30,10 +30,8 @@
     exchange::Answered,
     execution::RoutedExecution,
     failure::Failure,
-    stream::{
-        PassedBody,
-        StreamBody, //
-    },
+    passed_body::PassedBody,
+    stream::StreamBody,
 };
 
 impl RoutedExecution {
--- a/entry/src/serve/routed/events.rs
+++ b/entry/src/serve/routed/events.rs
@@ -233,4 +233,21 @@
     1447 Warn OverloadBegins { delay_ms: u128 } "new connections closed for overload";
     /// A timer fired in time again; new connections are served.
     1448 Info OverloadEnds { delay_ms: u128 } "new connections served again";
+    /// Another replica was asked for the events after `after_event` and did not take the stream
+    /// over. `replica` is the one that was asked; empty if there was none.
+    1449 Info StreamNotResumed {
+        request: String,
+        replica: String,
+        after_event: u64,
+        reason: String,
+        why: String,
+    } "stream not resumed by another replica";
+    /// A stream's own replica went on after a pause, before the replica that was `asked` for the
+    /// rest had sent any of it; that one is let go.
+    1450 Info StreamContinued {
+        request: String,
+        replica: String,
+        last_event: u64,
+        asked: String,
+    } "stream continued after a pause";
 }
--- a/entry/src/serve/routed/hedge.rs
+++ b/entry/src/serve/routed/hedge.rs
@@ -33,6 +33,7 @@
     failure::Failure,
     reservation::Reservation,
 };
+use crate::members::RoutedReplica;
 
 /// One of two attempts that run at the same time.
 pub(super) struct HedgedAttempt {
@@ -41,6 +42,12 @@
     started_at: Instant,
 }
 
+impl HedgedAttempt {
+    pub(super) fn replica(&self) -> &RoutedReplica {
+        &self.reservation.replica
+    }
+}
+
 /// The attempt that finished first, with its outcome.
 enum FinishedFirst {
     First(Result<Answered, Failure>),
@@ -227,7 +234,7 @@
         outcome
     }
 
-    fn take_current(&mut self, started_at: Instant) -> Option<HedgedAttempt> {
+    pub(super) fn take_current(&mut self, started_at: Instant) -> Option<HedgedAttempt> {
         Some(HedgedAttempt {
             reservation: self.reservation.take()?,
             chosen: self.chosen,
@@ -235,7 +242,7 @@
         })
     }
 
-    fn set_current(&mut self, attempt: HedgedAttempt) {
+    pub(super) fn set_current(&mut self, attempt: HedgedAttempt) {
         self.reservation = Some(attempt.reservation);
         self.chosen = attempt.chosen;
     }
--- a/entry/src/serve/routed/mod.rs
+++ b/entry/src/serve/routed/mod.rs
@@ -9,7 +9,8 @@
 //!   one.
 //! - `refusal`, `quarantine`: write the daemon's own responses; decide by past crashes whether a
 //!   request may run.
-//! - `body`, `stream`: pass response bodies on; resume a broken event stream at another replica.
+//! - `body`, `passed_body`, `stream`: pass response bodies on as they are, and event streams.
+//! - `resume`: asks another replica for the rest of an event stream that broke off or pauses.
 //! - `availability`, `rates`, `account`: apply upstreams' backoff and shutdown signals; use permits
 //!   for upstreams that limit their request rate; log and count requests.
 //! - `execution`: holds a request's state and chooses its replica.
@@ -56,6 +57,7 @@
 mod liveness;
 mod overload;
 mod part_watch;
+mod passed_body;
 mod prepared_request;
 mod quarantine;
 mod rates;
@@ -66,6 +68,7 @@
 mod relay_server;
 mod relay_state;
 mod reservation;
+mod resume;
 mod retry_budget;
 mod server;
 mod source;
--- /dev/null
+++ b/entry/src/serve/routed/passed_body.rs
@@ -0,0 +1,70 @@
+//! Response bodies that are passed on unchanged as they arrive.
+
+use std::task::{
+    Context,
+    Poll, //
+};
+
+use bytes::Bytes;
+use http_body::{
+    Frame,
+    SizeHint, //
+};
+
+use super::{
+    super::body::BodyError,
+    body::PolledFrame,
+    counts::BrokenAnswer,
+    execution::RoutedExecution,
+    source::AnswerRest, //
+};
+
+/// An upstream's response body that is passed on unchanged.
+pub(super) struct PassedBody {
+    execution: RoutedExecution,
+    beginning: Option<Bytes>,
+    rest: Option<AnswerRest>,
+}
+
+impl PassedBody {
+    pub(super) fn new(execution: RoutedExecution, beginning: Bytes, rest: AnswerRest) -> Self {
+        Self {
+            execution,
+            beginning: Some(beginning),
+            rest: Some(rest),
+        }
+    }
+
+    pub(super) fn size_hint(&self) -> SizeHint {
+        SizeHint::default()
+    }
+
+    pub(super) fn poll_frame(&mut self, context: &mut Context<'_>) -> PolledFrame {
+        if let Some(beginning) = self.beginning.take() {
+            return Poll::Ready(Some(Ok(Frame::data(beginning))));
+        }
+        let Some(rest) = &mut self.rest else {
+            return Poll::Ready(None);
+        };
+        match rest.poll_data(context) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Some(Ok(data))) => Poll::Ready(Some(Ok(Frame::data(data)))),
+            Poll::Ready(Some(Err(why))) => {
+                self.rest = None;
+                self.execution.record_broken_off();
+                let ended_by = BrokenAnswer::UpstreamBroke;
+                self.execution.record_answer_lost(None, ended_by, &why);
+                // The error closes the caller's connection without the last HTTP chunk, so the
+                // caller can't mistake the truncated body for a complete one.
+                Poll::Ready(Some(Err(BodyError::AnswerBroken)))
+            }
+            Poll::Ready(None) => {
+                if let Some(rest) = self.rest.take() {
+                    rest.return_to_pool();
+                }
+                self.execution.record_answer_ended("answered");
+                Poll::Ready(None)
+            }
+        }
+    }
+}
--- a/entry/src/serve/routed/quarantine.rs
+++ b/entry/src/serve/routed/quarantine.rs
@@ -42,11 +42,19 @@
 impl RoutedExecution {
     /// Records that the current replica broke the request off, and may have crashed because of it.
     pub(super) fn record_broken_off(&mut self) {
-        let Some(reservation) = &self.reservation else {
+        let (Some(broken), Some(reservation)) = (self.broken_request(), &self.reservation) else {
             return;
         };
         let replica = &reservation.replica;
-        let broken = BrokenRequest {
+        crash_probe::record_broken_request(&self.server, replica, broken);
+        self.crash_history.broken_off_by.push(replica.id.clone());
+    }
+
+    /// Returns the request as one that its current replica has just broken off; `None` if it has
+    /// none.
+    pub(super) fn broken_request(&self) -> Option<BrokenRequest> {
+        let reservation = self.reservation.as_ref()?;
+        Some(BrokenRequest {
             request: self.prepared.id().to_owned(),
             fingerprint: self.prepared.fingerprint(),
             parts: self.named_parts(),
@@ -54,9 +62,7 @@
             broken_at: self.server.clock.now(),
             known: self.crash_history.known,
             broken_before: self.crash_history.broken_off_by.clone(),
-        };
-        crash_probe::record_broken_request(&self.server, replica, broken);
-        self.crash_history.broken_off_by.push(replica.id.clone());
+        })
     }
 
     /// Returns the crashes that are known for the request's fingerprint.
--- a/entry/src/serve/routed/stream.rs
+++ b/entry/src/serve/routed/stream.rs
@@ -1,9 +1,9 @@
-//! Response bodies that are passed on as they arrive; broken streams are resumed elsewhere.
+//! Event streams that are passed on as they arrive, and resumed at another replica if they break off
+//! or pause.
 
 use std::{
     future::Future,
     pin::Pin,
-    rc::Rc,
     task::{
         Context,
         Poll, //
@@ -12,11 +12,7 @@
 };
 
 use bytes::Bytes;
-use cicadabend::retry_budget::RoutedRetryReason;
-use http_body::{
-    Frame,
-    SizeHint, //
-};
+use http_body::Frame;
 use tokio::time::{
     Instant,
     Sleep,
@@ -24,29 +20,25 @@
 };
 
 use super::{
-    super::{
-        body::BodyError,
-        upstream::SentBytes, //
-    },
+    super::body::BodyError,
     account::PauseCause,
+    body::PolledFrame,
     counts::{
         BrokenAnswer,
-        Routed,
-        RoutedRetry, //
-    },
-    exchange::{
-        Answered,
-        exchange, //
+        Routed, //
     },
     execution::{
         RoutedExecution,
         StreamBreak, //
     },
-    failure::Failure,
-    source::{
-        AnswerRest,
-        EventSource, //
+    resume::{
+        Continuation,
+        NotResumed,
+        PausedStream,
+        Resuming,
+        resume, //
     },
+    source::EventSource,
 };
 use crate::members::GrantWait;
 
@@ -58,92 +50,17 @@
 ///
 /// The replica still works then, so waiting is better than moving the stream elsewhere.
 const SINGLE_STREAM_FACTOR: u32 = 3;
-/// Longest time for another replica to send the next event of a stream.
-const RESUME_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// Interval at which a stream without its link looks for a retry.
 const GRANT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-type PolledFrame = Poll<Option<Result<Frame<Bytes>, BodyError>>>;
-
-/// An upstream's response body that is passed on unchanged.
-pub(super) struct PassedBody {
-    execution: RoutedExecution,
-    beginning: Option<Bytes>,
-    rest: Option<AnswerRest>,
-}
-
-impl PassedBody {
-    pub(super) fn new(execution: RoutedExecution, beginning: Bytes, rest: AnswerRest) -> Self {
-        Self {
-            execution,
-            beginning: Some(beginning),
-            rest: Some(rest),
-        }
-    }
-
-    pub(super) fn size_hint(&self) -> SizeHint {
-        SizeHint::default()
-    }
-
-    pub(super) fn poll_frame(&mut self, context: &mut Context<'_>) -> PolledFrame {
-        if let Some(beginning) = self.beginning.take() {
-            return Poll::Ready(Some(Ok(Frame::data(beginning))));
-        }
-        let Some(rest) = &mut self.rest else {
-            return Poll::Ready(None);
-        };
-        match rest.poll_data(context) {
-            Poll::Pending => Poll::Pending,
-            Poll::Ready(Some(Ok(data))) => Poll::Ready(Some(Ok(Frame::data(data)))),
-            Poll::Ready(Some(Err(why))) => {
-                self.rest = None;
-                self.execution.record_broken_off();
-                let ended_by = BrokenAnswer::UpstreamBroke;
-                self.execution.record_answer_lost(None, ended_by, &why);
-                // The error closes the caller's connection without the last HTTP chunk, so the
-                // caller can't mistake the truncated body for a complete one.
-                Poll::Ready(Some(Err(BodyError::AnswerBroken)))
-            }
-            Poll::Ready(None) => {
-                if let Some(rest) = self.rest.take() {
-                    rest.return_to_pool();
-                }
-                self.execution.record_answer_ended("answered");
-                Poll::Ready(None)
-            }
-        }
-    }
-}
-
-/// The first events of a resumed stream, and the source of the rest; `None` if it ends there.
-type ResumedStream = (Bytes, Option<EventSource>);
-
-/// Why a stream was not resumed, and the reason by which it counts if it is lost.
-struct NotResumed {
-    reason: BrokenAnswer,
-    why: String,
-}
-
-impl NotResumed {
-    fn new(reason: BrokenAnswer, why: impl Into<String>) -> Self {
-        Self {
-            reason,
-            why: why.into(),
-        }
-    }
-}
-
-type Resuming = Pin<Box<dyn Future<Output = (RoutedExecution, Result<ResumedStream, NotResumed>)>>>;
-
 /// Source of a stream's next events.
 enum Stage {
     /// A replica's stream whose first events are already in memory.
     First(RoutedExecution, Bytes, EventSource),
     /// A replica's stream, read from its connection.
     Live(RoutedExecution, EventSource),
-    /// None yet: another replica is being asked for the events after the last one passed on, whose
-    /// number stands here.
+    /// The replica that pauses, or another one that is being asked for the events after the last one
+    /// passed on, whose number stands here.
     Resuming(Resuming, Option<u64>),
     /// None; the stream was passed on to its end.
     Over,
@@ -282,7 +199,7 @@
                 .map(|timeout| timeout * SINGLE_STREAM_FACTOR);
         } else if execution.withdraw_resume() {
             let why = "no event arrived within the pause timeout";
-            self.resume(execution, source.last_event(), timer_delay, why);
+            self.ask_another(execution, source, timer_delay, why);
             return;
         } else if cause == PauseCause::LinkLost && execution.may_resume() {
             // Nothing more will come by the lost link, so the stream asks for a retry meanwhile.
@@ -328,16 +245,32 @@
         failure: NotResumed,
     ) -> Option<PolledFrame> {
         if execution.may_resume() {
-            self.resume(execution, last_event, Duration::ZERO, &failure.why);
+            self.record_break(&mut execution, last_event, Duration::ZERO, &failure.why);
+            execution.reservation = None;
+            self.resume(execution, None, last_event, failure.why);
             return None;
         }
         execution.record_answer_lost(last_event, failure.reason, &failure.why);
         Some(Poll::Ready(Some(Err(BodyError::AnswerBroken))))
     }
 
-    fn resume(
+    /// Asks another replica for the rest of a stream that pauses, and listens to its own meanwhile.
+    fn ask_another(
         &mut self,
         mut execution: RoutedExecution,
+        source: EventSource,
+        timer_delay: Duration,
+        why: &str,
+    ) {
+        let last_event = source.last_event();
+        self.record_break(&mut execution, last_event, timer_delay, why);
+        let paused = PausedStream::take(&mut execution, source);
+        self.resume(execution, paused, last_event, why.to_owned());
+    }
+
+    fn record_break(
+        &self,
+        execution: &mut RoutedExecution,
         last_event: Option<u64>,
         timer_delay: Duration,
         why: &str,
@@ -349,9 +282,18 @@
             timer_delay,
             why: why.to_owned(),
         });
+    }
+
+    fn resume(
+        &mut self,
+        execution: RoutedExecution,
+        paused: Option<PausedStream>,
+        last_event: Option<u64>,
+        why: String,
+    ) {
         self.grant_wait = None;
-        let why = why.to_owned();
-        self.stage = Stage::Resuming(Box::pin(resume(execution, last_event, why)), last_event);
+        let resuming = resume(execution, paused, last_event, why);
+        self.stage = Stage::Resuming(Box::pin(resuming), last_event);
     }
 
     fn poll_resuming(
@@ -365,22 +307,36 @@
                 self.stage = Stage::Resuming(resuming, last_event);
                 Some(Poll::Pending)
             }
-            Poll::Ready((mut execution, Ok((first, source)))) => {
+            Poll::Ready((execution, continuation)) => {
+                self.handle_continuation(execution, continuation, last_event)
+            }
+        }
+    }
+
+    fn handle_continuation(
+        &mut self,
+        mut execution: RoutedExecution,
+        continuation: Continuation,
+        last_event: Option<u64>,
+    ) -> Option<PolledFrame> {
+        match continuation {
+            Continuation::Events(first, Some(source)) => {
                 self.last_event_at = Instant::now();
-                match source {
-                    Some(source) => {
-                        self.stage = Stage::First(execution, first, source);
-                        None
-                    }
-                    None => {
-                        execution.record_answer_ended("streamed");
-                        self.stage = Stage::Over;
-                        None
-                    }
-                }
+                self.stage = Stage::First(execution, first, source);
+                None
+            }
+            Continuation::Events(_, None) => {
+                execution.server.counts.count(Routed::StreamsWhole);
+                execution.record_answer_ended("streamed");
+                self.stage = Stage::Over;
+                None
+            }
+            Continuation::Waiting(source, failure) => {
+                self.wait_on(execution, source, &failure);
+                None
             }
             // The next replica must continue after the same event: the caller has those before.
-            Poll::Ready((mut execution, Err(failure))) => match failure.reason {
+            Continuation::Lost(failure) => match failure.reason {
                 BrokenAnswer::NoRetry => {
                     execution.record_answer_lost(last_event, failure.reason, &failure.why);
                     Some(Poll::Ready(Some(Err(BodyError::AnswerBroken))))
@@ -389,6 +345,18 @@
             },
         }
     }
+
+    /// Waits on for a replica that pauses, after another one has not taken its stream over; asks a
+    /// further one if that is allowed.
+    fn wait_on(&mut self, execution: RoutedExecution, source: EventSource, failure: &NotResumed) {
+        let has_retry = failure.reason != BrokenAnswer::NoRetry;
+        if has_retry && execution.may_resume() {
+            self.ask_another(execution, source, Duration::ZERO, &failure.why);
+            return;
+        }
+        self.pause_timeout = None;
+        self.stage = Stage::Live(execution, source);
+    }
 }
 
 /// Why a stream is late, if it is.
@@ -400,70 +368,3 @@
     /// The request's deadline has passed.
     DeadlinePassed,
 }
-
-/// Asks another replica for the events after `last_event`, once the retry budget allows it; `why` is
-/// why the stream broke off.
-async fn resume(
-    mut execution: RoutedExecution,
-    last_event: Option<u64>,
-    why: String,
-) -> (RoutedExecution, Result<ResumedStream, NotResumed>) {
-    if !execution.obtain_retry(RoutedRetryReason::Broken).await {
-        let failure = NotResumed::new(BrokenAnswer::NoRetry, why);
-        return (execution, Err(failure));
-    }
-    execution
-        .server
-        .counts
-        .count_retry(RoutedRetry::StreamBroke);
-    execution.attempts += 1;
-    let outcome = ask_for_rest(&mut execution, last_event).await;
-    (execution, outcome)
-}
-
-/// Asks a replica that was not tried for the events after `last_event`.
-async fn ask_for_rest(
-    execution: &mut RoutedExecution,
-    last_event: Option<u64>,
-) -> Result<ResumedStream, NotResumed> {
-    let is_chosen = execution.choose_or_request_permit().await;
-    let reservation = execution.reservation.as_ref().filter(|_| is_chosen);
-    let Some(replica) = reservation.map(|reservation| reservation.replica.clone()) else {
-        let why = "no other replica can resume the stream";
-        return Err(NotResumed::new(BrokenAnswer::NoReplica, why));
-    };
-    let sent = SentBytes::default();
-    let prepared = Rc::clone(&execution.prepared);
-    let server = Rc::clone(&execution.server);
-    let until = prepared.terms.deadline.min(Instant::now() + RESUME_TIMEOUT);
-    let work = exchange(&server, &prepared, &replica, &sent, last_event);
-    match tokio::time::timeout_at(until, work).await {
-        Ok(Ok(Answered::Stream { first, source, .. })) => {
-            execution.record_resumed(last_event);
-            Ok((first, Some(source)))
-        }
-        // An empty success means that the stream's last event has already been passed on.
-        Ok(Ok(Answered::Whole { parts, body })) if parts.status.is_success() && body.is_empty() => {
-            execution.record_resumed(last_event);
-            Ok((body, None))
-        }
-        Ok(Ok(_)) => {
-            let why = "another replica could not resume the stream";
-            Err(NotResumed::new(BrokenAnswer::ResumeFailed, why))
-        }
-        Ok(Err(failure)) => {
-            if !failure.is_sent() {
-                execution.take_back_retry();
-            }
-            if matches!(failure, Failure::Broken(_)) {
-                execution.record_broken_off();
-            }
-            let why = failure.to_string();
-            Err(NotResumed::new(BrokenAnswer::ResumeFailed, why))
-        }
-        Err(_) => {
-            let why = "another replica did not resume the stream in time";
-            Err(NotResumed::new(BrokenAnswer::ResumeLate, why))
-        }
-    }
-}
