fake engine: a rest breaks off no more because its earlier connection ends

A stream whose rest was asked for while its first connection was open lost the rest as well: the run was stopped at the first connection, was watched anew by the second one, and the end of the first then forgot the watch of the second. Its sender was gone, which counts as a break.

A run's watch is now dropped only by the connection that holds it.

--- a/testing/fake-engine/src/generate.rs
+++ b/testing/fake-engine/src/generate.rs
@@ -284,7 +284,7 @@
 
 impl Drop for Generating {
     fn drop(&mut self) {
-        self.vm.close_run(self.run, self.state);
+        self.vm.close_watched_run(self.run, &self.stop, self.state);
     }
 }
 
--- a/testing/fake-engine/src/vm.rs
+++ b/testing/fake-engine/src/vm.rs
@@ -197,12 +197,28 @@
 
     /// Closes a run in the account.
     pub fn close_run(&self, number: u64, state: RunState) {
-        self.active.borrow_mut().remove(&number);
         self.runs
             .borrow_mut()
             .change(number, |run| run.state = state);
     }
 
+    /// Closes a run that was watched by `stop`, unless another connection has resumed it.
+    pub fn close_watched_run(
+        &self,
+        number: u64,
+        stop: &watch::Receiver<Option<RunState>>,
+        state: RunState,
+    ) {
+        let mut active = self.active.borrow_mut();
+        let watched = active.get(&number);
+        if !watched.is_some_and(|run| run.stop.subscribe().same_channel(stop)) {
+            return;
+        }
+        active.remove(&number);
+        drop(active);
+        self.close_run(number, state);
+    }
+
     /// Stops all runs of a request, or all there are; returns how many.
     pub fn stop_runs(&self, request_id: Option<&str>, state: RunState) -> usize {
         let mut stopped = 0;
--- a/testing/fake-engine/tests/test_streams.rs
+++ b/testing/fake-engine/tests/test_streams.rs
@@ -92,6 +92,28 @@
     assert_eq!(report.runs[0].tokens_sent, 6);
 }
 
+/// Guards against a rest that breaks off because the connection before it ends only afterwards.
+#[tokio::test]
+async fn a_stream_whose_connection_is_still_open_resumes_on_another_one() {
+    let upstreams = one_engine(json!({ "token_interval_us": 20_000 }));
+    let caller = Caller::new();
+    let mut first = caller
+        .chat(&upstreams, "vm-1", "r-1", &[], 6)
+        .await
+        .into_body();
+    read(&mut first, 2).await;
+
+    let resume = [("x-cicadabend-resume-from", "2")];
+    let response = caller.chat(&upstreams, "vm-1", "r-1", &resume, 6).await;
+    let second = read(&mut response.into_body(), usize::MAX).await;
+
+    assert!(second.done);
+    assert_eq!(second.positions, [2, 3, 4, 5]);
+    assert!(read(&mut first, usize::MAX).await.broken);
+    let report = caller.runs(&upstreams, "vm-1").await;
+    assert_eq!(report.runs[0].state, RunState::Complete);
+}
+
 #[tokio::test]
 async fn an_unknown_generation_is_not_resumed() {
     let upstreams = one_engine(json!({}));
