entry: a silent stream keeps its connection while its rest is asked for

Callers of the product's own interface saw a stream broken off (answer_broken) that its engine would have finished: after first_byte_timeout_ms without data the connection was closed, the rest was asked for from the same group, and if that was refused, reset, late or broken off, nothing was left to go back to. A stream without positions and one whose group was formed anew ended at once.

Connections and requests for the rest now stay open until one of them has delivered the next event; then all others are closed. One StreamTracker checks the events of all, so duplicates are dropped and another generation closes only its own connection.

--- a/entry/src/serve/event_body.rs
+++ b/entry/src/serve/event_body.rs
@@ -16,35 +16,32 @@
 use bytes::Bytes;
 use cicadabend::{
     caller_api::ErrorCode,
-    chart::RequestEvent,
     request::StreamTracker, //
 };
 use http_body::Frame;
 use tokio::time::{
-    Instant,
     Sleep,
     sleep, //
 };
 
 use super::{
     body::BodyError,
-    event_source::{
-        AnswerFault,
-        Batch,
-        EventSource, //
+    event_source::EventSource,
+    event_sources::{
+        Arrival,
+        EventSources, //
     },
     events::LogEvent,
     exchange::Failure,
     held_claim::Settling,
     response::Refusal,
-    resume::{
-        self,
-        Resuming, //
-    },
+    resume,
     run::{
+        MAX_RESUMES_WITHOUT_PROGRESS,
         Next,
         RequestExecution, //
     },
+    silence::Silence,
 };
 
 /// Time between the error event and the end of the connection.
@@ -52,15 +49,18 @@
 /// hyper drops all data that it has not written yet when a body fails, so the event needs time to
 /// be sent.
 const ERROR_EVENT_FLUSH_MS: u64 = 20;
+/// Number of time limits without any data after which a response is given up although a connection
+/// is still open.
+///
+/// Each request for the rest has had one of them.
+const MAX_SILENT_SPANS: u32 = MAX_RESUMES_WITHOUT_PROGRESS + 1;
 
 /// The source of the next frame of the response.
 enum Stage {
-    /// The first events, which are in memory, and the source of the others.
-    First(Bytes, EventSource),
-    /// The connection to the replica.
-    Live(EventSource),
-    /// None yet: the rest has been requested from the replica.
-    Resuming(Resuming),
+    /// The first events, which are in memory.
+    First(Bytes),
+    /// The connections to the replica.
+    Live,
     /// None: the error event was sent, and the body fails when the timer ends.
     ErrorSent(Pin<Box<Sleep>>),
     /// None: the response has ended or failed.
@@ -72,52 +72,12 @@
 /// Dropping it before its end means that the caller disconnected.
 pub(super) struct EventBody {
     stage: Stage,
+    sources: EventSources,
     run: RequestExecution,
     tracker: StreamTracker,
     silence: Silence,
 }
 
-/// Detects that the upstream sent nothing for too long.
-///
-/// The timer is moved only when it fires, so that each event costs a clock read but no timer
-/// update.
-struct Silence {
-    limit: Duration,
-    last: Instant,
-    timer: Pin<Box<Sleep>>,
-}
-
-impl Silence {
-    fn new(limit: Duration) -> Self {
-        Self {
-            limit,
-            last: Instant::now(),
-            timer: Box::pin(sleep(limit)),
-        }
-    }
-
-    /// Records that data arrived; returns the time since the data before.
-    fn record_data(&mut self) -> Duration {
-        let now = Instant::now();
-        let since_last = now.duration_since(self.last);
-        self.last = now;
-        since_last
-    }
-
-    /// Returns whether nothing arrived for the limit.
-    fn poll(&mut self, context: &mut Context<'_>) -> bool {
-        while self.timer.as_mut().poll(context).is_ready() {
-            let end = self.last + self.limit;
-            if end <= Instant::now() {
-                self.last = Instant::now();
-                return true;
-            }
-            self.timer.as_mut().reset(end);
-        }
-        false
-    }
-}
-
 type PolledFrame = Poll<Option<Result<Frame<Bytes>, BodyError>>>;
 
 impl EventBody {
@@ -128,8 +88,11 @@
         tracker: StreamTracker,
     ) -> Self {
         let limit_ms = run.server.settings.callers.first_byte_timeout_ms;
+        let mut sources = EventSources::default();
+        sources.open(source);
         Self {
-            stage: Stage::First(first, source),
+            stage: Stage::First(first),
+            sources,
             run,
             tracker,
             silence: Silence::new(Duration::from_millis(limit_ms)),
@@ -139,13 +102,15 @@
     pub(super) fn poll_frame(&mut self, context: &mut Context<'_>) -> PolledFrame {
         loop {
             let polled = match std::mem::replace(&mut self.stage, Stage::Over) {
-                Stage::First(first, source) => {
+                Stage::First(first) => {
                     self.run.claim.record_body(&first);
-                    self.stage = Stage::Live(source);
+                    self.stage = Stage::Live;
                     Some(Poll::Ready(Some(Ok(Frame::data(first)))))
                 }
-                Stage::Live(source) => self.poll_live(source, context),
-                Stage::Resuming(resuming) => self.poll_resuming(resuming, context),
+                Stage::Live => {
+                    self.stage = Stage::Live;
+                    self.poll_live(context)
+                }
                 Stage::ErrorSent(timer) => Some(self.poll_error_sent(timer, context)),
                 Stage::Over => Some(Poll::Ready(None)),
             };
@@ -155,58 +120,45 @@
         }
     }
 
-    /// Polls the connection; returns `None` if the stage has changed and must be polled again.
-    fn poll_live(
-        &mut self,
-        mut source: EventSource,
-        context: &mut Context<'_>,
-    ) -> Option<PolledFrame> {
-        match source.poll_events(&mut self.tracker, context) {
-            Poll::Ready(Ok(Batch::Events(events))) => {
+    /// Polls the connections; returns `None` if they have changed and must be polled again.
+    fn poll_live(&mut self, context: &mut Context<'_>) -> Option<PolledFrame> {
+        match self.sources.poll(&mut self.tracker, context) {
+            Poll::Ready(Arrival::Next(events)) => {
                 let since_last = self.silence.record_data();
                 self.run.record_progress(since_last);
                 self.run.claim.record_body(&events);
                 if self.tracker.is_done() && self.run.claim.is_held() {
                     self.run.record_delivered(self.tracker.passed());
                 }
-                self.stage = Stage::Live(source);
                 Some(Poll::Ready(Some(Ok(Frame::data(events)))))
             }
-            Poll::Ready(Ok(Batch::End)) if self.tracker.is_done() => {
-                source.return_to_pool();
-                Some(self.finish())
-            }
-            Poll::Ready(_) if self.tracker.is_done() => Some(self.finish()),
-            Poll::Ready(Ok(Batch::End)) => self.handle_break(AnswerFault::EndedEarly.into()),
-            Poll::Ready(Err(fault)) => self.handle_break(fault.into()),
-            Poll::Pending if self.silence.poll(context) => {
-                self.handle_break(Failure::Broken("nothing arrived for too long".to_owned()))
+            Poll::Ready(Arrival::Comments(comments)) => {
+                self.silence.record_data();
+                self.run.claim.record_body(&comments);
+                Some(Poll::Ready(Some(Ok(Frame::data(comments)))))
             }
-            Poll::Pending => {
-                self.stage = Stage::Live(source);
-                Some(Poll::Pending)
+            Poll::Ready(Arrival::RestBegan) => {
+                self.silence.restart();
+                None
             }
+            Poll::Ready(Arrival::End) => Some(self.finish()),
+            // A newer request for the rest is still under way.
+            Poll::Ready(Arrival::Failed {
+                was_newest: false, ..
+            }) => None,
+            Poll::Ready(Arrival::Failed { failure, .. }) => self.handle_break(failure),
+            Poll::Pending if self.silence.poll(context) => self.handle_silence(),
+            Poll::Pending => Some(Poll::Pending),
         }
     }
 
-    fn poll_resuming(
-        &mut self,
-        mut resuming: Resuming,
-        context: &mut Context<'_>,
-    ) -> Option<PolledFrame> {
-        match resuming.as_mut().poll(context) {
-            Poll::Pending => {
-                self.stage = Stage::Resuming(resuming);
-                Some(Poll::Pending)
-            }
-            Poll::Ready(Ok(source)) => {
-                self.run.apply(RequestEvent::Resumed);
-                self.silence.record_data();
-                self.stage = Stage::Live(source);
-                None
-            }
-            Poll::Ready(Err(failure)) => self.handle_break(failure),
+    /// Requests the rest of the response while its connections stay open, or gives it up after the
+    /// last request for it.
+    fn handle_silence(&mut self) -> Option<PolledFrame> {
+        if self.silence.silent_spans() >= MAX_SILENT_SPANS {
+            self.sources = EventSources::default();
         }
+        self.handle_break(Failure::Broken("nothing arrived for too long".to_owned()))
     }
 
     fn poll_error_sent(
@@ -223,6 +175,7 @@
 
     /// Records that the whole response was delivered, and ends the body.
     fn finish(&mut self) -> PolledFrame {
+        self.stage = Stage::Over;
         self.run.record_delivered(self.tracker.passed());
         Poll::Ready(None)
     }
@@ -233,10 +186,15 @@
         self.run.claim.take_settling()
     }
 
-    /// Requests the rest of the response; if that is not allowed, sends the error event.
+    /// Requests the rest of the response; if that is not allowed and no connection is left, sends the
+    /// error event.
     fn handle_break(&mut self, failure: Failure) -> Option<PolledFrame> {
         let message = failure.to_string();
         let can_resume = self.tracker.can_resume() && !matches!(failure, Failure::GroupChanged);
+        let may_request = can_resume && self.run.may_resume();
+        if !may_request && !self.sources.is_empty() {
+            return None;
+        }
         match self.run.record_broken_answer(can_resume, failure) {
             Next::Resume => {
                 let position = self.tracker.passed();
@@ -246,7 +204,11 @@
                     reason: message,
                 }
                 .emit();
-                self.stage = Stage::Resuming(resume::start(&self.run, position)?);
+                let Some(resuming) = resume::start(&self.run, position) else {
+                    return Some(self.send_error_event("the request has no replica"));
+                };
+                self.silence.restart();
+                self.sources.request(resuming);
                 None
             }
             _ => Some(self.send_error_event(&message)),
--- a/entry/src/serve/exchange.rs
+++ b/entry/src/serve/exchange.rs
@@ -1,7 +1,5 @@
 //! Sends one attempt and reads its response up to the first bytes that may be passed on.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use cicadabend::{
     request::{
@@ -222,18 +220,10 @@
     spec: &Spec,
     replica: &Replica,
     position: u64,
-    timeout: Duration,
 ) -> Result<EventSource, Failure> {
-    let sent = SentBytes::default();
-    let asked = async {
-        let lease = server.pool.lease(replica.address).await?;
-        let request = spec.request_to(replica, Some(position));
-        lease.send(request, &sent).await
-    };
-    let Ok(asked) = tokio::time::timeout(timeout, asked).await else {
-        return Err(Failure::DeadlinePassed { is_written: true });
-    };
-    let (response, lease) = asked?;
+    let lease = server.pool.lease(replica.address).await?;
+    let request = spec.request_to(replica, Some(position));
+    let (response, lease) = lease.send(request, &SentBytes::default()).await?;
     let status = response.status();
     if did_not_start(&response) {
         return Err(Failure::NotStarted { status });
--- a/entry/src/serve/resume.rs
+++ b/entry/src/serve/resume.rs
@@ -51,11 +51,10 @@
     let id = attempt.replica().id.clone();
     let token = attempt.replica().token;
     let pause = resume_pause(run.resumes_without_progress());
-    let timeout = Duration::from_millis(server.settings.callers.first_byte_timeout_ms);
     Some(Box::pin(async move {
         sleep(pause).await;
         let replica = find(&server, &id, token).await?;
-        exchange::resume(&server, &spec, &replica, position, timeout).await
+        exchange::resume(&server, &spec, &replica, position).await
     }))
 }
 
--- a/entry/src/serve/run/mod.rs
+++ b/entry/src/serve/run/mod.rs
@@ -48,7 +48,7 @@
 };
 
 /// Number of times in a row that the rest of a response is asked for without getting any of it.
-const MAX_RESUMES_WITHOUT_PROGRESS: u32 = 4;
+pub(super) const MAX_RESUMES_WITHOUT_PROGRESS: u32 = 4;
 
 /// The next step of the code that drives the request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -141,8 +141,7 @@
     pub(super) fn apply(&mut self, event: RequestEvent) -> Next {
         let mut delay = Duration::ZERO;
         let situation = self.retry_situation();
-        let may_resume =
-            self.can_resume && self.resumes_without_progress < MAX_RESUMES_WITHOUT_PROGRESS;
+        let may_resume = self.can_resume && self.may_resume();
         let server = Rc::clone(&self.server);
         let spec = Rc::clone(&self.spec);
         let actions = self.life.apply(event, |permit| match permit {
@@ -292,8 +291,16 @@
         next
     }
 
+    /// Returns whether the rest of the response may be asked for once more.
+    pub(super) fn may_resume(&self) -> bool {
+        self.resumes_without_progress < MAX_RESUMES_WITHOUT_PROGRESS
+    }
+
     /// Records that more of the response arrived, `since_last` after the chunk before.
     pub(super) fn record_progress(&mut self, since_last: Duration) {
+        if self.life.state() == RequestState::Resuming {
+            self.apply(RequestEvent::Resumed);
+        }
         self.outcome.between_tokens.count(since_last);
         self.resumes_without_progress = 0;
     }
--- a/entry/tests/test_serve/test_streams.rs
+++ b/entry/tests/test_serve/test_streams.rs
@@ -129,6 +129,102 @@
     let answer = run_completion(&fixture);
 
     assert_eq!(answer.tokens(), ["a", "b", "[DONE]"]);
+    engine.wait_closed();
+}
+
+/// Guards against a sound stream that is given up for its silence: the engine pauses for longer
+/// than the time limit, and the request for the rest brings nothing.
+#[rstest]
+#[case::refused(vec![Step::not_started("503 Service Unavailable")])]
+#[case::reset(vec![Step::Close])]
+#[case::never_answered(vec![Step::AwaitClose])]
+#[case::broken_off(vec![Step::stream_head(), Step::Close])]
+#[case::silent_too(vec![Step::stream_head(), Step::AwaitClose])]
+#[case::other_generation(vec![Step::stream_head(), Step::event_of("gen-2", 1, "x"), Step::Close])]
+fn a_stream_that_pauses_is_whole_although_its_rest_is_not_sent(#[case] rest: Vec<Step>) {
+    let engine = ScriptedUpstream::start(move |_, request: &ReceivedRequest| {
+        if request.header("x-cicadabend-resume-from").is_some() {
+            return rest.clone();
+        }
+        stream_steps(vec![
+            Step::event(0, "a"),
+            Step::PauseMs(900),
+            Step::event(1, "b"),
+        ])
+    });
+    let fixture = Fixture::start(&[engine.address], &[], |settings| {
+        settings.callers.first_byte_timeout_ms = 300;
+    });
+
+    let answer = run_completion(&fixture);
+
+    assert!(answer.is_whole);
+    assert_eq!(answer.tokens(), ["a", "b", "[DONE]"]);
+    assert!(fixture.counter("serving.resumes") > 0);
+    fixture.wait_for_counter("attempts_running", 0);
+    engine.wait_closed();
+}
+
+/// Guards against a sound stream that is given up because its group was formed anew while it
+/// paused, and against a stream without positions that is given up for its pause.
+#[rstest]
+#[case::other_token(Step::event(0, "a"), Step::event(1, "b"), 3)]
+#[case::no_positions(
+    Step::chunk("data: {\"token\":\"a\"}\n\n"),
+    Step::chunk("data: {\"token\":\"b\"}\n\n"),
+    2
+)]
+fn a_stream_that_pauses_is_whole_although_nobody_can_resume_it(
+    #[case] first: Step,
+    #[case] second: Step,
+    #[case] sequence: u32,
+) {
+    let engine = ScriptedUpstream::start(move |_, _| {
+        stream_steps(vec![first.clone(), Step::PauseMs(900), second.clone()])
+    });
+    let fixture = Fixture::start(&[engine.address], &[], |settings| {
+        settings.callers.first_byte_timeout_ms = 300;
+    });
+    let mut caller = fixture.caller();
+    caller.complete("");
+    caller.head();
+
+    fixture.change_snapshot(|snapshot| {
+        snapshot.replicas[0].token = FencingToken { epoch: 1, sequence };
+    });
+    let mut body = String::new();
+    while !body.contains("[DONE]")
+        && let Some(chunk) = caller.chunk()
+    {
+        body.push_str(&chunk);
+    }
+
+    assert!(body.ends_with("[DONE]\n\n"), "{body}");
+    assert_eq!(engine.requests().len(), 1);
+}
+
+/// Guards against a slot that is never released: the engine stays silent, and so does its rest.
+#[rstest]
+#[case::refused(vec![Step::not_started("503 Service Unavailable")])]
+#[case::silent_too(vec![Step::AwaitClose])]
+fn a_stream_whose_engine_stays_silent_ends_with_an_error(#[case] rest: Vec<Step>) {
+    let engine = ScriptedUpstream::start(move |_, request: &ReceivedRequest| {
+        if request.header("x-cicadabend-resume-from").is_some() {
+            return rest.clone();
+        }
+        vec![Step::stream_head(), Step::event(0, "a"), Step::AwaitClose]
+    });
+    let fixture = Fixture::start(&[engine.address], &[], |settings| {
+        settings.callers.first_byte_timeout_ms = 100;
+    });
+
+    let answer = run_completion(&fixture);
+
+    assert!(!answer.is_whole);
+    let error = answer.error_event().unwrap();
+    assert_eq!(error.delivered_positions, Some(1));
+    assert_eq!(fixture.counter("serving.resumes"), 4);
+    fixture.wait_for_counter("attempts_running", 0);
 }
 
 /// Guards against a rest from another generation: the group was formed anew while the stream was
