entry: an upstream's failure is passed on if the second attempt brings no answer

A caller of a route that may be repeated got a 502 or 504 of the daemon's own ("outcome_unknown") although an upstream had answered with its failure: that answer was dropped for a second attempt, which then broke off, was not run or came too late. The answer had been given up before another one was there.

The answer is now kept while further attempts are made, and passed on unchanged if they bring none; a later answer still replaces it. Only answers that were read whole are kept, since a longer one would hold its connection.

--- a/entry/src/serve/routed/drive.rs
+++ b/entry/src/serve/routed/drive.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use bytes::Bytes;
 use cicadabend::{
     chart::{
         RequestAction,
@@ -36,6 +37,22 @@
     },
 };
 
+/// An upstream's response with a server error, while another attempt is made.
+struct ErrorAnswer {
+    parts: Parts,
+    body: Bytes,
+}
+
+impl ErrorAnswer {
+    /// Keeps a response that was read whole; a longer one would hold its connection.
+    fn keep(answered: Answered) -> Option<Self> {
+        match answered {
+            Answered::Whole { parts, body } => Some(Self { parts, body }),
+            Answered::Passed { .. } | Answered::Stream { .. } => None,
+        }
+    }
+}
+
 impl RoutedExecution {
     /// Makes attempts until one succeeds or no further one is allowed; returns the response.
     pub(super) async fn drive(mut self) -> Response<RoutedBody> {
@@ -63,11 +80,12 @@
             return self.refuse(RoutedRefusal::NoRoom, "all replicas are full");
         }
         self.life.apply(RequestEvent::Admitted, |_| false);
+        let mut error_answer = None;
         loop {
             let sent = Rc::new(SentBytes::default());
             let outcome = self.attempt(&sent).await;
             let failure = match outcome {
-                Ok(answered) => match self.accept_answer(answered).await {
+                Ok(answered) => match self.accept_answer(answered, &mut error_answer).await {
                     Ok(response) => return response,
                     Err(failure) => failure,
                 },
@@ -75,6 +93,10 @@
             };
             if !self.handle_failure(&failure, &sent).await || !self.choose_or_request_permit().await
             {
+                // It tells the caller more than a response of the daemon's own.
+                if let Some(ErrorAnswer { parts, body }) = error_answer {
+                    return self.pass_on(parts.status, Answered::Whole { parts, body });
+                }
                 let reason = self.refusal_for(&failure);
                 return self.refuse(reason, &failure.to_string());
             }
@@ -83,7 +105,13 @@
     }
 
     /// Turns an upstream's response into the caller's, or returns its server error for a retry.
-    async fn accept_answer(&mut self, answered: Answered) -> Result<Response<RoutedBody>, Failure> {
+    ///
+    /// The response with that error is kept in `error_answer`, since the retry may get none.
+    async fn accept_answer(
+        &mut self,
+        answered: Answered,
+        error_answer: &mut Option<ErrorAnswer>,
+    ) -> Result<Response<RoutedBody>, Failure> {
         let status = answered.status();
         let is_failure = status.is_server_error();
         if let Some(reservation) = &self.reservation {
@@ -96,6 +124,7 @@
             // Without a retry, the upstream's error response is passed on unchanged.
             if self.has_other_replica() && self.obtain_retry(RoutedRetryReason::Broken).await {
                 self.attempts -= 1;
+                *error_answer = ErrorAnswer::keep(answered);
                 return Err(Failure::Status(status));
             }
         }
