entry: a request that no relay sends takes the silent link once more

Callers got 503 "this daemon's link is lost" for a sound upstream within 10 to 90 ms although the daemon's own link worked: its upstream had paused for 0.4 s in another request, so the link counted as lost, requests went to relays only, and the one relay did not reach the upstream. Silence is no proof, and until a trial 0.3 s later nobody tried the link.

If no relay has sent the request and no connection by the link has failed, the request now goes by a new connection of its own. Nothing was written before, so it arrives once. A connection that fails or takes 80 ms proves the loss, and the requests after it are refused as fast as before.

--- a/entry/src/serve/routed/transport.rs
+++ b/entry/src/serve/routed/transport.rs
@@ -30,8 +30,8 @@
 
 /// Sends the request to a replica and waits for the head of its response.
 ///
-/// A relay is used only before a byte of the request was written elsewhere, so a request is sent
-/// once whichever way it takes.
+/// Another way is taken only before a byte of the request was written on the way before, so a
+/// request is sent once whichever way it takes.
 pub(super) async fn send(
     server: &Rc<Server>,
     prepared: &PreparedRequest,
@@ -53,7 +53,16 @@
             }
         }
     };
-    send_relayed(server, prepared, replica, sent, last_event, failure).await
+    let relayed = send_relayed(server, prepared, replica, sent, last_event, failure).await;
+    let is_proven_lost = link_use != LinkUse::Relayed || server.has_failed_connection(replica);
+    match relayed {
+        // The link has only been silent, and no relay has sent anything on.
+        Err(Failure::NotConnected(_)) if !is_proven_lost => {
+            let by_new_connection = (replica, LinkUse::DirectNew);
+            send_directly(server, prepared, by_new_connection, sent, last_event).await
+        }
+        outcome => outcome,
+    }
 }
 
 /// Returns how to send the request, which may already have got no response elsewhere.
