entry: a daemon that was stopped reads before it takes its upstreams for silent

Callers saw streams that broke off, and retries and links were used up, because the entry daemon itself had not been running: it asked other upstreams for the rest of streams that their own ones had gone on writing.

Cause: a process that is stopped while it waits and then continued gets EINTR from epoll_wait. The runtime takes that for a turn without I/O and fires the timers that are due, so pauses, late responses and connections are judged before a byte of what arrived meanwhile has been read.

A timer that fires more than 40 ms late shows that the daemon was not running. It is set anew for 30 ms, and by the time it fires the runtime has read and handed on what had arrived. A daemon whose timers are always late judges after four of them. Where timers fire in time nothing changes, and no timer is added.

--- a/entry/src/serve/mod.rs
+++ b/entry/src/serve/mod.rs
@@ -4,6 +4,7 @@
 //! - `handler`: turns one HTTP request into one response.
 //! - `completions` and `plain`: handle requests to model services and to plain services.
 //! - `upstream`: connections to upstreams, with a count of the bytes written to each.
+//! - `silence`: waits that end when the other side of a connection is silent.
 //! - `response`: error responses and JSON responses.
 
 mod admission_control;
@@ -37,6 +38,7 @@
 pub(crate) mod routed;
 mod run;
 mod server;
+mod silence;
 mod spec;
 mod times;
 mod upstream;
--- a/entry/src/serve/routed/attempt.rs
+++ b/entry/src/serve/routed/attempt.rs
@@ -20,7 +20,10 @@
 };
 
 use super::{
-    super::upstream::SentBytes,
+    super::{
+        silence::wait_until,
+        upstream::SentBytes, //
+    },
     exchange::{
         Answered,
         exchange, //
@@ -46,12 +49,16 @@
         let started_at = Instant::now();
         let deadline = self.prepared.terms.deadline;
         let late_at = self.late_after().map(|after| started_at + after);
+        let late_at = late_at.filter(|late_at| *late_at < deadline);
         let (server, prepared) = (Rc::clone(&self.server), Rc::clone(&self.prepared));
         let mut work = pin!(exchange(&server, &prepared, &replica, sent, None));
-        let until = late_at.map_or(deadline, |late_at| late_at.min(deadline));
-        let outcome = match timeout_at(until, work.as_mut()).await {
+        let in_time = match late_at {
+            Some(late_at) => wait_until(late_at, work.as_mut()).await,
+            None => Ok(wait_until_deadline(deadline, sent, work.as_mut()).await),
+        };
+        let outcome = match in_time {
             Ok(outcome) => outcome,
-            Err(_) if until < deadline => {
+            Err(_) => {
                 self.record_late(started_at);
                 match self.answer_or_hedge(work.as_mut(), started_at).await {
                     HedgeStart::Answered(outcome) => outcome,
@@ -59,7 +66,6 @@
                     HedgeStart::Alone => wait_until_deadline(deadline, sent, work).await,
                 }
             }
-            Err(_) => Err(deadline_failure(sent)),
         };
         if outcome.is_ok() {
             self.record_first_chunk(started_at);
@@ -241,11 +247,9 @@
 ) -> Result<Answered, Failure> {
     match timeout_at(deadline, work).await {
         Ok(outcome) => outcome,
-        Err(_) => Err(deadline_failure(sent)),
+        Err(_) => {
+            let is_written = sent.seal() > 0;
+            Err(Failure::DeadlinePassed { is_written })
+        }
     }
 }
-
-fn deadline_failure(sent: &SentBytes) -> Failure {
-    let is_written = sent.seal() > 0;
-    Failure::DeadlinePassed { is_written }
-}
--- a/entry/src/serve/routed/links.rs
+++ b/entry/src/serve/routed/links.rs
@@ -34,16 +34,21 @@
     },
     time::{
         Instant,
-        sleep,
-        timeout,
-        timeout_at, //
+        sleep, //
     },
 };
 
 use super::{
-    super::upstream::{
-        AttemptError,
-        Lease, //
+    super::{
+        silence::{
+            Silent,
+            wait_for,
+            wait_until, //
+        },
+        upstream::{
+            AttemptError,
+            Lease, //
+        },
     },
     counts::Routed,
     events::LogEvent,
@@ -252,10 +257,11 @@
         let mut sending = pin!(sending);
         let mut check_due = Instant::now() + late_after;
         loop {
-            if let Ok(outcome) = timeout_at(check_due, sending.as_mut()).await {
-                return outcome;
-            }
-            self.links.check_delay.set(check_due.elapsed());
+            let timer_delay = match wait_until(check_due, sending.as_mut()).await {
+                Ok(outcome) => return outcome,
+                Err(Silent { timer_delay }) => timer_delay,
+            };
+            self.links.check_delay.set(timer_delay);
             on_late(sent_at);
             if self.record_unanswered(replica, sent_at) {
                 return sending.await;
@@ -288,7 +294,7 @@
             // The connection's own timeout ends it sooner.
             false => Duration::from_millis(self.settings.upstreams.connect_timeout_ms * 2),
         };
-        if let Ok(Ok(outcome)) = timeout(patience, claimed).await {
+        if let Ok(Ok(outcome)) = wait_for(patience, claimed).await {
             return outcome;
         }
         self.record_connect_failure(replica, LossEvidence::ConnectSlow);
--- a/entry/src/serve/routed/relay_client.rs
+++ b/entry/src/serve/routed/relay_client.rs
@@ -19,15 +19,11 @@
     Response, //
 };
 use hyper::body::Incoming;
-use tokio::time::{
-    Instant,
-    timeout,
-    timeout_at, //
-};
 
 use super::{
     super::{
         body::RequestBody,
+        silence::wait_for,
         upstream::{
             AttemptError,
             Lease,
@@ -168,8 +164,7 @@
     let sent_at = server.clock.now();
     let sending = send_to_relay(server, relay, request, (sent, is_idempotent));
     let mut sending = pin!(sending);
-    let late_at = Instant::now() + RELAY_SILENCE_LIMIT;
-    let outcome = match timeout_at(late_at, sending.as_mut()).await {
+    let outcome = match wait_for(RELAY_SILENCE_LIMIT, sending.as_mut()).await {
         Ok(outcome) => outcome,
         Err(_) => {
             prepared.record_unanswered(sent_at);
@@ -221,7 +216,7 @@
         };
         let sent = SentBytes::default();
         let sending = send_to_relay(server, &relay, request, (&sent, true));
-        if let Ok(Ok((mut response, lease))) = timeout(CONNECT_REPORT_TIMEOUT, sending).await {
+        if let Ok(Ok((mut response, lease))) = wait_for(CONNECT_REPORT_TIMEOUT, sending).await {
             let report = relay_headers::take_report(response.headers_mut());
             AnswerRest::new(response.into_body(), lease, DEFAULT_KEEP_ALIVE).drain();
             let is_answer = |report: &RelayReport| {
@@ -251,7 +246,7 @@
         }
     }
     let connecting = server.pool.lease_new(address);
-    let Ok(connected) = timeout(RELAY_CONNECT_TIMEOUT, connecting).await else {
+    let Ok(connected) = wait_for(RELAY_CONNECT_TIMEOUT, connecting).await else {
         return Err(AttemptError::NotConnected {
             address,
             reason: "the relay did not accept a connection in time".to_owned(),
--- a/entry/src/serve/routed/stream.rs
+++ b/entry/src/serve/routed/stream.rs
@@ -12,7 +12,10 @@
 };
 
 use bytes::Bytes;
-use cicadabend::retry_budget::RoutedRetryReason;
+use cicadabend::{
+    reach::SilenceCheck,
+    retry_budget::RoutedRetryReason, //
+};
 use http_body::{
     Frame,
     SizeHint, //
@@ -164,6 +167,7 @@
     /// Asks for a retry while the stream's link is lost and none is at hand.
     grant_wait: Option<GrantWait>,
     timer: Pin<Box<Sleep>>,
+    silence: SilenceCheck,
 }
 
 impl StreamBody {
@@ -193,6 +197,7 @@
             waits_alone: false,
             grant_wait: None,
             timer: Box::pin(sleep_until(due)),
+            silence: SilenceCheck::default(),
         }
     }
 
@@ -312,8 +317,12 @@
                 .pause_timeout
                 .map(|pause_timeout| self.last_event_at + pause_timeout);
             if pause_ends.is_some_and(|ends| now >= ends) {
-                let due = self.timer.deadline();
-                return Lateness::Pause(now.duration_since(due));
+                let timer_delay = now.duration_since(self.timer.deadline());
+                let Some(time_to_read) = self.silence.record_timer(timer_delay) else {
+                    return Lateness::Pause(timer_delay);
+                };
+                self.timer.as_mut().reset(now + time_to_read);
+                continue;
             }
             let due = pause_ends.map_or(self.deadline, |ends| ends.min(self.deadline));
             self.timer.as_mut().reset(due);
--- a/entry/src/serve/upstream.rs
+++ b/entry/src/serve/upstream.rs
@@ -44,13 +44,13 @@
     },
     net::TcpStream,
     task::AbortHandle,
-    time::{
-        Instant,
-        timeout, //
-    },
+    time::Instant,
 };
 
-use super::body::RequestBody;
+use super::{
+    body::RequestBody,
+    silence::wait_for, //
+};
 
 /// Largest number of idle connections to one upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 64;
@@ -344,7 +344,7 @@
             reason: error.to_string(),
             is_refused: error.kind() == io::ErrorKind::ConnectionRefused,
         };
-        let stream = timeout(self.connect_timeout, TcpStream::connect(address))
+        let stream = wait_for(self.connect_timeout, TcpStream::connect(address))
             .await
             .map_err(|_| failed("the connection took too long".to_owned()))?
             .map_err(refused_or_failed)?;
--- a/lib/src/reach/mod.rs
+++ b/lib/src/reach/mod.rs
@@ -5,6 +5,8 @@
 //!
 //! - [`ReachTracker`]: the state of each link, and of all links to one service in one failure
 //!   domain.
+//! - [`SilenceCheck`]: whether a timer shows that the other side is silent, or that this daemon was not
+//!   running.
 //! - [`RelayTable`]: the choice of another entry daemon that sends a request on.
 //! - [`relays_for`]: which relays a control daemon names to an entry daemon.
 //!
@@ -13,6 +15,7 @@
 mod link;
 mod offers;
 mod relays;
+mod silence;
 mod tracker;
 
 pub use link::{
@@ -33,4 +36,5 @@
     RelayFailure,
     RelayTable, //
 };
+pub use silence::SilenceCheck;
 pub use tracker::ReachTracker;
