entry: lines tell a stop and a caller that reads no more from a caller that left

CB1427 "caller left" was written also for requests that the daemon itself cut off at the end of its drain time, and for callers whose connection it closed because they read nothing for `read_timeout_ms`: who looked for the end of a stream was sent to the caller. A relay wrote nothing when an answer that it passed on ended early.

CB1451 (counter routed_broken_answers.stopped) and CB1452 (.caller_stalled) name the first two. The drain's end sets a flag before the connections are closed, and the socket's timeout one of its connection, so that the request knows by the time it is dropped. Relays have CB1453 (the upstream broke off, or the relay's stop) and CB1454 (the daemon that asked closed its connection), and routed_broken_relayed_answers.

hyper drops a body of known length after its last byte without polling its end. A relay's answer ends with that byte now; otherwise each such answer above what is buffered would be written down as not wanted any more, and its upstream's connection would not be used again.

--- a/entry/src/serve/caller_stream.rs
+++ b/entry/src/serve/caller_stream.rs
@@ -27,7 +27,7 @@
     },
 };
 
-/// How a connection is to be closed that ends in the middle of a response.
+/// How a connection ends in the middle of a response, and how it is to be closed then.
 ///
 /// A response to HTTP/1.0 ends with its connection, so a caller would take one that broke off for
 /// complete if the connection were closed in order. It is reset instead.
@@ -35,6 +35,7 @@
 pub(super) struct BrokenEnd {
     is_unframed: Rc<Cell<bool>>,
     resets: Rc<Cell<bool>>,
+    has_stalled: Rc<Cell<bool>>,
 }
 
 impl BrokenEnd {
@@ -47,6 +48,11 @@
     pub(super) fn record_broken(&self) {
         self.resets.set(self.is_unframed.get());
     }
+
+    /// Returns whether the connection is closed because the caller stopped reading.
+    pub(super) fn has_stalled(&self) -> bool {
+        self.has_stalled.get()
+    }
 }
 
 /// A socket on which a write fails if it makes no progress for `limit`.
@@ -85,7 +91,10 @@
         let limit = self.limit;
         let stalled = self.stalled.get_or_insert_with(|| Box::pin(sleep(limit)));
         match stalled.as_mut().poll(context) {
-            Poll::Ready(()) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
+            Poll::Ready(()) => {
+                self.broken_end.has_stalled.set(true);
+                Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+            }
             Poll::Pending => Poll::Pending,
         }
     }
--- a/entry/src/serve/connections.rs
+++ b/entry/src/serve/connections.rs
@@ -35,6 +35,15 @@
 /// The smallest read buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
+/// How draining the connections ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum DrainEnd {
+    /// All requests have ended.
+    Drained,
+    /// The drain timeout passed while requests were running; they are cut off.
+    CutOff,
+}
+
 /// Counts open connections, and notifies when one closes.
 #[derive(Default)]
 pub(super) struct OpenConnections {
@@ -117,7 +126,8 @@
     admits: impl FnMut(u32) -> bool,
     mut serve: impl FnMut(TcpStream, watch::Receiver<bool>) -> F,
     others_done: impl Future<Output = ()>,
-) where
+) -> DrainEnd
+where
     F: Future<Output = ()> + 'static,
 {
     let open = Rc::new(OpenConnections::default());
@@ -141,11 +151,16 @@
         open.all_closed().await;
         others_done.await;
     };
-    if timeout(limit, all_done).await.is_err() {
-        let connections = open.count();
-        LogEvent::CutOff { connections }.emit();
-    }
+    let end = match timeout(limit, all_done).await {
+        Ok(()) => DrainEnd::Drained,
+        Err(_) => {
+            let connections = open.count();
+            LogEvent::CutOff { connections }.emit();
+            DrainEnd::CutOff
+        }
+    };
     LogEvent::Drained {}.emit();
+    end
 }
 
 /// Waits for the next connection; retries when accepting one fails.
--- a/entry/src/serve/routed/account.rs
+++ b/entry/src/serve/routed/account.rs
@@ -272,13 +272,49 @@
 }
 
 impl Drop for RoutedExecution {
-    /// Records that the caller left, if the request isn't over.
+    /// Records why the caller's connection ended, if the request isn't over.
     ///
-    /// hyper drops the request's future or response body when the caller closes its connection.
+    /// The request's future or response body is dropped when the caller closes its connection, when
+    /// the daemon closes it because the caller stopped reading, and at the end of a planned stop.
     fn drop(&mut self) {
         if self.is_over {
             return;
         }
+        if self.server.is_cut_off.get() {
+            self.record_cut_off();
+        } else if self.prepared.connection_end.has_stalled() {
+            self.record_caller_stalled();
+        } else {
+            self.record_caller_left();
+        }
+    }
+}
+
+impl RoutedExecution {
+    fn record_cut_off(&self) {
+        self.server
+            .counts
+            .count_broken_answer(BrokenAnswer::Stopped);
+        self.server.log(&LogEvent::RequestCutOff {
+            request: self.prepared.id().to_owned(),
+            replica: self.current_replica_name(),
+            took_ms: self.took_ms(),
+        });
+    }
+
+    fn record_caller_stalled(&self) {
+        self.server
+            .counts
+            .count_broken_answer(BrokenAnswer::CallerStalled);
+        self.server.log(&LogEvent::CallerStalled {
+            request: self.prepared.id().to_owned(),
+            replica: self.current_replica_name(),
+            took_ms: self.took_ms(),
+            read_timeout_ms: self.server.settings.callers.read_timeout_ms,
+        });
+    }
+
+    fn record_caller_left(&self) {
         self.server.counts.count(Routed::CallersLeft);
         self.server.log(&LogEvent::CallerLeft {
             request: self.prepared.id().to_owned(),
--- a/entry/src/serve/routed/counts.rs
+++ b/entry/src/serve/routed/counts.rs
@@ -109,6 +109,22 @@
         ResumeLate,
         /// Another upstream was asked for the rest, and refused or broke off.
         ResumeFailed,
+        /// The daemon was stopping and its drain timeout passed.
+        Stopped,
+        /// The caller read nothing for the read timeout.
+        CallerStalled,
+    }
+}
+
+cicadabend_daemon::counters! {
+    /// Responses passed on to another entry daemon that ended before their end, by the reason.
+    pub enum BrokenRelayedAnswer = "routed_broken_relayed_answers" {
+        /// The upstream broke off.
+        UpstreamBroke,
+        /// The daemon that had asked closed its connection.
+        DaemonLeft,
+        /// The relay was stopping and its drain timeout passed.
+        Stopped,
     }
 }
 
@@ -178,6 +194,7 @@
         metrics.declare::<Routed>();
         metrics.declare::<RoutedRefusal>();
         metrics.declare::<BrokenAnswer>();
+        metrics.declare::<BrokenRelayedAnswer>();
         metrics.declare::<RoutedRetry>();
         metrics.declare::<RetryBudgetUse>();
         Self { metrics }
@@ -199,6 +216,10 @@
         self.metrics.count(reason);
     }
 
+    pub(super) fn count_broken_relayed_answer(&self, reason: BrokenRelayedAnswer) {
+        self.metrics.count(reason);
+    }
+
     pub(super) fn count_retry(&self, reason: RoutedRetry) {
         self.metrics.count(reason);
     }
--- a/entry/src/serve/routed/events.rs
+++ b/entry/src/serve/routed/events.rs
@@ -233,4 +233,38 @@
     1447 Warn OverloadBegins { delay_ms: u128 } "new connections closed for overload";
     /// A timer fired in time again; new connections are served.
     1448 Info OverloadEnds { delay_ms: u128 } "new connections served again";
+    /// A request was still running when the daemon's drain timeout passed; its caller's connection
+    /// is closed.
+    1451 Warn RequestCutOff {
+        request: String,
+        replica: String,
+        took_ms: u64,
+    } "request cut off by the daemon's stop";
+    /// A caller read nothing of its response for `read_timeout_ms`; its connection is closed, and
+    /// the request's connection to an upstream with it.
+    1452 Warn CallerStalled {
+        request: String,
+        replica: String,
+        took_ms: u64,
+        read_timeout_ms: u64,
+    } "caller stopped reading";
+    /// A response that this daemon passed on to another entry daemon broke off, by its upstream or
+    /// by this daemon's drain timeout. `ended_by` is the reason by which it is counted, `why` the
+    /// details. The other daemon's CB1424 or CB1426 shows what followed.
+    1453 Warn RelayedAnswerBroke {
+        request: String,
+        instance: cicadabend::registry::InstanceId,
+        passed_bytes: u64,
+        took_ms: u128,
+        ended_by: String,
+        why: String,
+    } "relayed response broke off";
+    /// The daemon that had asked for a relayed response closed its connection: its caller left, its
+    /// deadline passed, or it asks elsewhere. The connection to the upstream is closed.
+    1454 Info RelayedAnswerLeft {
+        request: String,
+        instance: cicadabend::registry::InstanceId,
+        passed_bytes: u64,
+        took_ms: u128,
+    } "relayed response no longer wanted";
 }
--- a/entry/src/serve/routed/handler.rs
+++ b/entry/src/serve/routed/handler.rs
@@ -18,6 +18,7 @@
 use tokio::time::Instant;
 
 use super::{
+    super::caller_stream::BrokenEnd,
     admission::{
         Admitted,
         Refusal,
@@ -44,8 +45,13 @@
     members::RoutedView, //
 };
 
-/// Answers one request; errors become responses too.
-pub(super) async fn answer(server: Rc<Server>, request: Request<Incoming>) -> Response<RoutedBody> {
+/// Answers one request; errors become responses too. `connection_end` is that of the caller's
+/// connection.
+pub(super) async fn answer(
+    server: Rc<Server>,
+    request: Request<Incoming>,
+    connection_end: BrokenEnd,
+) -> Response<RoutedBody> {
     let arrived = Instant::now();
     let (parts, body) = request.into_parts();
     let caller_headers = server.edge.read_caller(&parts.headers);
@@ -59,7 +65,7 @@
     };
     server.counts.count(Routed::Requests);
     let terms = terms_of(&server, &view, admitted, &caller_headers, arrived);
-    let prepared = PreparedRequest::new(terms, caller_headers, parts, body);
+    let prepared = PreparedRequest::new(terms, caller_headers, parts, body, connection_end);
     match RoutedExecution::new(&server, prepared) {
         Some(execution) => execution.drive().await,
         None => {
--- a/entry/src/serve/routed/listener.rs
+++ b/entry/src/serve/routed/listener.rs
@@ -33,6 +33,7 @@
             CallerStream, //
         },
         connections::{
+            DrainEnd,
             accept,
             header_buffer,
             serve_until_drained, //
@@ -76,7 +77,7 @@
         let serving = relay_server::serve(listener, Rc::clone(&server));
         tokio::task::spawn_local(serving);
     }
-    serve_until_drained(
+    let end = serve_until_drained(
         listener,
         &callers,
         stopped,
@@ -86,6 +87,8 @@
         server.relay.all_ended(),
     )
     .await;
+    // The connections that are still open are closed when this returns.
+    server.is_cut_off.set(end == DrainEnd::CutOff);
 }
 
 async fn serve_caller(stream: TcpStream, server: Rc<Server>, mut draining: watch::Receiver<bool>) {
@@ -98,7 +101,8 @@
     let service = service_fn(move |request: Request<Incoming>| {
         of_request.record_request(request.version());
         let server = Rc::clone(&server);
-        async move { Ok::<_, Infallible>(handler::answer(server, request).await) }
+        let end = of_request.clone();
+        async move { Ok::<_, Infallible>(handler::answer(server, request, end).await) }
     });
     let stream = TokioIo::new(CallerStream::new(stream, stall, broken_end.clone()));
     let mut connection = pin!(builder.serve_connection(stream, service));
--- a/entry/src/serve/routed/prepared_request.rs
+++ b/entry/src/serve/routed/prepared_request.rs
@@ -32,6 +32,7 @@
 
 use super::super::{
     body::RequestBody,
+    caller_stream::BrokenEnd,
     headers, //
 };
 use crate::{
@@ -74,6 +75,8 @@
     pub(super) caller_headers: CallerHeaders,
     parts: Parts,
     body: Bytes,
+    /// How the caller's connection ends, if it ends before the response.
+    pub(super) connection_end: BrokenEnd,
     fingerprint: OnceCell<Fingerprint>,
     prompt_parts: OnceCell<Vec<ModelPart>>,
     unanswered_since: Cell<Option<Timestamp>>,
@@ -86,6 +89,7 @@
         caller_headers: CallerHeaders,
         mut parts: Parts,
         body: Bytes,
+        connection_end: BrokenEnd,
     ) -> Self {
         let path = parts.uri.path_and_query().cloned();
         parts.uri = path.map(Uri::from).unwrap_or_default();
@@ -98,6 +102,7 @@
             caller_headers,
             parts,
             body,
+            connection_end,
             fingerprint: OnceCell::new(),
             prompt_parts: OnceCell::new(),
             unanswered_since: Cell::new(None),
--- a/entry/src/serve/routed/relay_body.rs
+++ b/entry/src/serve/routed/relay_body.rs
@@ -15,12 +15,15 @@
     Frame, //
 };
 use http_body_util::Full;
+use tokio::time::Instant;
 
 use super::{
     super::body::{
         BodyError,
         poll_whole, //
     },
+    counts::BrokenRelayedAnswer,
+    events::LogEvent,
     relay_state::RelayedRequest,
     reservation::Reservation,
     server::Server,
@@ -37,7 +40,11 @@
 
 /// An upstream's response body that is passed on unchanged.
 pub(super) struct PassedAnswer {
+    /// `None` once the body has ended or broken off.
     rest: Option<AnswerRest>,
+    request_id: String,
+    began_at: Instant,
+    passed_bytes: u64,
     server: Rc<Server>,
     reservation: Reservation,
     _counted: RelayedRequest,
@@ -65,12 +72,16 @@
 impl PassedAnswer {
     pub(super) fn new(
         server: &Rc<Server>,
+        request_id: &str,
         rest: AnswerRest,
         reservation: Reservation,
         counted: RelayedRequest,
     ) -> Self {
         Self {
             rest: Some(rest),
+            request_id: request_id.to_owned(),
+            began_at: Instant::now(),
+            passed_bytes: 0,
             server: Rc::clone(server),
             reservation,
             _counted: counted,
@@ -88,20 +99,68 @@
             Poll::Pending => Poll::Pending,
             Poll::Ready(Some(Ok(data))) => {
                 self.server.record_heard(&self.reservation.replica);
+                self.passed_bytes += data.len() as u64;
+                // hyper drops a body of known length after its last byte, without polling its end.
+                if rest.is_at_end() {
+                    self.end();
+                }
                 Poll::Ready(Some(Ok(Frame::data(data))))
             }
-            Poll::Ready(Some(Err(_))) => {
+            Poll::Ready(Some(Err(why))) => {
                 self.rest = None;
+                self.record_broken(BrokenRelayedAnswer::UpstreamBroke, why);
                 // The error closes the connection before the body's end, so that the daemon that
                 // asked can't mistake it for complete.
                 Poll::Ready(Some(Err(BodyError::AnswerBroken)))
             }
             Poll::Ready(None) => {
-                if let Some(rest) = self.rest.take() {
-                    rest.return_to_pool();
-                }
+                self.end();
                 Poll::Ready(None)
             }
         }
     }
+    fn end(&mut self) {
+        if let Some(rest) = self.rest.take() {
+            rest.return_to_pool();
+        }
+    }
+
+    fn record_broken(&self, ended_by: BrokenRelayedAnswer, why: String) {
+        self.server.counts.count_broken_relayed_answer(ended_by);
+        self.server.log(&LogEvent::RelayedAnswerBroke {
+            request: self.request_id.clone(),
+            instance: self.reservation.replica.id.clone(),
+            passed_bytes: self.passed_bytes,
+            took_ms: self.began_at.elapsed().as_millis(),
+            ended_by: format!("{ended_by:?}"),
+            why,
+        });
+    }
+
+    fn record_left(&self) {
+        let ended_by = BrokenRelayedAnswer::DaemonLeft;
+        self.server.counts.count_broken_relayed_answer(ended_by);
+        self.server.log(&LogEvent::RelayedAnswerLeft {
+            request: self.request_id.clone(),
+            instance: self.reservation.replica.id.clone(),
+            passed_bytes: self.passed_bytes,
+            took_ms: self.began_at.elapsed().as_millis(),
+        });
+    }
+}
+
+impl Drop for PassedAnswer {
+    /// Records why the connection to the daemon that asked ended, if the body isn't over.
+    fn drop(&mut self) {
+        if self.rest.is_none() {
+            return;
+        }
+        match self.server.is_cut_off.get() {
+            true => {
+                let why = "the drain timeout passed".to_owned();
+                self.record_broken(BrokenRelayedAnswer::Stopped, why);
+            }
+            false => self.record_left(),
+        }
+    }
 }
--- a/entry/src/serve/routed/relay_server.rs
+++ b/entry/src/serve/routed/relay_server.rs
@@ -219,7 +219,7 @@
     let (response, rest) = send(server, &replica, &outgoing).await?;
     reservation.read();
     reservation.end_trial(true);
-    let answer = PassedAnswer::new(server, rest, reservation, counted);
+    let answer = PassedAnswer::new(server, outgoing.request_id, rest, reservation, counted);
     let (mut parts, ()) = response.into_parts();
     headers::remove_hop_by_hop(&mut parts.headers);
     write_report(&mut parts.headers, RelayReport::Passed);
--- a/entry/src/serve/routed/server.rs
+++ b/entry/src/serve/routed/server.rs
@@ -108,6 +108,8 @@
     pub(super) links: Links,
     pub(super) relay: RelayState,
     pub(super) draining: Cell<bool>,
+    /// Whether the drain timeout has passed, so that the requests still running are cut off.
+    pub(super) is_cut_off: Cell<bool>,
     lines: RequestLines,
     pub(super) demand: Demand,
     has_served: Arc<AtomicBool>,
@@ -143,6 +145,7 @@
             links: Links::new(setup.lost_groups.clone()),
             relay: RelayState::new(setup.relay_key),
             draining: Cell::new(false),
+            is_cut_off: Cell::new(false),
             lines: RequestLines::default(),
             demand: setup.demand.clone(),
             has_served: Arc::clone(&setup.has_served),
--- a/entry/src/serve/routed/source.rs
+++ b/entry/src/serve/routed/source.rs
@@ -62,6 +62,11 @@
         self.relay.as_ref().map(RelayUse::daemon)
     }
 
+    /// Returns whether the body's length is known and all of its bytes were read.
+    pub(super) fn is_at_end(&self) -> bool {
+        self.incoming.is_end_stream()
+    }
+
     /// Polls for more bytes of the body; `None` is its end.
     pub(super) fn poll_data(
         &mut self,
