--- a/entry/src/serve/routed/passed_body.rs
+++ b/entry/src/serve/routed/passed_body.rs
@@ -23,6 +23,7 @@
 pub(super) struct PassedBody {
     execution: RoutedExecution,
     beginning: Option<Bytes>,
+    /// `None` once the body has ended or broken off.
     rest: Option<AnswerRest>,
 }
 
@@ -48,23 +49,36 @@
         };
         match rest.poll_data(context) {
             Poll::Pending => Poll::Pending,
-            Poll::Ready(Some(Ok(data))) => Poll::Ready(Some(Ok(Frame::data(data)))),
+            Poll::Ready(Some(Ok(data))) => {
+                // hyper drops a body of known length after its last byte, without polling its end.
+                if rest.is_at_end() {
+                    self.end();
+                }
+                Poll::Ready(Some(Ok(Frame::data(data))))
+            }
             Poll::Ready(Some(Err(why))) => {
-                self.rest = None;
                 self.execution.record_broken_off();
-                let ended_by = BrokenAnswer::UpstreamBroke;
-                self.execution.record_answer_lost(None, ended_by, &why);
-                // The error closes the caller's connection without the last HTTP chunk, so the
-                // caller can't mistake the truncated body for a complete one.
-                Poll::Ready(Some(Err(BodyError::AnswerBroken)))
+                self.break_off(BrokenAnswer::UpstreamBroke, &why)
             }
             Poll::Ready(None) => {
-                if let Some(rest) = self.rest.take() {
-                    rest.return_to_pool();
-                }
-                self.execution.record_answer_ended("answered");
+                self.end();
                 Poll::Ready(None)
             }
         }
     }
+
+    fn end(&mut self) {
+        if let Some(rest) = self.rest.take() {
+            rest.return_to_pool();
+        }
+        self.execution.record_answer_ended("answered");
+    }
+
+    /// Ends the body with an error, which closes the caller's connection without the last HTTP
+    /// chunk, so that the caller can't mistake the truncated body for a complete one.
+    fn break_off(&mut self, ended_by: BrokenAnswer, why: &str) -> PolledFrame {
+        self.rest = None;
+        self.execution.record_answer_lost(None, ended_by, why);
+        Poll::Ready(Some(Err(BodyError::AnswerBroken)))
+    }
 }
