entry: a large answer whose upstream falls silent ends at the request's deadline

An answer above 256 KiB had no clock once its beginning was passed on: if its upstream fell silent, its caller got no end, and the upstream kept the slot for as long as the caller waited.

--- a/entry/src/serve/routed/passed_body.rs
+++ b/entry/src/serve/routed/passed_body.rs
@@ -1,8 +1,12 @@
 //! Response bodies that are passed on unchanged as they arrive.
 
-use std::task::{
-    Context,
-    Poll, //
+use std::{
+    future::Future,
+    pin::Pin,
+    task::{
+        Context,
+        Poll, //
+    },
 };
 
 use bytes::Bytes;
@@ -10,6 +14,10 @@
     Frame,
     SizeHint, //
 };
+use tokio::time::{
+    Sleep,
+    sleep_until, //
+};
 
 use super::{
     super::body::BodyError,
@@ -19,20 +27,23 @@
     source::AnswerRest, //
 };
 
-/// An upstream's response body that is passed on unchanged.
+/// An upstream's response body that is passed on unchanged until the request's deadline.
 pub(super) struct PassedBody {
     execution: RoutedExecution,
     beginning: Option<Bytes>,
     /// `None` once the body has ended or broken off.
     rest: Option<AnswerRest>,
+    deadline: Pin<Box<Sleep>>,
 }
 
 impl PassedBody {
     pub(super) fn new(execution: RoutedExecution, beginning: Bytes, rest: AnswerRest) -> Self {
+        let deadline = execution.prepared.terms.deadline;
         Self {
             execution,
             beginning: Some(beginning),
             rest: Some(rest),
+            deadline: Box::pin(sleep_until(deadline)),
         }
     }
 
@@ -48,6 +59,9 @@
             return Poll::Ready(None);
         };
         match rest.poll_data(context) {
+            Poll::Pending if self.deadline.as_mut().poll(context).is_ready() => {
+                self.break_off(BrokenAnswer::DeadlinePassed, "the deadline passed")
+            }
             Poll::Pending => Poll::Pending,
             Poll::Ready(Some(Ok(data))) => {
                 // hyper drops a body of known length after its last byte, without polling its end.
