--- a/entry/src/serve/routed/resume.rs
+++ b/entry/src/serve/routed/resume.rs
@@ -23,7 +23,10 @@
 use tokio::time::Instant;
 
 use super::{
-    super::upstream::SentBytes,
+    super::{
+        upstream::SentBytes,
+        wait::wait_until, //
+    },
     counts::{
         BrokenAnswer,
         RoutedRetry, //
@@ -241,7 +244,7 @@
     let server = Rc::clone(&execution.server);
     let until = resume_deadline(execution);
     let work = exchange(&server, &prepared, &replica, &sent, last_event);
-    match tokio::time::timeout_at(until, work).await {
+    match wait_until(until, work).await {
         Ok(Ok(Answered::Stream { first, source, .. })) => Ok((first, Some(source))),
         // An empty success means that the stream's last event has already been passed on.
         Ok(Ok(Answered::Whole { parts, body })) if parts.status.is_success() && body.is_empty() => {
