--- a/lib/tests/test_grouping/test_situations.rs
+++ b/lib/tests/test_grouping/test_situations.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use rstest::rstest;
+
 use crate::world::{
     FaultRates,
     World, //
@@ -91,6 +93,44 @@
     );
 }
 
+/// Guards against groups that are taken apart, and streams with them, because a sound engine was
+/// silent for a second.
+#[rstest]
+#[case::its_head(true)]
+#[case::another_member(false)]
+fn a_group_of_which_an_engine_pauses_goes_on(#[case] pauses_head: bool) {
+    const PAUSE_MS: u64 = 1_200;
+    const NOTICED_AFTER_MS: u64 = 600;
+    const REPORT_VALID_MS: u64 = 1_500;
+    for seed in 1..60 {
+        let mut world = World::new(seed, 3, 8);
+        world.late_reports = 0.0;
+        world.run(Duration::from_secs(30), FaultRates::NONE);
+        let head = world.index_of_open_head().unwrap();
+        let others = world.members_of(head);
+        let other = others.into_iter().find(|index| *index != head).unwrap();
+        let id = world.engines[head].id.clone();
+        let before = world.history.len();
+
+        world.pause(if pauses_head { head } else { other }, PAUSE_MS);
+        world.run(Duration::from_millis(NOTICED_AFTER_MS), FaultRates::NONE);
+        let rest_ms = PAUSE_MS - NOTICED_AFTER_MS;
+        world.report_stalled(std::slice::from_ref(&id), rest_ms + REPORT_VALID_MS);
+        world.run(
+            Duration::from_millis(rest_ms + REPORT_VALID_MS),
+            FaultRates::NONE,
+        );
+
+        let history = world.history[before..].join("\n");
+        let heads = (0..3).flat_map(|zone| world.open_heads_in(zone));
+        assert!(
+            heads.map(|(head, _)| head).any(|open| open == id),
+            "{seed}: {history}"
+        );
+        assert!(!history.contains(": leave "), "{seed}: {history}");
+    }
+}
+
 /// Returns the number of loads that engines have begun, and of stage commands that were refused.
 fn count_loads(world: &World) -> (usize, usize) {
     let staged = world
--- a/lib/tests/test_grouping/world.rs
+++ b/lib/tests/test_grouping/world.rs
@@ -336,6 +336,20 @@
         self.engines[index].cut_refuses = refuses;
     }
 
+    /// Stops an engine for a time, which it then goes on from.
+    pub fn pause(&mut self, index: usize, length_ms: u64) {
+        let engine = &mut self.engines[index];
+        engine.report_due = engine.report_due.max(self.now + length_ms);
+    }
+
+    /// Returns the engines of the group of an open head.
+    pub fn members_of(&self, head: usize) -> Vec<usize> {
+        let group = self.engines[head].membership.as_ref().map(|m| &m.group);
+        let all = 0..self.engines.len();
+        all.filter(|at| self.engines[*at].membership.as_ref().map(|m| &m.group) == group)
+            .collect()
+    }
+
     pub fn drain(&mut self, index: usize) {
         let length = self.rng.random_range(2_000..6_000);
         let announces_leave = self.rng.random_bool(0.3);
