entry: answers that are complete with their first bytes count as whole

An answer just above 256 KiB whose body was read at once, and a relayed answer without a body, counted as left by their reader (CB1427, CB1454), and their connections were closed: their end is never polled. Found by reading; no run showed it.

--- a/entry/src/serve/routed/exchange.rs
+++ b/entry/src/serve/routed/exchange.rs
@@ -162,6 +162,13 @@
         }
         if beginning.len() > BUFFERED_ANSWER_LIMIT_BYTES {
             let beginning = beginning.freeze();
+            if rest.is_at_end() {
+                rest.return_to_pool();
+                return Ok(Answered::Whole {
+                    parts,
+                    body: beginning,
+                });
+            }
             return Ok(Answered::Passed {
                 parts,
                 beginning,
--- a/entry/src/serve/routed/relay_body.rs
+++ b/entry/src/serve/routed/relay_body.rs
@@ -77,7 +77,7 @@
         reservation: Reservation,
         counted: RelayedRequest,
     ) -> Self {
-        Self {
+        let mut answer = Self {
             rest: Some(rest),
             request_id: request_id.to_owned(),
             began_at: Instant::now(),
@@ -85,7 +85,9 @@
             server: Rc::clone(server),
             reservation,
             _counted: counted,
-        }
+        };
+        answer.end_if_complete();
+        answer
     }
 
     fn poll_frame(
@@ -100,10 +102,7 @@
             Poll::Ready(Some(Ok(data))) => {
                 self.server.record_heard(&self.reservation.replica);
                 self.passed_bytes += data.len() as u64;
-                // hyper drops a body of known length after its last byte, without polling its end.
-                if rest.is_at_end() {
-                    self.end();
-                }
+                self.end_if_complete();
                 Poll::Ready(Some(Ok(Frame::data(data))))
             }
             Poll::Ready(Some(Err(why))) => {
@@ -119,6 +118,15 @@
             }
         }
     }
+
+    /// Ends the body after its last byte if its length is known: hyper drops it then without polling
+    /// its end.
+    fn end_if_complete(&mut self) {
+        if self.rest.as_ref().is_some_and(AnswerRest::is_at_end) {
+            self.end();
+        }
+    }
+
     fn end(&mut self) {
         if let Some(rest) = self.rest.take() {
             rest.return_to_pool();
