--- a/entry/src/serve/routed/drive.rs
+++ b/entry/src/serve/routed/drive.rs
@@ -122,7 +122,7 @@
             // Without a retry, the upstream's error response is passed on unchanged.
             if self.has_other_replica() && self.obtain_retry(RoutedRetryReason::Broken).await {
                 self.attempts -= 1;
-                *error_answer = ErrorAnswer::keep(answered);
+                *error_answer = ErrorAnswer::keep(answered).or(error_answer.take());
                 return Err(Failure::Status(status));
             }
         }
