entry: a replica asked for the rest is given up only if a further one can be asked

With three attempts a replica that was asked for the rest of a stream was given up after 1.5 s although no further one, or no retry, could be had, and the stream was lost though both upstreams were sound. It is given up now once the retry for a further one is withdrawn, and is waited for until the deadline otherwise.

--- a/entry/src/serve/routed/account.rs
+++ b/entry/src/serve/routed/account.rs
@@ -6,7 +6,8 @@
     chart::RequestEvent,
     dispatch::Outcome,
     prelude::*,
-    reach::RelayFailure, //
+    reach::RelayFailure,
+    registry::InstanceId, //
 };
 
 use super::{
@@ -125,6 +126,14 @@
         self.first_break.get_or_insert(stream_break);
     }
 
+    /// Records that a replica whose stream paused has broken it off.
+    pub(super) fn record_break_after_pause(&mut self, replica: InstanceId, why: &str) {
+        self.crash_history.broken_off_by.push(replica);
+        if let Some(first) = &mut self.first_break {
+            first.why = format!("{}; then it broke off: {why}", first.why);
+        }
+    }
+
     /// Records that another replica was asked for the rest of a stream and did not take it over.
     pub(super) fn record_not_resumed(&self, after_event: Option<u64>, failure: &NotResumed) {
         self.server.log(&LogEvent::StreamNotResumed {
--- a/entry/src/serve/routed/execution.rs
+++ b/entry/src/serve/routed/execution.rs
@@ -38,14 +38,14 @@
 
 /// A request from its admission to the end of its response.
 ///
-/// Dropping this earlier means that the caller left.
+/// Dropping this earlier ends the request: its caller left or reads no more, or the daemon stops.
 pub(super) struct RoutedExecution {
     pub(super) server: Rc<Server>,
     pub(super) prepared: Rc<PreparedRequest>,
     pub(super) reservation: Option<Reservation>,
     pub(super) life: RequestLife,
     pub(super) tried: Vec<InstanceId>,
-    /// Number of attempts that were sent to an upstream.
+    /// Number of attempts that were made, or that were begun by one of the ways below.
     ///
     /// An attempt is added when it is answered or fails. Two kinds are added earlier: a slow
     /// attempt when its hedge begins, and an attempt to resume a stream before its replica is
--- a/entry/src/serve/routed/resume.rs
+++ b/entry/src/serve/routed/resume.rs
@@ -20,7 +20,10 @@
     registry::InstanceId,
     retry_budget::RoutedRetryReason, //
 };
-use tokio::time::Instant;
+use tokio::time::{
+    Instant,
+    timeout_at, //
+};
 
 use super::{
     super::{
@@ -33,6 +36,7 @@
     },
     crash_probe,
     crash_watch::BrokenRequest,
+    events::LogEvent,
     exchange::{
         Answered,
         exchange, //
@@ -40,12 +44,13 @@
     execution::RoutedExecution,
     failure::Failure,
     hedge::HedgedAttempt,
+    reservation::replica_name,
     server::Server,
     source::EventSource,
 };
 
-/// Longest time for another replica to send the next event of a stream if a further one may be
-/// asked.
+/// Time for another replica to send the next event of a stream, after which a further one is asked
+/// if that is allowed.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// The first events of a resumed stream, and the source of the rest; `None` if it ends there.
@@ -68,6 +73,8 @@
 pub(super) struct NotResumed {
     pub(super) reason: BrokenAnswer,
     pub(super) why: String,
+    /// Whether the replica that was asked broke off, and may have crashed because of the request.
+    has_broken_off: bool,
 }
 
 impl NotResumed {
@@ -75,6 +82,7 @@
         Self {
             reason,
             why: why.into(),
+            has_broken_off: false,
         }
     }
 }
@@ -84,18 +92,24 @@
     server: Rc<Server>,
     attempt: HedgedAttempt,
     source: EventSource,
+    last_event_at: Instant,
     /// What to record if the replica breaks the stream off.
     broken: BrokenRequest,
 }
 
 impl PausedStream {
     /// Takes the current replica's attempt out of an execution; `None` if there is none.
-    pub(super) fn take(execution: &mut RoutedExecution, source: EventSource) -> Option<Self> {
+    pub(super) fn take(
+        execution: &mut RoutedExecution,
+        source: EventSource,
+        last_event_at: Instant,
+    ) -> Option<Self> {
         let broken = execution.broken_request()?;
         Some(Self {
             server: Rc::clone(&execution.server),
             attempt: execution.take_current(Instant::now())?,
             source,
+            last_event_at,
             broken,
         })
     }
@@ -105,9 +119,18 @@
         poll_fn(|context| self.source.poll_events(context)).await
     }
 
-    /// Records that the replica broke the stream off, and drops the connection to it.
-    fn record_broken(mut self) -> InstanceId {
+    /// Records that the replica broke the stream off, and drops the connection to it; returns the
+    /// replica.
+    fn record_broken(mut self, why: &str) -> InstanceId {
         let replica = self.attempt.replica();
+        self.server.log(&LogEvent::StreamBroke {
+            request: self.broken.request.clone(),
+            replica: replica_name(&replica.id, replica.group.as_ref()),
+            after_event: self.source.last_event().unwrap_or_default(),
+            pause_ms: self.last_event_at.elapsed().as_millis(),
+            timer_late_ms: 0,
+            why: why.to_owned(),
+        });
         self.broken.broken_at = self.server.clock.now();
         crash_probe::record_broken_request(&self.server, replica, self.broken);
         replica.id.clone()
@@ -116,7 +139,6 @@
     /// Makes the replica the current one again; returns the source of its next events.
     fn restore(self, execution: &mut RoutedExecution) -> EventSource {
         execution.set_current(self.attempt);
-        execution.ticket = None;
         execution.life.apply(RequestEvent::Resumed, |_| true);
         self.source
     }
@@ -125,6 +147,7 @@
     fn go_on(self, execution: &mut RoutedExecution, events: Option<Bytes>) -> Continuation {
         let asked = execution.current_replica_name();
         let source = self.restore(execution);
+        execution.ticket = None;
         execution.record_continued(source.last_event(), asked);
         match events {
             Some(events) => {
@@ -163,9 +186,9 @@
     last_event: Option<u64>,
     why: String,
 ) -> (RoutedExecution, Continuation) {
-    let mut broken_off_by = None;
+    let mut broken_off = None;
     let first = {
-        let mut asking = pin!(ask_another(&mut execution, last_event, why));
+        let mut asking = pin!(request_rest(&mut execution, last_event, why));
         loop {
             let next = async {
                 match &mut paused {
@@ -179,7 +202,9 @@
                 outcome = asking.as_mut() => break CameFirst::Asked(Box::new(outcome)),
             };
             match (next, paused.take()) {
-                (Some(Err(_)), broken) => broken_off_by = broken.map(PausedStream::record_broken),
+                (Some(Err(why)), broken) => {
+                    broken_off = broken.map(|broken| (broken.record_broken(&why), why));
+                }
                 (Some(Ok(events)), Some(paused)) => {
                     break CameFirst::Paused(Box::new(paused), Some(events));
                 }
@@ -188,7 +213,9 @@
             }
         }
     };
-    execution.crash_history.broken_off_by.extend(broken_off_by);
+    if let Some((replica, why)) = broken_off {
+        execution.record_break_after_pause(replica, &why);
+    }
     let outcome = match first {
         CameFirst::Asked(outcome) => *outcome,
         CameFirst::Paused(paused, events) => {
@@ -196,6 +223,12 @@
             return (execution, continuation);
         }
     };
+    if outcome
+        .as_ref()
+        .is_err_and(|failure| failure.has_broken_off)
+    {
+        execution.record_broken_off();
+    }
     let continuation = match (outcome, paused) {
         (Ok((events, source)), _) => {
             execution.record_resumed(last_event);
@@ -208,7 +241,7 @@
 }
 
 /// Asks another replica for the events after `last_event`, once the retry budget allows it.
-async fn ask_another(
+async fn request_rest(
     execution: &mut RoutedExecution,
     last_event: Option<u64>,
     why: String,
@@ -242,43 +275,43 @@
     let sent = SentBytes::default();
     let prepared = Rc::clone(&execution.prepared);
     let server = Rc::clone(&execution.server);
-    let until = resume_deadline(execution);
-    let work = exchange(&server, &prepared, &replica, &sent, last_event);
-    match wait_until(until, work).await {
-        Ok(Ok(Answered::Stream { first, source, .. })) => Ok((first, Some(source))),
+    let mut work = pin!(exchange(&server, &prepared, &replica, &sent, last_event));
+    let deadline = prepared.terms.deadline;
+    let late_at = Instant::now() + RESUME_TIMEOUT;
+    let outcome = match wait_until(late_at, work.as_mut()).await {
+        Ok(outcome) => outcome,
+        Err(_) if execution.withdraw_resume() => {
+            let why = "another replica did not resume the stream in time";
+            return Err(NotResumed::new(BrokenAnswer::ResumeLate, why));
+        }
+        // Nobody else may be asked, and silence alone is no reason to end the stream sooner.
+        Err(_) => match timeout_at(deadline, work).await {
+            Ok(outcome) => outcome,
+            Err(_) => {
+                let why = "the deadline passed";
+                return Err(NotResumed::new(BrokenAnswer::DeadlinePassed, why));
+            }
+        },
+    };
+    match outcome {
+        Ok(Answered::Stream { first, source, .. }) => Ok((first, Some(source))),
         // An empty success means that the stream's last event has already been passed on.
-        Ok(Ok(Answered::Whole { parts, body })) if parts.status.is_success() && body.is_empty() => {
+        Ok(Answered::Whole { parts, body }) if parts.status.is_success() && body.is_empty() => {
             Ok((body, None))
         }
-        Ok(Ok(_)) => {
+        Ok(_) => {
             let why = "another replica could not resume the stream";
             Err(NotResumed::new(BrokenAnswer::ResumeFailed, why))
         }
-        Ok(Err(failure)) => {
+        Err(failure) => {
             if !failure.is_sent() {
                 execution.take_back_retry();
             }
-            if matches!(failure, Failure::Broken(_)) {
-                execution.record_broken_off();
-            }
-            let why = failure.to_string();
-            Err(NotResumed::new(BrokenAnswer::ResumeFailed, why))
-        }
-        Err(_) => {
-            let why = "another replica did not resume the stream in time";
-            Err(NotResumed::new(BrokenAnswer::ResumeLate, why))
+            Err(NotResumed {
+                reason: BrokenAnswer::ResumeFailed,
+                why: failure.to_string(),
+                has_broken_off: matches!(failure, Failure::Broken(_)),
+            })
         }
     }
 }
-
-/// Returns when to stop waiting for the replica that was asked for the rest.
-///
-/// If no further one may be asked, it is waited for until the request's deadline: its silence is
-/// no reason to end the stream sooner.
-fn resume_deadline(execution: &RoutedExecution) -> Instant {
-    let deadline = execution.prepared.terms.deadline;
-    match execution.may_be_retried(execution.attempts) {
-        true => deadline.min(Instant::now() + RESUME_TIMEOUT),
-        false => deadline,
-    }
-}
--- a/entry/src/serve/routed/stream.rs
+++ b/entry/src/serve/routed/stream.rs
@@ -71,7 +71,7 @@
 
 /// An event stream's body with the request that it answers.
 ///
-/// Dropping this before its end means that the caller left.
+/// Dropping this before its end ends the request early, as dropping its execution does.
 pub(super) struct StreamBody {
     stage: Stage,
     deadline: Instant,
@@ -148,6 +148,7 @@
         match source.poll_events(context) {
             Poll::Ready(Some(Ok(events))) => {
                 self.last_event_at = Instant::now();
+                self.silence = SilenceCheck::default();
                 execution.record_progress(source.relay());
                 self.stage = Stage::Live(execution, source);
                 Some(Poll::Ready(Some(Ok(Frame::data(events)))))
@@ -202,7 +203,7 @@
                 .map(|timeout| timeout * SINGLE_STREAM_FACTOR);
         } else if execution.withdraw_resume() {
             let why = "no event arrived within the pause timeout";
-            self.ask_another(execution, source, timer_delay, why);
+            self.resume_beside(execution, source, timer_delay, why);
             return;
         } else if cause == PauseCause::LinkLost && execution.may_resume() {
             // Nothing more will come by the lost link, so the stream asks for a retry meanwhile.
@@ -262,7 +263,7 @@
     }
 
     /// Asks another replica for the rest of a stream that pauses, and listens to its own meanwhile.
-    fn ask_another(
+    fn resume_beside(
         &mut self,
         mut execution: RoutedExecution,
         source: EventSource,
@@ -271,7 +272,7 @@
     ) {
         let last_event = source.last_event();
         self.record_break(&mut execution, last_event, timer_delay, why);
-        let paused = PausedStream::take(&mut execution, source);
+        let paused = PausedStream::take(&mut execution, source, self.last_event_at);
         self.resume(execution, paused, last_event, why.to_owned());
     }
 
@@ -355,12 +356,18 @@
 
     /// Waits on for a replica that pauses, after another one has not taken its stream over; asks a
     /// further one if that is allowed.
-    fn wait_on(&mut self, execution: RoutedExecution, source: EventSource, failure: &NotResumed) {
+    fn wait_on(
+        &mut self,
+        mut execution: RoutedExecution,
+        source: EventSource,
+        failure: &NotResumed,
+    ) {
         let has_retry = failure.reason != BrokenAnswer::NoRetry;
         if has_retry && execution.may_resume() {
-            self.ask_another(execution, source, Duration::ZERO, &failure.why);
+            self.resume_beside(execution, source, Duration::ZERO, &failure.why);
             return;
         }
+        execution.ticket = None;
         self.pause_timeout = None;
         self.stage = Stage::Live(execution, source);
     }
