--- a/entry/src/serve/routed/resume.rs
+++ b/entry/src/serve/routed/resume.rs
@@ -277,15 +277,19 @@
     let server = Rc::clone(&execution.server);
     let mut work = pin!(exchange(&server, &prepared, &replica, &sent, last_event));
     let deadline = prepared.terms.deadline;
-    let late_at = Instant::now() + RESUME_TIMEOUT;
-    let outcome = match wait_until(late_at, work.as_mut()).await {
-        Ok(outcome) => outcome,
-        Err(_) if execution.withdraw_resume() => {
+    let late_at = Some(Instant::now() + RESUME_TIMEOUT).filter(|late_at| *late_at < deadline);
+    let in_time = match late_at {
+        Some(late_at) => wait_until(late_at, work.as_mut()).await.ok(),
+        None => None,
+    };
+    let outcome = match in_time {
+        Some(outcome) => outcome,
+        None if late_at.is_some() && execution.withdraw_resume() => {
             let why = "another replica did not resume the stream in time";
             return Err(NotResumed::new(BrokenAnswer::ResumeLate, why));
         }
-        // Nobody else may be asked, and silence alone is no reason to end the stream sooner.
-        Err(_) => match timeout_at(deadline, work).await {
+        // No further one can be asked, and silence alone is no reason to end the stream sooner.
+        None => match timeout_at(deadline, work).await {
             Ok(outcome) => outcome,
             Err(_) => {
                 let why = "the deadline passed";
