--- a/lib/src/grouping/leader/mod.rs
+++ b/lib/src/grouping/leader/mod.rs
@@ -98,7 +98,7 @@
             report_delay: Duration::from_millis(4_000),
             silent_while_joining: Duration::from_millis(2_600),
             silent_head: Duration::from_millis(9_000),
-            silent_in_stalled: Duration::from_millis(2_600),
+            silent_in_stalled: Duration::from_millis(1_800),
             close_wait: Duration::from_millis(5_000),
             silent_and_refused: Duration::from_millis(4_000),
         }
