--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -7,6 +7,7 @@
 mod engine;
 mod http;
 mod model_engine;
+mod oversize;
 mod parts;
 mod platform;
 mod record;
@@ -97,6 +98,7 @@
     };
     let broken = match case.as_str() {
         "bodies" => bodies::run(&setup),
+        "oversize" => oversize::run(&setup),
         "parts" => parts::run(&setup),
         "refused" => refused::run(&setup),
         "routes" => routes::run(&setup),
