--- a/review/standins/src/model_engine.rs
+++ b/review/standins/src/model_engine.rs
@@ -3,7 +3,7 @@
 //! Only heads crash in these cases, so no head misses a member.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     io,
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
@@ -81,6 +81,8 @@
     pub fatal_arrivals: Mutex<Vec<(Instant, String)>>,
     /// When an engine has crashed.
     pub crashes: Mutex<Vec<Instant>>,
+    /// The ids of the requests without the fatal part that an engine has begun to run.
+    pub begun: Mutex<HashSet<String>>,
 }
 
 pub struct ModelEngine {
@@ -567,6 +569,7 @@
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {id}\r\n\
              X-Server-Stamp: stamp-of-{id}\r\nTransfer-Encoding: chunked\r\n\r\n"
         );
+        self.log.begun.lock().unwrap().insert(id.to_owned());
         connection.write(head.as_bytes())?;
         for event in last + 1..=EVENTS {
             if self.number.load(Ordering::SeqCst) != of_life {
--- a/review/standins/src/parts.rs
+++ b/review/standins/src/parts.rs
@@ -15,6 +15,7 @@
     Setup,
     http::Connection,
     model_engine::{Log, ModelEngine, Place},
+    platform::Platform,
 };
 
 const FRONTS: u8 = 3;
@@ -93,6 +94,18 @@
     }
 }
 
+/// Kills the front machines' processes in series if `KILLS` names a number of rounds, for comparison.
+fn kills_of_fronts(platform: &Arc<Platform>) -> Option<thread::JoinHandle<()>> {
+    let rounds: usize = std::env::var("KILLS").ok()?.parse().ok()?;
+    let platform = Arc::clone(platform);
+    Some(thread::spawn(move || {
+        for turn in 0..rounds * platform.fronts.len() {
+            thread::sleep(Duration::from_millis(800));
+            platform.kill_front(turn % platform.fronts.len(), Duration::from_millis(500));
+        }
+    }))
+}
+
 /// Returns whether the rule was broken; `None` if the case could not run.
 pub fn run(setup: &Setup) -> Option<bool> {
     let record = Arc::clone(&setup.record);
@@ -145,11 +158,12 @@
     let own = Arc::new(AtomicU64::new(1_000));
     let is_over = Arc::new(AtomicBool::new(false));
     // By the second of the run: requests, and those that were served whole.
-    let served: Arc<Mutex<BTreeMap<u64, (u32, u32)>>> = Arc::default();
+    let served: Arc<Mutex<BTreeMap<u64, (u32, u32, u32)>>> = Arc::default();
     let start = Instant::now();
     let sound: Vec<_> = (0..SOUND_CALLERS)
         .map(|caller| {
             let (own, is_over) = (Arc::clone(&own), Arc::clone(&is_over));
+            let log = Arc::clone(&log);
             let (served, record, fronts) =
                 (Arc::clone(&served), Arc::clone(&record), fronts.clone());
             thread::spawn(move || {
@@ -159,10 +173,12 @@
                     let second = start.elapsed().as_secs();
                     let outcome = ask(fronts[caller % fronts.len()], &id, number, None);
                     record.line(&format!("{id}: {outcome:?}"));
+                    let has_begun = log.begun.lock().unwrap().contains(&id);
                     let mut served = served.lock().unwrap();
                     let counts = served.entry(second).or_default();
                     counts.0 += 1;
                     counts.1 += u32::from(outcome.is_ok());
+                    counts.2 += u32::from(has_begun);
                     drop(served);
                     thread::sleep(SOUND_PAUSE);
                 }
@@ -179,6 +195,7 @@
         }
     ));
     let fatal_began = Instant::now();
+    let kills = kills_of_fronts(&platform);
     let mut turn = 0;
     let mut asking = Vec::new();
     while fatal_began.elapsed() < FATAL {
@@ -198,6 +215,9 @@
     for one in asking {
         let _ = one.join();
     }
+    if let Some(kills) = kills {
+        let _ = kills.join();
+    }
     is_over.store(true, Ordering::Relaxed);
     for one in sound {
         let _ = one.join();
@@ -215,19 +235,22 @@
     let late = late.count();
     let share = |from: u64, to: u64| {
         let served = served.lock().unwrap();
-        let (all, whole) = served
+        let sum = served
             .range(from..to)
-            .fold((0, 0), |(all, whole), (_, counts)| {
-                (all + counts.0, whole + counts.1)
+            .fold((0, 0, 0), |(all, whole, begun), (_, counts)| {
+                (all + counts.0, whole + counts.1, begun + counts.2)
             });
-        format!("{whole} of {all}")
+        format!("{} of {} whole, {} begun at an engine", sum.1, sum.0, sum.2)
     };
     let (before, until) = (BEFORE.as_secs(), (BEFORE + FATAL).as_secs());
-    record.say(&format!(
-        "sound requests served whole: {} before, {} while requests with the part came",
-        share(0, before),
-        share(before, until)
-    ));
+    record.say(&format!("sound requests before: {}", share(0, before)));
+    for from in (before..until).step_by(5) {
+        let text = share(from, from + 5);
+        record.say(&format!(
+            "sound requests sent {from} to {} s after the begin: {text}",
+            from + 5
+        ));
+    }
     record.say(&format!(
         "{} requests with the part reached engines, and {} engines crashed",
         arrivals.len(),
--- a/review/standins/src/platform.rs
+++ b/review/standins/src/platform.rs
@@ -296,6 +296,27 @@
         self.record.say("they are started again, with their disks");
     }
 
+    /// Kills the process of a front machine; it is back after `down`.
+    pub fn kill_front(&self, number: usize, down: Duration) {
+        let name = &self.fronts[number].name;
+        let take = |running: &mut Vec<Running>| {
+            let one = running.iter_mut().find(|one| one.machine.name == *name)?;
+            one.child.take()
+        };
+        if let Some(mut child) = take(&mut self.running.lock().unwrap()) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        self.record.say(&format!("the process of {name} is killed"));
+        thread::sleep(down);
+        let mut running = self.running.lock().unwrap();
+        if let Some(one) = running.iter_mut().find(|one| one.machine.name == *name) {
+            one.child = Some(self.spawn(&one.machine, false));
+        }
+        self.record
+            .say(&format!("the process of {name} is started again"));
+    }
+
     /// Returns for each machine its name, how often its process has ended, and its memory's peak.
     pub fn ends(&self) -> Vec<(String, u32, u64)> {
         let running = self.running.lock().unwrap();
