--- a/review/standins/src/bodies.rs
+++ b/review/standins/src/bodies.rs
@@ -139,10 +139,10 @@
     open.stream.set_write_timeout(limit)?;
     let head = format!(
         "POST /uploads/x HTTP/1.1\r\nHost: field.example\r\nX-Request-Id: {id}\r\n\
-         X-Deadline-Ms: 8000\r\nAuthorization: Token {}\r\nContent-Length: {length}\r\n\r\n",
+         @deadline@: 8000\r\nAuthorization: Token {}\r\nContent-Length: {length}\r\n\r\n",
         crate::KEY
     );
-    open.write(head.as_bytes())?;
+    open.write_text(&head)?;
     let body = vec![b'x'; length];
     let began = Instant::now();
     let mut sent = 0;
--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -14,6 +14,7 @@
 use crate::{
     http::{self, Connection, Message},
     record::Record,
+    words,
 };
 
 /// The pause between two heartbeats (`heartbeatMs`).
@@ -108,10 +109,10 @@
                 return;
             }
             let body = format!(
-                r#"{{"service":"{service}","address":"{}","zone":"{zone}","version":"v1","slots":{},"state":"ready","coldRemainingMs":0,"sequence":{sequence},"born":{born}}}"#,
+                r#"{{"service":"{service}","address":"{}","zone":"{zone}","version":"v1","slots":{},"state":"ready","@cold@":0,"sequence":{sequence},"born":{born}}}"#,
                 self.address, self.slots
             );
-            let first = format!("PUT /v1/instances/{}", self.id);
+            let first = format!("PUT @instances@/{}", self.id);
             for control in control {
                 let wait = Duration::from_secs(1);
                 let answer = http::call(*control, &first, body.as_bytes(), wait);
@@ -131,7 +132,7 @@
                 .unwrap_or_default()
                 .to_owned();
             let answer = self.answer(&request, &id);
-            if connection.write(answer.as_bytes()).is_err() {
+            if connection.write_text(&answer).is_err() {
                 return;
             }
             self.seen.answered.lock().unwrap().insert(id);
@@ -139,16 +140,16 @@
     }
 
     fn answer(&self, request: &Message, id: &str) -> String {
-        let expected = request.header("x-expect-instance");
+        let expected = request.header(&words::header("expect"));
         if expected.is_some_and(|expected| expected != self.id) {
-            return message(421, id, "X-Not-Executed: 1\r\n", "");
+            return message(421, id, "@not-run@: 1\r\n", "");
         }
         if request.path() == "/health" {
             let more = format!("X-Instance-Id: {}\r\n", self.id);
             return message(200, id, &more, "{}");
         }
         if !self.take_slot() {
-            return message(503, id, "X-Not-Executed: 1\r\n", "full");
+            return message(503, id, "@not-run@: 1\r\n", "full");
         }
         *self
             .seen
@@ -167,7 +168,7 @@
         let (status, more) = (self.script)(request);
         self.record
             .line(&format!("engine {}: answers {id} with {status}", self.id));
-        let more = format!("X-Server-Stamp: stamp-of-{id}\r\n{more}");
+        let more = format!("@stamp@: stamp-of-{id}\r\n{more}");
         message(status, id, &more, &format!("ran {id} at {}", self.id))
     }
 
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -6,6 +6,8 @@
     time::Duration,
 };
 
+use crate::words;
+
 /// A request or a response: its first line, headers in lower case, and body.
 #[derive(Clone, Debug, Default)]
 pub struct Message {
@@ -129,6 +131,11 @@
         }
     }
 
+    /// Writes a text with the platform's words in place of their keys.
+    pub fn write_text(&mut self, text: &str) -> io::Result<()> {
+        self.write(words::put(text).as_bytes())
+    }
+
     pub fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes)
     }
@@ -136,6 +143,7 @@
 
 /// Sends one request on a new connection and returns the response.
 pub fn call(address: SocketAddr, first: &str, body: &[u8], wait: Duration) -> io::Result<Message> {
+    let body = words::put(&String::from_utf8_lossy(body));
     let mut connection = Connection::open(address, wait)?;
     connection.stream.set_read_timeout(Some(wait))?;
     connection.stream.set_write_timeout(Some(wait))?;
@@ -144,7 +152,7 @@
          Connection: close\r\nContent-Length: {}\r\n\r\n",
         body.len()
     );
-    connection.write(head.as_bytes())?;
-    connection.write(body)?;
+    connection.write_text(&head)?;
+    connection.write(body.as_bytes())?;
     connection.read()
 }
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -13,6 +13,7 @@
 mod record;
 mod refused;
 mod routes;
+mod words;
 
 use std::{path::PathBuf, process::ExitCode, sync::Arc, time::Duration};
 
@@ -36,7 +37,7 @@
         .iter()
         .map(|(name, kind, timeout)| {
             format!(
-                r#"{{"name":"r-{name}","host":"field.example","pathPrefix":"/{name}/","kind":"{kind}","timeoutMs":{timeout},"targetLatencyMs":500,"priority":1,"service":"{SERVICE}","maxAttempts":2,"public":false,"sticky":false}}"#
+                r#"{{"name":"r-{name}","host":"field.example","@prefix@":"/{name}/","kind":"{kind}","timeoutMs":{timeout},"@objective@":500,"priority":1,"service":"{SERVICE}","maxAttempts":2,"public":false,"sticky":false}}"#
             )
         })
         .collect();
@@ -45,10 +46,10 @@
 
 /// Returns a configuration of a version with these routes.
 pub fn config_of(version: usize, routes: &[String]) -> String {
-    format!(
-        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"{SERVICE}","healthPath":"/health","maxConnections":314,"protocol":"h1","tls":false}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"team-a","apiKeys":["{KEY}"],"priority":1}}]}}"#,
+    words::put(&format!(
+        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"{SERVICE}","healthPath":"/health","maxConnections":314,"protocol":"h1","tls":false}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"team-a","@keys@":["{KEY}"],"priority":1}}]}}"#,
         routes.join(",")
-    )
+    ))
 }
 
 /// Starts a deployment with these routes; `None` if it does not get ready.
--- a/review/standins/src/model_engine.rs
+++ b/review/standins/src/model_engine.rs
@@ -17,6 +17,7 @@
 use crate::{
     http::{self, Connection, Message},
     record::Record,
+    words,
 };
 
 /// The pause between two heartbeats (`heartbeatMs`).
@@ -261,7 +262,7 @@
                     life.beats += 1;
                     let beats = life.beats;
                     format!(
-                        r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{SLOTS},"state":"ready","coldRemainingMs":0,"stage":"both",{},"sequence":{beats},"born":{}}}"#,
+                        r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{SLOTS},"state":"ready","@cold@":0,"stage":"both",{},"sequence":{beats},"born":{}}}"#,
                         self.service,
                         self.address,
                         self.zone,
@@ -269,7 +270,7 @@
                         life.born_ms
                     )
                 };
-                let first = format!("PUT /v1/instances/{}", self.id);
+                let first = format!("PUT @instances@/{}", self.id);
                 for control in &self.control {
                     let wait = Duration::from_secs(1);
                     let answer = http::call(*control, &first, body.as_bytes(), wait);
@@ -325,17 +326,17 @@
             .header("x-request-id")
             .unwrap_or_default()
             .to_owned();
-        let expected = request.header("x-expect-instance");
+        let expected = request.header(&words::header("expect"));
         if expected.is_some_and(|expected| expected != self.id) {
-            return connection.write(whole(421, &id, "X-Not-Executed: 1\r\n", "").as_bytes());
+            return connection.write_text(&whole(421, &id, "@not-run@: 1\r\n", ""));
         }
         match request.path() {
-            "/v1/order" => {
+            path if path == words::put("@order@") => {
                 let body = String::from_utf8_lossy(&request.body).into_owned();
                 let status = self.order(&body, of_life);
                 self.record
                     .line(&format!("engine {}: order {body}: {status}", self.id));
-                connection.write(whole(status, &id, "", "{}").as_bytes())
+                connection.write_text(&whole(status, &id, "", "{}"))
             }
             "/v1/report" => {
                 let life = self.life.lock().unwrap();
@@ -347,11 +348,11 @@
                     life.born_ms
                 );
                 drop(life);
-                connection.write(whole(200, &id, "", &body).as_bytes())
+                connection.write_text(&whole(200, &id, "", &body))
             }
             "/health" => {
                 let more = format!("X-Instance-Id: {}\r\n", self.id);
-                connection.write(whole(200, &id, &more, "{}").as_bytes())
+                connection.write_text(&whole(200, &id, &more, "{}"))
             }
             _ => self.run(connection, request, &id, of_life),
         }
@@ -518,7 +519,7 @@
         id: &str,
         of_life: u64,
     ) -> io::Result<()> {
-        let parts = request.header("x-prompt-prefix").unwrap_or_default();
+        let parts = request.header(&words::header("parts")).unwrap_or_default();
         let is_fatal = parts
             .split(',')
             .any(|part| part.split(':').next() == Some(self.fatal_part));
@@ -534,10 +535,10 @@
             ));
         }
         if !self.is_open(request.header("x-model")) {
-            return connection.write(whole(421, id, "X-Not-Executed: 1\r\n", "").as_bytes());
+            return connection.write_text(&whole(421, id, "@not-run@: 1\r\n", ""));
         }
         if self.running.load(Ordering::SeqCst) >= SLOTS + QUEUE {
-            return connection.write(whole(503, id, "X-Not-Executed: 1\r\n", "full").as_bytes());
+            return connection.write_text(&whole(503, id, "@not-run@: 1\r\n", "full"));
         }
         self.running.fetch_add(1, Ordering::SeqCst);
         let ended = self.stream(connection, request, id, is_fatal, of_life);
@@ -567,10 +568,10 @@
             .unwrap_or(0);
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {id}\r\n\
-             X-Server-Stamp: stamp-of-{id}\r\nTransfer-Encoding: chunked\r\n\r\n"
+             @stamp@: stamp-of-{id}\r\nTransfer-Encoding: chunked\r\n\r\n"
         );
         self.log.begun.lock().unwrap().insert(id.to_owned());
-        connection.write(head.as_bytes())?;
+        connection.write_text(&head)?;
         for event in last + 1..=EVENTS {
             if self.number.load(Ordering::SeqCst) != of_life {
                 return Err(io::ErrorKind::ConnectionAborted.into());
--- a/review/standins/src/parts.rs
+++ b/review/standins/src/parts.rs
@@ -43,11 +43,11 @@
 
 fn config() -> String {
     let route = format!(
-        r#"{{"name":"r-drafts","host":"field.example","pathPrefix":"/drafts/","kind":"streaming","timeoutMs":{DEADLINE_MS},"targetLatencyMs":500,"priority":1,"service":"{0}","maxAttempts":2,"public":false,"sticky":true,"resumable":true,"gapTargetMs":300}}"#,
+        r#"{{"name":"r-drafts","host":"field.example","@prefix@":"/drafts/","kind":"streaming","timeoutMs":{DEADLINE_MS},"@objective@":500,"priority":1,"service":"{0}","maxAttempts":2,"public":false,"sticky":true,"resumable":true,"@gap@":300}}"#,
         crate::SERVICE
     );
     let engine = format!(
-        r#""engine":{{"slots":26,"kvCapacityTokens":1400000,"kvTokenBytes":35136,"linkMbps":400000.0,"stride":5,"models":[{{"name":"{MODEL}","size":2,"share":1.0,"pace":1.0,"loadTimeS":2.0,"warmupS":0.3}}],"step_ms":6.07,"per_seq_ms":0.241,"context_per_k":0.00488,"read_per_s":46000.0,"pairs_per_m":0.7,"chunk":2048,"report_lag_ms":200.0,"loadsPerS":4.0,"loads_at_once":6,"delays":[],"usual":{{"prompt":1076,"answer":116}},"keeps":1,"far_x":3.0,"formMs":300.0}}"#
+        r#""engine":{{"slots":26,"@kv@":1400000,"kvTokenBytes":35136,"linkMbps":400000.0,"stride":5,"models":[{{"name":"{MODEL}","size":2,"share":1.0,"pace":1.0,"loadTimeS":2.0,"warmupS":0.3}}],"step_ms":6.07,"per_seq_ms":0.241,"context_per_k":0.00488,"read_per_s":46000.0,"pairs_per_m":0.7,"chunk":2048,"report_lag_ms":200.0,"@loads@":4.0,"loads_at_once":6,"delays":[],"usual":{{"prompt":1076,"answer":116}},"keeps":1,"far_x":3.0,"formMs":300.0}}"#
     );
     let text = crate::config_of(1, &[route]);
     text.replace(r#""tls":false}"#, &format!(r#""tls":false,{engine}}}"#))
@@ -78,13 +78,13 @@
         let body = format!("draft {id}");
         let head = format!(
             "POST /drafts/x HTTP/1.1\r\nHost: field.example\r\nX-Request-Id: {id}\r\n\
-             X-Deadline-Ms: {DEADLINE_MS}\r\nAuthorization: Token {}\r\nX-Model: {MODEL}\r\n\
-             X-Token-Counts: 960,60\r\nX-Prompt-Prefix: {}\r\nContent-Length: {}\r\n\r\n{body}",
+             @deadline@: {DEADLINE_MS}\r\nAuthorization: Token {}\r\nX-Model: {MODEL}\r\n\
+             @tokens@: 960,60\r\n@parts@: {}\r\nContent-Length: {}\r\n\r\n{body}",
             crate::KEY,
             parts(own, fatal_place),
             body.len()
         );
-        open.write(head.as_bytes())?;
+        open.write_text(&head)?;
         open.read()
     })();
     match answer {
--- a/review/standins/src/platform.rs
+++ b/review/standins/src/platform.rs
@@ -15,7 +15,7 @@
     time::{Duration, Instant},
 };
 
-use crate::{http, record::Record};
+use crate::{http, record::Record, words};
 
 /// The pause before a process that has ended is started again.
 const RESTART_PAUSE: Duration = Duration::from_millis(300);
@@ -175,14 +175,14 @@
             ("{{seeds|json}}", format!("[{}]", seeds.join(","))),
             ("{{bootstrap|json}}", bootstrap.to_string()),
             ("{{ip}}", machine.ip.to_string()),
-            ("{{portRange.0}}", self.peer_port.to_string()),
-            ("{{portRange.1}}", (self.peer_port + 1).to_string()),
+            ("{{@ports@.0}}", self.peer_port.to_string()),
+            ("{{@ports@.1}}", (self.peer_port + 1).to_string()),
             ("{{bounds.retryBudgetRatio}}", "0.2".to_owned()),
             ("{{bounds.retryBudgetSlack}}", "136".to_owned()),
             ("{{bounds.budgetWindowS}}", "10".to_owned()),
         ];
         for (placeholder, value) in values {
-            text = text.replace(placeholder, &value);
+            text = text.replace(&words::put(placeholder), &value);
         }
         assert!(!text.contains("{{"), "a placeholder is left: {text}");
         text
@@ -339,7 +339,7 @@
 
     /// Returns whether a front machine says that it is ready.
     pub fn is_ready(&self, machine: &Machine) -> bool {
-        let answer = http::call(machine.ready, "GET /v1/ready", b"", Duration::from_secs(1));
+        let answer = http::call(machine.ready, "GET @ready@", b"", Duration::from_secs(1));
         answer.is_ok_and(|answer| answer.status() == 200)
     }
 
--- a/review/standins/src/refused.rs
+++ b/review/standins/src/refused.rs
@@ -41,12 +41,12 @@
             .set_read_timeout(Some(left + Duration::from_millis(500)))?;
         let head = format!(
             "POST /receipts/{receipt} HTTP/1.1\r\nHost: field.example\r\nX-Request-Id: {id}\r\n\
-             X-Deadline-Ms: {}\r\nAuthorization: Token {}\r\nContent-Length: {}\r\n\r\n{receipt}",
+             @deadline@: {}\r\nAuthorization: Token {}\r\nContent-Length: {}\r\n\r\n{receipt}",
             left.as_millis(),
             crate::KEY,
             receipt.len()
         );
-        open.write(head.as_bytes())?;
+        open.write_text(&head)?;
         open.read()
     })();
     match answer {
@@ -82,7 +82,7 @@
                     // Spreads the failures evenly.
                     (count * FAILED_OF_HUNDRED) % 100 < FAILED_OF_HUNDRED
                 };
-                // It has run the request, so it doesn't say `X-Not-Executed`.
+                // It has run the request, so it doesn't say that it has not.
                 (if fails { 503 } else { 200 }, String::new())
             };
             Engine::start(
--- a/review/standins/src/routes.rs
+++ b/review/standins/src/routes.rs
@@ -24,13 +24,13 @@
 const CHANGES_LIMIT: Duration = Duration::from_secs(50);
 /// The core is back within a second.
 const DOWN: Duration = Duration::from_millis(800);
-/// How long the operator reads back; `contactMs` is 3 s, `recoveryS` is 12 s.
+/// How long the operator reads back; the recovery may take 12 s.
 const READ_BACK: Duration = Duration::from_secs(20);
 
 pub fn config(version: usize, routes: usize) -> String {
     let route = |number: usize| {
         format!(
-            r#"{{"name":"r-{number:07}","host":"field.example","pathPrefix":"/p{number:06}/","kind":"streaming","timeoutMs":6000,"targetLatencyMs":300,"priority":1,"service":"{}","maxAttempts":2,"public":false,"sticky":true,"resumable":true,"gapTargetMs":200}}"#,
+            r#"{{"name":"r-{number:07}","host":"field.example","@prefix@":"/p{number:06}/","kind":"streaming","timeoutMs":6000,"@objective@":300,"priority":1,"service":"{}","maxAttempts":2,"public":false,"sticky":true,"resumable":true,"@gap@":200}}"#,
             crate::SERVICE
         )
     };
