--- a/review/standins/src/bodies.rs
+++ b/review/standins/src/bodies.rs
@@ -24,7 +24,10 @@
 const CLIENTS: usize = 90;
 const FRONTS: u8 = 9;
 /// Of ten clients, this many send uploads and the others status checks.
-const UPLOADERS_OF_TEN: usize = 8;
+const UPLOADERS_OF_TEN: usize = 9;
+/// One client of so many is spread as ever during the disruption: the platform hands over most new
+/// connections, not all.
+const SPREAD_ONE_OF: usize = 9;
 /// `maxBodyBytes` of the configuration on the pages.
 const BODY_BYTES: usize = 4_194_304;
 /// How fast an upload is sent, in bytes a second; all clients together stay under `linkMbps`.
@@ -59,7 +62,9 @@
         let fronts = &self.platform.fronts;
         let hashed = (client + tries * 4) % fronts.len();
         // A retry meets another daemon as ever.
-        let number = match self.is_disrupted.load(Ordering::Relaxed) && tries == 0 {
+        let is_handed_over = client % SPREAD_ONE_OF != 0;
+        let is_disrupted = self.is_disrupted.load(Ordering::Relaxed);
+        let number = match is_disrupted && is_handed_over && tries == 0 {
             true => 0,
             false => hashed,
         };
