--- a/review/standins-2/src/case_fatal.rs
+++ b/review/standins-2/src/case_fatal.rs
@@ -19,7 +19,7 @@
 const ROUND: Duration = Duration::from_millis(5_000);
 const KEY: &str = "n2ctnfzs989anu6wsjnb";
 const FATAL: &[u8] = b"the request that crashes engines";
-/// What the rule allows to arrive later than `contactMs` after the third crash.
+/// What the rule allows to arrive later than three seconds after the third crash.
 const ALLOWED: usize = 3;
 
 pub fn run(record: &Record, has_trouble: bool) -> ! {
@@ -87,7 +87,7 @@
     let late = arrivals.iter().filter(|run| third.is_some_and(|third| run.at > third + CONTACT));
     let late = late.count();
     let verdict = format!(
-        "{late} arrivals later than contactMs after the third crash; the rule allows {ALLOWED}"
+        "{late} arrivals later than 3 s after the third crash; the rule allows {ALLOWED}"
     );
     fleet.finish(late > ALLOWED, &verdict)
 }
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -2,6 +2,7 @@
 
 mod case_fatal;
 mod case_gone;
+mod case_memory;
 mod client;
 mod engine;
 mod fleet;
@@ -27,6 +28,7 @@
     });
     let outcome = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match case.as_str() {
         "fatal" => case_fatal::run(&record, has_trouble),
+        "memory" => case_memory::run(&record, has_trouble),
         "gone" => case_gone::run(&record, has_trouble),
         _ => println!("no such case: {case}"),
     }));
