--- a/review/standins-2/src/case_writer.rs
+++ b/review/standins-2/src/case_writer.rs
@@ -71,7 +71,10 @@
     };
     let engine = engines.iter().find(|engine| engine.id == *head).unwrap();
     if has_trouble {
-        engine.beat_of_another_writer();
+        match std::env::var("WRITER").as_deref() {
+            Ok("address") => engine.beats_of_another_service(),
+            _ => engine.beat_of_another_writer(),
+        }
     }
     for turn in 0..60 {
         sleep(Duration::from_millis(100));
--- a/review/standins-2/src/model_engine.rs
+++ b/review/standins-2/src/model_engine.rs
@@ -233,6 +233,25 @@
         self.put(&body);
     }
 
+    /// Four heartbeats by another writer, of a service that no configuration names, for a process of
+    /// its own that names this engine's address.
+    pub fn beats_of_another_service(&self) {
+        for sequence in 1..=4 {
+            let body = format!(
+                r#"{{"service":"backup-agent","address":"{}","zone":"{}","version":"v1","slots":1,"state":"ready","{}":0,"born":{},"sequence":{sequence}}}"#,
+                self.address,
+                self.zone,
+                word("cold"),
+                self.born_ms
+            );
+            self.record.say(&format!("another writer sends for agent-1: {body}"));
+            let path = format!("{}agent-1", word("instances"));
+            let timeout = Duration::from_secs(1);
+            let _ = http::call(self.controls[0], "PUT", &path, body.as_bytes(), timeout);
+            thread::sleep(Duration::from_millis(300));
+        }
+    }
+
     fn set_state(&self, order: &Order, from: State, to: State) -> bool {
         let mut all = self.world.held.lock().unwrap();
         let held = all.get_mut(&self.id).filter(|held| held.is_of(order) && held.state == from);
