--- a/review/standins-2/src/case_gone.rs
+++ b/review/standins-2/src/case_gone.rs
@@ -40,6 +40,7 @@
     // Everything has run for longer than the time after which machines are in touch.
     sleep(CONTACT + Duration::from_millis(1_500));
     leaver.beats.store(false, Ordering::SeqCst);
+    record.line("i-leaver sends its DELETE");
     let acknowledged = leaver.say_gone(fleet.control(1));
     let acked_at = record.now();
     if !acknowledged {
@@ -53,6 +54,7 @@
             Ok("term") => fleet.signal(&ip, "TERM"),
             _ => fleet.kill(&ip),
         }
+        record.line(&format!("acknowledged at {:.4}", acked_at.as_secs_f64()));
         sleep(DOWN);
         if std::env::var("HOW").is_ok() {
             fleet.wait_for("it to end", || fleet.has_ended(&ip));
--- a/review/standins-2/src/case_writer.rs
+++ b/review/standins-2/src/case_writer.rs
@@ -32,6 +32,7 @@
         word("tokens"),
         word("prefix")
     );
+    fleet.record.line(&format!("client sends {id} for {model}"));
     if connection.write(&head, b"x").is_err() {
         return 0;
     }
--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -178,6 +178,7 @@
     pub fn say_gone(&self, control: SocketAddr) -> bool {
         let path = format!("{}{}", word("instances"), self.id);
         let answer = http::call(control, "DELETE", &path, b"", Duration::from_secs(1));
+        // Nothing is written before the caller has acted on the answer.
         answer.is_ok_and(|answer| answer.status() / 100 == 2)
     }
 
--- a/review/standins-2/src/model_engine.rs
+++ b/review/standins-2/src/model_engine.rs
@@ -203,15 +203,18 @@
         text
     }
 
-    fn put(&self, body: &str) {
+    /// Sends a heartbeat, to the next daemon if one does not acknowledge it; returns the status.
+    fn put(&self, body: &str) -> u16 {
         let path = format!("{}{}", word("instances"), self.id);
         for control in &self.controls {
             let timeout = Duration::from_secs(1);
             let answer = http::call(*control, "PUT", &path, body.as_bytes(), timeout);
-            if answer.is_ok_and(|answer| answer.status() / 100 == 2) {
-                return;
+            let status = answer.map_or(0, |answer| answer.status());
+            if status / 100 == 2 {
+                return status;
             }
         }
+        0
     }
 
     pub fn beat(&self) {
@@ -221,7 +224,9 @@
             life.beats += 1;
             life.beats
         };
-        self.put(&format!("{{{},{}}}", self.common(sequence), self.groups()));
+        let body = format!("{{{},{}}}", self.common(sequence), self.groups());
+        let status = self.put(&body);
+        self.record.line(&format!("engine {} gets {status} for {body}", self.id));
     }
 
     /// A heartbeat for this engine by another writer, without the fields of model engines.
@@ -230,7 +235,8 @@
         let sequence = self.life.lock().unwrap().beats + 1;
         let body = format!("{{{}}}", self.common(sequence));
         self.record.say(&format!("another writer sends for {}: {body}", self.id));
-        self.put(&body);
+        let status = self.put(&body);
+        self.record.say(&format!("the other writer gets {status}"));
     }
 
     /// Four heartbeats by another writer, of a service that no configuration names, for a process of
@@ -247,7 +253,9 @@
             self.record.say(&format!("another writer sends for agent-1: {body}"));
             let path = format!("{}agent-1", word("instances"));
             let timeout = Duration::from_secs(1);
-            let _ = http::call(self.controls[0], "PUT", &path, body.as_bytes(), timeout);
+            let answer = http::call(self.controls[0], "PUT", &path, body.as_bytes(), timeout);
+            let status = answer.map_or(0, |answer| answer.status());
+            self.record.say(&format!("the other writer gets {status}"));
             thread::sleep(Duration::from_millis(300));
         }
     }
