entry, daemon, lib: the bodies of all requests share a bounded memory

What callers saw: in a trial, crowds that sent many large bodies of legal size and stopped short of their end ended a process for its memory.

Cause: one body was bounded (`maxBodyBytes`) and so was the number of connections (1,500), but nothing bounded the bytes of all bodies together: 6 GB. Besides, `collect` keeps a handle of 32 bytes for each chunk, in a list that doubles, and the read buffer beneath it, so a body in chunks of one byte cost some 40 times its length: a single one within the limits could take 160 MB.

Change: a process has `memory_mb`, of which a quarter is for bodies, over all of its listeners. `BodyMemory` (lib, without I/O) decides who has room: an announced length is reserved at once, a body without one reserves as it comes; a quarter of the room is for bodies up to 16 KiB; where room is missing, incomplete bodies that have not grown by 16 KiB for half a second lose theirs, the longest stalled first. `Bodies` (daemon) copies what comes into segments that are filled before the next one is made, and drops them at once when their body loses its room. Callers' requests on both listeners and relayed ones use it; a relay's own limit, of which one request without a length booked all, is gone. A request without room gets 503 (`no_body_memory`) with a time to return.

Why it works: what is charged is the capacity of what is allocated, before it is allocated, so no order of events holds more than the room (`no_order_of_events_grants_more_than_there_is`). Small bodies keep their room whatever large ones do, and who stops short keeps none that another needs.

`Fingerprint::of` takes a body in segments; its tests pass one segment and check the same values as before.

--- a/daemon/src/daemon_events.rs
+++ b/daemon/src/daemon_events.rs
@@ -19,6 +19,11 @@
     1009 Info SeedsChanged { seeds: String } "seeds changed";
     /// The settings file has changed and cannot be used; the old settings stay in force.
     1010 Warn ReloadRefused { reason: String } "changed settings refused";
+    /// The memory for request bodies is used up: requests are refused, and bodies that make no
+    /// progress are dropped.
+    1011 Warn BodyMemoryFull { used_bytes: cicadabend::prelude::ByteCount } "no room for request bodies";
+    /// At least half of the memory for request bodies is free again.
+    1012 Info BodyMemoryFree { used_bytes: cicadabend::prelude::ByteCount } "room for request bodies again";
     /// Lines were lost because nobody read the log fast enough; nothing else was held up.
     1007 Warn LinesDropped { lines: u64 } "log lines were dropped";
 }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -5,11 +5,13 @@
 //! - [`logs`] and [`mod@events`]: numbered log events; [`metrics`]: counters and timers.
 //! - [`settings`]: JSON settings, validated before anything starts.
 //! - [`ring`]: the bounded rings that join a process's threads.
+//! - [`bodies`]: bodies of requests that are held in memory, within a limit.
 //! - [`duty`]: one named thread with its own single-threaded runtime for each duty.
 //! - [`peers`]: messages between the cluster's own processes, over TCP.
 //! - [`storage`]: the data folder, its journals and the disk's identity.
 //! - [`clock`]: the process's monotonic clock.
 
+pub mod bodies;
 pub mod clock;
 pub mod daemon_events;
 pub mod duty;
--- a/daemon/src/settings/check.rs
+++ b/daemon/src/settings/check.rs
@@ -31,6 +31,9 @@
 const MAX_MS: u64 = 24 * 3_600_000;
 /// Clocks that differ more than this are broken.
 const MAX_CLOCK_RATE_ERROR_PERCENT: u8 = 50;
+/// The least memory that a process needs beside its bodies, with room for them.
+const MIN_MEMORY_MB: u64 = 64;
+const MAX_MEMORY_MB: u64 = 1_000_000;
 /// How often a lease must be renewable before it ends.
 const RENEWALS_PER_LEASE: u64 = 2;
 
@@ -39,6 +42,7 @@
 
     fn problems(&self) -> Vec<Problem> {
         let mut check = Check::default();
+        check.memory(self.memory_mb);
         check.callers(&self.callers);
         check.upstreams(&self.upstreams);
         check.domain(&self.domain);
@@ -77,6 +81,7 @@
     fn problems(&self) -> Vec<Problem> {
         let mut check = Check::default();
         check.path_text("data_folder", &self.data_folder);
+        check.memory(self.memory_mb);
         if let Some(path) = &self.operators.token_file {
             check.path_text("operators.token_file", path);
         }
@@ -140,6 +145,11 @@
         self.require(holds, path, found.0, "0 to 50");
     }
 
+    fn memory(&mut self, memory_mb: u64) {
+        let holds = (MIN_MEMORY_MB..=MAX_MEMORY_MB).contains(&memory_mb);
+        self.require(holds, "memory_mb", memory_mb, "64 to 1000000");
+    }
+
     fn callers(&mut self, callers: &CallerSettings) {
         self.at_least_one("callers.max_connections", callers.max_connections.into());
         self.at_least_one("callers.max_header_bytes", callers.max_header_bytes.0);
--- a/daemon/src/settings/control.rs
+++ b/daemon/src/settings/control.rs
@@ -13,7 +13,8 @@
     LogSettings,
     MembershipSettings,
     MetricSettings,
-    PeerAddress, //
+    PeerAddress,
+    shared::default_memory_mb, //
 };
 
 /// Everything a control daemon is told when it starts.
@@ -28,6 +29,10 @@
     pub failure_domain: FailureDomain,
     /// The one folder for everything that must survive.
     pub data_folder: String,
+    /// Megabytes of memory that the process may use; the bodies of all requests together get a
+    /// quarter of it.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u64,
     /// Towards operators.
     pub operators: OperatorSettings,
     /// Where this daemon listens for peers.
--- a/daemon/src/settings/entry.rs
+++ b/daemon/src/settings/entry.rs
@@ -13,7 +13,8 @@
     LogSettings,
     MembershipSettings,
     MetricSettings,
-    PeerAddress, //
+    PeerAddress,
+    shared::default_memory_mb, //
 };
 
 /// Everything an entry daemon is told when it starts.
@@ -26,6 +27,10 @@
     pub daemon: DaemonId,
     /// Its failure domain.
     pub failure_domain: FailureDomain,
+    /// Megabytes of memory that the process may use; the bodies of all requests together get a
+    /// quarter of it.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u64,
     /// Towards callers.
     pub callers: CallerSettings,
     /// Towards upstreams.
--- a/daemon/src/settings/shared.rs
+++ b/daemon/src/settings/shared.rs
@@ -55,6 +55,10 @@
     pub hello_interval_ms: u64,
 }
 
+pub(super) fn default_memory_mb() -> u64 {
+    256
+}
+
 fn default_hello_interval_ms() -> u64 {
     400
 }
--- a/daemon/tests/test_settings_reference.rs
+++ b/daemon/tests/test_settings_reference.rs
@@ -81,6 +81,7 @@
 fn the_example_of_an_entry_daemon_shows_the_defaults() {
     let whole: EntrySettings = parse(EntrySettings::EXAMPLE).unwrap();
     let optional = [
+        "/memory_mb",
         "/callers/max_connections",
         "/callers/max_header_bytes",
         "/callers/max_body_bytes",
@@ -105,6 +106,7 @@
 fn the_example_of_a_control_daemon_shows_the_defaults() {
     let whole: ControlSettings = parse(ControlSettings::EXAMPLE).unwrap();
     let optional = [
+        "/memory_mb",
         "/operators/max_request_bytes",
         "/agreement",
         "/claim_retention_ms",
--- a/entry/src/serve/attempt.rs
+++ b/entry/src/serve/attempt.rs
@@ -5,7 +5,6 @@
     time::Duration, //
 };
 
-use bytes::Bytes;
 use cicadabend::{
     prelude::*,
     routing::{
@@ -104,7 +103,7 @@
 ///
 /// Errors are ignored: the engine also sees that the attempt's connection ends.
 async fn send_cancel(server: &Server, replica: &Replica, path: &str) {
-    let mut request = Request::new(RequestBody::whole(Bytes::new()));
+    let mut request = Request::new(RequestBody::empty());
     *request.method_mut() = http::Method::POST;
     let Ok(uri) = path.parse() else { return };
     *request.uri_mut() = uri;
--- a/entry/src/serve/body.rs
+++ b/entry/src/serve/body.rs
@@ -3,6 +3,7 @@
 use std::{
     future::Future,
     pin::Pin,
+    rc::Rc,
     task::{
         Context,
         Poll,
@@ -12,6 +13,7 @@
 };
 
 use bytes::Bytes;
+use cicadabend_daemon::bodies::HeldBody;
 use displaydoc::Display;
 use http_body::{
     Body,
@@ -117,15 +119,46 @@
 
 /// A request body that is being sent to an upstream.
 pub(super) enum RequestBody {
+    /// No body.
+    Empty(Full<Bytes>),
     /// A body that is completely in memory.
-    Whole(Full<Bytes>),
+    Held(HeldReader),
     /// A body that is passed on as the caller sends it; its first bytes can be sent again.
     Replayed(ReplayReader),
 }
 
 impl RequestBody {
-    pub(super) fn whole(bytes: Bytes) -> Self {
-        RequestBody::Whole(Full::new(bytes))
+    pub(super) fn empty() -> Self {
+        RequestBody::Empty(Full::default())
+    }
+
+    pub(super) fn held(body: &Rc<HeldBody>) -> Self {
+        match body.length() {
+            0 => Self::empty(),
+            length => RequestBody::Held(HeldReader {
+                body: Rc::clone(body),
+                next: 0,
+                left: length,
+            }),
+        }
+    }
+}
+
+/// A reader of a body that is in memory, which keeps its room there meanwhile.
+pub(super) struct HeldReader {
+    body: Rc<HeldBody>,
+    /// The index of the next segment.
+    next: usize,
+    /// Bytes of the segments that are left.
+    left: u64,
+}
+
+impl HeldReader {
+    fn next_frame(&mut self) -> Option<Frame<Bytes>> {
+        let segment = self.body.segments().get(self.next)?.clone();
+        self.next += 1;
+        self.left -= segment.len() as u64;
+        Some(Frame::data(segment))
     }
 }
 
@@ -138,21 +171,24 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
-            RequestBody::Whole(whole) => poll_whole(whole, context),
+            RequestBody::Empty(empty) => poll_whole(empty, context),
+            RequestBody::Held(reader) => Poll::Ready(reader.next_frame().map(Ok)),
             RequestBody::Replayed(reader) => Pin::new(reader).poll_frame(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
-            RequestBody::Whole(whole) => whole.is_end_stream(),
+            RequestBody::Empty(empty) => empty.is_end_stream(),
+            RequestBody::Held(reader) => reader.left == 0,
             RequestBody::Replayed(reader) => reader.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            RequestBody::Whole(whole) => whole.size_hint(),
+            RequestBody::Empty(empty) => empty.size_hint(),
+            RequestBody::Held(reader) => SizeHint::with_exact(reader.left),
             RequestBody::Replayed(reader) => reader.size_hint(),
         }
     }
--- a/entry/src/serve/completions.rs
+++ b/entry/src/serve/completions.rs
@@ -5,21 +5,20 @@
     time::Duration, //
 };
 
-use bytes::{
-    Bytes,
-    BytesMut, //
-};
 use cicadabend::{
     caller_api::ErrorCode,
     fleet::Service,
     prelude::*,
     request::RequestTraits, //
 };
+use cicadabend_daemon::bodies::{
+    BodyReadError,
+    HeldBody, //
+};
 use http::{
     Request,
     Response, //
 };
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde::Deserialize;
 
@@ -61,7 +60,7 @@
     let options = RequestOptions::read(server, request.headers())?;
     let (parts, body) = request.into_parts();
     let body = read_body(server, body).await?;
-    let completion: Completion = serde_json::from_slice(&body).map_err(|error| {
+    let completion = parse(&body).map_err(|error| {
         let message = format!("The body is not a completion request: {error}.");
         Refusal::new(ErrorCode::BadRequest, message)
     })?;
@@ -73,8 +72,8 @@
         needs_claim: options.is_not_repeatable,
         is_repeatable: !options.is_not_repeatable,
     };
-    let prompt_tokens = TokenCount(body.len() as u64 / BYTES_PER_TOKEN);
-    let request = Request::from_parts(parts, SpecBody::Whole(body));
+    let prompt_tokens = TokenCount(body.length() / BYTES_PER_TOKEN);
+    let request = Request::from_parts(parts, SpecBody::Held(Rc::new(body)));
     let mut spec = Spec::new(caller, service, kind, options, traits, request);
     spec.prompt_tokens = prompt_tokens;
     drive::answer(server, spec).await
@@ -92,19 +91,30 @@
     })
 }
 
-/// Reads a body of bounded size into memory; completions are small and may have to be sent twice.
-async fn read_body(server: &Server, body: Incoming) -> Result<Bytes, Refusal> {
+/// Reads a whole body into memory; completions may have to be sent twice.
+async fn read_body(server: &Server, body: Incoming) -> Result<HeldBody, Refusal> {
     let callers = &server.settings.callers;
     let pause_limit = Duration::from_millis(callers.read_timeout_ms);
     let mut body = CallerBody::new(body, pause_limit, callers.max_body_bytes.0);
-    let mut whole = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| body_refusal(&error))?;
-        if let Ok(data) = frame.into_data() {
-            whole.extend_from_slice(&data);
-        }
+    let read = server
+        .held_bodies
+        .read(&mut body, callers.max_body_bytes)
+        .await;
+    read.map_err(|error| match error {
+        BodyReadError::TooLong => body_refusal(&BodyError::TooLarge),
+        BodyReadError::NoRoom => Refusal::new(
+            ErrorCode::Overloaded,
+            "The bodies of other requests take the memory.",
+        ),
+        BodyReadError::Broken(error) => body_refusal(&error),
+    })
+}
+
+fn parse(body: &HeldBody) -> serde_json::Result<Completion> {
+    match body.segments() {
+        [whole] => serde_json::from_slice(whole),
+        _ => serde_json::from_reader(body.reader()),
     }
-    Ok(whole.freeze())
 }
 
 /// Returns the error for a caller whose body could not be read.
--- a/entry/src/serve/housekeeping.rs
+++ b/entry/src/serve/housekeeping.rs
@@ -69,6 +69,7 @@
     loop {
         ticks.tick().await;
         server.bodies.cancel_stalled(limit);
+        server.held_bodies.report();
     }
 }
 
--- a/entry/src/serve/routed/admission.rs
+++ b/entry/src/serve/routed/admission.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use cicadabend::{
     prelude::*,
     routes::{
@@ -11,15 +10,14 @@
         RouteIndex, //
     },
 };
+use cicadabend_daemon::bodies::{
+    BodyReadError,
+    HeldBody, //
+};
 use http::{
     StatusCode,
     request::Parts, //
 };
-use http_body_util::{
-    BodyExt,
-    LengthLimitError,
-    Limited, //
-};
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
@@ -169,28 +167,36 @@
 ///
 /// # Errors
 ///
-/// Returns a [`Refusal`] if the body is too large, arrives too slowly or breaks off.
+/// Returns a [`Refusal`] if the body is too large, has no room, arrives too slowly or breaks off.
 pub(super) async fn read_body(
     server: &Server,
     view: &RoutedView,
-    body: Incoming,
-) -> Result<Bytes, Refusal> {
+    body: &mut Incoming,
+) -> Result<HeldBody, Refusal> {
     let limits = view.routes.as_ref().map(|routes| routes.table().limits);
-    let own = server.settings.callers.max_body_bytes.0;
-    let limit = limits.and_then(|limits| limits.body_bytes).unwrap_or(own);
-    let limited = Limited::new(body, usize::try_from(limit).unwrap_or(usize::MAX));
+    let own = server.settings.callers.max_body_bytes;
+    let configured = limits.and_then(|limits| limits.body_bytes);
+    let limit = configured.map_or(own, ByteCount);
     let read_timeout = Duration::from_millis(server.settings.callers.read_timeout_ms);
-    match timeout(read_timeout, limited.collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(refusal(
+    let incomplete = || {
+        refusal(
+            RoutedRefusal::BodyIncomplete,
+            StatusCode::REQUEST_TIMEOUT,
+            "the body did not come in time",
+        )
+    };
+    match timeout(read_timeout, server.bodies.read(body, limit)).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyReadError::TooLong)) => Err(refusal(
             RoutedRefusal::BodyTooLarge,
             StatusCode::PAYLOAD_TOO_LARGE,
             "the body is too large",
         )),
-        Ok(Err(_)) | Err(_) => Err(refusal(
-            RoutedRefusal::BodyIncomplete,
-            StatusCode::REQUEST_TIMEOUT,
-            "the body did not come in time",
+        Ok(Err(BodyReadError::NoRoom)) => Err(refusal(
+            RoutedRefusal::NoBodyMemory,
+            StatusCode::SERVICE_UNAVAILABLE,
+            "other bodies take the memory",
         )),
+        Ok(Err(BodyReadError::Broken(_))) | Err(_) => Err(incomplete()),
     }
 }
--- a/entry/src/serve/routed/counts.rs
+++ b/entry/src/serve/routed/counts.rs
@@ -65,6 +65,8 @@
         HeadTooLarge,
         /// The request body is larger than allowed.
         BodyTooLarge,
+        /// There is no room for the request body beside the others that are in memory.
+        NoBodyMemory,
         /// The request body arrived too slowly or broke off.
         BodyIncomplete,
         /// No upstream can take the request now.
--- a/entry/src/serve/routed/handler.rs
+++ b/entry/src/serve/routed/handler.rs
@@ -53,19 +53,19 @@
     connection_end: BrokenEnd,
 ) -> Response<RoutedBody> {
     let arrived = Instant::now();
-    let (parts, body) = request.into_parts();
+    let (parts, mut body) = request.into_parts();
     let caller_headers = server.edge.read_caller(&parts.headers);
     let view = server.view.load_full();
-    let body = read_body(&server, &view, body).await;
+    let body = read_body(&server, &view, &mut body).await;
     let admitted =
         body.and_then(|body| Ok((body, admit(&server, &view, &parts, &caller_headers)?)));
-    let (body, admitted) = match admitted {
+    let (held, admitted) = match admitted {
         Ok(admitted) => admitted,
         Err(refusal) => return refuse_unadmitted(&server, &caller_headers, &refusal),
     };
-    server.counts.count(Routed::Requests);
     let terms = terms_of(&server, &view, admitted, &caller_headers, arrived);
-    let prepared = PreparedRequest::new(terms, caller_headers, parts, body, connection_end);
+    server.counts.count(Routed::Requests);
+    let prepared = PreparedRequest::new(terms, caller_headers, parts, held, connection_end);
     match RoutedExecution::new(&server, prepared) {
         Some(execution) => execution.drive().await,
         None => {
--- a/entry/src/serve/routed/prepared_request.rs
+++ b/entry/src/serve/routed/prepared_request.rs
@@ -5,10 +5,10 @@
         Cell,
         OnceCell, //
     },
+    rc::Rc,
     time::Duration, //
 };
 
-use bytes::Bytes;
 use cicadabend::{
     dispatch::{
         AnswerClass,
@@ -21,6 +21,7 @@
     },
     routes::Route, //
 };
+use cicadabend_daemon::bodies::HeldBody;
 use http::{
     HeaderValue,
     Request,
@@ -74,7 +75,7 @@
     pub(super) terms: Terms,
     pub(super) caller_headers: CallerHeaders,
     parts: Parts,
-    body: Bytes,
+    body: Rc<HeldBody>,
     /// How the caller's connection ends, if it ends before the response.
     pub(super) connection_end: BrokenEnd,
     fingerprint: OnceCell<Fingerprint>,
@@ -88,7 +89,7 @@
         terms: Terms,
         caller_headers: CallerHeaders,
         mut parts: Parts,
-        body: Bytes,
+        body: HeldBody,
         connection_end: BrokenEnd,
     ) -> Self {
         let path = parts.uri.path_and_query().cloned();
@@ -101,7 +102,7 @@
             terms,
             caller_headers,
             parts,
-            body,
+            body: Rc::new(body),
             connection_end,
             fingerprint: OnceCell::new(),
             prompt_parts: OnceCell::new(),
@@ -114,7 +115,7 @@
         *self.fingerprint.get_or_init(|| {
             let path = self.parts.uri.path_and_query();
             let path = path.map_or("", |path| path.as_str());
-            Fingerprint::of(self.terms.team.as_ref(), path, &self.body)
+            Fingerprint::of(self.terms.team.as_ref(), path, self.body.segments())
         })
     }
 
@@ -183,14 +184,17 @@
         replica: &RoutedReplica,
         last_event: Option<u64>,
     ) -> Request<RequestBody> {
-        let mut request = Request::new(RequestBody::whole(self.body.clone()));
+        let mut request = Request::new(RequestBody::held(&self.body));
         *request.method_mut() = self.parts.method.clone();
         *request.uri_mut() = self.parts.uri.clone();
         *request.headers_mut() = self.parts.headers.clone();
         let map = request.headers_mut();
         // An empty body gets its length too if the method usually has a body.
-        if !self.body.is_empty() || self.parts.method == http::Method::POST {
-            map.insert(header::CONTENT_LENGTH, HeaderValue::from(self.body.len()));
+        if self.body.length() > 0 || self.parts.method == http::Method::POST {
+            map.insert(
+                header::CONTENT_LENGTH,
+                HeaderValue::from(self.body.length()),
+            );
         }
         let deadline_ms = u64::try_from(self.time_left().as_millis()).unwrap_or(u64::MAX);
         let upstream_headers = UpstreamRequestHeaders {
--- a/entry/src/serve/routed/relay_client.rs
+++ b/entry/src/serve/routed/relay_client.rs
@@ -6,7 +6,6 @@
     time::Duration, //
 };
 
-use bytes::Bytes;
 use cicadabend::{
     prelude::*,
     reach::{
@@ -210,7 +209,7 @@
             action: RelayAction::Connect,
         };
         let request = || {
-            let mut request = Request::new(RequestBody::whole(Bytes::new()));
+            let mut request = Request::new(RequestBody::empty());
             asked.write(request.headers_mut());
             request
         };
--- a/entry/src/serve/routed/relay_server.rs
+++ b/entry/src/serve/routed/relay_server.rs
@@ -10,11 +10,15 @@
     time::Duration, //
 };
 
-use bytes::Bytes;
 use cicadabend::{
     breaker::Admission,
+    prelude::*,
     reach::LinkUse, //
 };
+use cicadabend_daemon::bodies::{
+    BodyReadError,
+    HeldBody, //
+};
 use http::{
     HeaderValue,
     Request,
@@ -23,12 +27,7 @@
     header,
     request::Parts, //
 };
-use http_body::Body;
-use http_body_util::{
-    BodyExt,
-    Full,
-    Limited, //
-};
+use http_body_util::Full;
 use hyper::{
     body::Incoming,
     server::conn::http1,
@@ -79,10 +78,7 @@
         RelayRequest,
         write_report, //
     },
-    relay_state::{
-        MAX_BODY_BYTES,
-        RelayedRequest, //
-    },
+    relay_state::RelayedRequest,
     reservation::Reservation,
     server::Server,
     source::AnswerRest,
@@ -95,6 +91,8 @@
 
 /// Connections of other daemons that are open at once.
 const MAX_CONNECTIONS: u32 = 512;
+/// Largest body of a relayed request.
+const MAX_BODY: ByteCount = ByteCount(32 * 1024 * 1024);
 /// Time for which a connection may be idle; longer than daemons keep it in their pools.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for which the rest of a request's body may stay away.
@@ -189,7 +187,7 @@
     asked: &RelayRequest,
     caller: &CallerHeaders,
     mut parts: Parts,
-    body: Incoming,
+    mut body: Incoming,
 ) -> Result<Response<RelayBody>, RelayReport> {
     if server.draining.get() {
         return Err(RelayReport::Stopping);
@@ -204,9 +202,8 @@
     }
     check_link(server, &replica)?;
     check_admission(server, &replica)?;
-    let length = body.size_hint().exact().unwrap_or(MAX_BODY_BYTES);
-    let counted = RelayedRequest::begin(server, length).ok_or(RelayReport::NoRoom)?;
-    let body = read_body(body, length).await?;
+    let counted = RelayedRequest::begin(server).ok_or(RelayReport::NoRoom)?;
+    let body = read_body(server, &mut body).await?;
     headers::remove_hop_by_hop(&mut parts.headers);
     let tokens = caller.prompt_tokens.unwrap_or(0);
     let mut reservation = Reservation::for_relay(server, replica.clone(), tokens);
@@ -258,11 +255,11 @@
     }
 }
 
-async fn read_body(body: Incoming, length: u64) -> Result<Bytes, RelayReport> {
-    let limit = usize::try_from(length).unwrap_or(usize::MAX);
-    match timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(_)) | Err(_) => Err(RelayReport::BodyIncomplete),
+async fn read_body(server: &Server, body: &mut Incoming) -> Result<Rc<HeldBody>, RelayReport> {
+    match timeout(BODY_TIMEOUT, server.bodies.read(body, MAX_BODY)).await {
+        Ok(Ok(body)) => Ok(Rc::new(body)),
+        Ok(Err(BodyReadError::TooLong | BodyReadError::NoRoom)) => Err(RelayReport::NoRoom),
+        Ok(Err(BodyReadError::Broken(_))) | Err(_) => Err(RelayReport::BodyIncomplete),
     }
 }
 
@@ -281,18 +278,18 @@
 /// A request as it is sent to the upstream.
 struct Outgoing<'a> {
     parts: Parts,
-    body: Bytes,
+    body: Rc<HeldBody>,
     request_id: &'a str,
     is_idempotent: bool,
 }
 
 impl Outgoing<'_> {
     fn request(&self) -> Request<RequestBody> {
-        let body = RequestBody::whole(self.body.clone());
+        let body = RequestBody::held(&self.body);
         let mut request = Request::from_parts(self.parts.clone(), body);
         // The daemon that asked has given the body's length, if the request has a body.
-        if !self.body.is_empty() {
-            let length = HeaderValue::from(self.body.len());
+        if self.body.length() > 0 {
+            let length = HeaderValue::from(self.body.length());
             let headers = request.headers_mut();
             headers.insert(header::CONTENT_LENGTH, length);
         }
--- a/entry/src/serve/routed/relay_state.rs
+++ b/entry/src/serve/routed/relay_state.rs
@@ -12,15 +12,12 @@
 
 /// Requests that are relayed at once.
 const MAX_REQUESTS: u32 = 384;
-/// Bodies of requests that are in memory at once.
-pub(super) const MAX_BODY_BYTES: u64 = 32 * 1024 * 1024;
 
 /// Counts of the requests that are being relayed, and the key by which this daemon knows a request
 /// as one of an entry daemon of its cluster.
 pub(super) struct RelayState {
     pub(super) key: RelayKey,
     requests: Cell<u32>,
-    body_bytes: Cell<u64>,
     /// Notified when a request ends.
     ended: Notify,
 }
@@ -30,7 +27,6 @@
         Self {
             key,
             requests: Cell::new(0),
-            body_bytes: Cell::new(0),
             ended: Notify::new(),
         }
     }
@@ -46,22 +42,18 @@
 /// A relayed request, counted until this is dropped.
 pub(super) struct RelayedRequest {
     server: Rc<Server>,
-    body_bytes: u64,
 }
 
 impl RelayedRequest {
     /// Counts a request; `None` if there are too many.
-    pub(super) fn begin(server: &Rc<Server>, body_bytes: u64) -> Option<Self> {
+    pub(super) fn begin(server: &Rc<Server>) -> Option<Self> {
         let state = &server.relay;
-        let bytes = state.body_bytes.get().saturating_add(body_bytes);
-        if state.requests.get() >= MAX_REQUESTS || bytes > MAX_BODY_BYTES {
+        if state.requests.get() >= MAX_REQUESTS {
             return None;
         }
         state.requests.set(state.requests.get() + 1);
-        state.body_bytes.set(bytes);
         Some(Self {
             server: Rc::clone(server),
-            body_bytes,
         })
     }
 }
@@ -70,9 +62,6 @@
     fn drop(&mut self) {
         let state = &self.server.relay;
         state.requests.set(state.requests.get() - 1);
-        state
-            .body_bytes
-            .set(state.body_bytes.get() - self.body_bytes);
         state.ended.notify_one();
     }
 }
--- a/entry/src/serve/routed/server.rs
+++ b/entry/src/serve/routed/server.rs
@@ -34,6 +34,7 @@
     retry_budget::RoutedRetryReason, //
 };
 use cicadabend_daemon::{
+    bodies::Bodies,
     clock::Clock,
     ring,
     settings::EntrySettings, //
@@ -100,6 +101,7 @@
     pub(super) clock: Clock,
     pub(super) counts: Counts,
     pub(super) pool: ConnectionPool,
+    pub(super) bodies: Bodies,
     pub(super) loads: RefCell<LoadTracker>,
     pub(super) latency_baselines: RefCell<LatencyBaselines>,
     pub(super) crash_watch: CrashWatch,
@@ -135,6 +137,7 @@
             clock: setup.clock,
             counts: Counts::new(setup.metrics.clone()),
             pool: ConnectionPool::new(connect_timeout_ms),
+            bodies: Bodies::new(setup.settings.memory_mb, setup.clock, setup.metrics.clone()),
             loads: RefCell::default(),
             latency_baselines: RefCell::new(LatencyBaselines::new(
                 setup.settings.retries.late_quantile,
@@ -280,5 +283,6 @@
         server.forget_relays();
         server.rates.borrow_mut().retain(|id, _| is_in_view(id));
         server.pool.close_expired();
+        server.bodies.report();
     }
 }
--- a/entry/src/serve/server.rs
+++ b/entry/src/serve/server.rs
@@ -28,6 +28,7 @@
     },
 };
 use cicadabend_daemon::{
+    bodies::Bodies,
     clock::Clock,
     logs::budget::LineBudget,
     settings::EntrySettings, //
@@ -68,6 +69,8 @@
     pub(super) clock: Clock,
     pub(super) counts: Counts,
     pub(super) pool: ConnectionPool,
+    /// The request bodies in memory.
+    pub(super) held_bodies: Bodies,
     pub(super) admission: AdmissionControl,
     pub(super) claims: Rc<ClaimClient>,
     /// Limits the log lines on claims.
@@ -119,10 +122,12 @@
         let admission = AdmissionControl::new(&setup.settings);
         let daemon = setup.settings.daemon.clone();
         let claims = ClaimClient::start(setup.claims, daemon, setup.boot, setup.clock);
+        let memory_mb = setup.settings.memory_mb;
         let server = Rc::new(Self {
             settings: setup.settings,
             snapshot: setup.snapshot,
             clock: setup.clock,
+            held_bodies: Bodies::new(memory_mb, setup.clock, setup.metrics.clone()),
             counts: Counts::new(setup.metrics),
             pool,
             admission,
--- a/entry/src/serve/spec.rs
+++ b/entry/src/serve/spec.rs
@@ -2,10 +2,10 @@
 
 use std::{
     cell::Cell,
+    rc::Rc,
     time::Duration, //
 };
 
-use bytes::Bytes;
 use cicadabend::{
     caller_api::{
         ErrorCode,
@@ -30,6 +30,7 @@
         HEADER_RESUME_FROM, //
     },
 };
+use cicadabend_daemon::bodies::HeldBody;
 use http::{
     HeaderMap,
     HeaderValue,
@@ -76,7 +77,7 @@
 /// The body, from which each attempt gets its own copy or reader.
 pub(super) enum SpecBody {
     /// A body that is completely in memory.
-    Whole(Bytes),
+    Held(Rc<HeldBody>),
     /// A body that is passed on as the caller sends it; its first bytes are retained.
     Streamed(Replay),
 }
@@ -169,7 +170,7 @@
     /// Returns whether the body can be sent again from its beginning.
     pub(super) fn can_replay(&self) -> bool {
         match &self.body {
-            SpecBody::Whole(_) => true,
+            SpecBody::Held(_) => true,
             SpecBody::Streamed(replay) => replay.can_replay(),
         }
     }
@@ -189,7 +190,7 @@
         hash.update(self.parts.uri.to_string());
         hash.update([0]);
         match &self.body {
-            SpecBody::Whole(body) => hash.update(body),
+            SpecBody::Held(body) => body.segments().iter().for_each(|part| hash.update(part)),
             SpecBody::Streamed(replay) => hash.update(replay.beginning().await?),
         }
         let digest = hash.finalize();
@@ -216,7 +217,7 @@
         resume_from: Option<u64>,
     ) -> Request<RequestBody> {
         let body = match &self.body {
-            SpecBody::Whole(bytes) => RequestBody::whole(bytes.clone()),
+            SpecBody::Held(body) => RequestBody::held(body),
             SpecBody::Streamed(replay) => RequestBody::Replayed(replay.reader()),
         };
         let mut request = Request::new(body);
@@ -224,7 +225,7 @@
         *request.uri_mut() = self.parts.uri.clone();
         *request.headers_mut() = self.parts.headers.clone();
         let map = request.headers_mut();
-        if let SpecBody::Whole(_) = self.body {
+        if let SpecBody::Held(_) = self.body {
             map.remove(header::CONTENT_LENGTH);
         }
         if let Ok(host) = HeaderValue::from_str(&replica.address.to_string()) {
--- a/lib/src/admission/mod.rs
+++ b/lib/src/admission/mod.rs
@@ -4,8 +4,10 @@
 //! weight, a team's own requests by priority and deadline. [`divide_shares`] splits a
 //! team's limits between daemons. [`RetryBudget`] bounds the extra load that retries
 //! and hedges cause; [`HedgeTimer`] says after which time a request is hedged.
-//! [`OverloadDetector`] says when a thread must take no new connections.
+//! [`OverloadDetector`] says when a thread must take no new connections. [`BodyMemory`]
+//! bounds the memory that the bodies of all requests take.
 
+mod body_memory;
 mod hedge;
 mod limits;
 mod offer;
@@ -15,6 +17,14 @@
 mod service_queue;
 mod shares;
 
+pub use body_memory::{
+    BodyMemory,
+    BodyNumber,
+    Granted,
+    NoRoom,
+    RoomChange,
+    SMALL_BODY, //
+};
 pub use hedge::HedgeTimer;
 pub use offer::{
     AdmissionSettings,
--- a/lib/src/quarantine/fingerprint.rs
+++ b/lib/src/quarantine/fingerprint.rs
@@ -31,13 +31,16 @@
 }
 
 impl Fingerprint {
-    /// Returns the fingerprint of a request; `path` includes the query.
-    pub fn of(team: Option<&TeamName>, path: &str, body: &[u8]) -> Self {
+    /// Returns the fingerprint of a request; `path` includes the query, and `body` has the body's
+    /// segments in order.
+    pub fn of<T: AsRef<[u8]>>(team: Option<&TeamName>, path: &str, body: &[T]) -> Self {
         let mut content = Xxh3::new();
         // The length marks the border between path and body.
         content.update(&(path.len() as u64).to_le_bytes());
         content.update(path.as_bytes());
-        content.update(body);
+        for segment in body {
+            content.update(segment.as_ref());
+        }
         Self {
             caller: team.map_or(0, |team| xxh3_64(team.as_str().as_bytes())),
             content: content.digest(),
--- a/lib/tests/test_discovery/test_crashes.rs
+++ b/lib/tests/test_discovery/test_crashes.rs
@@ -17,7 +17,7 @@
 const SPREAD_MS: u64 = 150;
 
 fn fatal() -> Fingerprint {
-    Fingerprint::of(None, "/path", b"what ends an upstream")
+    Fingerprint::of(None, "/path", &[b"what ends an upstream"])
 }
 
 fn three_domains() -> World {
--- a/lib/tests/test_prompt_parts.rs
+++ b/lib/tests/test_prompt_parts.rs
@@ -229,7 +229,7 @@
 #[test]
 fn crashes_by_one_request_that_is_sent_again_are_not_held_against_its_parts() {
     let team: TeamName = "team-a".parse().unwrap();
-    let fingerprint = Fingerprint::of(Some(&team), "/path", b"what ends an upstream");
+    let fingerprint = Fingerprint::of(Some(&team), "/path", &[b"what ends an upstream"]);
     let mut spread = daemon("entry");
 
     for number in 1..=8 {
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -34,7 +34,7 @@
 
 fn fingerprint(body: &str) -> Fingerprint {
     let team: TeamName = "team-a".parse().unwrap();
-    Fingerprint::of(Some(&team), "/path", body.as_bytes())
+    Fingerprint::of(Some(&team), "/path", &[body])
 }
 
 /// Returns the status of the request with this body.
@@ -80,7 +80,7 @@
 ) {
     let team: Option<TeamName> = team.map(|team| team.parse().unwrap());
 
-    let other = Fingerprint::of(team.as_ref(), path, body.as_bytes());
+    let other = Fingerprint::of(team.as_ref(), path, &[body]);
 
     assert_ne!(other, fingerprint("body"));
 }
