entry: a request is refused by its head, before its body comes

What callers saw: a request with an unknown key, without a route, or announced far over the limit was answered only once its body had come, up to 4 MiB, or after the read timeout of 10 s with 408. A caller that awaited `100 Continue` was told to send a body which was then refused. With the body unread, hyper closed the connection, whose reset could take the response with it.

Cause: `answer` read the body before it looked at route and key.

Change: the head is admitted first. The body is read until the request's deadline at most.

Why it works: all but the body's room is known with the head, by the same table of routes as before: it was taken before the body already.

--- a/entry/src/serve/mod.rs
+++ b/entry/src/serve/mod.rs
@@ -42,6 +42,7 @@
 mod silence;
 mod spec;
 mod times;
+mod unread_body;
 mod upstream;
 mod wait;
 mod watched_body;
--- a/entry/src/serve/routed/admission.rs
+++ b/entry/src/serve/routed/admission.rs
@@ -1,4 +1,4 @@
-//! Admission of a request: reads its body, and finds its route, team and service.
+//! Admission of a request: finds its route, team and service, and reads its body.
 
 use std::time::Duration;
 
@@ -19,7 +19,10 @@
     request::Parts, //
 };
 use hyper::body::Incoming;
-use tokio::time::timeout;
+use tokio::time::{
+    Instant,
+    timeout_at, //
+};
 
 use super::{
     super::headers,
@@ -163,7 +166,7 @@
     chosen.expect("a checked route has a target").clone()
 }
 
-/// Reads the whole request body, so that it can be sent again in a retry.
+/// Reads the whole request body, so that it can be sent again in a retry, until `deadline`.
 ///
 /// # Errors
 ///
@@ -172,12 +175,14 @@
     server: &Server,
     view: &RoutedView,
     body: &mut Incoming,
+    deadline: Instant,
 ) -> Result<HeldBody, Refusal> {
     let limits = view.routes.as_ref().map(|routes| routes.table().limits);
     let own = server.settings.callers.max_body_bytes;
     let configured = limits.and_then(|limits| limits.body_bytes);
     let limit = configured.map_or(own, ByteCount);
     let read_timeout = Duration::from_millis(server.settings.callers.read_timeout_ms);
+    let until = deadline.min(Instant::now() + read_timeout);
     let incomplete = || {
         refusal(
             RoutedRefusal::BodyIncomplete,
@@ -185,7 +190,7 @@
             "the body did not come in time",
         )
     };
-    match timeout(read_timeout, server.bodies.read(body, limit)).await {
+    match timeout_at(until, server.bodies.read(body, limit)).await {
         Ok(Ok(body)) => Ok(body),
         Ok(Err(BodyReadError::TooLong)) => Err(refusal(
             RoutedRefusal::BodyTooLarge,
--- a/entry/src/serve/routed/handler.rs
+++ b/entry/src/serve/routed/handler.rs
@@ -18,7 +18,10 @@
 use tokio::time::Instant;
 
 use super::{
-    super::caller_stream::BrokenEnd,
+    super::{
+        caller_stream::BrokenEnd,
+        unread_body::UnreadBody, //
+    },
     admission::{
         Admitted,
         Refusal,
@@ -56,14 +59,22 @@
     let (parts, mut body) = request.into_parts();
     let caller_headers = server.edge.read_caller(&parts.headers);
     let view = server.view.load_full();
-    let body = read_body(&server, &view, &mut body).await;
-    let admitted =
-        body.and_then(|body| Ok((body, admit(&server, &view, &parts, &caller_headers)?)));
-    let (held, admitted) = match admitted {
+    // All that the head shows is checked before the body is read.
+    let admitted = match admit(&server, &view, &parts, &caller_headers) {
         Ok(admitted) => admitted,
-        Err(refusal) => return refuse_unadmitted(&server, &caller_headers, &refusal),
+        Err(refusal) => {
+            let unread = UnreadBody::new(body, &parts.headers);
+            return refuse_unadmitted(&server, &caller_headers, &refusal, unread);
+        }
     };
     let terms = terms_of(&server, &view, admitted, &caller_headers, arrived);
+    let held = match read_body(&server, &view, &mut body, terms.deadline).await {
+        Ok(held) => held,
+        Err(refusal) => {
+            let unread = UnreadBody::new(body, &parts.headers);
+            return refuse_unadmitted(&server, &caller_headers, &refusal, unread);
+        }
+    };
     server.counts.count(Routed::Requests);
     let prepared = PreparedRequest::new(terms, caller_headers, parts, held, connection_end);
     match RoutedExecution::new(&server, prepared) {
@@ -80,9 +91,12 @@
     server: &Server,
     caller_headers: &CallerHeaders,
     refusal: &Refusal,
+    unread: UnreadBody,
 ) -> Response<RoutedBody> {
     let id = caller_headers.request_id.as_deref();
-    refuse_early(server, refusal.reason, refusal.status, id, refusal.message)
+    let mut response = refuse_early(server, refusal.reason, refusal.status, id, refusal.message);
+    unread.discard(&server.discards, response.headers_mut());
+    response
 }
 
 /// Returns the service, deadline and priority of an admitted request.
--- a/entry/src/serve/routed/refusal.rs
+++ b/entry/src/serve/routed/refusal.rs
@@ -19,13 +19,14 @@
 };
 use crate::edge::OwnAnswer;
 
-/// Least retry delay for callers of a daemon that has no routes yet.
+/// Least retry delay for callers whose request was not admitted.
 ///
-/// When a whole fleet starts at once, its entry daemons need about this long to get the routes; an
-/// earlier client retry would only be refused again.
-const RETRY_NO_ROUTES: Duration = Duration::from_millis(800);
-/// Largest random addition to [`RETRY_NO_ROUTES`], so that callers don't all retry at once.
-const RETRY_NO_ROUTES_SPREAD: Duration = Duration::from_millis(500);
+/// When a whole fleet starts at once, its entry daemons need about this long to get the routes, and
+/// bodies that make no progress lose their room somewhat sooner. An earlier client retry would only
+/// be refused again.
+const RETRY_UNADMITTED: Duration = Duration::from_millis(800);
+/// Largest random addition to [`RETRY_UNADMITTED`], so that callers don't all retry at once.
+const RETRY_UNADMITTED_SPREAD: Duration = Duration::from_millis(500);
 /// Share of the time until the deadline after which a refused caller should retry.
 const RETRY_SHARE: f64 = 0.33;
 /// Share of the retry delay by which it varies at random between callers.
@@ -152,7 +153,7 @@
         why: message.to_owned(),
     });
     let spread = server.random_fraction();
-    let retry_after = RETRY_NO_ROUTES + RETRY_NO_ROUTES_SPREAD.mul_f64(spread);
+    let retry_after = RETRY_UNADMITTED + RETRY_UNADMITTED_SPREAD.mul_f64(spread);
     let answer = OwnAnswer {
         status,
         request_id,
--- a/entry/src/serve/routed/server.rs
+++ b/entry/src/serve/routed/server.rs
@@ -47,7 +47,10 @@
 use tokio::time::Instant;
 
 use super::{
-    super::upstream::ConnectionPool,
+    super::{
+        unread_body::Discards,
+        upstream::ConnectionPool, //
+    },
     RoutedSetup,
     counts::{
         Counts,
@@ -102,6 +105,7 @@
     pub(super) counts: Counts,
     pub(super) pool: ConnectionPool,
     pub(super) bodies: Bodies,
+    pub(super) discards: Rc<Discards>,
     pub(super) loads: RefCell<LoadTracker>,
     pub(super) latency_baselines: RefCell<LatencyBaselines>,
     pub(super) crash_watch: CrashWatch,
@@ -138,6 +142,7 @@
             counts: Counts::new(setup.metrics.clone()),
             pool: ConnectionPool::new(connect_timeout_ms),
             bodies: Bodies::new(setup.settings.memory_mb, setup.clock, setup.metrics.clone()),
+            discards: Rc::default(),
             loads: RefCell::default(),
             latency_baselines: RefCell::new(LatencyBaselines::new(
                 setup.settings.retries.late_quantile,
