control: the bodies of all calls share a bounded memory

What operators saw: a few clients that send large bodies to the control daemon end it for its memory (256 MB): 64 requests at once of 16 MiB each, and what is parsed from them, are gigabytes.

Cause: the same as at entry daemons: one body and the number of requests were bounded, not their sum. An upstream's report could have 16 MiB, too.

Change: `Bodies` reads them, within a quarter of `memory_mb`; a call without room gets 503, one that is too long 413 (503 "ended early" before). What is made of a body takes several times its length, so bodies of at most 16 MiB together are parsed and proposed at once; a small one waits for none but those before it.

Why it works: the bytes of unread calls are bounded by the room for bodies, and those of calls at work by the permits.

--- a/control/src/calls/mod.rs
+++ b/control/src/calls/mod.rs
@@ -14,16 +14,24 @@
     routes::RouteDocument, //
 };
 use cicadabend_daemon::{
+    bodies::{
+        Bodies,
+        BodyReadError,
+        HeldBody, //
+    },
     metrics::Metrics,
     ring::Sender, //
 };
-use http::Request;
-use http_body_util::{
-    BodyExt,
-    Full,
-    Limited, //
+use http::{
+    Method,
+    Request, //
 };
+use http_body_util::Full;
 use hyper::body::Incoming;
+use tokio::{
+    sync::Semaphore,
+    time::timeout, //
+};
 
 use crate::{
     counters::CallRefusal,
@@ -47,6 +55,10 @@
 /// How long a client may take to send a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The bodies that are parsed and proposed at once, in KiB; a longer one is handled alone.
+pub(crate) const MAX_HANDLED_KIB: u32 = 16 * 1024;
+const BYTES_PER_KIB: u64 = 1024;
+
 /// The connections and settings that answering a call needs.
 pub(crate) struct Calls {
     pub(crate) edge: Arc<dyn ControlEdge>,
@@ -55,7 +67,10 @@
     pub(crate) addresses: Arc<ArcSwap<ControlAddresses>>,
     pub(crate) members: Sender<MembersEvent>,
     pub(crate) metrics: Metrics,
-    pub(crate) limit_bytes: u64,
+    pub(crate) bodies: Bodies,
+    /// Bounds the bodies that are parsed and proposed at once, in KiB.
+    pub(crate) handling: Semaphore,
+    pub(crate) limit: ByteCount,
 }
 
 impl Calls {
@@ -68,27 +83,49 @@
     pub(crate) async fn answer(&self, request: Request<Incoming>) -> Answer {
         let method = request.method().clone();
         let path = request.uri().path().to_owned();
-        let answer = match self.read_body(request).await {
-            Ok(body) => {
-                self.handle_call(self.edge.read(&method, &path, &body))
-                    .await
-            }
-            Err(reason) => {
-                self.metrics.count(CallRefusal::BodyIncomplete);
-                CallAnswer::Unavailable(reason)
-            }
+        let answer = match self.read_body(&path, request).await {
+            Ok(body) => self.parse_and_handle(&method, &path, body).await,
+            Err(answer) => answer,
         };
         self.edge.answer(&path, &answer).map(Full::new)
     }
 
-    async fn read_body(&self, request: Request<Incoming>) -> Result<Bytes, String> {
-        let limit = usize::try_from(self.limit_bytes).unwrap_or(usize::MAX);
-        let collecting = Limited::new(request.into_body(), limit).collect();
-        match tokio::time::timeout(BODY_TIMEOUT, collecting).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(error)) => Err(format!("the request body ended early: {error}")),
-            Err(_) => Err("the request body did not arrive in time".to_owned()),
-        }
+    async fn parse_and_handle(&self, method: &Method, path: &str, body: HeldBody) -> CallAnswer {
+        // What is made of a body takes several times its length. So few large ones are handled at
+        // once, and a small one waits for none but those before it.
+        let kib = u32::try_from(body.length() / BYTES_PER_KIB).unwrap_or(u32::MAX);
+        let _permit = self.handling.acquire_many(kib.min(MAX_HANDLED_KIB)).await;
+        let call = self.edge.read(method, path, &body.to_contiguous());
+        drop(body);
+        self.handle_call(call).await
+    }
+
+    async fn read_body(
+        &self,
+        path: &str,
+        request: Request<Incoming>,
+    ) -> Result<HeldBody, CallAnswer> {
+        let limit = self.edge.longest_body(path).unwrap_or(self.limit);
+        let mut body = request.into_body();
+        let (refusal, answer) =
+            match timeout(BODY_TIMEOUT, self.bodies.read(&mut body, limit)).await {
+                Ok(Ok(body)) => return Ok(body),
+                Ok(Err(BodyReadError::TooLong)) => (CallRefusal::TooLong, CallAnswer::TooLong),
+                Ok(Err(BodyReadError::NoRoom)) => {
+                    let reason = "other request bodies take the memory".to_owned();
+                    (CallRefusal::NoBodyMemory, CallAnswer::Unavailable(reason))
+                }
+                Ok(Err(BodyReadError::Broken(error))) => {
+                    let reason = format!("the request body ended early: {error}");
+                    (CallRefusal::BodyIncomplete, CallAnswer::Unavailable(reason))
+                }
+                Err(_) => {
+                    let reason = "the request body did not arrive in time".to_owned();
+                    (CallRefusal::BodyIncomplete, CallAnswer::Unavailable(reason))
+                }
+            };
+        self.metrics.count(refusal);
+        Err(answer)
     }
 
     async fn handle_call(&self, call: Call) -> CallAnswer {
--- a/control/src/counters.rs
+++ b/control/src/counters.rs
@@ -15,7 +15,7 @@
         TooLarge,
         /// The body ended early or arrived too slowly.
         BodyIncomplete,
-        /// The maximum number of concurrent requests was reached.
+        /// The maximum number of concurrent requests was reached, or their bodies take the memory.
         Overloaded,
         /// Another revision was accepted during each attempt to compute the plan.
         PlanOvertaken,
@@ -79,6 +79,10 @@
     pub enum CallRefusal = "call_refusals" {
         /// The body ended early or arrived too slowly.
         BodyIncomplete,
+        /// The body is longer than allowed.
+        TooLong,
+        /// There is no room for the body beside the others that are in memory.
+        NoBodyMemory,
         /// The table of routes is invalid.
         Invalid,
         /// The call cannot be parsed.
--- a/control/src/edge.rs
+++ b/control/src/edge.rs
@@ -11,6 +11,7 @@
         EngineCommandOutcome, //
     },
     ids::Address,
+    prelude::*,
     registry::{
         InstanceId,
         Registration, //
@@ -51,6 +52,8 @@
     Document(Bytes),
     /// The call is invalid, for this reason, and changed nothing.
     Invalid(String),
+    /// The body is longer than allowed.
+    TooLong,
     /// The caller should send the call to the control daemon at this address.
     AskInstead(Address),
     /// The call cannot be answered now, for this reason; the caller should retry at any daemon.
@@ -62,6 +65,10 @@
     /// Returns whether this edge translates the call; all others belong to the operators' API.
     fn knows(&self, method: &Method, path: &str) -> bool;
 
+    /// Returns the length of the longest body of calls of a path; `None` if only the settings limit
+    /// it.
+    fn longest_body(&self, path: &str) -> Option<ByteCount>;
+
     /// Parses a call for which [`Self::knows`] has returned true.
     fn read(&self, method: &Method, path: &str, body: &[u8]) -> Call;
 
--- a/control/src/operators/body.rs
+++ b/control/src/operators/body.rs
@@ -3,18 +3,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cicadabend::prelude::*;
+use cicadabend_daemon::bodies::{
+    Bodies,
+    BodyReadError, //
+};
 use http::{
     Request,
     Response,
     StatusCode,
     header, //
 };
-use http_body_util::{
-    BodyExt,
-    Full,
-    LengthLimitError,
-    Limited, //
-};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use serde::{
     Serialize,
@@ -30,21 +30,27 @@
 /// How long an operator may take to send a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Reads a JSON body of at most `limit_bytes`.
+/// Reads a JSON body of at most `limit` bytes.
 pub(super) async fn read<T: DeserializeOwned>(
     request: Request<Incoming>,
-    limit_bytes: u64,
+    bodies: &Bodies,
+    limit: ByteCount,
 ) -> Result<T, Refusal> {
-    let limit = usize::try_from(limit_bytes).unwrap_or(usize::MAX);
-    let collecting = Limited::new(request.into_body(), limit).collect();
-    let collected = tokio::time::timeout(BODY_TIMEOUT, collecting)
+    let mut body = request.into_body();
+    let read = tokio::time::timeout(BODY_TIMEOUT, bodies.read(&mut body, limit))
         .await
         .map_err(|_| incomplete_body("the request body did not arrive in time".to_owned()))?;
-    let body = collected.map_err(|error| match error.is::<LengthLimitError>() {
-        true => Refusal::too_large(),
-        false => incomplete_body(format!("the request body ended early: {error}")),
+    let body = read.map_err(|error| match error {
+        BodyReadError::TooLong => Refusal::too_large(),
+        BodyReadError::NoRoom => {
+            let text = "other request bodies take the memory; try again";
+            Refusal::bad_request(OperatorRefusal::Overloaded, text)
+        }
+        BodyReadError::Broken(error) => {
+            incomplete_body(format!("the request body ended early: {error}"))
+        }
     })?;
-    parse(&body.to_bytes())
+    parse(&body.to_contiguous())
 }
 
 fn incomplete_body(text: String) -> Refusal {
--- a/control/src/operators/mod.rs
+++ b/control/src/operators/mod.rs
@@ -11,6 +11,7 @@
 
 use cicadabend::fleet::spread::Topology;
 use cicadabend_daemon::{
+    bodies::Bodies,
     clock::Clock,
     metrics::Metrics,
     settings::ControlSettings, //
@@ -35,6 +36,8 @@
     pub(crate) tokens: Option<tokens::OperatorTokens>,
     /// Answers the calls that an edge translates; `None` without an edge.
     pub(crate) calls: Option<Calls>,
+    /// The request bodies in memory.
+    pub(crate) bodies: Bodies,
     /// The replicated log.
     pub(crate) replication: ReplicationHandle,
     /// The reports of the failure domains and the other control daemons' addresses.
--- a/control/src/operators/requests.rs
+++ b/control/src/operators/requests.rs
@@ -118,7 +118,8 @@
     }
 
     async fn body<T: DeserializeOwned>(&self, request: Request<Incoming>) -> Result<T, Refusal> {
-        body::read(request, self.settings.operators.max_request_bytes.0).await
+        let limit = self.settings.operators.max_request_bytes;
+        body::read(request, &self.bodies, limit).await
     }
 
     /// Returns a state that includes every command acknowledged before the call.
--- a/control/src/run.rs
+++ b/control/src/run.rs
@@ -25,6 +25,7 @@
     prelude::*,
 };
 use cicadabend_daemon::{
+    bodies::Bodies,
     duty,
     metrics::Metrics,
     peers::{
@@ -47,10 +48,16 @@
 };
 use displaydoc::Display;
 use thiserror::Error;
-use tokio::sync::watch;
+use tokio::sync::{
+    Semaphore,
+    watch, //
+};
 
 use crate::{
-    calls::Calls,
+    calls::{
+        Calls,
+        MAX_HANDLED_KIB, //
+    },
     claims,
     counters::{
         CallRefusal,
@@ -186,7 +193,9 @@
     let log = replication.clone();
     let mut threads = Vec::new();
     let (end, ended) = watch::channel(false);
+    let bodies = Bodies::new(settings.memory_mb, process.clock, process.metrics.clone());
     let start = MembersStart {
+        bodies: bodies.clone(),
         settings: &settings,
         process: &process,
         disk: folder.identity().clone(),
@@ -227,6 +236,7 @@
         settings,
         tokens,
         calls,
+        bodies,
         replication,
         view,
         metrics: process.metrics,
@@ -274,6 +284,7 @@
     process: &'a Process,
     disk: Voter,
     replication: &'a ReplicationHandle,
+    bodies: Bodies,
     peers: PeerSender,
     edge: Option<Arc<dyn ControlEdge>>,
     ended: watch::Receiver<bool>,
@@ -289,6 +300,7 @@
         process,
         disk,
         replication,
+        bodies,
         peers,
         edge,
         ended,
@@ -332,7 +344,9 @@
         addresses,
         members: events.clone(),
         metrics: process.metrics.clone(),
-        limit_bytes: settings.operators.max_request_bytes.0,
+        bodies,
+        handling: Semaphore::new(MAX_HANDLED_KIB as usize),
+        limit: settings.operators.max_request_bytes,
     });
     if let Some(calls) = &calls {
         let edge = Arc::clone(&calls.edge);
