entry, daemon: an idle connection gives way to a new one

What callers saw: clients that connect and send nothing, half a head or half a body take all connections of an entry daemon (1,500) for up to 18 s, and again after that; each further connection is closed unread, also that of the next ordinary caller. Idle connections to the listener for readiness were not bounded at all: they take descriptors until none is left, and the load balancer's checks with them.

Cause: at the limit the newcomer was closed, whatever the others did; the readiness listener had neither a limit nor a time for heads.

Change: `ConnectionTable` knows which connections are idle. At the limit the oldest without a served request gives way, then the one that has served nothing for longest, a second at least. A request whose body has not come counts as idle. One that is served, or whose response waits to be written, never gives way; if there are only such, the newcomer is closed as before. Callers' listeners, relays' connections (512) and readiness (64, heads within 60 s) use it.

Why it works: an ordinary caller sends its request with its connection, so it is served before others of its age give way; who stays silent is the first to go, and only if its place is needed.

--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`settings`]: JSON settings, validated before anything starts.
 //! - [`ring`]: the bounded rings that join a process's threads.
 //! - [`bodies`]: bodies of requests that are held in memory, within a limit.
+//! - [`connections`]: the open connections of a listener, within a limit.
 //! - [`duty`]: one named thread with its own single-threaded runtime for each duty.
 //! - [`peers`]: messages between the cluster's own processes, over TCP.
 //! - [`storage`]: the data folder, its journals and the disk's identity.
@@ -13,6 +14,7 @@
 
 pub mod bodies;
 pub mod clock;
+pub mod connections;
 pub mod daemon_events;
 pub mod duty;
 pub mod events;
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -34,7 +34,7 @@
     routing::RoutingSnapshot, //
 };
 use cicadabend_daemon::{
-    duty,
+    connections, duty,
     metrics::Metrics,
     peers::{
         Incoming,
@@ -92,9 +92,6 @@
     },
 };
 
-/// The number of connections that the kernel holds until they are accepted. It drops further ones,
-/// whose callers try again after a second.
-const LISTEN_BACKLOG: i32 = 4_096;
 /// The number of peer messages that can queue; senders retransmit dropped ones.
 const PEER_INBOX_CAPACITY: usize = 4_096;
 /// The number of replies to claims that can queue for the serving thread, which asks again if one
@@ -298,12 +295,7 @@
 }
 
 fn listen(address: Address) -> Result<TcpListener, ProcessError> {
-    let listen = || -> io::Result<TcpListener> {
-        let listener = TcpListener::bind(address)?;
-        rustix::net::listen(&listener, LISTEN_BACKLOG)?;
-        Ok(listener)
-    };
-    listen().map_err(|source| ProcessError::Listen { address, source })
+    connections::listen(address).map_err(|source| ProcessError::Listen { address, source })
 }
 
 /// The rings between the serving thread and the other threads.
--- a/entry/src/serve/caller_stream.rs
+++ b/entry/src/serve/caller_stream.rs
@@ -13,6 +13,7 @@
     time::Duration,
 };
 
+use cicadabend_daemon::connections::OpenConnection;
 use http::Version;
 use tokio::{
     io::{
@@ -66,15 +67,22 @@
     /// Runs while writes make no progress.
     stalled: Option<Pin<Box<Sleep>>>,
     broken_end: BrokenEnd,
+    connection: OpenConnection,
 }
 
 impl CallerStream {
-    pub(super) fn new(stream: TcpStream, limit: Duration, broken_end: BrokenEnd) -> Self {
+    pub(super) fn new(
+        stream: TcpStream,
+        limit: Duration,
+        broken_end: BrokenEnd,
+        connection: OpenConnection,
+    ) -> Self {
         Self {
             stream,
             limit,
             stalled: None,
             broken_end,
+            connection,
         }
     }
 
@@ -85,9 +93,12 @@
         context: &mut Context<'_>,
     ) -> Poll<io::Result<T>> {
         if polled.is_ready() {
-            self.stalled = None;
+            if self.stalled.take().is_some() {
+                self.connection.set_writing(false);
+            }
             return polled;
         }
+        self.connection.set_writing(true);
         let limit = self.limit;
         let stalled = self.stalled.get_or_insert_with(|| Box::pin(sleep(limit)));
         match stalled.as_mut().poll(context) {
--- a/entry/src/serve/completions.rs
+++ b/entry/src/serve/completions.rs
@@ -11,9 +11,12 @@
     prelude::*,
     request::RequestTraits, //
 };
-use cicadabend_daemon::bodies::{
-    BodyReadError,
-    HeldBody, //
+use cicadabend_daemon::{
+    bodies::{
+        BodyReadError,
+        HeldBody, //
+    },
+    connections::ConnectionRequest, //
 };
 use http::{
     Request,
@@ -56,10 +59,12 @@
     server: &Rc<Server>,
     caller: Caller,
     request: Request<Incoming>,
+    on_connection: &ConnectionRequest,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let options = RequestOptions::read(server, request.headers())?;
     let (parts, body) = request.into_parts();
     let body = read_body(server, body).await?;
+    on_connection.begin();
     let completion = parse(&body).map_err(|error| {
         let message = format!("The body is not a completion request: {error}.");
         Refusal::new(ErrorCode::BadRequest, message)
--- a/entry/src/serve/connections.rs
+++ b/entry/src/serve/connections.rs
@@ -1,22 +1,23 @@
 //! Accepts callers' connections up to a limit, and drains them when the daemon stops.
 
 use std::{
-    cell::Cell,
     future::Future,
-    rc::Rc,
     time::Duration, //
 };
 
-use cicadabend_daemon::settings::CallerSettings;
+use cicadabend_daemon::{
+    connections::{
+        ConnectionTable,
+        OpenConnection, //
+    },
+    settings::CallerSettings, //
+};
 use tokio::{
     net::{
         TcpListener,
         TcpStream, //
     },
-    sync::{
-        Notify,
-        watch, //
-    },
+    sync::watch,
     time::{
         sleep,
         timeout, //
@@ -44,70 +45,47 @@
     CutOff,
 }
 
-/// Counts open connections, and notifies when one closes.
-#[derive(Default)]
-pub(super) struct OpenConnections {
-    count: Cell<u32>,
-    closed: Notify,
-}
-
-/// Counts one connection as open until it is dropped.
-struct OpenConnection(Rc<OpenConnections>);
-
-impl OpenConnection {
-    fn open(all: &Rc<OpenConnections>) -> Self {
-        all.count.set(all.count.get() + 1);
-        Self(Rc::clone(all))
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.count.set(self.0.count.get() - 1);
-        self.0.closed.notify_one();
-    }
-}
-
-impl OpenConnections {
-    /// Returns the number of open connections.
-    fn count(&self) -> u32 {
-        self.count.get()
-    }
-
-    /// Waits until no connection is open.
-    async fn all_closed(&self) {
-        while self.count.get() > 0 {
-            self.closed.notified().await;
+/// Accepts connections forever, and serves each in a task of its own.
+///
+/// `admits` is asked before each one is served. One that it refuses is closed at once, and so is one
+/// for which no idle connection of the table gives way: its caller has to reconnect, but the other
+/// callers are not slowed down.
+pub(super) async fn accept_all<F>(
+    table: &ConnectionTable,
+    listener: &TcpListener,
+    mut admits: impl FnMut() -> bool,
+    mut on_full: impl FnMut(),
+    mut serve: impl FnMut(TcpStream, OpenConnection) -> F,
+) where
+    F: Future<Output = ()> + 'static,
+{
+    loop {
+        let stream = accept(listener).await;
+        if !admits() {
+            continue;
         }
-    }
-
-    /// Accepts connections forever, and serves each in a task of its own.
-    ///
-    /// `admits` is asked with the number of open connections. One that it refuses is closed at once:
-    /// its caller has to reconnect, but the other callers are not slowed down.
-    pub(super) async fn accept_all<F>(
-        self: &Rc<Self>,
-        listener: &TcpListener,
-        mut admits: impl FnMut(u32) -> bool,
-        mut serve: impl FnMut(TcpStream) -> F,
-    ) where
-        F: Future<Output = ()> + 'static,
-    {
-        loop {
-            let stream = accept(listener).await;
-            if !admits(self.count.get()) {
-                continue;
+        let Some(connection) = table.open() else {
+            on_full();
+            continue;
+        };
+        let served = serve(stream, connection.clone());
+        tokio::task::spawn_local(async move {
+            tokio::select! {
+                () = served => {}
+                () = connection.gives_way() => {}
             }
-            let guard = OpenConnection::open(self);
-            let connection = serve(stream);
-            tokio::task::spawn_local(async move {
-                connection.await;
-                drop(guard);
-            });
-        }
+        });
     }
 }
 
+/// How a listener decides on new connections.
+pub(super) struct ConnectionAdmission<A, R> {
+    /// Asked before each new connection is served.
+    pub(super) admits: A,
+    /// Called when a connection is closed because all others serve requests.
+    pub(super) on_full: R,
+}
+
 /// Accepts connections until `stopped` turns true, then drains them.
 ///
 /// A planned stop has three steps:
@@ -117,20 +95,20 @@
 /// 3. The listener closes. The daemon waits for all connections and then for `others_done`, at
 ///    most for `drain_timeout_ms`.
 ///
-/// `admits` is asked with the number of open connections before each one is served. Each call of `serve` gets a receiver that turns true when draining begins.
+/// Each call of `serve` gets a receiver that turns true when draining begins.
 pub(super) async fn serve_until_drained<F>(
     listener: TcpListener,
     callers: &CallerSettings,
     mut stopped: watch::Receiver<bool>,
     on_stop: impl FnOnce(),
-    admits: impl FnMut(u32) -> bool,
-    mut serve: impl FnMut(TcpStream, watch::Receiver<bool>) -> F,
+    admission: ConnectionAdmission<impl FnMut() -> bool, impl FnMut()>,
+    mut serve: impl FnMut(TcpStream, OpenConnection, watch::Receiver<bool>) -> F,
     others_done: impl Future<Output = ()>,
 ) -> DrainEnd
 where
     F: Future<Output = ()> + 'static,
 {
-    let open = Rc::new(OpenConnections::default());
+    let open = ConnectionTable::new(callers.max_connections as usize);
     let (drain, draining) = watch::channel(false);
     let notice = async {
         // An error means that the sender was dropped, which also means to stop.
@@ -139,7 +117,9 @@
         LogEvent::Draining {}.emit();
         sleep(Duration::from_millis(callers.drain_notice_ms)).await;
     };
-    let accepting = open.accept_all(&listener, admits, |stream| serve(stream, draining.clone()));
+    let ConnectionAdmission { admits, on_full } = admission;
+    let serve = |stream, connection| serve(stream, connection, draining.clone());
+    let accepting = accept_all(&open, &listener, admits, on_full, serve);
     tokio::select! {
         () = accepting => {}
         () = notice => {}
@@ -154,7 +134,7 @@
     let end = match timeout(limit, all_done).await {
         Ok(()) => DrainEnd::Drained,
         Err(_) => {
-            let connections = open.count();
+            let connections = u32::try_from(open.count()).unwrap_or(u32::MAX);
             LogEvent::CutOff { connections }.emit();
             DrainEnd::CutOff
         }
--- a/entry/src/serve/handler.rs
+++ b/entry/src/serve/handler.rs
@@ -14,6 +14,7 @@
     fleet::Service,
     prelude::*,
 };
+use cicadabend_daemon::connections::ConnectionRequest;
 use http::{
     Method,
     Request,
@@ -44,14 +45,21 @@
 const PATH_COMPLETIONS: &str = "/v1/completions";
 const PATH_MODELS: &str = "/v1/models";
 
-/// Handles one request; an error becomes an error response.
+/// Handles one request, which arrived `on_connection`; an error becomes an error response.
 pub(super) async fn answer(
     server: Rc<Server>,
     request: Request<Incoming>,
+    on_connection: &ConnectionRequest,
 ) -> Response<ResponseBody> {
     match request.uri().path() {
-        PATH_LIVE => return json(200, b"{\"live\":true}".to_vec()),
-        PATH_READY => return readiness_response(&server),
+        PATH_LIVE => {
+            on_connection.begin();
+            return json(200, b"{\"live\":true}".to_vec());
+        }
+        PATH_READY => {
+            on_connection.begin();
+            return readiness_response(&server);
+        }
         _ => {}
     }
     let Some(request_id) = caller::reserve_request_id(&server, request.headers()) else {
@@ -59,7 +67,7 @@
             .to_response("");
     };
     let id = request_id.id().to_string();
-    match dispatch(&server, request, request_id).await {
+    match dispatch(&server, request, request_id, on_connection).await {
         Ok(mut answer) => {
             headers::set(answer.headers_mut(), HEADER_REQUEST_ID, &id);
             answer
@@ -89,6 +97,7 @@
     server: &Rc<Server>,
     request: Request<Incoming>,
     request_id: RequestIdInUse,
+    on_connection: &ConnectionRequest,
 ) -> Result<Response<ResponseBody>, Refusal> {
     check_header_size(server, &request)?;
     let caller = caller::identify(server, request.headers(), request_id)?;
@@ -99,11 +108,12 @@
     });
     match (request.method(), request.uri().path()) {
         (&Method::POST, PATH_CHAT_COMPLETIONS | PATH_COMPLETIONS) => {
-            completions::answer(server, caller, request).await
+            completions::answer(server, caller, request, on_connection).await
         }
         (&Method::GET, PATH_MODELS) => Ok(list_models(&caller)),
         _ => {
             let service = plain_service_name(&request)?;
+            on_connection.begin();
             plain::answer(server, caller, service, request).await
         }
     }
--- a/entry/src/serve/listener.rs
+++ b/entry/src/serve/listener.rs
@@ -9,6 +9,7 @@
     time::Duration, //
 };
 
+use cicadabend_daemon::connections::OpenConnection;
 use http::Request;
 use hyper::{
     body::Incoming,
@@ -37,10 +38,12 @@
         CallerStream, //
     },
     connections::{
+        ConnectionAdmission,
         header_buffer,
         serve_until_drained, //
     },
     counts::Serving,
+    guarded_body::GuardedBody,
     handler,
     server::Server, //
 };
@@ -48,6 +51,11 @@
 /// Interval of HTTP/2 pings, which detect a caller that is no longer there.
 const HTTP2_PING_MS: u64 = 10_000;
 
+/// Requests at once on one HTTP/2 connection.
+const HTTP2_STREAMS: u32 = 100;
+/// Bytes that may arrive unread on one HTTP/2 connection, over all of its streams.
+const HTTP2_WINDOW_BYTES: u32 = 64 * 1024;
+
 /// Runs hyper's tasks on this thread.
 #[derive(Clone, Copy)]
 struct LocalExecutor;
@@ -76,25 +84,22 @@
         &callers,
         stopped,
         || server.draining.set(true),
-        |open| admits_connection(&server, open),
-        |stream, draining| serve_connection(stream, Rc::clone(&server), draining),
+        ConnectionAdmission {
+            admits: || true,
+            on_full: || server.counts.count(Serving::ConnectionsRefused),
+        },
+        |stream, connection, draining| {
+            serve_connection(stream, connection, Rc::clone(&server), draining)
+        },
         others_done,
     )
     .await;
 }
 
-/// Returns whether a connection is served besides those that are open; counts it if it isn't.
-fn admits_connection(server: &Server, open: u32) -> bool {
-    let has_room = open < server.settings.callers.max_connections;
-    if !has_room {
-        server.counts.count(Serving::ConnectionsRefused);
-    }
-    has_room
-}
-
 /// Serves one connection; closes it if no request arrives within the read timeout.
 async fn serve_connection(
     stream: TcpStream,
+    connection: OpenConnection,
     server: Rc<Server>,
     mut draining: watch::Receiver<bool>,
 ) {
@@ -106,17 +111,20 @@
     let request_seen = Rc::clone(&has_request);
     let broken_end = BrokenEnd::default();
     let of_request = broken_end.clone();
+    let caller = connection.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         request_seen.set(true);
         of_request.record_request(request.version());
         let server = Rc::clone(&server);
+        let on_connection = caller.request();
         async move {
-            let answer = handler::answer(Rc::clone(&server), request).await;
-            Ok::<_, Infallible>(answer.map(|body| server.bodies.watch(body)))
+            let answer = handler::answer(Rc::clone(&server), request, &on_connection).await;
+            let watched = answer.map(|body| server.bodies.watch(body));
+            Ok::<_, Infallible>(watched.map(|body| GuardedBody::new(body, on_connection)))
         }
     });
-    let stream = TokioIo::new(CallerStream::new(stream, read_timeout, broken_end.clone()));
-    let mut connection = pin!(builder.serve_connection(stream, service));
+    let stream = CallerStream::new(stream, read_timeout, broken_end.clone(), connection);
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
     let mut first_request_timer = pin!(sleep(read_timeout));
     let mut shutting_down = false;
     let mut first_request_checked = false;
@@ -157,6 +165,9 @@
         .timer(TokioTimer::new())
         .keep_alive_interval(Duration::from_millis(HTTP2_PING_MS))
         .keep_alive_timeout(read_timeout)
+        .max_concurrent_streams(HTTP2_STREAMS)
+        .initial_stream_window_size(HTTP2_WINDOW_BYTES)
+        .initial_connection_window_size(HTTP2_WINDOW_BYTES)
         .max_header_list_size(u32::try_from(buffer).unwrap_or(u32::MAX));
     builder
 }
--- a/entry/src/serve/mod.rs
+++ b/entry/src/serve/mod.rs
@@ -23,6 +23,7 @@
 mod event_sources;
 mod events;
 mod exchange;
+mod guarded_body;
 mod handler;
 mod headers;
 mod hedge;
--- a/entry/src/serve/routed/handler.rs
+++ b/entry/src/serve/routed/handler.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use cicadabend::dispatch::urgency;
+use cicadabend_daemon::connections::ConnectionRequest;
 use http::{
     HeaderValue,
     Request,
@@ -48,11 +49,12 @@
     members::RoutedView, //
 };
 
-/// Answers one request; errors become responses too. `connection_end` is that of the caller's
-/// connection.
+/// Answers one request; errors become responses too. `on_connection` and `connection_end` are those
+/// of the caller's connection.
 pub(super) async fn answer(
     server: Rc<Server>,
     request: Request<Incoming>,
+    on_connection: &ConnectionRequest,
     connection_end: BrokenEnd,
 ) -> Response<RoutedBody> {
     let arrived = Instant::now();
@@ -75,6 +77,7 @@
             return refuse_unadmitted(&server, &caller_headers, &refusal, unread);
         }
     };
+    on_connection.begin();
     server.counts.count(Routed::Requests);
     let prepared = PreparedRequest::new(terms, caller_headers, parts, held, connection_end);
     match RoutedExecution::new(&server, prepared) {
--- a/entry/src/serve/routed/listener.rs
+++ b/entry/src/serve/routed/listener.rs
@@ -8,6 +8,10 @@
 };
 
 use cicadabend::breaker::Breakers;
+use cicadabend_daemon::connections::{
+    ConnectionTable,
+    OpenConnection, //
+};
 use http::Request;
 use hyper::{
     body::Incoming,
@@ -33,17 +37,27 @@
             CallerStream, //
         },
         connections::{
+            ConnectionAdmission,
             DrainEnd,
-            accept,
+            accept_all,
             header_buffer,
             serve_until_drained, //
         },
-        events::LogEvent, //
+        events::LogEvent,
+        guarded_body::GuardedBody, //
     },
-    RoutedSetup, handler, overload, relay_server,
+    RoutedSetup,
+    counts::Routed,
+    handler, overload, relay_server,
     server::Server,
 };
 
+/// Connections of the load balancer that are open at once.
+const MAX_READINESS_CONNECTIONS: usize = 64;
+/// Time for which a connection of the load balancer may be idle; checks come every few seconds.
+const READINESS_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+const READINESS_BUFFER_BYTES: usize = 16 * 1024;
+
 /// Accepts connections until `stopped` turns true, then drains them.
 pub(super) async fn run(
     mut setup: RoutedSetup,
@@ -82,8 +96,13 @@
         &callers,
         stopped,
         || server.draining.set(true),
-        |open| overload::admits_connection(&server, open),
-        |stream, draining| serve_caller(stream, Rc::clone(&server), draining),
+        ConnectionAdmission {
+            admits: || overload::admits_connection(&server),
+            on_full: || server.counts.count(Routed::ConnectionsShed),
+        },
+        |stream, connection, draining| {
+            serve_caller(stream, connection, Rc::clone(&server), draining)
+        },
         server.relay.all_ended(),
     )
     .await;
@@ -91,21 +110,31 @@
     server.is_cut_off.set(end == DrainEnd::CutOff);
 }
 
-async fn serve_caller(stream: TcpStream, server: Rc<Server>, mut draining: watch::Receiver<bool>) {
+async fn serve_caller(
+    stream: TcpStream,
+    connection: OpenConnection,
+    server: Rc<Server>,
+    mut draining: watch::Receiver<bool>,
+) {
     // Events are small; Nagle's algorithm would delay them.
     let _ = stream.set_nodelay(true);
     let builder = connection_builder(&server);
     let stall = Duration::from_millis(server.settings.callers.read_timeout_ms);
     let broken_end = BrokenEnd::default();
     let of_request = broken_end.clone();
+    let caller = connection.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         of_request.record_request(request.version());
         let server = Rc::clone(&server);
         let end = of_request.clone();
-        async move { Ok::<_, Infallible>(handler::answer(server, request, end).await) }
+        let on_connection = caller.request();
+        async move {
+            let response = handler::answer(server, request, &on_connection, end).await;
+            Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, on_connection)))
+        }
     });
-    let stream = TokioIo::new(CallerStream::new(stream, stall, broken_end.clone()));
-    let mut connection = pin!(builder.serve_connection(stream, service));
+    let stream = CallerStream::new(stream, stall, broken_end.clone(), connection);
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
     let mut shutting_down = false;
     loop {
         tokio::select! {
@@ -151,18 +180,23 @@
 
 /// Answers the load balancer's readiness checks on their own listener.
 async fn serve_readiness(listener: TcpListener, server: Rc<Server>) {
-    loop {
-        let stream = accept(&listener).await;
+    let open = ConnectionTable::new(MAX_READINESS_CONNECTIONS);
+    let serve = |stream, connection: OpenConnection| {
         let server = Rc::clone(&server);
-        tokio::task::spawn_local(async move {
+        async move {
             let service = service_fn(|_| {
+                connection.request().begin();
                 let response = handler::readiness(&server);
                 async move { Ok::<_, Infallible>(response) }
             });
             // The load balancer repeats a check that fails.
             let _ = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(READINESS_IDLE_TIMEOUT)
+                .max_buf_size(READINESS_BUFFER_BYTES)
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
-        });
-    }
+        }
+    };
+    accept_all(&open, &listener, || true, || {}, serve).await;
 }
--- a/entry/src/serve/routed/overload.rs
+++ b/entry/src/serve/routed/overload.rs
@@ -40,15 +40,14 @@
     has_new_connection: Cell<bool>,
 }
 
-/// Returns whether a connection is served besides those that are open; counts it if it isn't.
-pub(super) fn admits_connection(server: &Rc<Server>, open: u32) -> bool {
+/// Returns whether a new connection is served; counts it if it isn't.
+pub(super) fn admits_connection(server: &Rc<Server>) -> bool {
     let overload = &server.overload;
     overload.has_new_connection.set(true);
     if !overload.is_probing.replace(true) {
         tokio::task::spawn_local(probe(Rc::clone(server)));
     }
-    let has_room = open < server.settings.callers.max_connections;
-    let admits = has_room && !overload.detector.borrow().is_overloaded();
+    let admits = !overload.detector.borrow().is_overloaded();
     if !admits {
         server.counts.count(Routed::ConnectionsShed);
     }
--- a/entry/src/serve/routed/relay_server.rs
+++ b/entry/src/serve/routed/relay_server.rs
@@ -15,9 +15,16 @@
     prelude::*,
     reach::LinkUse, //
 };
-use cicadabend_daemon::bodies::{
-    BodyReadError,
-    HeldBody, //
+use cicadabend_daemon::{
+    bodies::{
+        BodyReadError,
+        HeldBody, //
+    },
+    connections::{
+        ConnectionRequest,
+        ConnectionTable,
+        OpenConnection, //
+    },
 };
 use http::{
     HeaderValue,
@@ -52,9 +59,10 @@
     super::{
         body::RequestBody,
         connections::{
-            OpenConnections,
+            accept_all,
             header_buffer, //
         },
+        guarded_body::GuardedBody,
         headers,
         upstream::{
             AttemptError,
@@ -90,7 +98,7 @@
 };
 
 /// Connections of other daemons that are open at once.
-const MAX_CONNECTIONS: u32 = 512;
+const MAX_CONNECTIONS: usize = 512;
 /// Largest body of a relayed request.
 const MAX_BODY: ByteCount = ByteCount(32 * 1024 * 1024);
 /// Time for which a connection may be idle; longer than daemons keep it in their pools.
@@ -109,20 +117,13 @@
 /// requests that are just being written would be lost with them, and nobody could tell whether
 /// they had run.
 pub(super) async fn serve(listener: TcpListener, server: Rc<Server>) {
-    let open = Rc::new(OpenConnections::default());
-    let admits = |open| {
-        let has_room = open < MAX_CONNECTIONS;
-        if !has_room {
-            server.counts.count(Routed::RelayConnectionsRefused);
-        }
-        has_room
-    };
-    let serve = |stream| serve_daemon(stream, Rc::clone(&server));
-    let accepting = open.accept_all(&listener, admits, serve);
-    accepting.await;
+    let open = ConnectionTable::new(MAX_CONNECTIONS);
+    let on_full = || server.counts.count(Routed::RelayConnectionsRefused);
+    let serve = |stream, connection| serve_daemon(stream, connection, Rc::clone(&server));
+    accept_all(&open, &listener, || true, on_full, serve).await;
 }
 
-async fn serve_daemon(stream: TcpStream, server: Rc<Server>) {
+async fn serve_daemon(stream: TcpStream, connection: OpenConnection, server: Rc<Server>) {
     let _ = stream.set_nodelay(true);
     let buffer = header_buffer(server.settings.callers.max_header_bytes.0);
     let mut builder = http1::Builder::new();
@@ -132,7 +133,11 @@
         .max_buf_size(buffer);
     let service = service_fn(move |request| {
         let server = Rc::clone(&server);
-        async move { Ok::<_, Infallible>(answer(server, request).await) }
+        let on_connection = connection.request();
+        async move {
+            let response = answer(server, request, &on_connection).await;
+            Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, on_connection)))
+        }
     });
     // The daemon that asked sees by itself that its connection broke.
     let _ = builder
@@ -140,7 +145,11 @@
         .await;
 }
 
-async fn answer(server: Rc<Server>, request: Request<Incoming>) -> Response<RelayBody> {
+async fn answer(
+    server: Rc<Server>,
+    request: Request<Incoming>,
+    on_connection: &ConnectionRequest,
+) -> Response<RelayBody> {
     let arrived = Instant::now();
     let (mut parts, body) = request.into_parts();
     let asked = RelayRequest::take(&mut parts.headers);
@@ -148,6 +157,7 @@
         server.counts.count(Routed::RelayStrangers);
         return own_answer(RelayReport::Stranger);
     };
+    on_connection.begin();
     let caller = server.edge.read_caller(&parts.headers);
     let outcome = relay(&server, &asked, &caller, parts, body).await;
     let report = match &outcome {
