daemon: connections to the metrics are bounded

What an operator saw: nothing bounded the connections to the metrics' listener, nor the time for a request's head. Clients that connect and stay take descriptors until none is left for callers and peers, at entry and control daemons alike.

Change: 64 connections, of which the longest idle one gives way to a new one; a head must come within 120 s, and its buffer has 16 KiB.

Why it works: the limit is on what is open, and whoever fetches metrics gets a place by taking that of a silent client.

--- a/daemon/src/metrics/listener.rs
+++ b/daemon/src/metrics/listener.rs
@@ -24,7 +24,10 @@
     server::conn::http1,
     service::service_fn, //
 };
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{
+    TokioIo,
+    TokioTimer, //
+};
 use tokio::net::{
     TcpListener,
     TcpStream, //
@@ -34,7 +37,13 @@
     Metrics,
     text, //
 };
-use crate::duty;
+use crate::{
+    connections::{
+        ConnectionTable,
+        OpenConnection, //
+    },
+    duty,
+};
 
 /// Where the figures are, as JSON.
 const PATH_METRICS: &str = "/metrics";
@@ -43,6 +52,11 @@
 
 /// The pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Connections that are open at once.
+const MAX_CONNECTIONS: usize = 64;
+/// Time for which a connection may be idle; longer than metrics are usually fetched apart.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
+const BUFFER_BYTES: usize = 16 * 1024;
 /// A packet that is not full waits this long at most.
 pub const FLUSH_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -76,24 +90,37 @@
 }
 
 async fn accept(listener: TcpListener, metrics: Metrics) {
+    let open = ConnectionTable::new(MAX_CONNECTIONS);
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(answer(stream, metrics.clone()));
-            }
+        let Ok((stream, _)) = listener.accept().await else {
             // Without a pause, a lack of descriptors would make this thread spin.
-            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
-        }
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let Some(connection) = open.open() else {
+            continue;
+        };
+        let metrics = metrics.clone();
+        tokio::task::spawn_local(async move {
+            tokio::select! {
+                () = answer(stream, &connection, &metrics) => {}
+                () = connection.gives_way() => {}
+            }
+        });
     }
 }
 
-async fn answer(stream: TcpStream, metrics: Metrics) {
+async fn answer(stream: TcpStream, connection: &OpenConnection, metrics: &Metrics) {
     let service = service_fn(|request: Request<Incoming>| {
-        let response = respond(&request, &metrics);
+        connection.request().begin();
+        let response = respond(&request, metrics);
         async { Ok::<_, Infallible>(response) }
     });
     // The client is gone if this fails; there is nobody to tell.
     let _ = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE_TIMEOUT)
+        .max_buf_size(BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service)
         .await;
 }
