control: an idle connection gives way to a new one

What operators and upstreams saw: clients that connect to a control daemon and send nothing keep their connection for ever (no time for the first bytes), until no descriptor is left. Eighty of them that send half a body take the place of all other calls for 5 s, since at most 64 were answered at once, reading included: "more than 64 requests are running". The kernel held 128 connections that were not accepted yet and dropped further ones, whose clients try again after a second.

Change: 2,048 connections, of which the longest idle one gives way to a new one; a request at work keeps its place. Requests at once are bounded by connections, and what they hold by the room for bodies and by the permits for those at work. On HTTP/2, 16 requests and 64 KiB unread for each connection.

Why it works: descriptors are bounded below what the machine allows, and a call that is served can't be displaced.

--- a/control/src/calls/mod.rs
+++ b/control/src/calls/mod.rs
@@ -19,6 +19,7 @@
         BodyReadError,
         HeldBody, //
     },
+    connections::ConnectionRequest,
     metrics::Metrics,
     ring::Sender, //
 };
@@ -80,11 +81,18 @@
     }
 
     /// Answers a call; a failure becomes an answer, too.
-    pub(crate) async fn answer(&self, request: Request<Incoming>) -> Answer {
+    pub(crate) async fn answer(
+        &self,
+        request: Request<Incoming>,
+        on_connection: &ConnectionRequest,
+    ) -> Answer {
         let method = request.method().clone();
         let path = request.uri().path().to_owned();
         let answer = match self.read_body(&path, request).await {
-            Ok(body) => self.parse_and_handle(&method, &path, body).await,
+            Ok(body) => {
+                on_connection.begin();
+                self.parse_and_handle(&method, &path, body).await
+            }
             Err(answer) => answer,
         };
         self.edge.answer(&path, &answer).map(Full::new)
--- a/control/src/operators/listener.rs
+++ b/control/src/operators/listener.rs
@@ -7,7 +7,14 @@
     time::Duration, //
 };
 
-use cicadabend_daemon::stop::StopSignal;
+use cicadabend_daemon::{
+    connections::{
+        ConnectionRequest,
+        ConnectionTable,
+        OpenConnection, //
+    },
+    stop::StopSignal, //
+};
 use hyper::{
     body::Incoming,
     service::service_fn, //
@@ -53,11 +60,20 @@
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long one request may take; longer than the replicated log's timeout for a command.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(30);
-/// The maximum number of concurrent requests; enough for operators, who are people and their
-/// scripts.
-const MAX_CONCURRENT_REQUESTS: usize = 64;
+/// The maximum number of concurrent requests, among them those whose bodies are still coming.
+const MAX_CONCURRENT_REQUESTS: usize = MAX_CONNECTIONS;
 
-type Request = http::Request<Incoming>;
+/// Connections of operators and upstreams that are open at once.
+const MAX_CONNECTIONS: usize = 2_048;
+/// Requests at once on one HTTP/2 connection.
+const HTTP2_STREAMS: u32 = 16;
+/// Bytes that may arrive unread on one HTTP/2 connection, over all of its streams.
+const HTTP2_WINDOW_BYTES: u32 = 64 * 1024;
+/// Size of the buffer for a request's headers.
+const HEADER_BUFFER_BYTES: usize = 32 * 1024;
+
+/// A request, and its part in its connection.
+type Request = (http::Request<Incoming>, Arc<ConnectionRequest>);
 
 /// Serves operators until a stop is requested.
 pub(crate) async fn serve(
@@ -75,14 +91,18 @@
     };
     let graceful = GracefulShutdown::new();
     let bounded = limited_service(Arc::clone(&operators));
+    let open = ConnectionTable::new(MAX_CONNECTIONS);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = stop.requested() => break,
         };
-        match accepted {
-            Ok((stream, _)) => serve_connection(&operators, bounded.clone(), stream, &graceful),
-            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if let Some(connection) = open.open() {
+            serve_connection(&operators, bounded.clone(), (stream, connection), &graceful);
         }
     }
     drop(listener);
@@ -106,24 +126,25 @@
         .load_shed()
         .concurrency_limit(MAX_CONCURRENT_REQUESTS)
         .timeout(REQUEST_TIMEOUT)
-        .service_fn(move |request: Request| {
+        .service_fn(move |(request, on_connection): Request| {
             let operators = Arc::clone(&operators);
-            async move { Ok::<_, Infallible>(operators.answer(request).await) }
+            async move { Ok::<_, Infallible>(operators.answer(request, &on_connection).await) }
         })
 }
 
 fn serve_connection<S>(
     operators: &Arc<Operators>,
     bounded: S,
-    stream: TcpStream,
+    (stream, open): (TcpStream, OpenConnection),
     graceful: &GracefulShutdown,
 ) where
     S: Service<Request, Response = Answer, Error = BoxError, Future: Send> + Clone + Send + 'static,
 {
     let operators = Arc::clone(operators);
-    let service = service_fn(move |request: Request| {
+    let of_request = open.clone();
+    let service = service_fn(move |request| {
         let operators = Arc::clone(&operators);
-        let answer = bounded.clone().oneshot(request);
+        let answer = bounded.clone().oneshot((request, of_request.request()));
         async move {
             let answer = answer.await;
             Ok::<_, io::Error>(
@@ -135,11 +156,22 @@
     server
         .http1()
         .timer(TokioTimer::new())
+        .max_buf_size(HEADER_BUFFER_BYTES)
         .header_read_timeout(HEADER_TIMEOUT);
+    server
+        .http2()
+        .max_concurrent_streams(HTTP2_STREAMS)
+        .initial_stream_window_size(HTTP2_WINDOW_BYTES)
+        .initial_connection_window_size(HTTP2_WINDOW_BYTES);
     let connection = server.serve_connection(TokioIo::new(stream), service);
     let connection = graceful.watch(connection.into_owned());
     // An error of the connection needs no handling here: the operator notices it.
-    tokio::spawn(async move { connection.await.ok() });
+    tokio::spawn(async move {
+        tokio::select! {
+            _ = connection => {}
+            () = open.gives_way() => {}
+        }
+    });
 }
 
 /// Returns the refusal for the limit that a request has exceeded.
--- a/control/src/operators/requests.rs
+++ b/control/src/operators/requests.rs
@@ -24,6 +24,7 @@
         PlanProgress, //
     },
 };
+use cicadabend_daemon::connections::ConnectionRequest;
 use http::{
     Method,
     Request,
@@ -49,15 +50,22 @@
 
 impl Operators {
     /// Answers one request; a failure becomes an answer, too.
-    pub(super) async fn answer(&self, request: Request<Incoming>) -> Answer {
+    pub(super) async fn answer(
+        &self,
+        request: Request<Incoming>,
+        on_connection: &ConnectionRequest,
+    ) -> Answer {
         if let Some(calls) = &self.calls
             && calls.knows(&request)
         {
-            return calls.answer(request).await;
+            return calls.answer(request, on_connection).await;
         }
         let method = request.method().clone();
         let path = request.uri().path().to_owned();
         let operator = self.authenticate(&request);
+        if operator.is_some() {
+            on_connection.begin();
+        }
         let outcome = match &operator {
             Some(operator) => self.dispatch(operator, &method, &path, request).await,
             None => Err(Refusal::unauthorized()),
--- a/control/src/run.rs
+++ b/control/src/run.rs
@@ -26,7 +26,7 @@
 };
 use cicadabend_daemon::{
     bodies::Bodies,
-    duty,
+    connections, duty,
     metrics::Metrics,
     peers::{
         PeerError,
@@ -386,7 +386,7 @@
 fn listen(settings: &ControlSettings) -> Result<TcpListener, RunError> {
     let address = settings.operators.listen;
     let error = |source| RunError::Listen { address, source };
-    let listener = TcpListener::bind(address).map_err(error)?;
+    let listener = connections::listen(address).map_err(error)?;
     listener.set_nonblocking(true).map_err(error)?;
     let address = listener.local_addr().map_err(error)?;
     LogEvent::OperatorsListening { address }.emit();
--- a/daemon/tests/test_connections.rs
+++ b/daemon/tests/test_connections.rs
@@ -1,7 +1,5 @@
 //! The open connections of a listener, within a limit.
 
-#![expect(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
-
 use std::{
     future::Future,
     pin::pin,
