entry: answers that are not read take a bounded memory

Cause: each response is held up to 256 KiB until it is whole, is then given to the caller's connection in one piece, and the upstream's connection reads up to 408 KiB ahead meanwhile; nothing bounded their sum.

Change: held responses take at most an eighth of `memory_mb` together; beyond it one is passed on before it is whole, as long ones are. They are given to the caller's connection in frames of 16 KiB, so that the rest stays counted. The read buffer of a connection to an upstream has at most 32 KiB.

Why it works: what is held is counted by capacity until its last frame is taken, and what is not held goes on only as fast as its caller reads. An answer that is passed on early can't be asked for elsewhere if it breaks off; that happens only while an eighth of the memory is in use for others.

--- a/entry/src/serve/routed/body.rs
+++ b/entry/src/serve/routed/body.rs
@@ -18,6 +18,7 @@
 
 use super::{
     super::body::{BodyError, poll_whole},
+    held_answer::HeldAnswer,
     passed_body::PassedBody,
     stream::StreamBody,
 };
@@ -27,8 +28,10 @@
 
 /// A response body that is being sent to a caller.
 pub(super) enum RoutedBody {
-    /// A body that is completely in memory.
-    Whole(Full<Bytes>),
+    /// The body of a response of the daemon's own.
+    Own(Full<Bytes>),
+    /// An upstream's body that is completely in memory.
+    Held(HeldAnswer),
     /// A body that is passed on unchanged as the upstream sends it.
     Passed(Box<PassedBody>),
     /// An event stream, which is resumed at another replica if it breaks off.
@@ -37,7 +40,7 @@
 
 impl RoutedBody {
     pub(super) fn from_bytes(bytes: Bytes) -> Self {
-        RoutedBody::Whole(Full::new(bytes))
+        RoutedBody::Own(Full::new(bytes))
     }
 }
 
@@ -50,7 +53,8 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
-            RoutedBody::Whole(whole) => poll_whole(whole, context),
+            RoutedBody::Own(own) => poll_whole(own, context),
+            RoutedBody::Held(held) => Poll::Ready(held.next_frame().map(Frame::data).map(Ok)),
             RoutedBody::Passed(body) => body.poll_frame(context),
             RoutedBody::Stream(body) => body.poll_frame(context),
         }
@@ -58,7 +62,8 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            RoutedBody::Whole(whole) => whole.is_end_stream(),
+            RoutedBody::Own(own) => own.is_end_stream(),
+            RoutedBody::Held(held) => held.is_empty(),
             // The end must be polled, since polling it ends the request's state machine.
             RoutedBody::Passed(_) | RoutedBody::Stream(_) => false,
         }
@@ -66,7 +71,8 @@
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            RoutedBody::Whole(whole) => whole.size_hint(),
+            RoutedBody::Own(own) => own.size_hint(),
+            RoutedBody::Held(held) => SizeHint::with_exact(held.len() as u64),
             RoutedBody::Passed(body) => body.size_hint(),
             RoutedBody::Stream(_) => SizeHint::default(),
         }
--- a/entry/src/serve/routed/drive.rs
+++ b/entry/src/serve/routed/drive.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
 use cicadabend::{
     chart::{
         RequestAction,
@@ -31,6 +30,7 @@
     exchange::Answered,
     execution::RoutedExecution,
     failure::Failure,
+    held_answer::HeldAnswer,
     passed_body::PassedBody,
     stream::StreamBody,
 };
@@ -38,7 +38,7 @@
 /// An upstream's response with a server error, while another attempt is made.
 struct ErrorAnswer {
     parts: Parts,
-    body: Bytes,
+    body: HeldAnswer,
 }
 
 impl ErrorAnswer {
@@ -138,7 +138,7 @@
         match answered {
             Answered::Whole { parts, body } => {
                 self.record_answer_ended("answered");
-                build_response(parts, RoutedBody::from_bytes(body))
+                build_response(parts, RoutedBody::Held(body))
             }
             Answered::Passed {
                 parts,
--- a/entry/src/serve/routed/exchange.rs
+++ b/entry/src/serve/routed/exchange.rs
@@ -5,10 +5,7 @@
     time::Duration, //
 };
 
-use bytes::{
-    Bytes,
-    BytesMut, //
-};
+use bytes::Bytes;
 use http::{
     StatusCode,
     response::Parts, //
@@ -18,6 +15,7 @@
     super::upstream::SentBytes,
     delivered::Delivered,
     failure::Failure,
+    held_answer::HeldAnswer,
     prepared_request::PreparedRequest,
     server::Server,
     source::{
@@ -34,21 +32,17 @@
     members::RoutedReplica,
 };
 
-/// Largest response body that is read whole before any of it is passed on.
-///
-/// If such a response breaks off, the request can still be retried at another replica.
-const BUFFERED_ANSWER_LIMIT_BYTES: usize = 256 * 1024;
 /// Time for which a connection to a relay stays pooled; relays keep theirs longer.
 const RELAY_KEEP_ALIVE: Duration = Duration::from_secs(4);
 
 /// A response whose first chunk is here and may be passed on.
 pub(super) enum Answered {
     /// The whole body is here.
-    Whole { parts: Parts, body: Bytes },
+    Whole { parts: Parts, body: HeldAnswer },
     /// The beginning of a large body; the rest is passed on as it arrives.
     Passed {
         parts: Parts,
-        beginning: Bytes,
+        beginning: HeldAnswer,
         rest: AnswerRest,
     },
     /// The first events of an event stream.
@@ -122,13 +116,14 @@
     }
     if prepared.terms.route.kind.is_stream() && parts.status == StatusCode::OK {
         return read_first_events(
+            server,
             parts,
             rest,
             last_event.or(prepared.caller_headers.last_event),
         )
         .await;
     }
-    read_beginning(parts, rest).await
+    read_beginning(server, parts, rest).await
 }
 
 /// Checks that a response belongs to the request, so that no caller gets another one's response.
@@ -147,38 +142,45 @@
     }
 }
 
-async fn read_beginning(parts: Parts, mut rest: AnswerRest) -> Result<Answered, Failure> {
-    let mut beginning = BytesMut::new();
+async fn read_beginning(
+    server: &Server,
+    parts: Parts,
+    mut rest: AnswerRest,
+) -> Result<Answered, Failure> {
+    let mut beginning = HeldAnswer::new(&server.held_answers);
     loop {
         let data = std::future::poll_fn(|context| rest.poll_data(context)).await;
         match data {
-            Some(Ok(data)) => beginning.extend_from_slice(&data),
+            Some(Ok(data)) => beginning.push(&data),
             Some(Err(reason)) => return Err(Failure::Broken(reason)),
             None => {
-                rest.return_to_pool();
-                let body = beginning.freeze();
-                return Ok(Answered::Whole { parts, body });
-            }
-        }
-        if beginning.len() > BUFFERED_ANSWER_LIMIT_BYTES {
-            let beginning = beginning.freeze();
-            if rest.is_at_end() {
                 rest.return_to_pool();
                 return Ok(Answered::Whole {
                     parts,
                     body: beginning,
                 });
             }
-            return Ok(Answered::Passed {
+        }
+        if beginning.may_grow() {
+            continue;
+        }
+        if rest.is_at_end() {
+            rest.return_to_pool();
+            return Ok(Answered::Whole {
                 parts,
-                beginning,
-                rest,
+                body: beginning,
             });
         }
+        return Ok(Answered::Passed {
+            parts,
+            beginning,
+            rest,
+        });
     }
 }
 
 async fn read_first_events(
+    server: &Server,
     parts: Parts,
     rest: AnswerRest,
     last_event: Option<u64>,
@@ -195,7 +197,7 @@
         // A stream without events is complete: the caller may already have the last event.
         None => {
             source.return_to_pool();
-            let body = Bytes::new();
+            let body = HeldAnswer::new(&server.held_answers);
             Ok(Answered::Whole { parts, body })
         }
     }
--- a/entry/src/serve/routed/mod.rs
+++ b/entry/src/serve/routed/mod.rs
@@ -28,6 +28,7 @@
 //! - `server`: holds the state that all requests share.
 //! - `retry_budget`: limits retries, and keeps a ticket for each until it has arrived.
 //! - `delivered`, `relay_state`: a response whose head is here; the requests that are being relayed.
+//! - `held_answer`: responses that are held until they are whole.
 //! - `relay_headers`: what daemons tell each other of a relayed request.
 //! - `failure`, `source`, `prepared_request`: why an attempt failed; the remaining bytes of a
 //!   response; a request in a form that can be sent several times.
@@ -51,6 +52,7 @@
 mod failure;
 mod handler;
 mod hedge;
+mod held_answer;
 mod lines;
 mod links;
 mod listener;
--- a/entry/src/serve/routed/passed_body.rs
+++ b/entry/src/serve/routed/passed_body.rs
@@ -9,7 +9,6 @@
     },
 };
 
-use bytes::Bytes;
 use http_body::{
     Frame,
     SizeHint, //
@@ -24,24 +23,25 @@
     body::PolledFrame,
     counts::BrokenAnswer,
     execution::RoutedExecution,
+    held_answer::HeldAnswer,
     source::AnswerRest, //
 };
 
 /// An upstream's response body that is passed on unchanged until the request's deadline.
 pub(super) struct PassedBody {
     execution: RoutedExecution,
-    beginning: Option<Bytes>,
+    beginning: HeldAnswer,
     /// `None` once the body has ended or broken off.
     rest: Option<AnswerRest>,
     deadline: Pin<Box<Sleep>>,
 }
 
 impl PassedBody {
-    pub(super) fn new(execution: RoutedExecution, beginning: Bytes, rest: AnswerRest) -> Self {
+    pub(super) fn new(execution: RoutedExecution, beginning: HeldAnswer, rest: AnswerRest) -> Self {
         let deadline = execution.prepared.terms.deadline;
         Self {
             execution,
-            beginning: Some(beginning),
+            beginning,
             rest: Some(rest),
             deadline: Box::pin(sleep_until(deadline)),
         }
@@ -52,7 +52,7 @@
     }
 
     pub(super) fn poll_frame(&mut self, context: &mut Context<'_>) -> PolledFrame {
-        if let Some(beginning) = self.beginning.take() {
+        if let Some(beginning) = self.beginning.next_frame() {
             return Poll::Ready(Some(Ok(Frame::data(beginning))));
         }
         let Some(rest) = &mut self.rest else {
--- a/entry/src/serve/routed/resume.rs
+++ b/entry/src/serve/routed/resume.rs
@@ -301,7 +301,7 @@
         Ok(Answered::Stream { first, source, .. }) => Ok((first, Some(source))),
         // An empty success means that the stream's last event has already been passed on.
         Ok(Answered::Whole { parts, body }) if parts.status.is_success() && body.is_empty() => {
-            Ok((body, None))
+            Ok((Bytes::new(), None))
         }
         Ok(_) => {
             let why = "another replica could not resume the stream";
--- a/entry/src/serve/routed/server.rs
+++ b/entry/src/serve/routed/server.rs
@@ -59,6 +59,7 @@
     },
     crash_watch::CrashWatch,
     events::LogEvent,
+    held_answer::HeldAnswers,
     lines::RequestLines,
     links::{
         self,
@@ -106,6 +107,7 @@
     pub(super) pool: ConnectionPool,
     pub(super) bodies: Bodies,
     pub(super) discards: Rc<Discards>,
+    pub(super) held_answers: Rc<HeldAnswers>,
     pub(super) loads: RefCell<LoadTracker>,
     pub(super) latency_baselines: RefCell<LatencyBaselines>,
     pub(super) crash_watch: CrashWatch,
@@ -143,6 +145,7 @@
             pool: ConnectionPool::new(connect_timeout_ms),
             bodies: Bodies::new(setup.settings.memory_mb, setup.clock, setup.metrics.clone()),
             discards: Rc::default(),
+            held_answers: Rc::new(HeldAnswers::new(setup.settings.memory_mb)),
             loads: RefCell::default(),
             latency_baselines: RefCell::new(LatencyBaselines::new(
                 setup.settings.retries.late_quantile,
--- a/entry/src/serve/upstream.rs
+++ b/entry/src/serve/upstream.rs
@@ -54,6 +54,9 @@
 
 /// Largest number of idle connections to one upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 64;
+/// Largest read buffer of a connection, which holds a response's head or a part of its body; it stays
+/// in use while a caller reads slowly.
+const READ_BUFFER_BYTES: usize = 32 * 1024;
 /// Time for which an idle connection is pooled by callers of the pool that do not know the
 /// upstream's own time.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(60);
@@ -356,7 +359,9 @@
             stream,
             writes: Rc::clone(&writes),
         };
-        let (sender, connection) = http1::handshake(TokioIo::new(counted))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(counted))
             .await
             .map_err(|error| failed(error.to_string()))?;
         let task = tokio::task::spawn_local(async move {
