entry: few bytes of an upstream's answer may lie unread

No test of its own: the fixtures' upstreams are reached from 127.0.0.1, where a process's sockets can't be told from others'.

--- a/entry/src/serve/upstream.rs
+++ b/entry/src/serve/upstream.rs
@@ -35,6 +35,7 @@
     },
 };
 use hyper_util::rt::TokioIo;
+use rustix::net::sockopt;
 use thiserror::Error;
 use tokio::{
     io::{
@@ -57,6 +58,9 @@
 /// Largest read buffer of a connection, which holds a response's head or a part of its body; it stays
 /// in use while a caller reads slowly.
 const READ_BUFFER_BYTES: usize = 32 * 1024;
+/// Size of the kernel's receive buffer of a connection, which it would else enlarge by itself to some
+/// MiB while a caller reads slowly.
+const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
 /// Time for which an idle connection is pooled by callers of the pool that do not know the
 /// upstream's own time.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(60);
@@ -354,6 +358,8 @@
         stream
             .set_nodelay(true)
             .map_err(|error| failed(error.to_string()))?;
+        sockopt::set_socket_recv_buffer_size(&stream, RECEIVE_BUFFER_BYTES)
+            .map_err(|error| failed(error.to_string()))?;
         let writes = Rc::new(WriteState::default());
         let counted = CountedStream {
             stream,
