lib, daemon, control: the state of the memory for bodies changes rarely

What an operator saw: a crowd that fills the room and is refused could let it go to and fro many times a second, with a line of CB1011 and of CB1012 each time. The regain was logged only when a body was released, and control set no gauges.

Change: lost room counts as regained after 5 s at least, and only if none was lost since the last look; each process looks at an interval too, control included.

`the_state_changes_once_when_room_is_lost_and_once_when_half_is_free_a_while_later` takes the place of the test of the same name without "a while later": it asks for all that the first one did, and that the change does not come early.

--- a/control/src/operators/listener.rs
+++ b/control/src/operators/listener.rs
@@ -8,6 +8,7 @@
 };
 
 use cicadabend_daemon::{
+    bodies::Bodies,
     connections::{
         ConnectionRequest,
         ConnectionTable,
@@ -63,6 +64,8 @@
 /// The maximum number of concurrent requests, among them those whose bodies are still coming.
 const MAX_CONCURRENT_REQUESTS: usize = MAX_CONNECTIONS;
 
+/// How often the memory for bodies is reported.
+const REPORT_INTERVAL: Duration = Duration::from_secs(5);
 /// Connections of operators and upstreams that are open at once.
 const MAX_CONNECTIONS: usize = 2_048;
 /// Requests at once on one HTTP/2 connection.
@@ -91,6 +94,7 @@
     };
     let graceful = GracefulShutdown::new();
     let bounded = limited_service(Arc::clone(&operators));
+    tokio::spawn(report_periodically(operators.bodies.clone()));
     let open = ConnectionTable::new(MAX_CONNECTIONS);
     loop {
         let accepted = tokio::select! {
@@ -115,6 +119,13 @@
     LogEvent::OperatorsStopped {}.emit();
 }
 
+async fn report_periodically(bodies: Bodies) {
+    loop {
+        tokio::time::sleep(REPORT_INTERVAL).await;
+        bodies.report();
+    }
+}
+
 /// Returns a service that answers requests within the limits on their number and duration.
 ///
 /// All connections share the limit, because clones of the service share its semaphore.
--- a/daemon/src/bodies.rs
+++ b/daemon/src/bodies.rs
@@ -95,7 +95,6 @@
     memory: BodyMemory,
     /// The bodies that are being read.
     arriving: BTreeMap<BodyNumber, Arc<Arriving>>,
-    was_short: bool,
     bodies: u64,
 }
 
@@ -147,7 +146,6 @@
         let store = Store {
             memory: BodyMemory::new(size),
             arriving: BTreeMap::new(),
-            was_short: false,
             bodies: 0,
         };
         Self {
@@ -198,10 +196,11 @@
         Ok(room.complete()?)
     }
 
-    /// Sets the gauges; called at an interval.
+    /// Sets the gauges, and logs a change of the room; called at an interval.
     pub fn report(&self) {
         let (bytes, bodies) = {
-            let store = lock(&self.shared.store);
+            let mut store = lock(&self.shared.store);
+            self.shared.log_change(&mut store);
             (store.memory.used(), store.bodies)
         };
         self.shared.metrics.gauge(GAUGE_BYTES, bytes.0);
@@ -248,11 +247,8 @@
     }
 
     fn log_change(&self, store: &mut Store) {
-        let Store {
-            memory, was_short, ..
-        } = store;
-        let used_bytes = memory.used();
-        match memory.take_change(was_short) {
+        let used_bytes = store.memory.used();
+        match store.memory.take_change(self.clock.now()) {
             Some(RoomChange::Lost) => LogEvent::BodyMemoryFull { used_bytes }.emit(),
             Some(RoomChange::Regained) => LogEvent::BodyMemoryFree { used_bytes }.emit(),
             None => {}
--- a/lib/src/admission/body_memory.rs
+++ b/lib/src/admission/body_memory.rs
@@ -23,6 +23,8 @@
 const STALLED: Duration = Duration::from_millis(500);
 /// The room counts as regained once no more than this part of the memory is used, as a divisor.
 const REGAINED_PART: u64 = 2;
+/// Least time from the loss of room to its regain.
+const SHORT_AT_LEAST: Duration = Duration::from_secs(5);
 
 /// The number of a body in one [`BodyMemory`].
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -90,7 +92,10 @@
     small_bytes: u64,
     large_bytes: u64,
     next: u64,
+    /// Whether a body was refused or evicted since the last look at the state.
     has_lost_room: bool,
+    /// Since when there is too little room, by the state that was last told.
+    short_since: Option<Timestamp>,
 }
 
 impl BodyMemory {
@@ -103,6 +108,7 @@
             large_bytes: 0,
             next: 0,
             has_lost_room: false,
+            short_since: None,
         }
     }
 
@@ -208,21 +214,21 @@
         }
     }
 
-    /// Returns whether room was lost or regained since `was_short`, which it replaces.
-    pub fn take_change(&mut self, was_short: &mut bool) -> Option<RoomChange> {
-        let is_free = self.used().0 <= self.size.0 / REGAINED_PART;
-        let change = match (*was_short, self.has_lost_room) {
-            (false, true) => Some(RoomChange::Lost),
-            (true, _) if is_free => Some(RoomChange::Regained),
-            _ => None,
+    /// Returns whether room was lost or regained since the last call.
+    ///
+    /// Room that was lost counts as regained a while later only, so that a crowd causes few changes.
+    pub fn take_change(&mut self, now: Timestamp) -> Option<RoomChange> {
+        let has_lost_room = std::mem::take(&mut self.has_lost_room);
+        let Some(since) = self.short_since else {
+            self.short_since = has_lost_room.then_some(now);
+            return has_lost_room.then_some(RoomChange::Lost);
         };
-        if let Some(change) = change {
-            *was_short = change == RoomChange::Lost;
-        }
-        if is_free {
-            self.has_lost_room = false;
+        let is_free = self.used().0 <= self.size.0 / REGAINED_PART;
+        if !is_free || has_lost_room || now.since(since) < SHORT_AT_LEAST {
+            return None;
         }
-        change
+        self.short_since = None;
+        Some(RoomChange::Regained)
     }
 
     /// Evicts stalled bodies of the same pool until a body of `length` fits, if that is enough.
--- a/lib/tests/test_body_memory.rs
+++ b/lib/tests/test_body_memory.rs
@@ -126,26 +126,27 @@
     assert_eq!(too_long, Err(NoRoom));
 }
 
+/// Guards against a log line for each body of a crowd.
 #[test]
-fn the_state_changes_once_when_room_is_lost_and_once_when_half_is_free() {
+fn the_state_changes_once_when_room_is_lost_and_once_when_half_is_free_a_while_later() {
     let mut memory = BodyMemory::new(SIZE);
-    let mut was_short = false;
-    let mut changes = Vec::new();
     let held = begin(&mut memory, LARGE, NOW);
     memory.complete(held);
-    changes.push(memory.take_change(&mut was_short));
+    let mut changes = vec![memory.take_change(NOW)];
 
     for _ in 0..2 {
         memory.begin(ByteCount(LARGE), NOW).unwrap_err();
-        changes.push(memory.take_change(&mut was_short));
+        changes.push(memory.take_change(NOW));
     }
+    changes.push(memory.take_change(LATER));
     memory.release(held);
+    changes.push(memory.take_change(NOW));
     for _ in 0..2 {
-        changes.push(memory.take_change(&mut was_short));
+        changes.push(memory.take_change(LATER));
     }
 
     let (lost, regained) = (Some(RoomChange::Lost), Some(RoomChange::Regained));
-    assert_eq!(changes, [None, lost, None, regained, None]);
+    assert_eq!(changes, [None, lost, None, None, None, regained, None]);
 }
 
 /// One step of a random sequence.
