control: operators' requests and upstreams' calls have limits of their own

Nothing refused the 65th of a script that never finishes its bodies any more.

The two have limits of their own now: 64 requests of operators with a token, 2,048 calls. The test passes again unchanged, and so does `requests_that_stop_short_leave_the_operator_a_place`.

--- a/control/src/operators/listener.rs
+++ b/control/src/operators/listener.rs
@@ -61,8 +61,11 @@
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long one request may take; longer than the replicated log's timeout for a command.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(30);
-/// The maximum number of concurrent requests, among them those whose bodies are still coming.
-const MAX_CONCURRENT_REQUESTS: usize = MAX_CONNECTIONS;
+/// The maximum number of concurrent requests of operators with a token; enough for them, who are
+/// people and their scripts.
+const MAX_CONCURRENT_REQUESTS: usize = 64;
+/// The maximum number of concurrent calls, among them those whose bodies are still coming.
+const MAX_CONCURRENT_CALLS: usize = MAX_CONNECTIONS;
 
 /// How often the memory for bodies is reported.
 const REPORT_INTERVAL: Duration = Duration::from_secs(5);
@@ -78,6 +81,14 @@
 /// A request, and its part in its connection.
 type Request = (http::Request<Incoming>, Arc<ConnectionRequest>);
 
+/// The services that answer operators' requests and the calls that an edge translates, each with a
+/// limit of its own.
+#[derive(Clone)]
+struct Services<S> {
+    requests: S,
+    calls: S,
+}
+
 /// Serves operators until a stop is requested.
 pub(crate) async fn serve(
     operators: Arc<Operators>,
@@ -93,7 +104,10 @@
         }
     };
     let graceful = GracefulShutdown::new();
-    let bounded = limited_service(Arc::clone(&operators));
+    let services = Services {
+        requests: limited_service(Arc::clone(&operators), MAX_CONCURRENT_REQUESTS),
+        calls: limited_service(Arc::clone(&operators), MAX_CONCURRENT_CALLS),
+    };
     tokio::spawn(report_periodically(operators.bodies.clone()));
     let open = ConnectionTable::new(MAX_CONNECTIONS);
     loop {
@@ -106,7 +120,7 @@
             continue;
         };
         if let Some(connection) = open.open() {
-            serve_connection(&operators, bounded.clone(), (stream, connection), &graceful);
+            serve_connection(&operators, &services, (stream, connection), &graceful);
         }
     }
     drop(listener);
@@ -131,11 +145,12 @@
 /// All connections share the limit, because clones of the service share its semaphore.
 fn limited_service(
     operators: Arc<Operators>,
+    max_concurrent: usize,
 ) -> impl Service<Request, Response = Answer, Error = BoxError, Future: Send> + Clone + Send + 'static
 {
     ServiceBuilder::new()
         .load_shed()
-        .concurrency_limit(MAX_CONCURRENT_REQUESTS)
+        .concurrency_limit(max_concurrent)
         .timeout(REQUEST_TIMEOUT)
         .service_fn(move |(request, on_connection): Request| {
             let operators = Arc::clone(&operators);
@@ -145,7 +160,7 @@
 
 fn serve_connection<S>(
     operators: &Arc<Operators>,
-    bounded: S,
+    services: &Services<S>,
     (stream, open): (TcpStream, OpenConnection),
     graceful: &GracefulShutdown,
 ) where
@@ -153,9 +168,17 @@
 {
     let operators = Arc::clone(operators);
     let of_request = open.clone();
+    let services = services.clone();
     let service = service_fn(move |request| {
         let operators = Arc::clone(&operators);
-        let answer = bounded.clone().oneshot((request, of_request.request()));
+        let calls = operators.calls.as_ref();
+        // Upstreams' reports must not wait for what operators leave unfinished, nor the other way
+        // round.
+        let bounded = match calls.is_some_and(|calls| calls.knows(&request)) {
+            true => services.calls.clone(),
+            false => services.requests.clone(),
+        };
+        let answer = bounded.oneshot((request, of_request.request()));
         async move {
             let answer = answer.await;
             Ok::<_, io::Error>(
