--- a/daemon/src/settings/entry.rs
+++ b/daemon/src/settings/entry.rs
@@ -60,6 +60,18 @@
     pub metrics: MetricSettings,
 }
 
+/// Connections of callers for each megabyte of memory; each may take some 190 KB with its buffers.
+const CONNECTIONS_PER_MB: u64 = 5;
+
+impl EntrySettings {
+    /// Returns the most connections of callers at once, by the settings and by the memory.
+    pub fn max_connections(&self) -> usize {
+        let by_memory = self.memory_mb.saturating_mul(CONNECTIONS_PER_MB);
+        let limit = u64::from(self.callers.max_connections).min(by_memory);
+        usize::try_from(limit).unwrap_or(usize::MAX)
+    }
+}
+
 /// The listener for callers and its limits.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
--- a/daemon/tests/test_settings_reference.rs
+++ b/daemon/tests/test_settings_reference.rs
@@ -117,3 +117,19 @@
 
     assert_eq!(parse::<ControlSettings>(&short).unwrap(), whole);
 }
+
+/// Guards against more connections than the memory has buffers for.
+#[rstest]
+#[case::by_the_setting(256, 100, 100)]
+#[case::by_the_memory(160, 1_500, 800)]
+fn connections_are_limited_by_the_setting_and_by_the_memory(
+    #[case] memory_mb: u64,
+    #[case] max_connections: u32,
+    #[case] limit: usize,
+) {
+    let mut settings: EntrySettings = parse(EntrySettings::EXAMPLE).unwrap();
+    settings.memory_mb = memory_mb;
+    settings.callers.max_connections = max_connections;
+
+    assert_eq!(settings.max_connections(), limit);
+}
--- a/entry/src/serve/connections.rs
+++ b/entry/src/serve/connections.rs
@@ -10,7 +10,7 @@
         ConnectionTable,
         OpenConnection, //
     },
-    settings::CallerSettings, //
+    settings::EntrySettings, //
 };
 use tokio::{
     net::{
@@ -98,7 +98,7 @@
 /// Each call of `serve` gets a receiver that turns true when draining begins.
 pub(super) async fn serve_until_drained<F>(
     listener: TcpListener,
-    callers: &CallerSettings,
+    settings: &EntrySettings,
     mut stopped: watch::Receiver<bool>,
     on_stop: impl FnOnce(),
     admission: ConnectionAdmission<impl FnMut() -> bool, impl FnMut()>,
@@ -108,7 +108,8 @@
 where
     F: Future<Output = ()> + 'static,
 {
-    let open = ConnectionTable::new(callers.max_connections as usize);
+    let callers = &settings.callers;
+    let open = ConnectionTable::new(settings.max_connections());
     let (drain, draining) = watch::channel(false);
     let notice = async {
         // An error means that the sender was dropped, which also means to stop.
--- a/entry/src/serve/listener.rs
+++ b/entry/src/serve/listener.rs
@@ -74,14 +74,13 @@
 /// Returns once all requests have ended and the outcomes of claims are recorded, or after the
 /// drain timeout.
 pub(super) async fn run(listener: TcpListener, server: Rc<Server>, stopped: watch::Receiver<bool>) {
-    let callers = server.settings.callers.clone();
     let others_done = async {
         server.detached.all_ended().await;
         server.claims.all_recorded().await;
     };
     serve_until_drained(
         listener,
-        &callers,
+        &server.settings,
         stopped,
         || server.draining.set(true),
         ConnectionAdmission {
--- a/entry/src/serve/routed/listener.rs
+++ b/entry/src/serve/routed/listener.rs
@@ -86,14 +86,13 @@
     if let Some(Ok(ready)) = ready_listener.map(TcpListener::from_std) {
         tokio::task::spawn_local(serve_readiness(ready, Rc::clone(&server)));
     }
-    let callers = server.settings.callers.clone();
     if let Some(Ok(listener)) = relay_listener.map(TcpListener::from_std) {
         let serving = relay_server::serve(listener, Rc::clone(&server));
         tokio::task::spawn_local(serving);
     }
     let end = serve_until_drained(
         listener,
-        &callers,
+        &server.settings,
         stopped,
         || server.draining.set(true),
         ConnectionAdmission {
