entry, control, daemon: a connection that gives way begins no request

A connection that has to close for a new one was closed by its task at its next turn, which polled the connection and the order to close in random order. If a request had just arrived, it could be begun, passed on and then lost with its connection. The order to close is looked at first now. Found by reading; not seen in a run.

--- a/control/src/operators/listener.rs
+++ b/control/src/operators/listener.rs
@@ -202,8 +202,10 @@
     // An error of the connection needs no handling here: the operator notices it.
     tokio::spawn(async move {
         tokio::select! {
-            _ = connection => {}
+            // First, so that no request is begun on a connection that is about to close.
+            biased;
             () = open.gives_way() => {}
+            _ = connection => {}
         }
     });
 }
--- a/daemon/src/metrics/listener.rs
+++ b/daemon/src/metrics/listener.rs
@@ -103,8 +103,9 @@
         let metrics = metrics.clone();
         tokio::task::spawn_local(async move {
             tokio::select! {
-                () = answer(stream, &connection, &metrics) => {}
+                biased;
                 () = connection.gives_way() => {}
+                () = answer(stream, &connection, &metrics) => {}
             }
         });
     }
--- a/entry/src/serve/connections.rs
+++ b/entry/src/serve/connections.rs
@@ -71,19 +71,21 @@
         let served = serve(stream, connection.clone());
         tokio::task::spawn_local(async move {
             tokio::select! {
-                () = served => {}
+                // First, so that no request is begun on a connection that is about to close.
+                biased;
                 () = connection.gives_way() => {}
+                () = served => {}
             }
         });
     }
 }
 
 /// How a listener decides on new connections.
-pub(super) struct ConnectionAdmission<A, R> {
+pub(super) struct ConnectionAdmission<A, F> {
     /// Asked before each new connection is served.
     pub(super) admits: A,
-    /// Called when a connection is closed because all others serve requests.
-    pub(super) on_full: R,
+    /// Called when a new connection is closed because none of the others is idle.
+    pub(super) on_full: F,
 }
 
 /// Accepts connections until `stopped` turns true, then drains them.
