lib: the room for bodies is never exceeded

A body that was the only large one could use the whole room while small ones used their quarter: a quarter more than the room together.

`no_order_of_events_grants_more_than_there_is` asks for the room itself as bound.

--- a/lib/src/admission/body_memory.rs
+++ b/lib/src/admission/body_memory.rs
@@ -112,10 +112,9 @@
         }
     }
 
-    /// Returns the length above which a body never gets room; one of this length does while there is
-    /// no other large one.
+    /// Returns the length above which a body never gets room.
     pub fn longest_body(&self) -> ByteCount {
-        self.size
+        ByteCount(self.limit_of(Pool::Large))
     }
 
     /// Returns how many bytes are reserved.
@@ -195,7 +194,7 @@
         let Some(progress) = held.and_then(|held| held.progress.as_mut()) else {
             return;
         };
-        if received.0 - progress.received.0.min(received.0) >= PROGRESS.0 {
+        if received.0.saturating_sub(progress.received.0) >= PROGRESS.0 {
             *progress = Progress { at: now, received };
         }
     }
@@ -239,15 +238,16 @@
         now: Timestamp,
     ) -> Result<Granted, NoRoom> {
         let pool = Pool::of(length);
+        let limit = self.limit_of(pool);
         let mut used = self.used_in(pool);
-        if self.fits(pool, used, length) {
+        if used + length.0 <= limit {
             return Ok(Granted::default());
         }
         let mut evicted = Vec::new();
         for (stalled, reserved) in self.stalled(pool, number, now) {
             evicted.push(stalled);
             used -= reserved.0;
-            if self.fits(pool, used, length) {
+            if used + length.0 <= limit {
                 for number in &evicted {
                     self.release(*number);
                 }
@@ -257,14 +257,12 @@
         Err(NoRoom)
     }
 
-    fn fits(&self, pool: Pool, used: u64, length: ByteCount) -> bool {
+    fn limit_of(&self, pool: Pool) -> u64 {
         let small = self.size.0 / SMALL_PART;
-        let limit = match pool {
+        match pool {
             Pool::Small => small,
-            Pool::Large if used == 0 => self.longest_body().0,
             Pool::Large => self.size.0 - small,
-        };
-        used + length.0 <= limit
+        }
     }
 
     /// Returns the other bodies of a pool that make no progress, the longest stalled first.
--- a/lib/tests/test_body_memory.rs
+++ b/lib/tests/test_body_memory.rs
@@ -111,9 +111,9 @@
     assert!(memory.grow(stalled, ByteCount(LARGE / 2), LATER).is_ok());
 }
 
-/// Guards against a limit on one body that the configuration raises above the memory.
+/// Guards against a limit on one body that the configuration raises above the room.
 #[test]
-fn a_body_without_others_may_be_longer_than_the_memory_for_large_ones() {
+fn the_longest_body_has_room_alone_and_a_longer_one_has_none() {
     let mut memory = BodyMemory::new(SIZE);
 
     let longest_bytes = memory.longest_body().0;
@@ -122,6 +122,7 @@
     memory.release(longest);
     let too_long = memory.begin(ByteCount(longest_bytes + 1), NOW);
 
+    assert_eq!(longest_bytes, LARGE);
     assert_eq!(beside, Err(NoRoom));
     assert_eq!(too_long, Err(NoRoom));
 }
@@ -206,7 +207,7 @@
                     open.retain(|open| *open != number);
                 },
             }
-            prop_assert!(memory.used().0 <= memory.longest_body().0 + SIZE.0 / 4);
+            prop_assert!(memory.used().0 <= SIZE.0);
         }
         for number in open {
             memory.release(number);
