--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -16,6 +16,9 @@
     words::word, //
 };
 
+/// `memoryMb` of the smaller of the pages' machines.
+const MEMORY_MB: &str = "256";
+
 /// All processes that this run has started and not yet ended.
 static PROCESSES: Mutex<BTreeMap<String, Child>> = Mutex::new(BTreeMap::new());
 
@@ -124,6 +127,7 @@
             ("slot-port1", ports.relay.to_string()),
             ("slot-seeds", format!("[{}]", seeds.join(","))),
             ("slot-bootstrap", first.to_string()),
+            ("slot-memory", MEMORY_MB.to_owned()),
             ("slot-ratio", "0.2".to_owned()),
             ("slot-slack", "136".to_owned()),
             ("slot-window", "10".to_owned()),
--- a/review/standins/src/platform.rs
+++ b/review/standins/src/platform.rs
@@ -177,6 +177,7 @@
             ("{{ip}}", machine.ip.to_string()),
             ("{{@ports@.0}}", self.peer_port.to_string()),
             ("{{@ports@.1}}", (self.peer_port + 1).to_string()),
+            ("{{limits.memoryMb}}", machine.memory_mb.to_string()),
             ("{{bounds.retryBudgetRatio}}", "0.2".to_owned()),
             ("{{bounds.retryBudgetSlack}}", "136".to_owned()),
             ("{{bounds.budgetWindowS}}", "10".to_owned()),
