daemon, lib, entry: one place for a share of the memory and for the count of bodies

The bytes of a share of `memory_mb` were worked out in `Bodies` and in `HeldAnswers`, each with a constant of its own; `memory_share` serves both. `Bodies` counted the bodies that have room beside `BodyMemory`, which knows them; the gauge asks it now. A body that has been evicted is no longer in the gauge until its task has ended; nothing else changes. Three comments say what they mean without another file.

--- a/control/src/calls/mod.rs
+++ b/control/src/calls/mod.rs
@@ -99,8 +99,8 @@
     }
 
     async fn parse_and_handle(&self, method: &Method, path: &str, body: HeldBody) -> CallAnswer {
-        // What is made of a body takes several times its length. So few large ones are handled at
-        // once, and a small one waits for none but those before it.
+        // A parsed body takes several times its length in memory, so only a few large ones are
+        // parsed and proposed at once.
         let kib = u32::try_from(body.length() / BYTES_PER_KIB).unwrap_or(u32::MAX);
         let _permit = self.handling.acquire_many(kib.min(MAX_HANDLED_KIB)).await;
         let call = self.edge.read(method, path, &body.to_contiguous());
--- a/daemon/src/bodies.rs
+++ b/daemon/src/bodies.rs
@@ -36,7 +36,8 @@
 use crate::{
     clock::Clock,
     daemon_events::LogEvent,
-    metrics::Metrics, //
+    metrics::Metrics,
+    settings::memory_share, //
 };
 
 /// Capacity of the first segment of a body that announces no length.
@@ -45,8 +46,6 @@
 const SEGMENT_BYTES: usize = 64 * 1024;
 /// Ratio of a process's memory to the memory that its bodies may take.
 const MEMORY_RATIO: u64 = 4;
-/// Bytes of memory in the unit of the settings.
-const BYTES_PER_MB: u64 = 1_000_000;
 /// The name of the gauge of reserved bytes.
 const GAUGE_BYTES: &str = "body_memory_bytes";
 /// The name of the gauge of bodies.
@@ -95,7 +94,6 @@
     memory: BodyMemory,
     /// The bodies that are being read.
     arriving: BTreeMap<BodyNumber, Arc<Arriving>>,
-    bodies: u64,
 }
 
 /// A body that is being read; it loses its segments at once when it loses its room.
@@ -142,11 +140,10 @@
     /// Makes a store for a process whose machine has `memory_mb` megabytes.
     pub fn new(memory_mb: u64, clock: Clock, metrics: Metrics) -> Self {
         metrics.declare::<BodyMemoryUse>();
-        let size = ByteCount(memory_mb.saturating_mul(BYTES_PER_MB) / MEMORY_RATIO);
+        let size = memory_share(memory_mb, MEMORY_RATIO);
         let store = Store {
             memory: BodyMemory::new(size),
             arriving: BTreeMap::new(),
-            bodies: 0,
         };
         Self {
             shared: Arc::new(Shared {
@@ -201,10 +198,10 @@
         let (bytes, bodies) = {
             let mut store = lock(&self.shared.store);
             self.shared.log_change(&mut store);
-            (store.memory.used(), store.bodies)
+            (store.memory.used(), store.memory.count())
         };
         self.shared.metrics.gauge(GAUGE_BYTES, bytes.0);
-        self.shared.metrics.gauge(GAUGE_BODIES, bodies);
+        self.shared.metrics.gauge(GAUGE_BODIES, bodies as u64);
     }
 
     fn begin(&self, announced: ByteCount) -> Result<Room, NoRoom> {
@@ -221,7 +218,6 @@
         };
         let arriving = Arc::new(Arriving::default());
         store.arriving.insert(number, Arc::clone(&arriving));
-        store.bodies += 1;
         Ok(Room {
             shared: Arc::clone(&self.shared),
             number,
@@ -365,7 +361,6 @@
         let mut store = lock(&self.shared.store);
         store.arriving.remove(&self.number);
         store.memory.release(self.number);
-        store.bodies -= 1;
         self.shared.log_change(&mut store);
     }
 }
--- a/daemon/src/settings/mod.rs
+++ b/daemon/src/settings/mod.rs
@@ -39,5 +39,6 @@
     MembershipSettings,
     MetricSettings,
     PeerAddress,
-    PeerRole, //
+    PeerRole,
+    memory_share, //
 };
--- a/daemon/src/settings/shared.rs
+++ b/daemon/src/settings/shared.rs
@@ -55,6 +55,14 @@
     pub hello_interval_ms: u64,
 }
 
+/// Bytes of memory in the unit of the settings.
+const BYTES_PER_MB: u64 = 1_000_000;
+
+/// Returns one of `parts` equal parts of a process's memory.
+pub fn memory_share(memory_mb: u64, parts: u64) -> ByteCount {
+    ByteCount(memory_mb.saturating_mul(BYTES_PER_MB) / parts)
+}
+
 pub(super) fn default_memory_mb() -> u64 {
     256
 }
--- a/entry/src/serve/routed/drive.rs
+++ b/entry/src/serve/routed/drive.rs
@@ -91,7 +91,7 @@
             };
             if !self.handle_failure(&failure, &sent).await || !self.choose_or_request_permit().await
             {
-                // It tells the caller more than a response of the daemon's own.
+                // The upstream's error tells the caller more than a response made by this daemon.
                 if let Some(ErrorAnswer { parts, body }) = error_answer {
                     return self.pass_on(parts.status, Answered::Whole { parts, body });
                 }
--- a/entry/src/serve/routed/held_answer.rs
+++ b/entry/src/serve/routed/held_answer.rs
@@ -9,6 +9,7 @@
     Bytes,
     BytesMut, //
 };
+use cicadabend_daemon::settings::memory_share;
 
 /// Largest response that is held until it is whole, before any of it is passed on.
 ///
@@ -16,8 +17,6 @@
 const MAX_HELD_BYTES: usize = 256 * 1024;
 /// Ratio of a process's memory to the memory that held responses may take.
 const MEMORY_RATIO: u64 = 8;
-/// Bytes of memory in the unit of the settings.
-const BYTES_PER_MB: u64 = 1_000_000;
 /// Bytes that are given to a caller's connection at once; it holds them until they are written.
 const FRAME_BYTES: usize = 16 * 1024;
 
@@ -31,7 +30,7 @@
     pub(super) fn new(memory_mb: u64) -> Self {
         Self {
             bytes: Cell::new(0),
-            limit_bytes: memory_mb.saturating_mul(BYTES_PER_MB) / MEMORY_RATIO,
+            limit_bytes: memory_share(memory_mb, MEMORY_RATIO).0,
         }
     }
 }
--- a/entry/src/serve/unread_body.rs
+++ b/entry/src/serve/unread_body.rs
@@ -27,7 +27,7 @@
 /// Time for which one body is read and dropped.
 const MAX_TIME: Duration = Duration::from_secs(2);
 
-/// What is left unread of a refused request's body.
+/// The part of a refused request's body that has not been read yet.
 pub(super) struct UnreadBody {
     body: Incoming,
     /// Whether the sender waits for `100 Continue` and has sent nothing of the body.
--- a/lib/src/admission/body_memory.rs
+++ b/lib/src/admission/body_memory.rs
@@ -122,6 +122,11 @@
         ByteCount(self.small_bytes + self.large_bytes)
     }
 
+    /// Returns the number of bodies that have room.
+    pub fn count(&self) -> usize {
+        self.bodies.len()
+    }
+
     /// Begins a body that announces a length, zero if it announces none.
     ///
     /// # Errors
