daemon, entry, control: the end of an upstream's body must be certain

Callers got, as a complete answer, a body that was not the engine's, when an engine in trouble spoilt the part of its head that tells the length of the body.

Cause: hyper reads more heads than are sound. A transfer coding that it does not know ("xhunked", an empty one, "chunked, gzip") makes it read to the end of the connection, so the caller got the bytes that frame the chunks as part of a body that looked whole. Of a length beside a coding, of equal lengths told twice, and of "gzip, chunked", it takes one reading and says nothing.

`check_head` wants one length in digits, or the coding "chunked" alone, or neither (the body then ends with its connection, which is allowed). It stands in `Lease::send`, under everything by which an entry daemon reads an upstream's answer: both request paths, relays, hedges, resumed streams; and in the two places that read engines' answers to commands. A broken head counts as a broken answer: its connection is closed, no rate, backoff or shutdown that it names is believed, and the attempt counts against its upstream.

A name that was spoilt into another valid name, or a length into another number, can't be told from a sound one; neither is guessed at.

--- a/control/src/engine_commands.rs
+++ b/control/src/engine_commands.rs
@@ -11,9 +11,16 @@
     EngineCommand,
     EngineCommandOutcome, //
 };
-use cicadabend_daemon::ring::{
-    Receiver,
-    Sender, //
+use cicadabend_daemon::{
+    metrics::Metrics,
+    response_head::{
+        HeadFault,
+        check_head, //
+    },
+    ring::{
+        Receiver,
+        Sender, //
+    },
 };
 use http_body_util::{
     BodyExt,
@@ -48,7 +55,9 @@
     edge: Arc<dyn ControlEdge>,
     mut commands: Receiver<EngineCommand>,
     answers: Sender<MembersEvent>,
+    metrics: Metrics,
 ) {
+    metrics.declare::<HeadFault>();
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     connector.set_nodelay(true);
@@ -59,9 +68,9 @@
     let client = Rc::new(client);
     while let Some(command) = commands.next().await {
         let (edge, client) = (Arc::clone(&edge), Rc::clone(&client));
-        let answers = answers.clone();
+        let (answers, metrics) = (answers.clone(), metrics.clone());
         tokio::task::spawn_local(async move {
-            let outcome = send_command(&*edge, &client, &command).await;
+            let outcome = send_command(&*edge, &client, &metrics, &command).await;
             // If the ring is full, the outcome is lost; the command is then sent again.
             let _ = answers.push(MembersEvent::Answered(command, outcome));
         });
@@ -71,6 +80,7 @@
 async fn send_command(
     edge: &dyn ControlEdge,
     client: &CommandClient,
+    metrics: &Metrics,
     command: &EngineCommand,
 ) -> EngineCommandOutcome {
     let request = edge.order(command).map(Full::new);
@@ -80,10 +90,14 @@
             Err(error) if is_connection_refused(&error) => return EngineCommandOutcome::Refused,
             Err(_) => return EngineCommandOutcome::Unanswered,
         };
-        let status = response.status();
+        let (head, body) = response.into_parts();
+        if let Err(fault) = check_head(&head) {
+            metrics.count(fault);
+            return EngineCommandOutcome::Unanswered;
+        }
         // The body is read to its end, so that the connection can be reused.
-        match response.into_body().collect().await {
-            Ok(body) => edge.outcome(command, status, &body.to_bytes()),
+        match body.collect().await {
+            Ok(body) => edge.outcome(command, head.status, &body.to_bytes()),
             Err(_) => EngineCommandOutcome::Unanswered,
         }
     };
--- a/control/src/run.rs
+++ b/control/src/run.rs
@@ -350,11 +350,11 @@
     });
     if let Some(calls) = &calls {
         let edge = Arc::clone(&calls.edge);
-        let answers = events.clone();
+        let (answers, metrics) = (events.clone(), process.metrics.clone());
         // The thread ends when the thread `members` drops its end of the ring of commands.
         // The shutdown does not join it, since it may be waiting for an engine.
         spawn("orders", move || {
-            engine_commands::send_commands(edge, commands_out, answers)
+            engine_commands::send_commands(edge, commands_out, answers, metrics)
         })?;
     }
     Ok(Some((events, calls)))
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`ring`]: the bounded rings that join a process's threads.
 //! - [`bodies`]: bodies of requests that are held in memory, within a limit.
 //! - [`connections`]: the open connections of a listener, within a limit.
+//! - [`response_head`]: checks of the heads of upstreams' responses.
 //! - [`duty`]: one named thread with its own single-threaded runtime for each duty.
 //! - [`peers`]: messages between the cluster's own processes, over TCP.
 //! - [`storage`]: the data folder, its journals and the disk's identity.
@@ -22,6 +23,7 @@
 pub mod metrics;
 pub mod peers;
 pub mod program;
+pub mod response_head;
 pub mod ring;
 pub mod seeds;
 pub mod settings;
--- /dev/null
+++ b/daemon/tests/test_response_head.rs
@@ -0,0 +1,55 @@
+//! Heads of upstreams' responses, as an HTTP library has read them.
+
+#![expect(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
+use cicadabend_daemon::response_head::{
+    HeadFault,
+    check_head, //
+};
+use http::{
+    Response,
+    response::Parts, //
+};
+use rstest::rstest;
+
+/// Returns the head of a response of this status with these fields.
+fn head_of(status: u16, fields: &[(&str, &str)]) -> Parts {
+    let fields = fields.iter();
+    let builder = fields.fold(Response::builder().status(status), |head, (name, value)| {
+        head.header(*name, *value)
+    });
+    builder.body(()).unwrap().into_parts().0
+}
+
+#[rstest]
+#[case::to_the_connections_end(&[])]
+#[case::length(&[("content-length", "12")])]
+#[case::no_bytes(&[("content-length", "0")])]
+#[case::chunks(&[("transfer-encoding", "chunked")])]
+#[case::chunks_in_capitals(&[("transfer-encoding", "CHUNKED")])]
+fn a_body_with_one_certain_end_is_sound(#[case] fields: &[(&str, &str)]) {
+    assert_eq!(check_head(&head_of(200, fields)), Ok(()));
+}
+
+/// Guards against a body that is read to a wrong end and looks whole.
+#[rstest]
+#[case::no_number(&[("content-length", "x")], HeadFault::Length)]
+#[case::a_sign(&[("content-length", "+12")], HeadFault::Length)]
+#[case::empty(&[("content-length", "")], HeadFault::Length)]
+#[case::a_list(&[("content-length", "12, 12")], HeadFault::Length)]
+#[case::twice(&[("content-length", "12"), ("content-length", "12")], HeadFault::Length)]
+#[case::both(&[("content-length", "12"), ("transfer-encoding", "chunked")], HeadFault::Length)]
+#[case::unknown(&[("transfer-encoding", "xhunked")], HeadFault::TransferCoding)]
+#[case::no_coding(&[("transfer-encoding", "")], HeadFault::TransferCoding)]
+#[case::a_coding_before(&[("transfer-encoding", "gzip, chunked")], HeadFault::TransferCoding)]
+#[case::a_coding_after(&[("transfer-encoding", "chunked, gzip")], HeadFault::TransferCoding)]
+#[case::coded_twice(
+    &[("transfer-encoding", "chunked"), ("transfer-encoding", "chunked")],
+    HeadFault::TransferCoding
+)]
+fn a_body_whose_end_is_uncertain_is_broken(
+    #[case] fields: &[(&str, &str)],
+    #[case] fault: HeadFault,
+) {
+    assert_eq!(check_head(&head_of(200, fields)), Err(fault));
+}
--- a/entry/src/commands/mod.rs
+++ b/entry/src/commands/mod.rs
@@ -23,6 +23,10 @@
 use cicadabend_daemon::{
     clock::Clock,
     metrics::Metrics,
+    response_head::{
+        HeadFault,
+        check_head, //
+    },
     ring::Receiver, //
 };
 use displaydoc::Display;
@@ -105,6 +109,7 @@
     /// Sends commands until the thread `domain` has closed the ring.
     pub(crate) async fn run(self, mut commands: Receiver<AddressedCommand>) {
         self.metrics.declare::<CommandOutcome>();
+        self.metrics.declare::<HeadFault>();
         let own = Rc::new(self);
         while let Some(command) = commands.next().await {
             let own = Rc::clone(&own);
@@ -156,9 +161,12 @@
                 .send_request(request)
                 .await
                 .map_err(CommandError::Exchange)?;
-            let body = Limited::new(response.into_body(), MAX_REPLY_BYTES)
-                .collect()
-                .await;
+            let (head, body) = response.into_parts();
+            check_head(&head).map_err(|fault| {
+                self.metrics.count(fault);
+                CommandError::Reply
+            })?;
+            let body = Limited::new(body, MAX_REPLY_BYTES).collect().await;
             let body = body.map_err(|_| CommandError::Reply)?.to_bytes();
             serde_json::from_slice(&body).map_err(|_| CommandError::Reply)
         };
--- a/entry/src/serve/exchange.rs
+++ b/entry/src/serve/exchange.rs
@@ -137,7 +137,9 @@
             AttemptError::NotConnected { .. } | AttemptError::NothingWritten { .. } => {
                 Failure::NothingWritten(error)
             }
-            AttemptError::Broken { .. } => Failure::Broken(error.to_string()),
+            AttemptError::Broken { .. } | AttemptError::BrokenHead { .. } => {
+                Failure::Broken(error.to_string())
+            }
         }
     }
 }
--- a/entry/src/serve/routed/events.rs
+++ b/entry/src/serve/routed/events.rs
@@ -212,12 +212,13 @@
         outcome: String,
     } "request given to a relay";
     /// This daemon was asked to relay a request, and either passed on an upstream's response or
-    /// reported why not.
+    /// reported why not. `why` has the details of a failed attempt.
     1445 Info Relayed {
         request: String,
         instance: cicadabend::registry::InstanceId,
         outcome: &'static str,
         took_ms: u128,
+        why: String,
     } "request relayed";
     /// A request is not run because a part of its prompt is quarantined or on trial: `crashes`
     /// upstreams crashed that had requests with this part. The refusal is the request's next line.
--- a/entry/src/serve/routed/failure.rs
+++ b/entry/src/serve/routed/failure.rs
@@ -74,7 +74,9 @@
             AttemptError::NotConnected { .. } | AttemptError::NothingWritten { .. } => {
                 Failure::NotConnected(error)
             }
-            AttemptError::Broken { .. } => Failure::Broken(error.to_string()),
+            AttemptError::Broken { .. } | AttemptError::BrokenHead { .. } => {
+                Failure::Broken(error.to_string())
+            }
         }
     }
 }
--- a/entry/src/serve/routed/relay_client.rs
+++ b/entry/src/serve/routed/relay_client.rs
@@ -173,7 +173,9 @@
         }
     };
     let (mut response, lease) = outcome.map_err(|error| match error {
-        AttemptError::Broken { .. } => RelayOutcome::Failed(Failure::from(error)),
+        AttemptError::Broken { .. } | AttemptError::BrokenHead { .. } => {
+            RelayOutcome::Failed(Failure::from(error))
+        }
         error => RelayOutcome::NoConnection(error),
     })?;
     match relay_headers::take_report(response.headers_mut()) {
--- a/entry/src/serve/routed/relay_server.rs
+++ b/entry/src/serve/routed/relay_server.rs
@@ -160,9 +160,9 @@
     on_connection.begin();
     let caller = server.edge.read_caller(&parts.headers);
     let outcome = relay(&server, &asked, &caller, parts, body).await;
-    let report = match &outcome {
-        Ok(_) => RelayReport::Passed,
-        Err(report) => *report,
+    let (report, why) = match &outcome {
+        Ok(_) => (RelayReport::Passed, String::new()),
+        Err(NotRelayed { report, why }) => (*report, why.clone()),
     };
     server.counts.count(Routed::Relayed);
     server.log(&LogEvent::Relayed {
@@ -170,8 +170,31 @@
         instance: asked.instance,
         outcome: report.name(),
         took_ms: arrived.elapsed().as_millis(),
+        why,
     });
-    outcome.unwrap_or_else(own_answer)
+    outcome.unwrap_or_else(|_| own_answer(report))
+}
+
+/// Why a relay passes no response on.
+struct NotRelayed {
+    report: RelayReport,
+    /// Details of a failed attempt, for the log.
+    why: String,
+}
+
+impl From<RelayReport> for NotRelayed {
+    fn from(report: RelayReport) -> Self {
+        let why = String::new();
+        Self { report, why }
+    }
+}
+
+impl From<AttemptError> for NotRelayed {
+    fn from(error: AttemptError) -> Self {
+        let why = error.to_string();
+        let report = RelayReport::from(error);
+        Self { report, why }
+    }
 }
 
 /// Returns a response of the relay's own.
@@ -198,9 +221,9 @@
     caller: &CallerHeaders,
     mut parts: Parts,
     mut body: Incoming,
-) -> Result<Response<RelayBody>, RelayReport> {
+) -> Result<Response<RelayBody>, NotRelayed> {
     if server.draining.get() {
-        return Err(RelayReport::Stopping);
+        return Err(RelayReport::Stopping.into());
     }
     let replica = find_replica(server, asked)?;
     if asked.action == RelayAction::Connect {
@@ -208,7 +231,8 @@
             Liveness::Alive => RelayReport::Connected,
             Liveness::Ended => RelayReport::Refused,
             Liveness::Unknown => RelayReport::Unreached,
-        });
+        }
+        .into());
     }
     check_link(server, &replica)?;
     check_admission(server, &replica)?;
@@ -276,7 +300,7 @@
 impl From<AttemptError> for RelayReport {
     fn from(error: AttemptError) -> Self {
         match error {
-            AttemptError::Broken { .. } => RelayReport::Broken,
+            AttemptError::Broken { .. } | AttemptError::BrokenHead { .. } => RelayReport::Broken,
             error if error.is_refused() => RelayReport::Refused,
             AttemptError::NotConnected { .. } | AttemptError::NothingWritten { .. } => {
                 RelayReport::Unreached
@@ -312,7 +336,7 @@
     server: &Rc<Server>,
     replica: &RoutedReplica,
     outgoing: &Outgoing<'_>,
-) -> Result<(Response<()>, AnswerRest), RelayReport> {
+) -> Result<(Response<()>, AnswerRest), NotRelayed> {
     let idle = match server.was_heard_within(replica, HEARD_RECENTLY) {
         true => {
             let pool = &server.pool;
@@ -327,7 +351,7 @@
         late_after: LATE_AFTER,
         on_late: &|_| {},
     };
-    let check_admission = || check_admission(server, replica);
+    let check_admission = || check_admission(server, replica).map_err(NotRelayed::from);
     let (response, lease, _) = direct.send(server, idle, check_admission).await?;
     let (parts, incoming) = response.into_parts();
     let signals = server.edge.read_answer(parts.status, &parts.headers);
@@ -336,7 +360,7 @@
     let is_reused = lease.is_reused();
     let is_own = upstream_signals::is_answer_to(id, &signals, is_reused, parts.status);
     if !is_own {
-        return Err(RelayReport::Broken);
+        return Err(RelayReport::Broken.into());
     }
     let keep_for = upstream_signals::keep_alive(&signals);
     let rest = AnswerRest::new(incoming, lease, keep_for);
--- a/entry/src/serve/routed/server.rs
+++ b/entry/src/serve/routed/server.rs
@@ -142,7 +142,7 @@
             edge: Arc::clone(&setup.edge),
             clock: setup.clock,
             counts: Counts::new(setup.metrics.clone()),
-            pool: ConnectionPool::new(connect_timeout_ms),
+            pool: ConnectionPool::new(connect_timeout_ms, setup.metrics.clone()),
             bodies: Bodies::new(setup.settings.memory_mb, setup.clock, setup.metrics.clone()),
             discards: Rc::default(),
             held_answers: Rc::new(HeldAnswers::new(setup.settings.memory_mb)),
--- a/entry/src/serve/server.rs
+++ b/entry/src/serve/server.rs
@@ -118,7 +118,8 @@
 impl Server {
     /// Makes the state and starts the tasks of [`housekeeping`].
     pub(super) fn start(setup: super::ServeSetup) -> Rc<Self> {
-        let pool = ConnectionPool::new(setup.settings.upstreams.connect_timeout_ms);
+        let connect_timeout_ms = setup.settings.upstreams.connect_timeout_ms;
+        let pool = ConnectionPool::new(connect_timeout_ms, setup.metrics.clone());
         let admission = AdmissionControl::new(&setup.settings);
         let daemon = setup.settings.daemon.clone();
         let claims = ClaimClient::start(setup.claims, daemon, setup.boot, setup.clock);
--- a/entry/src/serve/upstream.rs
+++ b/entry/src/serve/upstream.rs
@@ -22,6 +22,13 @@
 };
 
 use cicadabend::ids::Address;
+use cicadabend_daemon::{
+    metrics::Metrics,
+    response_head::{
+        HeadFault,
+        check_head, //
+    },
+};
 use displaydoc::Display;
 use http::{
     Request,
@@ -93,6 +100,8 @@
         /// The error and its causes.
         reason: String,
     },
+    /// the response from {address} has a broken head: {fault}
+    BrokenHead { address: Address, fault: HeadFault },
 }
 
 impl AttemptError {
@@ -267,13 +276,16 @@
 pub(super) struct ConnectionPool {
     connect_timeout: Duration,
     idle: IdleConnections,
+    metrics: Metrics,
 }
 
 impl ConnectionPool {
-    pub(super) fn new(connect_timeout_ms: u64) -> Self {
+    pub(super) fn new(connect_timeout_ms: u64, metrics: Metrics) -> Self {
+        metrics.declare::<HeadFault>();
         Self {
             connect_timeout: Duration::from_millis(connect_timeout_ms),
             idle: IdleConnections::default(),
+            metrics,
         }
     }
 
@@ -324,6 +336,7 @@
             connection,
             is_reused,
             idle: Rc::clone(&self.idle),
+            metrics: self.metrics.clone(),
         }
     }
 
@@ -400,6 +413,7 @@
     connection: Connection,
     is_reused: bool,
     idle: IdleConnections,
+    metrics: Metrics,
 }
 
 impl Lease {
@@ -409,6 +423,11 @@
     }
 
     /// Sends the request and waits for the status and headers of its response.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection breaks, or if what comes is no response whose body has a
+    /// certain end; the connection is closed then.
     pub(super) async fn send(
         mut self,
         request: Request<RequestBody>,
@@ -422,7 +441,16 @@
         };
         sent.current.replace(Some(attempt));
         match self.connection.sender.send_request(request).await {
-            Ok(response) => Ok((response, self)),
+            Ok(response) => {
+                let (head, body) = response.into_parts();
+                match check_head(&head) {
+                    Ok(()) => Ok((Response::from_parts(head, body), self)),
+                    Err(fault) => {
+                        sent.seal();
+                        Err(self.broken_head(fault))
+                    }
+                }
+            }
             Err(error) => Err(self.failure(sent, &error)),
         }
     }
@@ -432,6 +460,7 @@
         let (address, reason) = (self.address, error_with_causes(error));
         match sent.seal() {
             0 => AttemptError::NothingWritten { address, reason },
+            _ if error.is_parse() => self.broken_head(HeadFault::Unreadable),
             written => AttemptError::Broken {
                 address,
                 written,
@@ -440,6 +469,14 @@
         }
     }
 
+    fn broken_head(self, fault: HeadFault) -> AttemptError {
+        self.metrics.count(fault);
+        AttemptError::BrokenHead {
+            address: self.address,
+            fault,
+        }
+    }
+
     /// Returns the connection to the pool for the default idle time.
     pub(super) fn return_to_pool(self) {
         self.return_to_pool_for(DEFAULT_IDLE_TIME);
--- a/entry/tests/test_serve/main.rs
+++ b/entry/tests/test_serve/main.rs
@@ -6,6 +6,8 @@
 #[cfg(test)]
 mod test_at_most_once;
 #[cfg(test)]
+mod test_broken_heads;
+#[cfg(test)]
 mod test_drain;
 #[cfg(test)]
 mod test_http2;
