daemon: a response has one of HTTP's final statuses

Callers got answers with the statuses 600 to 999 and 101, and a 204 without the body that its head announced: hyper takes any three digits from 100 on for a status, and whoever gets 101 waits for another protocol.

Nobody asks upstreams for another protocol, so no sound one answers 101; 100 and 103 are followed by a final response, which hyper waits for.

--- a/daemon/tests/test_response_head.rs
+++ b/daemon/tests/test_response_head.rs
@@ -53,3 +53,24 @@
 ) {
     assert_eq!(check_head(&head_of(200, fields)), Err(fault));
 }
+
+#[rstest]
+#[case::no_content(204, &[])]
+#[case::no_content_of_no_length(204, &[("content-length", "0")])]
+#[case::not_modified_of_a_body(304, &[("content-length", "12")])]
+#[case::the_last(599, &[])]
+fn a_final_status_is_sound(#[case] status: u16, #[case] fields: &[(&str, &str)]) {
+    assert_eq!(check_head(&head_of(status, fields)), Ok(()));
+}
+
+/// Guards against an answer with a status that its caller can't understand.
+#[rstest]
+#[case::interim(100, &[])]
+#[case::switched_protocols(101, &[])]
+#[case::above_the_last(600, &[])]
+#[case::the_librarys_last(999, &[])]
+#[case::no_content_with_a_length(204, &[("content-length", "12")])]
+#[case::no_content_in_chunks(204, &[("transfer-encoding", "chunked")])]
+fn a_status_of_no_final_response_is_broken(#[case] status: u16, #[case] fields: &[(&str, &str)]) {
+    assert_eq!(check_head(&head_of(status, fields)), Err(HeadFault::Status));
+}
