entry, daemon: the lines of an upstream's head end with a carriage return

Callers got, as a complete answer, the rest of a spoilt head and the body behind it ("Content-Length: 18 CR LF CR LF of a broken answer" as the body), or a body cut short: the head held a line that is no field, a line feed alone.

Cause: hyper ends a line at a line feed alone, and a head at an empty line that does. One byte of a head that turns into a line feed can so end the head early. What follows is read as the body: to the end of the connection if the length stood behind that byte.

hyper has no strict reading, so the socket under it follows the lines of each head (`HeadLines`) and fails the read at a line feed without a carriage return, or at an empty first line. It looks at nothing behind the head and takes no part in what the lines say.

--- a/daemon/src/response_head.rs
+++ b/daemon/src/response_head.rs
@@ -4,6 +4,8 @@
 //! lengths; and a body of an unknown transfer coding goes on to the end of its connection, with the
 //! bytes that frame it. Such a body would look whole to its caller.
 
+mod lines;
+
 use std::ops::RangeInclusive;
 
 use displaydoc::Display;
@@ -19,6 +21,8 @@
 };
 use thiserror::Error;
 
+pub use self::lines::HeadLines;
+
 crate::counters! {
     /// What is wrong with the head of an upstream's response.
     #[derive(Display, Error)]
@@ -29,6 +33,8 @@
         Length,
         /// an unknown transfer coding of the body
         TransferCoding,
+        /// a line that ends without a carriage return
+        LineEnd,
         /// bytes that are no head
         Unreadable,
     }
--- a/daemon/tests/test_response_head.rs
+++ b/daemon/tests/test_response_head.rs
@@ -4,6 +4,7 @@
 
 use cicadabend_daemon::response_head::{
     HeadFault,
+    HeadLines,
     check_head, //
 };
 use http::{
@@ -74,3 +75,38 @@
 fn a_status_of_no_final_response_is_broken(#[case] status: u16, #[case] fields: &[(&str, &str)]) {
     assert_eq!(check_head(&head_of(status, fields)), Err(HeadFault::Status));
 }
+
+/// Follows bytes that arrive in parts of this length, after a request was sent.
+fn follow(bytes: &[u8], part: usize) -> Result<(), HeadFault> {
+    let mut lines = HeadLines::default();
+    lines.expect_head();
+    bytes.chunks(part).try_for_each(|part| lines.follow(part))
+}
+
+#[rstest]
+#[case::without_a_body(b"HTTP/1.1 204 No Content\r\n\r\n")]
+#[case::any_bytes_in_the_body(b"HTTP/1.1 200 OK\r\nA: b\r\n\r\n\n\r\n\rc\n")]
+#[case::after_interim_ones(
+    b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\n\r\nc\n"
+)]
+fn lines_that_end_as_they_must_are_sound(
+    #[case] bytes: &[u8],
+    #[values(1, 2, 3, 7, 1_000)] part: usize,
+) {
+    assert_eq!(follow(bytes, part), Ok(()));
+}
+
+/// Guards against a head that ends early, so that the rest of it is taken for the body.
+#[rstest]
+#[case::a_field(b"HTTP/1.1 200 OK\r\nA: b\nC: d\r\n\r\n")]
+#[case::the_first_line(b"HTTP/1.1 200 OK\nA: b\r\n\r\n")]
+#[case::an_empty_line(b"HTTP/1.1 200 OK\r\nA: b\r\n\nC: d\r\n\r\n")]
+#[case::the_last_line(b"HTTP/1.1 200 OK\r\nA: b\r\n\n")]
+#[case::an_empty_first_line(b"\r\nHTTP/1.1 200 OK\r\n\r\n")]
+#[case::after_an_interim_one(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\n\r\n")]
+fn a_line_without_a_carriage_return_is_broken(
+    #[case] bytes: &[u8],
+    #[values(1, 2, 3, 7, 1_000)] part: usize,
+) {
+    assert_eq!(follow(bytes, part), Err(HeadFault::LineEnd));
+}
--- a/entry/src/serve/upstream.rs
+++ b/entry/src/serve/upstream.rs
@@ -26,6 +26,7 @@
     metrics::Metrics,
     response_head::{
         HeadFault,
+        HeadLines,
         check_head, //
     },
 };
@@ -117,27 +118,30 @@
     }
 }
 
-/// The writes of one connection; shared between the connection's owner and its task.
+/// What the owner of a connection and the connection's task share.
 #[derive(Default)]
-struct WriteState {
+struct ConnectionState {
     /// Number of bytes that the kernel has accepted.
     written: Cell<u64>,
     /// Whether the connection must not write any more.
     sealed: Cell<bool>,
     /// Number of requests that the connection has completed.
     completed: Cell<u64>,
+    /// The lines of the response's head that arrive.
+    lines: Cell<HeadLines>,
 }
 
-/// A socket that counts the bytes that the kernel accepts, and fails all writes once sealed.
-struct CountedStream {
+/// A socket that counts the bytes that the kernel accepts, fails all writes once sealed, and fails to
+/// read the head of a response if a line of it is broken.
+struct CheckedStream {
     stream: TcpStream,
-    writes: Rc<WriteState>,
+    state: Rc<ConnectionState>,
 }
 
-impl CountedStream {
+impl CheckedStream {
     /// Returns an error if the connection is sealed.
     fn check_open(&self) -> io::Result<()> {
-        match self.writes.sealed.get() {
+        match self.state.sealed.get() {
             true => Err(io::ErrorKind::ConnectionAborted.into()),
             false => Ok(()),
         }
@@ -146,24 +150,29 @@
     /// Adds the bytes of a successful write to the count, and returns the result as ready.
     fn count(&self, result: io::Result<usize>) -> Poll<io::Result<usize>> {
         if let Ok(length) = &result {
-            let written = self.writes.written.get() + *length as u64;
-            self.writes.written.set(written);
+            let written = self.state.written.get() + *length as u64;
+            self.state.written.set(written);
         }
         Poll::Ready(result)
     }
 }
 
-impl AsyncRead for CountedStream {
+impl AsyncRead for CheckedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let read_before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        let mut lines = self.state.lines.get();
+        let followed = lines.follow(&buffer.filled()[read_before..]);
+        self.state.lines.set(lines);
+        Poll::Ready(followed.map_err(|fault| io::Error::new(io::ErrorKind::InvalidData, fault)))
     }
 }
 
-impl AsyncWrite for CountedStream {
+impl AsyncWrite for CheckedStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -200,7 +209,7 @@
 /// An open connection; dropping it closes the socket.
 struct Connection {
     sender: SendRequest<RequestBody>,
-    writes: Rc<WriteState>,
+    state: Rc<ConnectionState>,
     task: AbortHandle,
     /// The time since which the connection is idle, and the time until which it may be used.
     idle: (Instant, Instant),
@@ -224,7 +233,7 @@
     fn drop(&mut self) {
         // The task is dropped only later. Until then it must not write its buffered bytes:
         // otherwise a request that was reported as "not run" would be sent.
-        self.writes.sealed.set(true);
+        self.state.sealed.set(true);
         self.task.abort();
     }
 }
@@ -238,7 +247,7 @@
 
 /// The connection that an attempt writes to, and the counts at the attempt's start.
 struct AttemptWrites {
-    writes: Rc<WriteState>,
+    state: Rc<ConnectionState>,
     /// Number of bytes that earlier requests on the connection had written.
     written_before: u64,
     /// Number of earlier requests that the connection had completed.
@@ -261,11 +270,11 @@
         let Some(attempt) = &*current else {
             return 0;
         };
-        let writes = &attempt.writes;
-        if writes.completed.get() == attempt.completed_before {
-            writes.sealed.set(true);
+        let state = &attempt.state;
+        if state.completed.get() == attempt.completed_before {
+            state.sealed.set(true);
         }
-        writes.written.get() - attempt.written_before
+        state.written.get() - attempt.written_before
     }
 }
 
@@ -373,14 +382,14 @@
             .map_err(|error| failed(error.to_string()))?;
         sockopt::set_socket_recv_buffer_size(&stream, RECEIVE_BUFFER_BYTES)
             .map_err(|error| failed(error.to_string()))?;
-        let writes = Rc::new(WriteState::default());
-        let counted = CountedStream {
+        let state = Rc::new(ConnectionState::default());
+        let checked = CheckedStream {
             stream,
-            writes: Rc::clone(&writes),
+            state: Rc::clone(&state),
         };
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
-            .handshake(TokioIo::new(counted))
+            .handshake(TokioIo::new(checked))
             .await
             .map_err(|error| failed(error.to_string()))?;
         let task = tokio::task::spawn_local(async move {
@@ -389,7 +398,7 @@
         });
         Ok(Connection {
             sender,
-            writes,
+            state,
             task: task.abort_handle(),
             idle: (Instant::now(), Instant::now()),
         })
@@ -407,6 +416,15 @@
     text
 }
 
+/// Returns what was wrong with the head of the response, if that is the cause of the error.
+fn head_fault(error: &hyper::Error) -> Option<HeadFault> {
+    if error.is_parse() {
+        return Some(HeadFault::Unreadable);
+    }
+    let cause = std::error::Error::source(error)?.downcast_ref::<io::Error>()?;
+    cause.get_ref()?.downcast_ref().copied()
+}
+
 /// A connection in use by one request; dropping it closes the connection.
 pub(super) struct Lease {
     address: Address,
@@ -433,11 +451,14 @@
         request: Request<RequestBody>,
         sent: &SentBytes,
     ) -> Result<(Response<Incoming>, Lease), AttemptError> {
-        let writes = Rc::clone(&self.connection.writes);
+        let state = Rc::clone(&self.connection.state);
+        let mut lines = state.lines.get();
+        lines.expect_head();
+        state.lines.set(lines);
         let attempt = AttemptWrites {
-            written_before: writes.written.get(),
-            completed_before: writes.completed.get(),
-            writes,
+            written_before: state.written.get(),
+            completed_before: state.completed.get(),
+            state,
         };
         sent.current.replace(Some(attempt));
         match self.connection.sender.send_request(request).await {
@@ -458,10 +479,10 @@
     /// Stops the writes and returns the error, which depends on whether a byte was written.
     fn failure(self, sent: &SentBytes, error: &hyper::Error) -> AttemptError {
         let (address, reason) = (self.address, error_with_causes(error));
-        match sent.seal() {
-            0 => AttemptError::NothingWritten { address, reason },
-            _ if error.is_parse() => self.broken_head(HeadFault::Unreadable),
-            written => AttemptError::Broken {
+        match (sent.seal(), head_fault(error)) {
+            (0, _) => AttemptError::NothingWritten { address, reason },
+            (_, Some(fault)) => self.broken_head(fault),
+            (written, None) => AttemptError::Broken {
                 address,
                 written,
                 reason,
@@ -493,13 +514,10 @@
                 idle,
                 ..
             } = self;
-            if connection.sender.ready().await.is_err() || connection.writes.sealed.get() {
+            if connection.sender.ready().await.is_err() || connection.state.sealed.get() {
                 return;
             }
-            connection
-                .writes
-                .completed
-                .update(|completed| completed + 1);
+            connection.state.completed.update(|completed| completed + 1);
             let now = Instant::now();
             connection.idle = (now, now + keep_for);
             let mut idle = idle.borrow_mut();
--- a/entry/tests/test_serve/test_broken_heads.rs
+++ b/entry/tests/test_serve/test_broken_heads.rs
@@ -21,6 +21,7 @@
 )]
 #[case::no_status_of_http("HTTP/1.1 600 OK\r\ncontent-length: 4\r\n\r\nbody")]
 #[case::another_protocol("HTTP/1.1 101 Switching Protocols\r\n\r\n")]
+#[case::a_line_feed_alone("HTTP/1.1 200 OK\r\n\ncontent-length: 4\r\n\r\nbody")]
 fn a_broken_head_is_no_response(#[case] response: &'static str) {
     let upstream = ScriptedUpstream::start(|_, _| vec![Step::send(response), Step::Close]);
     let fixture = Fixture::with_plain(&[upstream.address]);
