entry: a stream that closes before its first event isn't whole without a length

Callers of streams got a 200 with an empty body, framed as whole, when an engine closed its connection right after a head that told neither a length nor chunks. A stream resumed at such an engine ended as complete before its last event.

Cause: such an answer may end with its connection, and the daemon took the close for the end of a stream without events. An engine that stops there looks the same.

Now it counts as broken off before anything was passed on: it is repeated elsewhere where that may be, else refused with 502. A relay says in a header of its own whether the upstream's head told a length; a relay of an earlier version says nothing, which counts as a length, as before. A stream whose length or chunks say that it has no events stays whole, and so does an answer without length or body on a route that is no stream.

--- a/daemon/src/response_head.rs
+++ b/daemon/src/response_head.rs
@@ -78,6 +78,11 @@
     }
 }
 
+/// Returns whether a response's head tells where its body ends; if not, the body ends with its connection.
+pub fn tells_length(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 fn is_number(value: &HeaderValue) -> bool {
     let digits = value.as_bytes();
     !digits.is_empty() && digits.iter().all(u8::is_ascii_digit)
--- a/entry/src/serve/routed/exchange.rs
+++ b/entry/src/serve/routed/exchange.rs
@@ -78,6 +78,7 @@
         response,
         lease,
         sent_at,
+        tells_length,
         relay,
     } = transport::send(server, prepared, replica, sent, last_event).await?;
     let (parts, incoming) = response.into_parts();
@@ -118,7 +119,7 @@
         return read_first_events(
             server,
             parts,
-            rest,
+            (rest, tells_length),
             last_event.or(prepared.caller_headers.last_event),
         )
         .await;
@@ -182,7 +183,7 @@
 async fn read_first_events(
     server: &Server,
     parts: Parts,
-    rest: AnswerRest,
+    (rest, tells_length): (AnswerRest, bool),
     last_event: Option<u64>,
 ) -> Result<Answered, Failure> {
     let mut source = EventSource::new(rest, last_event);
@@ -194,6 +195,10 @@
             source,
         }),
         Some(Err(reason)) => Err(Failure::Broken(reason)),
+        // Only the end of its connection says that it is complete, and its upstream may have died.
+        None if !tells_length => Err(Failure::Broken(
+            "the connection ended before the stream's first event".to_owned(),
+        )),
         // A stream without events is complete: the caller may already have the last event.
         None => {
             source.return_to_pool();
--- a/entry/src/serve/routed/relay_client.rs
+++ b/entry/src/serve/routed/relay_client.rs
@@ -180,6 +180,7 @@
     })?;
     match relay_headers::take_report(response.headers_mut()) {
         Some(RelayReport::Passed) => Ok(Delivered {
+            tells_length: relay_headers::take_tells_length(response.headers_mut()),
             response,
             lease,
             sent_at,
--- a/entry/src/serve/routed/relay_headers.rs
+++ b/entry/src/serve/routed/relay_headers.rs
@@ -17,6 +17,9 @@
 /// The relay's report on what it did.
 const HEADER_REPORT: &str = "x-cicadabend-relay-report";
 
+/// Is there if the upstream's head didn't tell the length of the body.
+const HEADER_NO_LENGTH: &str = "x-cicadabend-relay-no-length";
+
 /// What a relay is asked to do.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum RelayAction {
@@ -135,6 +138,19 @@
     value_of(&REPORTS, &take(headers, HEADER_REPORT)?)
 }
 
+/// Sets in the headers of a relay's response whether the upstream's own head told the body's length.
+pub(super) fn write_tells_length(headers: &mut HeaderMap, tells_length: bool) {
+    match tells_length {
+        true => drop(headers.remove(HEADER_NO_LENGTH)),
+        false => headers::set(headers, HEADER_NO_LENGTH, "1"),
+    }
+}
+
+/// Removes from a relay's response what it says of the body's length, and returns that.
+pub(super) fn take_tells_length(headers: &mut HeaderMap) -> bool {
+    take(headers, HEADER_NO_LENGTH).is_none()
+}
+
 fn take(headers: &mut HeaderMap, name: &str) -> Option<String> {
     let value = headers.remove(name)?;
     value.to_str().ok().map(str::to_owned)
--- a/entry/src/serve/routed/relay_server.rs
+++ b/entry/src/serve/routed/relay_server.rs
@@ -25,6 +25,7 @@
         ConnectionTable,
         OpenConnection, //
     },
+    response_head::tells_length,
 };
 use http::{
     HeaderValue,
@@ -84,7 +85,8 @@
         RelayAction,
         RelayReport,
         RelayRequest,
-        write_report, //
+        write_report,
+        write_tells_length, //
     },
     relay_state::RelayedRequest,
     reservation::Reservation,
@@ -252,6 +254,8 @@
     reservation.end_trial(true);
     let answer = PassedAnswer::new(server, outgoing.request_id, rest, reservation, counted);
     let (mut parts, ()) = response.into_parts();
+    let tells_length = tells_length(&parts.headers);
+    write_tells_length(&mut parts.headers, tells_length);
     headers::remove_hop_by_hop(&mut parts.headers);
     write_report(&mut parts.headers, RelayReport::Passed);
     let body = RelayBody::Passed(Box::new(answer));
--- a/entry/src/serve/routed/transport.rs
+++ b/entry/src/serve/routed/transport.rs
@@ -6,6 +6,7 @@
 };
 
 use cicadabend::reach::LinkUse;
+use cicadabend_daemon::response_head::tells_length;
 
 use super::{
     super::upstream::{
@@ -117,6 +118,7 @@
     let check_admission = || upstream_signals::check_admission(server, &replica.id);
     let (response, lease, sent_at) = direct.send(server, idle, check_admission).await?;
     Ok(Delivered {
+        tells_length: tells_length(response.headers()),
         response,
         lease,
         sent_at,
