control: an engine's answer to a command is read up to 256 KiB

A control daemon took 1.1 to 2.3 GB of memory while four engines answered its commands with bodies without end; its machine has 256 MB, so it would have been killed, and again after each start while the engines go on. Callers would have kept their last configuration, and no group would have been formed or mended.

Cause: the answer to a command was collected whole, for up to a second, by its time alone. The other reader of such answers, the entry daemon's for the product's own engines, has a bound already.

Evidence: four stand-ins of model engines answer each command with 512 KiB again and again, until the daemon closes: without a length 1,070,690,304 bytes at the peak, with a length of four terabytes 2,283,433,984; 256 MB are allowed.

The answer is read up to 256 KiB, as much as an engine may tell of itself when it reports; a longer one counts as no answer, its connection is closed, and the command is sent again later. `engine_command_failures` counts the commands without a usable answer by the reason.

--- a/control/src/counters.rs
+++ b/control/src/counters.rs
@@ -94,3 +94,19 @@
         NoLeader,
     }
 }
+
+cicadabend_daemon::counters! {
+    /// Commands to engines that got no usable answer and are sent again, by reason.
+    pub(crate) enum CommandFailure = "engine_command_failures" {
+        /// No connection could be made, or it broke before the answer.
+        ConnectionFailed,
+        /// The head of the answer is broken.
+        HeadBroken,
+        /// The answer is longer than engines' answers are.
+        AnswerTooLong,
+        /// The answer broke off.
+        AnswerBroken,
+        /// No whole answer came in time.
+        TooLate,
+    }
+}
--- a/control/src/engine_commands.rs
+++ b/control/src/engine_commands.rs
@@ -24,7 +24,9 @@
 };
 use http_body_util::{
     BodyExt,
-    Full, //
+    Full,
+    LengthLimitError,
+    Limited, //
 };
 use hyper_util::{
     client::legacy::{
@@ -34,7 +36,10 @@
     rt::TokioExecutor,
 };
 
+use tokio::time::timeout;
+
 use crate::{
+    counters::CommandFailure,
     edge::ControlEdge,
     members::MembersEvent, //
 };
@@ -45,6 +50,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long an idle connection stays pooled; a group gets several commands in a row.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest body of an engine's answer; the answers of many engines are read at once.
+const MAX_ANSWER_BYTES: usize = 256 * 1024;
 
 type CommandClient = Client<HttpConnector, Full<Bytes>>;
 
@@ -57,6 +64,7 @@
     answers: Sender<MembersEvent>,
     metrics: Metrics,
 ) {
+    metrics.declare::<CommandFailure>();
     metrics.declare::<HeadFault>();
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
@@ -77,33 +85,46 @@
     }
 }
 
+/// Sends a command and reads the engine's answer, within the time and the length that it may have.
 async fn send_command(
     edge: &dyn ControlEdge,
     client: &CommandClient,
     metrics: &Metrics,
     command: &EngineCommand,
 ) -> EngineCommandOutcome {
+    let exchanged = exchange(edge, client, metrics, command);
+    let exchanged = match timeout(COMMAND_TIMEOUT, exchanged).await {
+        Ok(exchanged) => exchanged,
+        Err(_) => Err(CommandFailure::TooLate),
+    };
+    exchanged.unwrap_or_else(|failure| {
+        metrics.count(failure);
+        EngineCommandOutcome::Unanswered
+    })
+}
+
+async fn exchange(
+    edge: &dyn ControlEdge,
+    client: &CommandClient,
+    metrics: &Metrics,
+    command: &EngineCommand,
+) -> Result<EngineCommandOutcome, CommandFailure> {
     let request = edge.order(command).map(Full::new);
-    let answered = async {
-        let response = match client.request(request).await {
-            Ok(response) => response,
-            Err(error) if is_connection_refused(&error) => return EngineCommandOutcome::Refused,
-            Err(_) => return EngineCommandOutcome::Unanswered,
-        };
-        let (head, body) = response.into_parts();
-        if let Err(fault) = check_head(&head) {
-            metrics.count(fault);
-            return EngineCommandOutcome::Unanswered;
-        }
-        // The body is read to its end, so that the connection can be reused.
-        match body.collect().await {
-            Ok(body) => edge.outcome(command, head.status, &body.to_bytes()),
-            Err(_) => EngineCommandOutcome::Unanswered,
-        }
+    let response = match client.request(request).await {
+        Ok(response) => response,
+        Err(error) if is_connection_refused(&error) => return Ok(EngineCommandOutcome::Refused),
+        Err(_) => return Err(CommandFailure::ConnectionFailed),
     };
-    match tokio::time::timeout(COMMAND_TIMEOUT, answered).await {
-        Ok(outcome) => outcome,
-        Err(_) => EngineCommandOutcome::Unanswered,
+    let (head, body) = response.into_parts();
+    if let Err(fault) = check_head(&head) {
+        metrics.count(fault);
+        return Err(CommandFailure::HeadBroken);
+    }
+    // The body is read to its end, so that the connection can be reused.
+    match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
+        Ok(body) => Ok(edge.outcome(command, head.status, &body.to_bytes())),
+        Err(error) if error.is::<LengthLimitError>() => Err(CommandFailure::AnswerTooLong),
+        Err(_) => Err(CommandFailure::AnswerBroken),
     }
 }
 
