entry: late in a planned stop, only what can end in time is taken

In a planned stop, callers of requests that came after the listener had closed, on connections that were open, got no answer: the requests were passed on, and cut off when the time to stop was over, among them such as may not be repeated.

Cause: a connection that has part of a request when the listener closes may finish it, and the daemon took whatever became whole, however little time it had left. An idle connection was closed at once already, and so was one without a byte; relays refuse from the signal on.

Once the listener has closed, a request is passed on only if its deadline, and 0.1 s for writing the answer, is before the time at which the daemon cuts off what still runs. Then it gets its answer, or the one that its time is over, while the daemon is there. All others are refused as not run, by `Stopping` (`shutting_down` on the product's interface, a code that was documented and never sent), and told to come back after 60 ms, by a new connection to another daemon. Until the listener closes nothing changes: callers don't know of the stop yet.

--- a/daemon/src/settings/entry.rs
+++ b/daemon/src/settings/entry.rs
@@ -99,7 +99,7 @@
     /// How long the listener stays open after readiness went, so that the balancer sees it.
     #[serde(default = "default_drain_notice_ms")]
     pub drain_notice_ms: u64,
-    /// How long running requests may take to end after that.
+    /// How long running requests may take to end after that; later ones with a later deadline are refused.
     #[serde(default = "default_drain_timeout_ms")]
     pub drain_timeout_ms: u64,
     /// How many requests may wait in this daemon.
--- a/entry/src/serve/connections.rs
+++ b/entry/src/serve/connections.rs
@@ -1,6 +1,7 @@
 //! Accepts callers' connections up to a limit, and drains them when the daemon stops.
 
 use std::{
+    cell::Cell,
     future::Future,
     time::Duration, //
 };
@@ -19,6 +20,7 @@
     },
     sync::watch,
     time::{
+        Instant,
         sleep,
         timeout, //
     },
@@ -36,6 +38,9 @@
 /// The smallest read buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
+/// Time for writing an answer that is given at its request's deadline.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(100);
+
 /// How draining the connections ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum DrainEnd {
@@ -45,6 +50,30 @@
     CutOff,
 }
 
+/// How far a daemon's planned stop has come.
+#[derive(Default)]
+pub(super) struct StopProgress {
+    is_stopping: Cell<bool>,
+    /// When the requests that still run are cut off; `None` until the listener has closed.
+    cut_off_at: Cell<Option<Instant>>,
+}
+
+impl StopProgress {
+    /// Returns whether the daemon is stopping, and so not ready.
+    pub(super) fn is_stopping(&self) -> bool {
+        self.is_stopping.get()
+    }
+
+    /// Returns whether a request that is complete now gets its answer by its deadline, before the daemon
+    /// cuts off what still runs.
+    ///
+    /// Until the listener closes every request does, since callers do not know of the stop yet.
+    pub(super) fn leaves_time_until(&self, deadline: Instant) -> bool {
+        let cut_off_at = self.cut_off_at.get();
+        cut_off_at.is_none_or(|at| deadline + LAST_ANSWER_TIME <= at)
+    }
+}
+
 /// Accepts connections forever, and serves each in a task of its own.
 ///
 /// `admits` is asked before each one is served. One that it refuses is closed at once, and so is one
@@ -92,17 +121,18 @@
 ///
 /// A planned stop has three steps:
 ///
-/// 1. `on_stop` makes the daemon unready.
+/// 1. The daemon is stopping, by `progress`, and so unready.
 /// 2. The listener stays open for `drain_notice_ms`, until the balancer has seen that.
 /// 3. The listener closes. The daemon waits for all connections and then for `others_done`, at
-///    most for `drain_timeout_ms`.
+///    most for `drain_timeout_ms`. Requests that come now, on connections that are open, are for
+///    `serve` to refuse unless `progress` leaves them the time.
 ///
 /// Each call of `serve` gets a receiver that turns true when draining begins.
 pub(super) async fn serve_until_drained<F>(
     listener: TcpListener,
     settings: &EntrySettings,
     mut stopped: watch::Receiver<bool>,
-    on_stop: impl FnOnce(),
+    progress: &StopProgress,
     admission: ConnectionAdmission<impl FnMut() -> bool, impl FnMut()>,
     mut serve: impl FnMut(TcpStream, OpenConnection, watch::Receiver<bool>) -> F,
     others_done: impl Future<Output = ()>,
@@ -116,7 +146,7 @@
     let notice = async {
         // An error means that the sender was dropped, which also means to stop.
         let _ = stopped.wait_for(|stop| *stop).await;
-        on_stop();
+        progress.is_stopping.set(true);
         LogEvent::Draining {}.emit();
         sleep(Duration::from_millis(callers.drain_notice_ms)).await;
     };
@@ -128,8 +158,9 @@
         () = notice => {}
     }
     drop(listener);
-    let _ = drain.send(true);
     let limit = Duration::from_millis(callers.drain_timeout_ms);
+    progress.cut_off_at.set(Some(Instant::now() + limit));
+    let _ = drain.send(true);
     let all_done = async {
         open.all_closed().await;
         others_done.await;
--- a/entry/src/serve/drive.rs
+++ b/entry/src/serve/drive.rs
@@ -56,6 +56,10 @@
     server: &Rc<Server>,
     spec: Spec,
 ) -> Result<Response<ResponseBody>, Refusal> {
+    if !server.stop.leaves_time_until(spec.options.deadline) {
+        let message = "The daemon is stopping.";
+        return Err(Refusal::new(ErrorCode::ShuttingDown, message));
+    }
     match spec.traits.needs_claim {
         true => detached::answer(server, spec).await,
         false => drive(server, spec).await,
--- a/entry/src/serve/listener.rs
+++ b/entry/src/serve/listener.rs
@@ -82,7 +82,7 @@
         listener,
         &server.settings,
         stopped,
-        || server.draining.set(true),
+        &server.stop,
         ConnectionAdmission {
             admits: || true,
             on_full: || server.counts.count(Serving::ConnectionsRefused),
--- a/entry/src/serve/routed/admission.rs
+++ b/entry/src/serve/routed/admission.rs
@@ -166,6 +166,22 @@
     chosen.expect("a checked route has a target").clone()
 }
 
+/// Checks that the daemon does not stop before a request could be answered.
+///
+/// # Errors
+///
+/// Returns a [`Refusal`] if the request might be cut off although it was passed on.
+pub(super) fn check_stop(server: &Server, deadline: Instant) -> Result<(), Refusal> {
+    match server.stop.leaves_time_until(deadline) {
+        true => Ok(()),
+        false => Err(refusal(
+            RoutedRefusal::Stopping,
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the daemon is stopping",
+        )),
+    }
+}
+
 /// Reads the whole request body, so that it can be sent again in a retry, until `deadline`.
 ///
 /// # Errors
--- a/entry/src/serve/routed/counts.rs
+++ b/entry/src/serve/routed/counts.rs
@@ -69,6 +69,8 @@
         NoBodyMemory,
         /// The request body arrived too slowly or broke off.
         BodyIncomplete,
+        /// The daemon is stopping, and would cut the request off before its deadline.
+        Stopping,
         /// No upstream can take the request now.
         NoReplica,
         /// The request is quarantined because several upstreams crashed with it.
--- a/entry/src/serve/routed/handler.rs
+++ b/entry/src/serve/routed/handler.rs
@@ -7,7 +7,10 @@
 
 use bytes::Bytes;
 use cicadabend::dispatch::urgency;
-use cicadabend_daemon::connections::ConnectionRequest;
+use cicadabend_daemon::{
+    bodies::HeldBody,
+    connections::ConnectionRequest, //
+};
 use http::{
     HeaderValue,
     Request,
@@ -27,6 +30,7 @@
         Admitted,
         Refusal,
         admit,
+        check_stop,
         pick_service, //
         read_body,
     },
@@ -70,7 +74,7 @@
         }
     };
     let terms = terms_of(&server, &view, admitted, &caller_headers, arrived);
-    let held = match read_body(&server, &view, &mut body, terms.deadline).await {
+    let held = match read_in_time(&server, &view, &mut body, terms.deadline).await {
         Ok(held) => held,
         Err(refusal) => {
             let unread = UnreadBody::new(body, &parts.headers);
@@ -90,6 +94,19 @@
     }
 }
 
+/// Reads the body of a request, unless the daemon stops before the request could be answered.
+async fn read_in_time(
+    server: &Server,
+    view: &RoutedView,
+    body: &mut Incoming,
+    deadline: Instant,
+) -> Result<HeldBody, Refusal> {
+    check_stop(server, deadline)?;
+    let held = read_body(server, view, body, deadline).await?;
+    check_stop(server, deadline)?;
+    Ok(held)
+}
+
 fn refuse_unadmitted(
     server: &Server,
     caller_headers: &CallerHeaders,
--- a/entry/src/serve/routed/listener.rs
+++ b/entry/src/serve/routed/listener.rs
@@ -94,7 +94,7 @@
         listener,
         &server.settings,
         stopped,
-        || server.draining.set(true),
+        &server.stop,
         ConnectionAdmission {
             admits: || overload::admits_connection(&server),
             on_full: || server.counts.count(Routed::ConnectionsShed),
--- a/entry/src/serve/routed/refusal.rs
+++ b/entry/src/serve/routed/refusal.rs
@@ -153,7 +153,11 @@
         why: message.to_owned(),
     });
     let spread = server.random_fraction();
-    let retry_after = RETRY_UNADMITTED + RETRY_UNADMITTED_SPREAD.mul_f64(spread);
+    let retry_after = match reason {
+        // Another daemon takes the request at once.
+        RoutedRefusal::Stopping => RETRY_MIN,
+        _ => RETRY_UNADMITTED + RETRY_UNADMITTED_SPREAD.mul_f64(spread),
+    };
     let answer = OwnAnswer {
         status,
         request_id,
--- a/entry/src/serve/routed/relay_server.rs
+++ b/entry/src/serve/routed/relay_server.rs
@@ -224,7 +224,7 @@
     mut parts: Parts,
     mut body: Incoming,
 ) -> Result<Response<RelayBody>, NotRelayed> {
-    if server.draining.get() {
+    if server.stop.is_stopping() {
         return Err(RelayReport::Stopping.into());
     }
     let replica = find_replica(server, asked)?;
--- a/entry/src/serve/routed/server.rs
+++ b/entry/src/serve/routed/server.rs
@@ -48,6 +48,7 @@
 
 use super::{
     super::{
+        connections::StopProgress,
         unread_body::Discards,
         upstream::ConnectionPool, //
     },
@@ -115,7 +116,7 @@
     pub(super) overload: Overload,
     pub(super) links: Links,
     pub(super) relay: RelayState,
-    pub(super) draining: Cell<bool>,
+    pub(super) stop: StopProgress,
     /// Whether the drain timeout has passed, so that the requests still running are cut off.
     pub(super) is_cut_off: Cell<bool>,
     lines: RequestLines,
@@ -155,7 +156,7 @@
             overload: Overload::default(),
             links: Links::new(setup.lost_groups.clone()),
             relay: RelayState::new(setup.relay_key),
-            draining: Cell::new(false),
+            stop: StopProgress::default(),
             is_cut_off: Cell::new(false),
             lines: RequestLines::default(),
             demand: setup.demand.clone(),
@@ -183,7 +184,7 @@
 
     /// Returns whether the load balancer should send callers to this daemon.
     pub(super) fn is_ready(&self) -> bool {
-        !self.draining.get() && self.view.load().is_ready()
+        !self.stop.is_stopping() && self.view.load().is_ready()
     }
 
     /// Writes a log line on a request, within the rate limit for such lines.
--- a/entry/src/serve/server.rs
+++ b/entry/src/serve/server.rs
@@ -46,6 +46,7 @@
 use super::{
     admission_control::AdmissionControl,
     claim_client::ClaimClient,
+    connections::StopProgress,
     counts::{
         Counts,
         Serving, //
@@ -79,8 +80,7 @@
     pub(super) request_ids: RequestIds,
     /// The responses that callers are reading.
     pub(super) bodies: BodyWatch,
-    /// Whether the daemon is stopping, and so not ready.
-    pub(super) draining: Cell<bool>,
+    pub(super) stop: StopProgress,
     pub(super) router: RefCell<Router>,
     pub(super) own_load: RefCell<OwnLoad>,
     pub(super) retry_budget: RefCell<RetryBudget>,
@@ -137,7 +137,7 @@
             detached: Rc::default(),
             request_ids: RequestIds::default(),
             bodies: BodyWatch::default(),
-            draining: Cell::new(false),
+            stop: StopProgress::default(),
             router: RefCell::default(),
             own_load: RefCell::default(),
             retry_budget: RefCell::default(),
@@ -174,7 +174,7 @@
 
     /// Returns whether the balancer should send callers here.
     pub(super) fn is_ready(&self) -> bool {
-        !self.draining.get() && self.snapshot.load().ready
+        !self.stop.is_stopping() && self.snapshot.load().ready
     }
 
     /// Returns a uniformly distributed random number.
--- a/entry/tests/test_serve/test_drain.rs
+++ b/entry/tests/test_serve/test_drain.rs
@@ -1,5 +1,11 @@
 //! Planned stops of the serving thread.
 
+use std::{
+    net::TcpStream,
+    thread,
+    time::Duration, //
+};
+
 use crate::support::{
     Fixture,
     ScriptedUpstream,
@@ -36,3 +42,26 @@
     assert!(body.ends_with("data: [DONE]\n\n"));
     fixture.join();
 }
+
+/// Guards against a request that is taken so late in a planned stop that it is cut off, whether it has run
+/// or not. It is refused, and its upstream doesn't see it.
+#[test]
+fn a_request_that_comes_too_late_to_end_is_refused() {
+    let upstream = ScriptedUpstream::start(|_, _| vec![Step::PauseMs(8_000)]);
+    let fixture = Fixture::with_plain(&[upstream.address]);
+    let mut caller = fixture.caller();
+    caller.write("POST /services/field-api/a HTTP/1.1\r\nhost: x\r\n");
+
+    fixture.stop();
+    let address = caller.stream.peer_addr().unwrap();
+    while TcpStream::connect(address).is_ok() {
+        thread::sleep(Duration::from_millis(5));
+    }
+    caller.write("authorization: Bearer key-of-team-one\r\ncontent-length: 0\r\n\r\n");
+    let answer = caller.answer();
+
+    assert_eq!(answer.status, 503);
+    assert_eq!(answer.error().code.name(), "shutting_down");
+    assert!(upstream.requests().is_empty());
+    fixture.join();
+}
