entry: an engine's answer to a cancel request is read up to 16 KiB

On the product's own interface, an engine that answers a cancel request with a body without end filled the entry daemon's memory for two seconds: the answer was collected whole, bounded by its time alone, and each caller that leaves a stream sends such a request.

Evidence: a scripted engine writes 64 KiB again and again after a cancel request: the daemon took all of the 268,435,456 bytes at which the script stops; now the connection is closed before 16 MiB, which is what sockets hold.

A sound answer to a cancel request is empty. One above 16 KiB is not read further, and its connection is closed instead of used again.

--- a/entry/src/serve/attempt.rs
+++ b/entry/src/serve/attempt.rs
@@ -15,7 +15,10 @@
     upstream_api::PATH_CANCEL,
 };
 use http::Request;
-use http_body_util::BodyExt;
+use http_body_util::{
+    BodyExt,
+    Limited, //
+};
 use tokio::time::timeout;
 
 use super::{
@@ -28,6 +31,8 @@
 
 /// Time within which an engine must answer a cancel request.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest answer to a cancel request after which its connection is used again.
+const MAX_CANCEL_ANSWER_BYTES: usize = 16 * 1024;
 
 /// One attempt, which counts in its replica's load until it is dropped.
 pub(super) struct Attempt {
@@ -115,7 +120,8 @@
     let Ok((response, lease)) = lease.send(request, &SentBytes::default()).await else {
         return;
     };
-    if response.into_body().collect().await.is_ok() {
+    let body = Limited::new(response.into_body(), MAX_CANCEL_ANSWER_BYTES);
+    if body.collect().await.is_ok() {
         lease.return_to_pool();
     }
 }
--- a/entry/tests/test_serve/support/upstream.rs
+++ b/entry/tests/test_serve/support/upstream.rs
@@ -26,11 +26,17 @@
     },
 };
 
+/// What stands for an endless number of bytes, so that a test that fails takes no more memory.
+const ENDLESS_BYTES: usize = 256 * 1024 * 1024;
+
 /// One action of the upstream on a connection.
 #[derive(Clone, Debug)]
 pub enum Step {
     /// Writes these bytes.
     Send(Vec<u8>),
+    /// Writes these bytes again and again until the connection ends or [`ENDLESS_BYTES`] are written,
+    /// and counts those that it has written.
+    SendOn(Vec<u8>, Arc<AtomicUsize>),
     /// Does nothing for this time, in milliseconds.
     PauseMs(u64),
     /// Closes the connection.
@@ -143,12 +149,22 @@
     requests: Arc<Mutex<Vec<ReceivedRequest>>>,
     cancels: Arc<Mutex<Vec<ReceivedRequest>>>,
     script: Box<Script>,
+    /// What follows a cancel request.
+    cancel_answer: Vec<Step>,
 }
 
 impl ScriptedUpstream {
     /// Starts an upstream; the script gets each request with its number, from zero.
     pub fn start(
         script: impl Fn(usize, &ReceivedRequest) -> Vec<Step> + Send + Sync + 'static,
+    ) -> Self {
+        Self::start_answering_cancels(vec![Step::whole("200 OK", "")], script)
+    }
+
+    /// Does the same with an answer of its own to cancel requests.
+    pub fn start_answering_cancels(
+        cancel_answer: Vec<Step>,
+        script: impl Fn(usize, &ReceivedRequest) -> Vec<Step> + Send + Sync + 'static,
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
@@ -158,6 +174,7 @@
             requests: Arc::clone(&requests),
             cancels: Arc::clone(&cancels),
             script: Box::new(script),
+            cancel_answer,
         });
         let (closing, closed) = mpsc::channel();
         thread::spawn(move || {
@@ -222,7 +239,10 @@
     while let Some(request) = read_request(&mut stream) {
         if request.is_cancel() {
             shared.cancels.lock().unwrap().push(request);
-            perform_step(&mut stream, &Step::whole("200 OK", ""));
+            let mut steps = shared.cancel_answer.iter();
+            if !steps.all(|step| perform_step(&mut stream, step)) {
+                return;
+            }
             continue;
         }
         let number = {
@@ -242,6 +262,13 @@
 fn perform_step(stream: &mut TcpStream, step: &Step) -> bool {
     match step {
         Step::Send(bytes) => stream.write_all(bytes).is_ok(),
+        Step::SendOn(bytes, written) => {
+            while written.load(Ordering::SeqCst) < ENDLESS_BYTES && stream.write_all(bytes).is_ok()
+            {
+                written.fetch_add(bytes.len(), Ordering::SeqCst);
+            }
+            false
+        }
         Step::PauseMs(pause_ms) => {
             thread::sleep(Duration::from_millis(*pause_ms));
             true
--- a/entry/tests/test_serve/test_streams.rs
+++ b/entry/tests/test_serve/test_streams.rs
@@ -1,5 +1,13 @@
 //! Complete responses: streams that break off, resume, get mixed up or lose their caller.
 
+use std::sync::{
+    Arc,
+    atomic::{
+        AtomicUsize,
+        Ordering, //
+    },
+};
+
 use cicadabend::{
     caller_api::ErrorCode,
     prelude::*, //
@@ -14,6 +22,9 @@
     Step, //
 };
 
+/// More than the sockets between an engine and the daemon hold.
+const SOCKET_BUFFERS_BYTES: usize = 16 * 1024 * 1024;
+
 /// Starts an engine that breaks off after positions 0 and 1, and answers a resume with `rest`.
 fn engine_breaking_once(rest: impl Fn() -> Vec<Step> + Send + Sync + 'static) -> ScriptedUpstream {
     ScriptedUpstream::start(move |_, request: &ReceivedRequest| {
@@ -326,6 +337,29 @@
     assert!(cancels[0].head.contains("/cancel/request-1 "));
 }
 
+/// Guards against an answer to a cancel request that is held whole, however long it is.
+#[test]
+fn an_endless_answer_to_a_cancel_request_is_not_held() {
+    let written = Arc::new(AtomicUsize::new(0));
+    let endless = Step::SendOn(vec![b'x'; 64 * 1024], Arc::clone(&written));
+    let cancel_answer = vec![Step::send("HTTP/1.1 200 OK\r\n\r\n"), endless];
+    let engine = ScriptedUpstream::start_answering_cancels(cancel_answer, |_, _| {
+        vec![Step::stream_head(), Step::event(0, "a"), Step::AwaitClose]
+    });
+    let fixture = Fixture::with_engines(&[engine.address]);
+    let mut caller = fixture.caller();
+    caller.complete("");
+    caller.head();
+
+    drop(caller);
+
+    // The connections of the stream and of the cancel request.
+    engine.wait_closed();
+    engine.wait_closed();
+    let written = written.load(Ordering::SeqCst);
+    assert!(written < SOCKET_BUFFERS_BYTES, "{written} bytes were taken");
+}
+
 /// Guards against a cancel or resume of the wrong request: two callers use the same request id at
 /// the same time. Engines cancel and resume by id, so the second request gets another id.
 #[test]
