--- a/control/src/engine_commands.rs
+++ b/control/src/engine_commands.rs
@@ -35,7 +35,6 @@
     },
     rt::TokioExecutor,
 };
-
 use tokio::time::timeout;
 
 use crate::{
--- a/daemon/src/response_head/lines.rs
+++ b/daemon/src/response_head/lines.rs
@@ -5,8 +5,8 @@
 
 use super::HeadFault;
 
-/// The longest beginning of a head that tells an interim response from a final one.
-const STATUS_END: usize = "HTTP/1.1 1".len();
+/// Number of bytes of a head up to the first digit of its status, by which an interim response is known.
+const FIRST_DIGIT_BYTES: usize = "HTTP/1.1 1".len();
 
 /// Follows the bytes that arrive on a connection through the heads of one response.
 #[derive(Clone, Copy, Debug, Default)]
@@ -56,7 +56,7 @@
     fn add(&mut self, byte: u8) {
         self.after_return = false;
         self.line_bytes += 1;
-        if self.is_first_line && self.line_bytes == STATUS_END {
+        if self.is_first_line && self.line_bytes == FIRST_DIGIT_BYTES {
             self.is_interim = byte == b'1';
         }
     }
--- a/entry/src/serve/connections.rs
+++ b/entry/src/serve/connections.rs
@@ -37,7 +37,6 @@
 const HEADER_BUFFER_FACTOR: usize = 2;
 /// The smallest read buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8_192;
-
 /// Time for writing an answer that is given at its request's deadline.
 const LAST_ANSWER_TIME: Duration = Duration::from_millis(100);
 
--- a/entry/src/serve/routed/relay_headers.rs
+++ b/entry/src/serve/routed/relay_headers.rs
@@ -17,7 +17,7 @@
 /// The relay's report on what it did.
 const HEADER_REPORT: &str = "x-cicadabend-relay-report";
 
-/// Is there if the upstream's head didn't tell the length of the body.
+/// Present if the upstream's head did not tell the length of the body.
 const HEADER_NO_LENGTH: &str = "x-cicadabend-relay-no-length";
 
 /// What a relay is asked to do.
