entry, daemon, tests: one state of a planned stop, and pieces that stood twice

- `HeadLines` is made for the next response instead of being changed into that state by its owner, and `Lease::send` has one level less.
- An early refusal draws its random spread only where it is used.

--- a/daemon/src/response_head/lines.rs
+++ b/daemon/src/response_head/lines.rs
@@ -23,13 +23,13 @@
 }
 
 impl HeadLines {
-    /// Expects the head of a response next.
-    pub fn expect_head(&mut self) {
-        *self = Self {
+    /// Returns the state after a request was sent: the head of its response comes next.
+    pub fn of_next_response() -> Self {
+        Self {
             is_in_head: true,
             is_first_line: true,
             ..Self::default()
-        };
+        }
     }
 
     /// Follows bytes that have arrived; those behind the head are not looked at.
@@ -64,7 +64,7 @@
     fn end_line(&mut self) -> Result<(), HeadFault> {
         match (self.line_bytes, self.is_first_line) {
             (0, true) => return Err(HeadFault::LineEnd),
-            (0, false) if self.is_interim => self.expect_head(),
+            (0, false) if self.is_interim => *self = Self::of_next_response(),
             (0, false) => self.is_in_head = false,
             (_, _) => {
                 self.line_bytes = 0;
--- a/daemon/tests/test_response_head.rs
+++ b/daemon/tests/test_response_head.rs
@@ -78,8 +78,7 @@
 
 /// Follows bytes that arrive in parts of this length, after a request was sent.
 fn follow(bytes: &[u8], part: usize) -> Result<(), HeadFault> {
-    let mut lines = HeadLines::default();
-    lines.expect_head();
+    let mut lines = HeadLines::of_next_response();
     bytes.chunks(part).try_for_each(|part| lines.follow(part))
 }
 
--- a/entry/src/serve/connections.rs
+++ b/entry/src/serve/connections.rs
@@ -40,21 +40,13 @@
 /// Time for writing an answer that is given at its request's deadline.
 const LAST_ANSWER_TIME: Duration = Duration::from_millis(100);
 
-/// How draining the connections ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum DrainEnd {
-    /// All requests have ended.
-    Drained,
-    /// The drain timeout passed while requests were running; they are cut off.
-    CutOff,
-}
-
 /// How far a daemon's planned stop has come.
 #[derive(Default)]
 pub(super) struct StopProgress {
     is_stopping: Cell<bool>,
     /// When the requests that still run are cut off; `None` until the listener has closed.
     cut_off_at: Cell<Option<Instant>>,
+    is_cut_off: Cell<bool>,
 }
 
 impl StopProgress {
@@ -63,6 +55,11 @@
         self.is_stopping.get()
     }
 
+    /// Returns whether the drain timeout has passed, so that the requests still running are cut off.
+    pub(super) fn is_cut_off(&self) -> bool {
+        self.is_cut_off.get()
+    }
+
     /// Returns whether a request that is complete now gets its answer by its deadline, before the daemon
     /// cuts off what still runs.
     ///
@@ -126,6 +123,8 @@
 ///    most for `drain_timeout_ms`. Requests that come now, on connections that are open, are for
 ///    `serve` to refuse unless `progress` leaves them the time.
 ///
+/// The connections that are still open afterwards end with the thread.
+///
 /// Each call of `serve` gets a receiver that turns true when draining begins.
 pub(super) async fn serve_until_drained<F>(
     listener: TcpListener,
@@ -135,8 +134,7 @@
     admission: ConnectionAdmission<impl FnMut() -> bool, impl FnMut()>,
     mut serve: impl FnMut(TcpStream, OpenConnection, watch::Receiver<bool>) -> F,
     others_done: impl Future<Output = ()>,
-) -> DrainEnd
-where
+) where
     F: Future<Output = ()> + 'static,
 {
     let callers = &settings.callers;
@@ -164,16 +162,12 @@
         open.all_closed().await;
         others_done.await;
     };
-    let end = match timeout(limit, all_done).await {
-        Ok(()) => DrainEnd::Drained,
-        Err(_) => {
-            let connections = u32::try_from(open.count()).unwrap_or(u32::MAX);
-            LogEvent::CutOff { connections }.emit();
-            DrainEnd::CutOff
-        }
-    };
+    if timeout(limit, all_done).await.is_err() {
+        let connections = u32::try_from(open.count()).unwrap_or(u32::MAX);
+        LogEvent::CutOff { connections }.emit();
+        progress.is_cut_off.set(true);
+    }
     LogEvent::Drained {}.emit();
-    end
 }
 
 /// Waits for the next connection; retries when accepting one fails.
--- a/entry/src/serve/routed/account.rs
+++ b/entry/src/serve/routed/account.rs
@@ -312,7 +312,7 @@
         if self.is_over {
             return;
         }
-        if self.server.is_cut_off.get() {
+        if self.server.stop.is_cut_off() {
             self.record_cut_off();
         } else if self.prepared.connection_end.has_stalled() {
             self.record_caller_stalled();
--- a/entry/src/serve/routed/listener.rs
+++ b/entry/src/serve/routed/listener.rs
@@ -38,7 +38,6 @@
         },
         connections::{
             ConnectionAdmission,
-            DrainEnd,
             accept_all,
             header_buffer,
             serve_until_drained, //
@@ -90,7 +89,7 @@
         let serving = relay_server::serve(listener, Rc::clone(&server));
         tokio::task::spawn_local(serving);
     }
-    let end = serve_until_drained(
+    serve_until_drained(
         listener,
         &server.settings,
         stopped,
@@ -105,8 +104,6 @@
         server.relay.all_ended(),
     )
     .await;
-    // The connections that are still open are closed when this returns.
-    server.is_cut_off.set(end == DrainEnd::CutOff);
 }
 
 async fn serve_caller(
--- a/entry/src/serve/routed/refusal.rs
+++ b/entry/src/serve/routed/refusal.rs
@@ -152,11 +152,10 @@
             .map_or(0, |routes| routes.version().0),
         why: message.to_owned(),
     });
-    let spread = server.random_fraction();
     let retry_after = match reason {
         // Another daemon takes the request at once.
         RoutedRefusal::Stopping => RETRY_MIN,
-        _ => RETRY_UNADMITTED + RETRY_UNADMITTED_SPREAD.mul_f64(spread),
+        _ => RETRY_UNADMITTED + RETRY_UNADMITTED_SPREAD.mul_f64(server.random_fraction()),
     };
     let answer = OwnAnswer {
         status,
--- a/entry/src/serve/routed/relay_body.rs
+++ b/entry/src/serve/routed/relay_body.rs
@@ -163,7 +163,7 @@
         if self.rest.is_none() {
             return;
         }
-        match self.server.is_cut_off.get() {
+        match self.server.stop.is_cut_off() {
             true => {
                 let why = "the drain timeout passed".to_owned();
                 self.record_broken(BrokenRelayedAnswer::Stopped, why);
--- a/entry/src/serve/routed/server.rs
+++ b/entry/src/serve/routed/server.rs
@@ -1,10 +1,7 @@
 //! State that all requests of the serving thread share.
 
 use std::{
-    cell::{
-        Cell,
-        RefCell, //
-    },
+    cell::RefCell,
     collections::{
         HashMap,
         HashSet, //
@@ -117,8 +114,6 @@
     pub(super) links: Links,
     pub(super) relay: RelayState,
     pub(super) stop: StopProgress,
-    /// Whether the drain timeout has passed, so that the requests still running are cut off.
-    pub(super) is_cut_off: Cell<bool>,
     lines: RequestLines,
     pub(super) demand: Demand,
     has_served: Arc<AtomicBool>,
@@ -157,7 +152,6 @@
             links: Links::new(setup.lost_groups.clone()),
             relay: RelayState::new(setup.relay_key),
             stop: StopProgress::default(),
-            is_cut_off: Cell::new(false),
             lines: RequestLines::default(),
             demand: setup.demand.clone(),
             has_served: Arc::clone(&setup.has_served),
--- a/entry/src/serve/upstream.rs
+++ b/entry/src/serve/upstream.rs
@@ -452,27 +452,24 @@
         sent: &SentBytes,
     ) -> Result<(Response<Incoming>, Lease), AttemptError> {
         let state = Rc::clone(&self.connection.state);
-        let mut lines = state.lines.get();
-        lines.expect_head();
-        state.lines.set(lines);
+        state.lines.set(HeadLines::of_next_response());
         let attempt = AttemptWrites {
             written_before: state.written.get(),
             completed_before: state.completed.get(),
             state,
         };
         sent.current.replace(Some(attempt));
-        match self.connection.sender.send_request(request).await {
-            Ok(response) => {
-                let (head, body) = response.into_parts();
-                match check_head(&head) {
-                    Ok(()) => Ok((Response::from_parts(head, body), self)),
-                    Err(fault) => {
-                        sent.seal();
-                        Err(self.broken_head(fault))
-                    }
-                }
+        let response = match self.connection.sender.send_request(request).await {
+            Ok(response) => response,
+            Err(error) => return Err(self.failure(sent, &error)),
+        };
+        let (head, body) = response.into_parts();
+        match check_head(&head) {
+            Ok(()) => Ok((Response::from_parts(head, body), self)),
+            Err(fault) => {
+                sent.seal();
+                Err(self.broken_head(fault))
             }
-            Err(error) => Err(self.failure(sent, &error)),
         }
     }
 
